--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins, load, demo, soak and reports; not shipped."""
--- /dev/null
+++ b/camphorchute/__init__.py
@@ -0,0 +1,1 @@
+"""camphorchute: a dispatcher for sub-second tasks."""
--- /dev/null
+++ b/camphorchute/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The cli part."""
--- /dev/null
+++ b/camphorchute/entry/__init__.py
@@ -0,0 +1,1 @@
+"""The entry part."""
--- /dev/null
+++ b/camphorchute/jobs/__init__.py
@@ -0,0 +1,1 @@
+"""The jobs part."""
--- /dev/null
+++ b/camphorchute/links/__init__.py
@@ -0,0 +1,1 @@
+"""The links part."""
--- /dev/null
+++ b/camphorchute/platform/__init__.py
@@ -0,0 +1,1 @@
+"""The platform part."""
--- /dev/null
+++ b/camphorchute/services/__init__.py
@@ -0,0 +1,1 @@
+"""The services part."""
--- /dev/null
+++ b/camphorchute/workers/__init__.py
@@ -0,0 +1,1 @@
+"""The workers part."""
--- /dev/null
+++ b/camphorchute/zones/__init__.py
@@ -0,0 +1,1 @@
+"""The zones part."""
