--- /dev/null
+++ b/bench/standins/tests/client.py
@@ -0,0 +1,30 @@
+"""Calls that the tests of the stand-ins make."""
+
+import json
+
+from geventhttpclient import HTTPClient
+
+from bench.standins.server import Standin
+
+__all__ = ["call", "connect", "send"]
+
+
+def connect(address: str, timeout_ms: float = 10_000.0) -> HTTPClient:
+    """Return a client with one connection."""
+    host, port = address.split(":")
+    return HTTPClient(host, int(port), network_timeout=timeout_ms / 1000.0)
+
+
+def send(client: HTTPClient, method: str, path: str, body: object = None) -> tuple[int, dict]:
+    """Return the status and the JSON body of an answer."""
+    response = client.request(method, path, json.dumps(body) if body is not None else b"")
+    return response.status_code, json.loads(response.read())
+
+
+def call(standin: Standin, method: str, path: str, body: object = None) -> dict:
+    """Return the JSON body of an answer with status 200, on a connection of its own."""
+    client = connect(standin.address)
+    status, answer = send(client, method, path, body)
+    client.close()
+    assert status == 200, answer
+    return answer
--- a/camphorchute/cli/__init__.py
+++ b/camphorchute/cli/__init__.py
@@ -1,1 +1,5 @@
-"""The cli part."""
+"""The command line and the settings."""
+
+from camphorchute.cli.settings import SettingFault, Settings, load_settings
+
+__all__ = ["SettingFault", "Settings", "load_settings"]
--- /dev/null
+++ b/camphorchute/cli/exits.py
@@ -0,0 +1,48 @@
+"""Exit codes of the command line."""
+
+from enum import IntEnum
+
+from camphorchute.contracts import Fate, ResultCode, code_info
+
+__all__ = ["ExitCode", "exit_code"]
+
+
+class ExitCode(IntEnum):
+    """What a command's exit code says.
+
+    Attributes:
+        DONE: the command did what it was asked.
+        REFUSED: it was refused or failed, and that is certain.
+        USAGE: the command line or the settings have faults; nothing was sent.
+        NOT_REACHABLE: the entry process cannot be reached; nothing was changed.
+        UNKNOWN: it may have taken effect.
+    """
+
+    DONE = 0
+    REFUSED = 1
+    USAGE = 2
+    NOT_REACHABLE = 3
+    UNKNOWN = 4
+
+
+_DONE_CODES = (ResultCode.COMPLETE, ResultCode.ACCEPTED)
+
+
+def exit_code(code: int) -> ExitCode:
+    """Return the exit code that goes with a result code.
+
+    Examples:
+        >>> exit_code(ResultCode.PLAN_OUTDATED), exit_code(ResultCode.CONFIRM_UNKNOWN)
+        (<ExitCode.REFUSED: 1>, <ExitCode.UNKNOWN: 4>)
+    """
+    try:
+        result = ResultCode(code)
+    except ValueError:
+        return ExitCode.UNKNOWN
+    if result in _DONE_CODES:
+        return ExitCode.DONE
+    if result is ResultCode.CONFIRM_UNKNOWN:
+        return ExitCode.UNKNOWN
+    if code_info(result).fate in (Fate.UNKNOWN, Fate.MAY_HAVE_RUN):
+        return ExitCode.UNKNOWN
+    return ExitCode.REFUSED
--- a/camphorchute/contracts/codes.py
+++ b/camphorchute/contracts/codes.py
@@ -51,16 +51,16 @@
     DEADLINE_UNREACHABLE = 202
     TEAM_OVER_QUOTA = 203
     SERVICE_OVER_LIMIT = 204
-    NOT_READY = 205
-    LEAVING = 206
-    LEDGER_FULL = 207
-    NO_WITNESS = 208
-    NO_WORKER = 209
-    CANCELLED_BEFORE_START = 210
+    LEDGER_FULL = 205
+    NO_WITNESS = 206
+    NO_WORKER = 207
+    CANCELLED_BEFORE_START = 208
 
     OWNER_UNREACHABLE = 301
     RECORDS_LOST = 302
     SHARD_NOT_SETTLED = 303
+    NOT_READY = 304
+    LEAVING = 305
 
     TASK_FAILED = 401
     DEADLINE_PASSED = 402
@@ -176,8 +176,6 @@
     ),
     (_C.TEAM_OVER_QUOTA, 429, _NOT_RUN, True, "The team is over its quota.", _SEND_AGAIN),
     (_C.SERVICE_OVER_LIMIT, 429, _NOT_RUN, True, "The service is over its limit.", _SEND_AGAIN),
-    (_C.NOT_READY, 503, _NOT_RUN, True, "This process does not serve yet.", _SEND_AGAIN),
-    (_C.LEAVING, 503, _NOT_RUN, True, "This process takes no new work.", _SEND_AGAIN),
     (_C.LEDGER_FULL, 503, _NOT_RUN, True, "The ledger of keys is full.", _SEND_AGAIN),
     (_C.NO_WITNESS, 503, _NOT_RUN, True, "No witness answered.", _SEND_AGAIN),
     (_C.NO_WORKER, 503, _NOT_RUN, True, "No worker of the service is usable.", _SEND_AGAIN),
@@ -213,6 +211,8 @@
         "The new owner of this key is still gathering its records.",
         _SEND_AGAIN,
     ),
+    (_C.NOT_READY, 503, _UNKNOWN, True, "This process does not serve yet.", _SEND_AGAIN),
+    (_C.LEAVING, 503, _UNKNOWN, True, "This process takes no new work.", _SEND_AGAIN),
     (_C.TASK_FAILED, 502, _MAY, False, "A task failed.", "Look at the listed tasks."),
     (
         _C.DEADLINE_PASSED,
--- /dev/null
+++ b/camphorchute/entry/config_part.py
@@ -0,0 +1,57 @@
+"""Service records between entry processes."""
+
+import gevent
+
+from camphorchute.contracts import Refusal
+from camphorchute.contracts.member import Member
+from camphorchute.contracts.messages import ConfigRecords, FetchConfig
+from camphorchute.links import LinkLost, Peers, handles
+from camphorchute.services import Catalogue, ServiceRecord
+from camphorchute.services.record import decode_from_peer, encode_for_peer
+from camphorchute.zones import ZoneView
+
+__all__ = ["ConfigPart"]
+
+ASK_TIMEOUT_MS = 2000.0
+WATCHERS_PER_ZONE = 2
+
+
+class ConfigPart:
+    """Both sides of learning the configuration from peers.
+
+    Args:
+        catalogue: services in force at this process.
+        peers: links to the others.
+        view: the ownership records.
+    """
+
+    def __init__(self, catalogue: Catalogue, peers: Peers, view: ZoneView) -> None:
+        self._catalogue = catalogue
+        self._peers = peers
+        self._view = view
+
+    @handles(FetchConfig, prompt=True)
+    def tell(self, peer: Member, message: FetchConfig) -> ConfigRecords:
+        """Tell a peer the records over a revision."""
+        records = self._catalogue.records_after(message.after_revision)
+        revision = self._catalogue.revision if self._catalogue.ready else -1
+        return ConfigRecords([encode_for_peer(record) for record in records], revision)
+
+    def ask_records_after(self, revision: int) -> list[ServiceRecord] | None:
+        """Return a ready peer's records over a revision; None where no peer answered."""
+        links = self._peers.links()
+        links.sort(key=lambda link: link.peer.zone != self._view.member.zone)
+        for link in links:
+            try:
+                reply = link.request(FetchConfig(revision), ASK_TIMEOUT_MS)
+            except (LinkLost, Refusal):
+                continue
+            if reply.revision >= max(revision, 0):
+                return [decode_from_peer(record) for record in reply.records]
+            gevent.sleep(0)
+        return None
+
+    def is_watcher(self) -> bool:
+        """Whether this process is one of the few that watch the store for its zone."""
+        members = sorted(m.member_id for m in self._view.record.members)
+        return self._view.member.member_id in members[:WATCHERS_PER_ZONE]
--- /dev/null
+++ b/camphorchute/entry/daemon.py
@@ -0,0 +1,306 @@
+"""The entry process: its parts put together, started and stopped in order."""
+
+import signal
+import sys
+import time
+import uuid
+
+import gevent
+from eliot import log_message
+from gevent.event import Event
+
+from camphorchute.contracts import Refusal, ResultCode
+from camphorchute.contracts.member import Member
+from camphorchute.contracts.messages import Heartbeat, StatusIs
+from camphorchute.entry.caller_pages import CallerPages, HealthPages
+from camphorchute.entry.config_part import ConfigPart
+from camphorchute.entry.home_part import HomePart
+from camphorchute.entry.http_server import HttpServer
+from camphorchute.entry.logs import start_logs
+from camphorchute.entry.metrics import Metrics
+from camphorchute.entry.operator_pages import OperatorPages
+from camphorchute.entry.status import StatusBoard
+from camphorchute.entry.zone_list import ZonesDiffer, agree_on_zones
+from camphorchute.jobs import Admission, Dispatch, JobOwner, Recovery, Router
+from camphorchute.links import Handlers, Peers
+from camphorchute.platform import EtcdStore, VmList, VmState
+from camphorchute.services import Catalogue, Distribution, Planner
+from camphorchute.workers import Home
+from camphorchute.zones import (
+    Deaths,
+    Ledger,
+    Membership,
+    RecordStore,
+    Settling,
+    Witnessing,
+    ZoneView,
+)
+
+__all__ = ["EntryProcess", "run"]
+
+MS_PER_S = 1000.0
+VM_LIST_INTERVAL_MS = 2000.0
+LAG_CHECK_MS = 100.0
+LAG_REPORT_MS = 100.0
+LEAVE_SHARE = 0.5
+USAGE_EXIT = 2
+
+
+class EntryProcess:
+    """One entry process.
+
+    Args:
+        settings: the checked settings.
+
+    Attributes:
+        stopping: set when an orderly stop was asked for.
+    """
+
+    def __init__(self, settings: object) -> None:
+        self.stopping = Event()
+        self._settings = settings
+        self._metrics = Metrics(settings.statsd_address)
+        count = self._metrics.count
+        self._member = Member(
+            uuid.uuid4().hex[:12],
+            settings.zone,
+            settings.host,
+            settings.rack,
+            settings.advertise_link_address,
+            settings.advertise_http_address,
+        )
+        zones = sorted(settings.zones)
+        window_ms = settings.window_s * MS_PER_S
+        self._handlers = Handlers(count)
+        self._peers = Peers(self._member, zones, self._handlers, settings.link_address)
+        self._store = EtcdStore([_address(settings.store_url)])
+        self._vm_list = VmList(_address(settings.vm_list_url)) if settings.vm_list_url else None
+        self._view = ZoneView(self._member)
+        self._records = RecordStore(self._store, self._view, count)
+        self._deaths = Deaths(self._vm_is_gone, count)
+        self._ledger = Ledger(settings.ledger_max_keys)
+        self._witnessing = Witnessing(self._peers, self._view, self._ledger, count)
+        self._settling = Settling(
+            self._view,
+            self._peers,
+            self._ledger,
+            self._witnessing,
+            self._records,
+            self._deaths,
+            count,
+        )
+        self._membership = Membership(
+            self._view,
+            self._peers,
+            self._records,
+            self._deaths,
+            self._heartbeat,
+            settings.heartbeat_ms,
+            settings.suspect_ms,
+            window_ms,
+            count,
+        )
+        self._catalogue = Catalogue()
+        self._config = ConfigPart(self._catalogue, self._peers, self._view)
+        self._distribution = Distribution(
+            self._store, self._catalogue, self._config, self._config.is_watcher
+        )
+        self._home = Home(self._member.member_id, self._peers.send_linked, metrics=count)
+        self._home_part = HomePart(self._home, self._view, self._catalogue, self._peers, count)
+        self._dispatch = Dispatch(self._view, self._peers, self._policy_of, count)
+        self._recovery = Recovery(
+            self._view, self._peers, self._deaths, self._home_part.find_attempts, count
+        )
+        self._admission = Admission(
+            self._catalogue.definition,
+            self._dispatch.waiting,
+            lambda service, team: self._owner.open_of_team(service, team),
+            settings.zone,
+        )
+        self._owner = JobOwner(
+            self._view,
+            self._ledger,
+            self._witnessing,
+            self._admission,
+            self._dispatch,
+            self._recovery,
+            zones,
+            window_ms,
+            settings.clock_skew_ms,
+            settings.answer_retention_s * MS_PER_S,
+            count,
+        )
+        self._router = Router(
+            self._view, self._peers, self._records, self._membership, zones, count
+        )
+        self._board = StatusBoard(self._status, self._view, self._records, self._peers, zones)
+        self._http = HttpServer(settings.http_address, settings.body_max_bytes, count)
+        self._greenlets: list[gevent.Greenlet] = []
+        self._connect_parts(zones)
+
+    def start(self) -> None:
+        """Start every part; return once this process is a member of its zone and serves.
+
+        Raises:
+            ZonesDiffer: the store holds another list of availability zones.
+        """
+        self._store.start()
+        self._peers.start()
+        self._http.start()
+        agree_on_zones(self._store, self._settings.zones, self._metrics.count)
+        self._owner.start()
+        self._settling.start()
+        self._membership.start()
+        self._distribution.start()
+        self._home_part.start()
+        self._greenlets = [gevent.spawn(self._watch_lag), gevent.spawn(self._follow_vm_list)]
+        self._membership.joined.wait()
+        log_message(
+            message_type="entry",
+            text=f"entry: {self._member.member_id} serves {self._member.zone}",
+        )
+
+    def close(self) -> None:
+        """Stop in order: no request in flight is cut off before the drain time is over."""
+        drain_ms = self._settings.drain_ms
+        until_s = time.monotonic() + drain_ms / MS_PER_S
+        self.stopping.set()
+        log_message(message_type="entry", text="entry: leaves")
+        handed_over = self._membership.leave(drain_ms * LEAVE_SHARE)
+        ended = self._http.close(_left_ms(until_s))
+        self._home_part.close(_left_ms(until_s))
+        self._await_router(until_s)
+        for part in (self._distribution, self._membership, self._settling, self._owner):
+            part.close()
+        gevent.killall(self._greenlets)
+        self._peers.close()
+        self._store.close()
+        log_message(
+            message_type="entry",
+            text="entry: stopped",
+            handed_over=handed_over,
+            requests_ended=ended,
+        )
+        self._metrics.close()
+
+    def _connect_parts(self, zones: list[str]) -> None:
+        for part in (
+            self._membership,
+            self._witnessing,
+            self._owner,
+            self._home_part,
+            self._config,
+            self._board,
+        ):
+            self._handlers.add(part)
+        self._peers.replaced = self._deaths.prove
+        self._peers.lost = self._peer_lost
+        self._membership.heard.append(self._hear)
+        planner = Planner(self._store, self._catalogue, zones)
+        pages = (
+            CallerPages(self._router, self._refuse_unready, self._metrics.count),
+            HealthPages(self._refuse_not_serving),
+            OperatorPages(
+                self._settings.operator_token,
+                planner,
+                self._catalogue,
+                self._board,
+                self.stopping.set,
+                lambda: dict(self._metrics.counters),
+            ),
+        )
+        for page in pages:
+            self._http.add(page)
+
+    def _hear(self, peer: Member, heartbeat: Heartbeat) -> None:
+        self._distribution.heard_revision(heartbeat.config_revision)
+        if peer.zone == self._member.zone:
+            self._dispatch.hear(peer, heartbeat)
+
+    def _peer_lost(self, peer: Member) -> None:
+        if peer.zone == self._member.zone:
+            self._home.owner_lost(peer.member_id)
+            self._owner.home_lost(peer)
+
+    def _heartbeat(self) -> Heartbeat:
+        message = Heartbeat(
+            self._view.record.version,
+            self._catalogue.revision,
+            self.stopping.is_set(),
+            [] if self.stopping.is_set() else self._home.slot_counts(),
+        )
+        self._dispatch.hear(self._member, message)
+        return message
+
+    def _status(self) -> StatusIs:
+        record = self._view.record
+        return StatusIs(
+            self._member,
+            self._is_ready(),
+            self.stopping.is_set(),
+            self._catalogue.revision,
+            self._catalogue.age_ms if self._catalogue.age_ms is not None else -1.0,
+            record.version,
+            len(record.shards_of(self._member.member_id)),
+            [member.member_id for member in record.members],
+        )
+
+    def _is_ready(self) -> bool:
+        return self._catalogue.ready and self._view.record.version > 0
+
+    def _refuse_unready(self) -> None:
+        if not self._is_ready():
+            raise Refusal(ResultCode.NOT_READY, "configuration or zone not known yet", 500)
+
+    def _refuse_not_serving(self) -> None:
+        self._refuse_unready()
+        if self.stopping.is_set():
+            raise Refusal(ResultCode.LEAVING, "", 1000)
+
+    def _policy_of(self, pool: str) -> str:
+        definition = self._catalogue.definition(pool.partition("/")[0])
+        return definition.policy if definition else "home"
+
+    def _vm_is_gone(self, host: str) -> bool:
+        return self._vm_list is not None and self._vm_list.state(host) is VmState.GONE
+
+    def _follow_vm_list(self) -> None:
+        while self._vm_list is not None:
+            self._vm_list.refresh()
+            gevent.sleep(VM_LIST_INTERVAL_MS / MS_PER_S)
+
+    def _watch_lag(self) -> None:
+        """Count the times that the event loop was held up."""
+        while True:
+            before_s = time.monotonic()
+            gevent.sleep(LAG_CHECK_MS / MS_PER_S)
+            lag_ms = (time.monotonic() - before_s) * MS_PER_S - LAG_CHECK_MS
+            if lag_ms > LAG_REPORT_MS:
+                self._metrics.count("entry.loop_lagged")
+
+    def _await_router(self, until_s: float) -> None:
+        while self._router.under_way() and _left_ms(until_s) > 0:
+            gevent.sleep(0.02)
+
+
+def run(settings: object) -> None:
+    """Run an entry process until SIGTERM or SIGINT."""
+    start_logs(settings.log_file)
+    process = EntryProcess(settings)
+    for number in (signal.SIGTERM, signal.SIGINT):
+        gevent.signal_handler(number, process.stopping.set)
+    try:
+        process.start()
+    except ZonesDiffer as error:
+        print(f"fault of the settings: {error}", file=sys.stderr)
+        sys.exit(USAGE_EXIT)
+    process.stopping.wait()
+    process.close()
+
+
+def _address(url: str) -> str:
+    return url.removeprefix("http://").rstrip("/")
+
+
+def _left_ms(until_s: float) -> float:
+    return max(0.0, (until_s - time.monotonic()) * MS_PER_S)
--- /dev/null
+++ b/camphorchute/jobs/dispatch.py
@@ -0,0 +1,196 @@
+"""Hand the waiting tasks of jobs to homes: at once where slots are free, else on a grant."""
+
+import itertools
+from collections import deque
+from collections.abc import Callable
+
+from camphorchute.contracts.member import Member
+from camphorchute.contracts.messages import (
+    CancelTasks,
+    Demand,
+    Grant,
+    HandedTask,
+    HandOff,
+    Heartbeat,
+    TasksReturned,
+)
+from camphorchute.jobs.job import Job, TaskState
+from camphorchute.jobs.placing import HomeSlots, place
+from camphorchute.links import Peers
+from camphorchute.zones import ZoneView
+
+__all__ = ["Dispatch"]
+
+
+class Dispatch:
+    """The owner's side of placement.
+
+    Args:
+        view: the ownership records.
+        peers: links to the homes.
+        policy_of: name of the placement policy of a service.
+        count: adds to a named counter.
+    """
+
+    __slots__ = ("_view", "_peers", "_policy_of", "_count", "_waiting", "_homes", "_numbers")
+
+    def __init__(
+        self,
+        view: ZoneView,
+        peers: Peers,
+        policy_of: Callable[[str], str],
+        count: Callable[..., None],
+    ) -> None:
+        self._view = view
+        self._peers = peers
+        self._policy_of = policy_of
+        self._count = count
+        self._waiting: dict[tuple[str, str], deque[tuple[Job, int]]] = {}
+        self._homes: dict[str, dict[str, HomeSlots]] = {}
+        self._numbers = itertools.count(1)
+
+    def waiting(self, service: str) -> int:
+        """Return how many tasks of a service wait here."""
+        return sum(len(queue) for (name, _), queue in self._waiting.items() if name == service)
+
+    def waiting_of_team(self, service: str, team: str) -> int:
+        """Return how many tasks of a team wait here."""
+        return len(self._waiting.get((service, team), ()))
+
+    def hear(self, peer: Member, heartbeat: Heartbeat) -> None:
+        """Take in a home's free slots."""
+        seen = {}
+        for slots in heartbeat.slots:
+            seen[slots.service] = HomeSlots(peer.member_id, slots.free, slots.slots, slots.waiting)
+        if heartbeat.leaving:
+            seen = {}
+        for service in {*seen, *self._homes}:
+            homes = self._homes.setdefault(service, {})
+            if service in seen:
+                homes[peer.member_id] = seen[service]
+            else:
+                homes.pop(peer.member_id, None)
+        for service, team in list(self._waiting):
+            if service in seen:
+                self._place(service, team)
+                self._tell_demand_to(peer.member_id, service, team)
+
+    def forget_home(self, member_id: str) -> None:
+        """Hand nothing more to a home until it is heard of again."""
+        for homes in self._homes.values():
+            homes.pop(member_id, None)
+
+    def add(self, job: Job, indices: list[int]) -> None:
+        """Place tasks of a job."""
+        queue = self._waiting.setdefault((job.pool, job.spec.team), deque())
+        queue.extend((job, index) for index in indices)
+        self._place(job.pool, job.spec.team)
+        self._tell_demand(job.pool, job.spec.team)
+
+    def add_back(self, job: Job, indices: list[int]) -> None:
+        """Let tasks wait again that a home has not started."""
+        if not job.is_open:
+            return
+        queue = self._waiting.setdefault((job.pool, job.spec.team), deque())
+        queue.extendleft((job, index) for index in reversed(indices))
+
+    def granted(self, home: Member, grant: Grant) -> None:
+        """Use a grant for waiting tasks; what is not needed is given back at once."""
+        batch = self._take(grant.service, grant.team, grant.slots, home)
+        left = grant.slots - sum(len(indices) for _, indices in batch)
+        for job, indices in batch:
+            self._hand(job, indices, home.member_id, len(indices))
+        if left:
+            self._give_back(grant, home, left)
+
+    def returned(self, job: Job, message: TasksReturned) -> None:
+        """Let tasks wait again that a home could not start."""
+        attempts = set(message.attempts)
+        indices = [i for i, task in enumerate(job.tasks) if task.attempt in attempts]
+        taken = [i for i in indices if job.take_back(i, job.tasks[i].attempt)]
+        self._count("jobs.retry.no_slot", len(taken))
+        self.add_back(job, taken)
+
+    def cancel(self, job: Job) -> None:
+        """Stop what homes hold of a job, by one message a home."""
+        for home_id in job.homes():
+            self._peers.send_linked(home_id, CancelTasks(job.key.text))
+
+    def _place(self, service: str, team: str) -> None:
+        queue = self._waiting.get((service, team))
+        homes = self._eligible(service)
+        if not queue or not homes:
+            return
+        shares = place(self._policy_of(service), list(homes.values()), len(queue))
+        for member_id, share in shares.items():
+            home = self._view.record.member(member_id)
+            if home is not None:
+                for job, indices in self._take(service, team, share, home):
+                    homes[member_id].free -= len(indices)
+                    self._hand(job, indices, member_id, 0)
+
+    def _take(self, service: str, team: str, most: int, home: Member) -> list:
+        """Take waiting tasks that may be handed to this home, grouped by job."""
+        queue = self._waiting.get((service, team))
+        batch: dict[int, tuple[Job, list[int]]] = {}
+        passed_over = []
+        taken = 0
+        while queue and taken < most:
+            job, index = queue.popleft()
+            if not job.is_open or job.tasks[index].state is not TaskState.WAITING:
+                continue
+            if home not in self._view.homes(job.reach):
+                passed_over.append((job, index))
+                continue
+            batch.setdefault(id(job), (job, []))[1].append(index)
+            taken += 1
+        if queue is not None:
+            queue.extendleft(reversed(passed_over))
+            if not queue:
+                del self._waiting[(service, team)]
+        return list(batch.values())
+
+    def _hand(self, job: Job, indices: list[int], home_id: str, granted: int) -> None:
+        term = self._view.owned_term(job.key.shard)
+        if term is None or not job.is_open:
+            return
+        tasks = []
+        for index in indices:
+            attempt = f"{self._view.member.member_id}-{next(self._numbers)}"
+            job.hand(index, attempt, home_id)
+            tasks.append(HandedTask(index, attempt, job.spec.tasks[index]))
+        message = HandOff(
+            job.key.text,
+            job.key.shard,
+            term.number,
+            self._view.member.member_id,
+            job.pool,
+            job.spec.team,
+            job.remaining_ms,
+            granted,
+            tasks,
+        )
+        if not self._peers.send_linked(home_id, message):
+            for task in tasks:
+                job.take_back(task.index, task.attempt)
+            self.add_back(job, indices)
+
+    def _give_back(self, grant: Grant, home: Member, slots: int) -> None:
+        self._count("jobs.grant_not_needed", slots)
+        me = self._view.member.member_id
+        message = HandOff("", 0, 0, me, grant.service, grant.team, 0.0, slots, [])
+        self._peers.send_linked(home.member_id, message)
+
+    def _tell_demand(self, service: str, team: str) -> None:
+        for member_id in self._eligible(service):
+            self._tell_demand_to(member_id, service, team)
+
+    def _tell_demand_to(self, member_id: str, service: str, team: str) -> None:
+        waiting = self.waiting_of_team(service, team)
+        if waiting:
+            self._peers.send_linked(member_id, Demand(service, team, waiting))
+
+    def _eligible(self, service: str) -> dict[str, HomeSlots]:
+        homes = self._homes.get(service, {})
+        within = {member.member_id for member in self._view.homes(self._view.reach())}
+        return {member_id: home for member_id, home in homes.items() if member_id in within}
--- /dev/null
+++ b/camphorchute/jobs/owner.py
@@ -0,0 +1,415 @@
+"""The process that decides on a key: accepts each job once and answers for it."""
+
+import time
+from collections import deque
+from collections.abc import Callable
+
+import gevent
+
+from camphorchute.contracts import JobAnswer, JobKey, Refusal, ResultCode
+from camphorchute.contracts.job import refusal_answer
+from camphorchute.contracts.member import Member
+from camphorchute.contracts.messages import (
+    CancelJob,
+    Done,
+    FetchJob,
+    Grant,
+    JobEnded,
+    KeyEntry,
+    KeyOwner,
+    SubmitJob,
+    TasksEnded,
+    TasksReturned,
+)
+from camphorchute.jobs.admission import Admission
+from camphorchute.jobs.dispatch import Dispatch
+from camphorchute.jobs.job import Job, TaskState
+from camphorchute.jobs.recovery import Recovery
+from camphorchute.links import handles
+from camphorchute.zones import Ledger, Witnessing, ZoneView
+from camphorchute.zones.record import encode_record
+
+__all__ = ["JobOwner"]
+
+EXPIRY_STEP_MS = 1000.0
+ANSWERS_MAX_BYTES = 64 * 1024 * 1024
+
+
+class JobOwner:
+    """All jobs whose keys this process decides on.
+
+    Args:
+        view: the ownership records.
+        ledger: the keys that this process holds.
+        witnessing: has accepted keys acknowledged.
+        admission: refuses what cannot be done.
+        dispatch: hands tasks to homes.
+        recovery: finds the fate of tasks whose owner or home was lost.
+        zones: the availability zones.
+        window_ms: resubmission window.
+        clock_skew_ms: largest difference between clocks of processes and callers.
+        answer_retention_ms: how long answers are kept.
+        count: adds to a named counter.
+    """
+
+    __slots__ = (
+        "_view",
+        "_ledger",
+        "_witnessing",
+        "_admission",
+        "_dispatch",
+        "_recovery",
+        "_zones",
+        "_window_ms",
+        "_clock_skew_ms",
+        "_answer_retention_ms",
+        "_count",
+        "_jobs",
+        "_kept",
+        "_kept_bytes",
+        "_greenlet",
+    )
+
+    def __init__(
+        self,
+        view: ZoneView,
+        ledger: Ledger,
+        witnessing: Witnessing,
+        admission: Admission,
+        dispatch: Dispatch,
+        recovery: Recovery,
+        zones: list[str],
+        window_ms: float,
+        clock_skew_ms: float,
+        answer_retention_ms: float,
+        count: Callable[..., None],
+    ) -> None:
+        self._view = view
+        self._ledger = ledger
+        self._witnessing = witnessing
+        self._admission = admission
+        self._dispatch = dispatch
+        self._recovery = recovery
+        self._zones = zones
+        self._window_ms = window_ms
+        self._clock_skew_ms = clock_skew_ms
+        self._answer_retention_ms = answer_retention_ms
+        self._count = count
+        self._jobs: dict[str, Job] = {}
+        self._kept: deque[tuple[float, int, str]] = deque()
+        self._kept_bytes = 0
+        self._greenlet = None
+
+    def start(self) -> None:
+        """Begin to follow the ownership record and the deadlines."""
+        self._view.changed.append(self._give_up_moved)
+        self._greenlet = gevent.spawn(self._run)
+
+    def close(self) -> None:
+        """Stop."""
+        if self._greenlet is not None:
+            self._greenlet.kill()
+
+    def open_jobs(self) -> list[Job]:
+        """Return the jobs that have no answer yet."""
+        return [job for job in self._jobs.values() if job.is_open]
+
+    def open_of_team(self, service: str, team: str) -> int:
+        """Return how many tasks of a team have not ended here."""
+        jobs = [j for j in self.open_jobs() if (j.spec.service, j.spec.team) == (service, team)]
+        return sum(1 for job in jobs for t in job.tasks if t.state is not TaskState.ENDED)
+
+    @handles(SubmitJob)
+    def submit(self, peer: Member, message: SubmitJob) -> JobEnded:
+        """Accept a job, or join the one under way, and wait for its answer."""
+        message.spec.check()
+        key = JobKey(message.key, self._zones)
+        job = self._job_for(key, message)
+        return self._wait(job, None)
+
+    @handles(FetchJob)
+    def fetch(self, peer: Member, message: FetchJob) -> JobEnded:
+        """Wait for the answer to a key."""
+        key = JobKey(message.key, self._zones)
+        job = self._known_job(key)
+        return self._wait(job, message.wait_ms)
+
+    @handles(CancelJob)
+    def cancel(self, peer: Member, message: CancelJob) -> JobEnded:
+        """Cancel a job; one that has its answer keeps it."""
+        key = JobKey(message.key, self._zones)
+        job = self._known_job(key)
+        if job.is_open:
+            handed = job.any_handed()
+            code = ResultCode.CANCELLED if handed else ResultCode.CANCELLED_BEFORE_START
+            self._fail(job, code, "cancelled")
+        return self._wait(job, 0.0)
+
+    @handles(TasksEnded, prompt=True)
+    def tasks_ended(self, peer: Member, message: TasksEnded) -> Done:
+        """Take in the outcomes of tasks."""
+        job = self._jobs.get(message.key)
+        if job is None or not job.is_open:
+            self._count("jobs.late_outcome", len(message.outcomes))
+            return Done()
+        for outcome in message.outcomes:
+            self._take_outcome(job, peer, outcome)
+        if not job.is_open:
+            self._finished(job)
+        return Done()
+
+    @handles(TasksReturned, prompt=True)
+    def tasks_returned(self, peer: Member, message: TasksReturned) -> Done:
+        """Take back tasks that a home did not start."""
+        job = self._jobs.get(message.key)
+        if job is None or not job.is_open:
+            return Done()
+        self._dispatch.returned(job, message)
+        if message.code != ResultCode.NO_SLOT:
+            self._fail(job, ResultCode(message.code), message.detail)
+        return Done()
+
+    @handles(Grant, prompt=True)
+    def granted(self, peer: Member, message: Grant) -> Done:
+        """Use slots that a home keeps for this owner."""
+        self._dispatch.granted(peer, message)
+        return Done()
+
+    def home_lost(self, home: Member) -> None:
+        """Find out what a home, whose link was lost, still holds."""
+        self._dispatch.forget_home(home.member_id)
+        for job in self.open_jobs():
+            if job.handed_to(home.member_id):
+                gevent.spawn(self._recover_from_home, job, home)
+
+    def _take_outcome(self, job: Job, peer: Member, outcome: object) -> None:
+        if not 0 <= outcome.index < len(job.tasks):
+            self._count("jobs.crossed_outcome")
+            return
+        task = job.tasks[outcome.index]
+        if task.home_id != peer.member_id:
+            self._count("jobs.crossed_outcome")
+        elif outcome.code != ResultCode.COMPLETE:
+            detail = f"task {outcome.index}: {outcome.detail}"
+            self._fail(job, ResultCode(outcome.code), detail)
+        elif not job.end(outcome.index, task.attempt, outcome.answer):
+            self._count("jobs.doubled_outcome")
+
+    def _job_for(self, key: JobKey, message: SubmitJob) -> Job:
+        digest = message.spec.digest()
+        job = self._jobs.get(key.text)
+        if job is not None and not job.moved:
+            self._check_digest(key, job.digest, digest)
+            self._count("jobs.joined")
+            return job
+        self._check_owned(key)
+        self._check_age(key)
+        job = Job(key, message.spec, digest, message.remaining_ms)
+        entry = self._ledger.get(key.shard, key.text)
+        if entry is None:
+            self._check_not_lost(key)
+            self._admission.check(message.spec, message.remaining_ms)
+            self._accept(job)
+        else:
+            self._check_digest(key, entry.digest, digest)
+            self._resume(job, entry)
+        return job
+
+    def _accept(self, job: Job) -> None:
+        job.reach = self._view.reach()
+        now_ms = time.time() * 1000
+        expires_unix_ms = round(now_ms + self._window_ms + 2 * self._clock_skew_ms)
+        key = job.key
+        job.entry = KeyEntry(key.text, key.shard, job.digest, expires_unix_ms, [self._self(job)])
+        self._ledger.hold(job.entry)
+        self._jobs[key.text] = job
+        try:
+            self._acknowledge(job)
+        except Refusal as refusal:
+            self._ledger.drop(key.shard, key.text)
+            self._jobs.pop(key.text, None)
+            job.finish(refusal_answer(key.text, refusal))
+            raise
+        self._count("jobs.accepted")
+        gevent.spawn_later(max(job.remaining_ms, 0) / 1000, self._expire, job)
+        self._dispatch.add(job, job.waiting())
+
+    def _resume(self, job: Job, entry: KeyEntry) -> None:
+        job.entry = entry
+        job.reach = self._view.reach()
+        self._jobs[job.key.text] = job
+        self._count("jobs.resumed")
+        gevent.spawn_later(max(job.remaining_ms, 0) / 1000, self._expire, job)
+        gevent.spawn(self._recover, job)
+
+    def _recover(self, job: Job) -> None:
+        try:
+            indices = self._recovery.from_earlier_owners(job)
+            if not job.is_open:
+                self._finished(job)
+                return
+            if indices:
+                self._widen(job)
+                self._dispatch.add(job, indices)
+        except Refusal as refusal:
+            self._end_by(job, refusal)
+
+    def _recover_from_home(self, job: Job, home: Member) -> None:
+        try:
+            indices = self._recovery.from_home(job, home)
+            if not job.is_open:
+                self._finished(job)
+            elif indices:
+                self._dispatch.add(job, indices)
+        except Refusal as refusal:
+            self._end_by(job, refusal)
+
+    def _widen(self, job: Job) -> None:
+        """Have it acknowledged that this owner too may hand on tasks of the job."""
+        owner = self._self(job)
+        if owner not in job.entry.owners:
+            job.entry.owners.append(owner)
+            self._acknowledge(job)
+
+    def _acknowledge(self, job: Job) -> None:
+        term = self._view.owned_term(job.key.shard)
+        if term is None:
+            raise self._not_owner(job.key)
+        self._witnessing.acknowledge(term, job.key.shard, [job.entry])
+        if self._view.owned_term(job.key.shard) is None:
+            raise self._not_owner(job.key)
+
+    def _self(self, job: Job) -> KeyOwner:
+        me = self._view.member
+        return KeyOwner(me.member_id, me.host, job.reach)
+
+    def _end_by(self, job: Job, refusal: Refusal) -> None:
+        if refusal.code in (ResultCode.NOT_OWNER, ResultCode.STALE_TERM):
+            job.move()
+            return
+        self._fail(job, refusal.code, refusal.detail, maybe_all=True)
+
+    def _fail(self, job: Job, code: ResultCode, detail: str, maybe_all: bool = False) -> None:
+        if not job.is_open:
+            return
+        if maybe_all:
+            every = list(range(len(job.tasks)))
+            job.finish(JobAnswer(job.key.text, int(code), detail=detail, tasks_maybe_run=every))
+        else:
+            job.fail(code, detail)
+        self._dispatch.cancel(job)
+        self._finished(job)
+
+    def _expire(self, job: Job) -> None:
+        if not job.is_open:
+            return
+        fresh = job.entry.owners == [self._self(job)]
+        if fresh and not job.any_handed():
+            self._fail(job, ResultCode.DEADLINE_UNREACHABLE, "no slot came free in time")
+        else:
+            self._fail(job, ResultCode.DEADLINE_PASSED, "", maybe_all=not fresh)
+
+    def _finished(self, job: Job) -> None:
+        if job.answer is None or job.kept:
+            return
+        job.kept = True
+        self._count(f"jobs.ended.{ResultCode(job.answer.code).name.lower()}")
+        size_bytes = sum(len(answer) for answer in job.answer.answers) + 200
+        until_s = time.monotonic() + self._answer_retention_ms / 1000
+        self._kept.append((until_s, size_bytes, job.key.text))
+        self._kept_bytes += size_bytes
+        self._drop_old_answers()
+
+    def _drop_old_answers(self) -> None:
+        now_s = time.monotonic()
+        while self._kept and (self._kept[0][0] <= now_s or self._kept_bytes > ANSWERS_MAX_BYTES):
+            _, size_bytes, key = self._kept.popleft()
+            self._kept_bytes -= size_bytes
+            job = self._jobs.get(key)
+            if job is not None and not job.is_open:
+                del self._jobs[key]
+
+    def _wait(self, job: Job, wait_ms: float | None) -> JobEnded:
+        job.finished.wait(None if wait_ms is None else max(wait_ms, 0) / 1000)
+        if job.moved:
+            raise self._not_owner(job.key)
+        if job.answer is None:
+            return JobEnded(JobAnswer(job.key.text, int(ResultCode.ACCEPTED)))
+        return JobEnded(job.answer)
+
+    def _known_job(self, key: JobKey) -> Job:
+        job = self._jobs.get(key.text)
+        if job is not None and not job.moved:
+            return job
+        self._check_owned(key)
+        if self._ledger.get(key.shard, key.text) is not None:
+            raise Refusal(
+                ResultCode.JOB_UNKNOWN, "accepted earlier; submit it again for its answer"
+            )
+        self._check_not_lost(key)
+        raise Refusal(ResultCode.JOB_UNKNOWN, f"no record of {key.text!r}")
+
+    def _check_digest(self, key: JobKey, held: bytes, digest: bytes) -> None:
+        if held != digest:
+            raise Refusal(ResultCode.KEY_CONFLICT, f"key {key.text!r} has another body")
+
+    def _check_owned(self, key: JobKey) -> None:
+        record = self._view.record
+        if key.zone != record.zone or not record.shards:
+            raise self._not_owner(key)
+        if record.shards[key.shard].current.owner != self._view.member.member_id:
+            raise self._not_owner(key)
+        if self._view.owned_term(key.shard) is None:
+            raise Refusal(ResultCode.SHARD_NOT_SETTLED, f"shard {key.shard}", 300)
+
+    def _check_age(self, key: JobKey) -> None:
+        if key.created_unix_ms is None:
+            return
+        age_ms = time.time() * 1000 - key.created_unix_ms
+        if age_ms > self._window_ms:
+            raise Refusal(ResultCode.KEY_EXPIRED, f"made {age_ms / 1000:.0f} s ago")
+        if age_ms < -self._clock_skew_ms:
+            raise Refusal(ResultCode.KEY_INVALID, f"made {-age_ms / 1000:.0f} s ahead of time")
+
+    def _check_not_lost(self, key: JobKey) -> None:
+        lost_unix_ms = self._view.record.shards[key.shard].lost_unix_ms
+        now_unix_ms = time.time() * 1000
+        if not lost_unix_ms or now_unix_ms > lost_unix_ms + self._window_ms:
+            return
+        created = key.created_unix_ms
+        if created is None or created <= lost_unix_ms + self._clock_skew_ms:
+            left_ms = lost_unix_ms + self._window_ms - now_unix_ms
+            raise Refusal(ResultCode.RECORDS_LOST, f"shard {key.shard}", round(left_ms))
+
+    def _not_owner(self, key: JobKey) -> Refusal:
+        refusal = Refusal(ResultCode.NOT_OWNER, f"{key.text!r} is decided on elsewhere", 50)
+        record = self._view.record
+        refusal.record = encode_record(record) if record.version else b""
+        return refusal
+
+    def _give_up_moved(self) -> None:
+        """Leave the jobs whose shards moved to their new owner."""
+        for job in self.open_jobs():
+            if self._view.owned_term(job.key.shard) is None:
+                self._count("jobs.moved")
+                job.move()
+                del self._jobs[job.key.text]
+        self._widen_stranded()
+
+    def _widen_stranded(self) -> None:
+        for job in self.open_jobs():
+            if not self._view.homes(job.reach) and job.waiting():
+                gevent.spawn(self._widen_reach, job)
+
+    def _widen_reach(self, job: Job) -> None:
+        job.reach = self._view.reach()
+        try:
+            self._widen(job)
+        except Refusal as refusal:
+            self._end_by(job, refusal)
+
+    def _run(self) -> None:
+        while True:
+            gevent.sleep(EXPIRY_STEP_MS / 1000)
+            self._ledger.expire()
+            self._drop_old_answers()
--- /dev/null
+++ b/camphorchute/platform/store.py
@@ -0,0 +1,188 @@
+"""The key-value store as the rest of the program sees it."""
+
+from abc import ABC, abstractmethod
+from collections.abc import Callable, Iterator, Sequence
+
+__all__ = [
+    "Store",
+    "StoreRefused",
+    "StoreUnavailable",
+    "StoredListing",
+    "StoredValue",
+    "SwapLost",
+    "SwapUnknown",
+    "make_store",
+    "register_store",
+]
+
+
+class StoredValue:
+    """A key with its value at one revision.
+
+    Args:
+        key: the key.
+        value: the value; ``None`` where the key was deleted.
+        mod_revision: revision of the store at which the key was last written.
+        lease_id: lease that the key is bound to, 0 for none.
+
+    Examples:
+        >>> StoredValue("/a", b"1", 7)
+        StoredValue('/a', b'1', mod_revision=7)
+    """
+
+    __slots__ = ("key", "value", "mod_revision", "lease_id")
+
+    def __init__(self, key: str, value: bytes | None, mod_revision: int, lease_id: int = 0) -> None:
+        self.key = key
+        self.value = value
+        self.mod_revision = mod_revision
+        self.lease_id = lease_id
+
+    def __repr__(self) -> str:
+        return f"StoredValue({self.key!r}, {self.value!r}, mod_revision={self.mod_revision})"
+
+
+class StoredListing:
+    """All keys under a prefix at one revision.
+
+    Args:
+        values: the values in order of their keys.
+        revision: revision of the store at which the listing was read.
+    """
+
+    __slots__ = ("values", "revision")
+
+    def __init__(self, values: Sequence[StoredValue], revision: int) -> None:
+        self.values = values
+        self.revision = revision
+
+
+class StoreUnavailable(Exception):  # noqa: N818
+    """The store did not serve the call; nothing was written."""
+
+
+class StoreRefused(StoreUnavailable):
+    """The store rejected the call, for example an expired lease; a repeat does not help."""
+
+
+class SwapLost(Exception):  # noqa: N818
+    """Another write came first.
+
+    Args:
+        key: the key that was to be written.
+        current: the value in force, ``None`` where the key does not exist.
+    """
+
+    def __init__(self, key: str, current: StoredValue | None) -> None:
+        self.key = key
+        self.current = current
+        super().__init__(f"{key}: another write came first: {current!r}")
+
+
+class SwapUnknown(Exception):  # noqa: N818
+    """The answer to a swap was lost; the write may have taken effect or may still do so."""
+
+
+class Store(ABC):
+    """Compare-and-swap, leases and watches on string keys.
+
+    Attributes:
+        calls: number of calls sent, by what they were for.
+        failures: number of calls that failed, by reason.
+    """
+
+    def __init__(self) -> None:
+        self.calls: dict[str, int] = {}
+        self.failures: dict[str, int] = {}
+
+    @abstractmethod
+    def start(self) -> None:
+        """Make ready for calls."""
+
+    @abstractmethod
+    def close(self) -> None:
+        """Close every connection."""
+
+    @abstractmethod
+    def get(self, key: str) -> StoredValue | None:
+        """Return the value in force, ``None`` where the key does not exist."""
+
+    @abstractmethod
+    def list(self, prefix: str) -> StoredListing:
+        """Return every key that starts with a prefix."""
+
+    @abstractmethod
+    def swap(self, key: str, value: bytes | None, expected_revision: int, lease_id: int = 0) -> int:
+        """Write a key if it was last written at the expected revision.
+
+        Args:
+            key: the key.
+            value: the new value; ``None`` deletes the key.
+            expected_revision: mod revision that the key must have; 0 where it must not exist.
+            lease_id: lease that the key is bound to, 0 for none.
+
+        Returns:
+            The new mod revision.
+
+        Raises:
+            StoreUnavailable: nothing was written.
+            SwapLost: another write came first.
+            SwapUnknown: the answer was lost and a re-read could not show that the write took
+                effect.
+        """
+
+    @abstractmethod
+    def grant_lease(self, ttl_s: int) -> int:
+        """Return the id of a new lease."""
+
+    @abstractmethod
+    def renew_lease(self, lease_id: int) -> int:
+        """Renew a lease and return its time to live in seconds, 0 where it has expired."""
+
+    @abstractmethod
+    def revoke_lease(self, lease_id: int) -> None:
+        """End a lease; the keys bound to it are deleted.
+
+        Raises:
+            StoreUnavailable: the lease may have ended or may still run until it expires.
+        """
+
+    @abstractmethod
+    def watch(self, prefix: str, from_revision: int, timeout_s: float) -> Iterator[StoredValue]:
+        """Yield every write under a prefix from a revision on, in order.
+
+        The iteration ends after ``timeout_s``. A deleted key comes with the value ``None``.
+
+        Raises:
+            StoreUnavailable: the watch was not accepted or its connection broke.
+            StoreRefused: the store no longer holds the writes since ``from_revision``.
+        """
+
+
+_STORES: dict[str, type[Store]] = {}
+
+
+def register_store(name: str) -> Callable[[type[Store]], type[Store]]:
+    """Return a decorator that makes a store class known under a name."""
+
+    def register(store_class: type[Store]) -> type[Store]:
+        if name in _STORES:
+            raise ValueError(f"store {name!r} is already registered")
+        _STORES[name] = store_class
+        return store_class
+
+    return register
+
+
+def make_store(name: str, *args, **options) -> Store:
+    """Return a new store of a registered class.
+
+    Examples:
+        >>> make_store("paper")
+        Traceback (most recent call last):
+        ...
+        ValueError: unknown store 'paper', known: etcd
+    """
+    if name not in _STORES:
+        raise ValueError(f"unknown store {name!r}, known: {', '.join(sorted(_STORES))}")
+    return _STORES[name](*args, **options)
--- /dev/null
+++ b/camphorchute/platform/tests/test_etcd_store.py
@@ -0,0 +1,260 @@
+import gevent
+import msgspec
+import pytest
+from gevent import socket
+
+from bench.standins import keyspace
+from bench.standins.platform import Platform
+from camphorchute.platform import (
+    StoreRefused,
+    StoreUnavailable,
+    SwapLost,
+    SwapUnknown,
+    make_store,
+)
+from camphorchute.platform.json_client import JsonClient
+
+TIMEOUT_MS = 600.0
+KEY = "/camphorchute/a"
+
+
+@pytest.fixture
+def platform():
+    standin = Platform("127.0.0.1:0")
+    standin.start()
+    yield standin
+    standin.close()
+
+
+@pytest.fixture
+def store(platform):
+    store = make_store("etcd", [platform.address], timeout_ms=TIMEOUT_MS)
+    store.start()
+    yield store
+    store.close()
+
+
+@pytest.fixture
+def closed_port():
+    """An address that refuses connections: bound, never listening."""
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        yield f"127.0.0.1:{sock.getsockname()[1]}"
+
+
+def set_faults(platform, **faults):
+    control = JsonClient(platform.address)
+    control.call("POST", "/faults", msgspec.json.encode(faults))
+    control.close()
+
+
+@pytest.mark.parametrize(
+    ("before", "value", "expected", "outcome"),
+    [
+        (None, b"new", 0, "written"),
+        (None, b"new", 7, "lost"),
+        (b"old", b"new", 2, "written"),
+        (b"old", b"new", 0, "lost"),
+        (b"old", b"new", 1, "lost"),
+        (b"old", None, 2, "deleted"),
+        (b"old", None, 9, "lost"),
+        (b"old", b"", 2, "written"),
+        (b"old", bytes(range(256)), 2, "written"),
+    ],
+)
+def test_swap(store, before, value, expected, outcome):
+    if before is not None:
+        assert store.swap(KEY, before, 0) == 2
+    if outcome == "lost":
+        with pytest.raises(SwapLost) as lost:
+            store.swap(KEY, value, expected)
+        current = lost.value.current
+        assert (current and current.value) == before
+        return
+    revision = store.swap(KEY, value, expected)
+    stored = store.get(KEY)
+    if outcome == "deleted":
+        assert stored is None
+    else:
+        assert (stored.key, stored.value, stored.mod_revision) == (KEY, value, revision)
+
+
+def test_list_holds_the_prefix_only(store):
+    for key in ("/a/2", "/a/1", "/b/1", "/a0"):
+        store.swap(key, key.encode(), 0)
+    listing = store.list("/a/")
+    assert [value.key for value in listing.values] == ["/a/1", "/a/2"]
+    assert listing.revision == 5
+    assert store.calls == {"swap": 4, "list": 1}
+
+
+@pytest.mark.parametrize(
+    ("faults", "value", "outcome", "written"),
+    [
+        ({"lose_answers": 1}, b"new", 3, True),
+        ({"lose_answers": 1}, None, SwapUnknown, True),
+        ({"hang": True}, b"new", SwapUnknown, False),
+        ({"outage": True}, b"new", SwapUnknown, False),
+        ({"down_ms": 60_000.0}, b"new", StoreUnavailable, False),
+        ({"silent": True}, b"new", SwapUnknown, False),
+        ({"silent": True}, b"old", SwapUnknown, False),
+        ({"slow_ms": 10.0}, b"new", 3, True),
+    ],
+)
+def test_swap_under_a_fault(platform, store, faults, value, outcome, written):
+    store.swap(KEY, b"old", 0)
+    set_faults(platform, **faults)
+    if "down_ms" in faults:
+        wait_until(lambda: not platform._server.started)
+    if isinstance(outcome, int):
+        assert store.swap(KEY, value, 2) == outcome
+    else:
+        with pytest.raises(outcome):
+            store.swap(KEY, value, 2)
+    states = platform.keys.range(KEY.encode(), b"")
+    in_force = value if written else b"old"
+    assert [state.value for state in states] == ([] if in_force is None else [in_force])
+    assert store.calls["swap"] == 2
+    assert store.calls["swap_check"] <= 1
+
+
+def wait_until(condition):
+    with gevent.Timeout(10):
+        while not condition():
+            gevent.sleep(0.01)
+
+
+@pytest.mark.parametrize(
+    ("rival", "lease", "ours"), [(b"new", 0, True), (b"other", 0, False), (b"new", 1, False)]
+)
+def test_lost_swap_is_told_from_a_later_write(platform, store, rival, lease, ours):
+    store.swap(KEY, b"old", 0)
+    platform.faults.lose_answers = 1
+    read = platform._range
+
+    def write_then_read(body):
+        platform.keys.put(KEY.encode(), rival, lease, platform.keys.revision + 1)
+        return read(body)
+
+    platform._range = write_then_read
+    if ours:
+        assert store.swap(KEY, b"new", 2) == 4
+    else:
+        with pytest.raises(SwapUnknown):
+            store.swap(KEY, b"new", 2)
+
+
+@pytest.mark.parametrize("faults", [{"silent": True}, {"hang": True}, {"outage": True}])
+def test_read_fails_once_and_the_next_uses_a_new_connection(platform, store, faults):
+    store.swap(KEY, b"old", 0)
+    gevent.joinall([gevent.spawn(store.get, KEY) for _ in range(4)])
+    set_faults(platform, **faults)
+    with pytest.raises(StoreUnavailable):
+        store.get(KEY)
+    set_faults(platform, hang=False, outage=False)
+    assert store.get(KEY).value == b"old"
+
+
+def test_timeouts_free_their_connections(platform, store):
+    set_faults(platform, hang=True)
+    reads = [gevent.spawn(store.get, KEY) for _ in range(12)]
+    gevent.joinall(reads)
+    assert all(isinstance(read.exception, StoreUnavailable) for read in reads)
+    set_faults(platform, hang=False)
+    assert store.get(KEY) is None
+
+
+def test_second_gateway_serves_when_the_first_refuses(platform, closed_port):
+    store = make_store("etcd", [closed_port, platform.address])
+    store.start()
+    assert store.swap(KEY, b"new", 0) == 2
+    assert store.failures == {"swap_not_sent": 1}
+    store.close()
+    with pytest.raises(StoreUnavailable):
+        store.get(KEY)
+
+
+@pytest.mark.parametrize("call", ["swap", "get", "list", "grant_lease", "watch"])
+def test_no_gateway(closed_port, call):
+    store = make_store("etcd", [closed_port])
+    store.start()
+    args = {"swap": (KEY, b"", 0), "grant_lease": (5,), "watch": (KEY, 1, 1.0)}.get(call, (KEY,))
+    with pytest.raises(StoreUnavailable):
+        list(getattr(store, call)(*args))
+    assert store.failures == {f"{call}_not_sent": 1}
+
+
+@pytest.mark.parametrize(("value", "lease"), [(b"new", 99), (bytes(2_000_000), 0)])
+def test_rejected_write_was_not_written(store, value, lease):
+    with pytest.raises(StoreRefused):
+        store.swap(KEY, value, 0, lease)
+    assert store.get(KEY) is None
+    assert store.calls["swap_check"] == 0
+
+
+def test_lease(platform, store):
+    lease = store.grant_lease(60)
+    revision = store.swap(KEY, b"held", 0, lease)
+    assert store.renew_lease(lease) == 60
+    set_faults(platform, lapse_leases=True)
+    assert store.renew_lease(lease) == 0
+    assert store.get(KEY) is None
+    gone = next(store.watch(KEY, revision + 1, 10.0))
+    assert (gone.key, gone.value) == (KEY, None)
+    store.swap(KEY, b"held", 0, other := store.grant_lease(60))
+    store.revoke_lease(other)
+    assert store.get(KEY) is None
+
+
+def test_lease_expires(platform, store):
+    revision = store.swap(KEY, b"held", 0, store.grant_lease(1))
+    assert next(store.watch(KEY, revision + 1, 30.0)).value is None
+
+
+def test_watch_gives_past_and_later_writes_in_order(store):
+    revision = store.swap("/a/1", b"1", 0)
+    store.swap("/b/1", b"other", 0)
+    watch = store.watch("/a/", revision, 30.0)
+    assert next(watch).value == b"1"
+    later = gevent.spawn(store.swap, "/a/1", b"2", revision)
+    assert next(watch).mod_revision == later.get()
+    store.swap("/a/1", None, later.get())
+    assert next(watch).value is None
+    watch.close()
+    assert store.calls["watch"] == 1
+
+
+def test_watch_ends_after_its_lifetime(store):
+    assert list(store.watch("/a/", 1, 0.2)) == []
+
+
+@pytest.mark.parametrize("faults", [{"hang": True}, {"outage": True}])
+def test_watch_that_is_not_accepted(platform, store, faults):
+    set_faults(platform, **faults)
+    with pytest.raises(StoreUnavailable):
+        list(store.watch("/a/", 1, 30.0))
+
+
+def test_watch_whose_connection_breaks(platform, store):
+    store.swap("/a/1", b"1", 0)
+    watch = store.watch("/a/", 1, 60.0)
+    next(watch)
+    set_faults(platform, outage=True)
+    with pytest.raises(StoreUnavailable):
+        next(watch)
+
+
+def test_watch_from_a_compacted_revision(platform, store, monkeypatch):
+    monkeypatch.setattr(keyspace, "HISTORY_EVENTS", 4)
+    for number in range(6):
+        store.swap(f"/a/{number}", b"", 0)
+    with pytest.raises(StoreRefused, match="compacted"):
+        list(store.watch("/a/", 1, 30.0))
+
+
+def test_sockets_have_no_delay(platform, store):
+    store.get(KEY)
+    (idle,) = store._clients[0]._http._connection_pool._idle
+    (accepted,) = platform._server.connections
+    for sock in (idle, accepted):
+        assert sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY)
--- /dev/null
+++ b/camphorchute/services/faults.py
@@ -0,0 +1,201 @@
+"""Every fault of an intended definition, each with its path."""
+
+import ipaddress
+from collections.abc import Iterable
+from typing import Any, get_type_hints
+
+import msgspec
+from msgspec import inspect
+
+from camphorchute.contracts import Refusal, ResultCode
+from camphorchute.services.definition import ServiceDefinition, Upstream, Worker
+from camphorchute.services.record import DEFINITION_MAX_BYTES
+
+__all__ = [
+    "DRAIN_MAX_MS",
+    "DefinitionFault",
+    "check_definition",
+    "find_faults",
+    "read_definition",
+]
+
+DRAIN_MAX_MS = 3_600_000
+PORT_MAX = 65_535
+
+
+class DefinitionFault(Exception):  # noqa: N818
+    """One fault of a definition.
+
+    Args:
+        path: where it is, such as ``workers[3].address``.
+        problem: what is wrong, with the offending value.
+
+    Examples:
+        >>> str(DefinitionFault("drain_ms", "0.0 is not over 0"))
+        'drain_ms: 0.0 is not over 0'
+    """
+
+    def __init__(self, path: str, problem: str) -> None:
+        self.path = path
+        self.problem = problem
+        super().__init__(f"{path}: {problem}")
+
+
+def read_definition(raw: object, zones: Iterable[str] | None = None) -> ServiceDefinition:
+    """Return the definition that plain data holds.
+
+    Args:
+        raw: a decoded JSON body.
+        zones: the known availability zones; None where they are not checked.
+
+    Raises:
+        Refusal: ``PLAN_INVALID`` with every fault, or ``VALUE_TOO_LARGE``.
+
+    Examples:
+        >>> read_definition({"name": "flags"}).name
+        'flags'
+        >>> read_definition({"name": "Flags", "drain_ms": -1, "slots": 3})
+        Traceback (most recent call last):
+        ...
+        camphorchute.contracts.errors.Refusal: 503 plan_invalid: 3 faults
+        name: Expected `str` matching regex '^[a-z0-9][a-z0-9_.-]*$'
+        drain_ms: Expected `float` > 0.0
+        slots: unknown field
+    """
+    faults = _type_faults(raw)
+    if faults:
+        _refuse(faults)
+    definition = msgspec.convert(raw, ServiceDefinition)
+    check_definition(definition, zones)
+    return definition
+
+
+def check_definition(definition: ServiceDefinition, zones: Iterable[str] | None = None) -> None:
+    """Raise a refusal with every fault that the types alone do not rule out.
+
+    Raises:
+        Refusal: ``PLAN_INVALID``, caused by an exception group of `DefinitionFault`;
+            ``VALUE_TOO_LARGE`` where the definition does not fit the store.
+    """
+    faults = find_faults(definition, zones)
+    if faults:
+        _refuse(faults)
+    size_bytes = len(msgspec.json.encode(definition))
+    if size_bytes > DEFINITION_MAX_BYTES:
+        raise Refusal(
+            ResultCode.VALUE_TOO_LARGE,
+            f"the definition has {size_bytes} bytes, at most {DEFINITION_MAX_BYTES} allowed",
+        )
+
+
+def find_faults(
+    definition: ServiceDefinition, zones: Iterable[str] | None = None
+) -> list[DefinitionFault]:
+    """Return every fault of a definition, in the order of its fields."""
+    faults = _type_faults(msgspec.to_builtins(definition))
+    known_zones = None if zones is None else set(zones)
+    addresses: dict[str, str] = {}
+    for field in ("workers", "upstreams"):
+        back_ends = getattr(definition, field)
+        faults += _name_faults(field, back_ends)
+        for position, back_end in enumerate(back_ends):
+            path = f"{field}[{position}]"
+            faults += _address_faults(path, back_end.address, addresses)
+            if known_zones is not None and back_end.zone not in known_zones:
+                faults.append(_zone_fault(path, back_end.zone, known_zones))
+    if definition.drain_ms > DRAIN_MAX_MS:
+        problem = f"{definition.drain_ms:g} is over {DRAIN_MAX_MS}"
+        faults.append(DefinitionFault("drain_ms", problem))
+    return faults
+
+
+def _refuse(faults: list[DefinitionFault]) -> None:
+    count = f"{len(faults)} fault{'s' if len(faults) > 1 else ''}"
+    detail = "\n".join([count, *map(str, faults)])
+    raise Refusal(ResultCode.PLAN_INVALID, detail) from ExceptionGroup(count, faults)
+
+
+def _name_faults(field: str, back_ends: list[Worker] | list[Upstream]) -> list[DefinitionFault]:
+    first: dict[str, int] = {}
+    faults = []
+    for position, back_end in enumerate(back_ends):
+        earlier = first.setdefault(back_end.name, position)
+        if earlier != position:
+            problem = f"{back_end.name!r} is the name of {field}[{earlier}] too"
+            faults.append(DefinitionFault(f"{field}[{position}].name", problem))
+    return faults
+
+
+def _address_faults(path: str, address: str, seen: dict[str, str]) -> list[DefinitionFault]:
+    host, _, port = address.rpartition(":")
+    faults = []
+    try:
+        host = str(ipaddress.ip_address(host.strip("[]")))
+    except ValueError:
+        faults.append(DefinitionFault(f"{path}.address", f"{host!r} is not an IP number"))
+    if not 1 <= int(port or 0) <= PORT_MAX:
+        problem = f"port {port} is not in 1 to {PORT_MAX}"
+        faults.append(DefinitionFault(f"{path}.address", problem))
+    earlier = seen.setdefault(f"{host} {port}", path)
+    if earlier != path:
+        problem = f"{address} is the address of {earlier} too"
+        faults.append(DefinitionFault(f"{path}.address", problem))
+    return faults
+
+
+def _zone_fault(path: str, zone: str, known_zones: set[str]) -> DefinitionFault:
+    known = ", ".join(sorted(known_zones))
+    return DefinitionFault(f"{path}.zone", f"{zone!r} is not one of {known}")
+
+
+def _type_faults(raw: Any) -> list[DefinitionFault]:
+    """Return every place where plain data is no definition; walk through it only if it is none."""
+    try:
+        msgspec.convert(raw, ServiceDefinition)
+    except msgspec.ValidationError:
+        return _schema_faults(raw, ServiceDefinition, "")
+    return []
+
+
+def _schema_faults(raw: Any, kind: Any, path: str) -> list[DefinitionFault]:
+    """Return every place where plain data does not fit a type."""
+    if isinstance(kind, type) and issubclass(kind, msgspec.Struct) and isinstance(raw, dict):
+        return _struct_faults(raw, kind, path)
+    described = inspect.type_info(kind)
+    if isinstance(described, inspect.ListType) and isinstance(raw, list):
+        item_kind = kind.__args__[0]
+        return _flatten(_schema_faults(v, item_kind, f"{path}[{i}]") for i, v in enumerate(raw))
+    if isinstance(described, inspect.DictType) and isinstance(raw, dict):
+        return _mapping_faults(raw, kind, path)
+    try:
+        msgspec.convert(raw, kind)
+    except msgspec.ValidationError as error:
+        return [DefinitionFault(path or "definition", str(error))]
+    return []
+
+
+def _struct_faults(raw: dict, kind: type[msgspec.Struct], path: str) -> list[DefinitionFault]:
+    prefix = f"{path}." if path else ""
+    hints = get_type_hints(kind, include_extras=True)
+    fields = {field.encode_name: field for field in msgspec.structs.fields(kind)}
+    faults = []
+    for name, field in fields.items():
+        if name in raw:
+            faults += _schema_faults(raw[name], hints[field.name], prefix + name)
+        elif field.required:
+            faults.append(DefinitionFault(prefix + name, "is missing"))
+    unknown = [name for name in raw if name not in fields]
+    return faults + [DefinitionFault(f"{prefix}{name}", "unknown field") for name in unknown]
+
+
+def _mapping_faults(raw: dict, kind: Any, path: str) -> list[DefinitionFault]:
+    key_kind, value_kind = kind.__args__
+    faults = []
+    for key, value in raw.items():
+        place = f"{path}[{key}]"
+        faults += _schema_faults(key, key_kind, place) + _schema_faults(value, value_kind, place)
+    return faults
+
+
+def _flatten(groups: Iterable[list[DefinitionFault]]) -> list[DefinitionFault]:
+    return [fault for group in groups for fault in group]
--- /dev/null
+++ b/camphorchute/workers/http_channel.py
@@ -0,0 +1,202 @@
+"""Pooled HTTP connections to one address, with exact knowledge of what may have left.
+
+``geventhttpclient`` parses the answers. Its client class is not used, since it sends a request
+with an idempotent method again by itself when a connection closes.
+"""
+
+import select
+import socket as sockets
+
+import gevent
+from gevent import socket
+from geventhttpclient.response import HTTPParseError, HTTPSocketResponse
+
+__all__ = ["AnswerLost", "HttpAnswer", "HttpChannel", "NotSent", "split_address"]
+
+CONNECT_TIMEOUT_MS = 1000.0
+READ_BLOCK_BYTES = 65536
+FINAL_STATUS_MIN = 200
+
+
+class NotSent(Exception):  # noqa: N818
+    """No byte of the request was sent: the receiver cannot have run it."""
+
+
+class AnswerLost(Exception):  # noqa: N818
+    """The request may have been received and no whole answer came."""
+
+
+class HttpAnswer:
+    """Status, headers and body of an answer."""
+
+    __slots__ = ("status", "headers", "body")
+
+    def __init__(self, status: int, headers: dict[str, str], body: bytes) -> None:
+        self.status = status
+        self.headers = headers
+        self.body = body
+
+
+class _Response(HTTPSocketResponse):
+    """Counts whole answers, so that a second one on the connection is not taken for content."""
+
+    answers = 0
+
+    def _on_message_complete(self) -> None:
+        if self.get_code() >= FINAL_STATUS_MIN:
+            self.answers += 1
+        super()._on_message_complete()
+
+
+def split_address(address: str) -> tuple[str, int]:
+    """Split an ``IP:port`` address.
+
+    Examples:
+        >>> split_address("[::1]:7000")
+        ('::1', 7000)
+    """
+    host, _, port = address.rpartition(":")
+    return host.strip("[]"), int(port)
+
+
+def _is_idle(sock: socket.socket) -> bool:
+    """Whether a kept connection is open and holds no unread bytes."""
+    try:
+        poll = select.poll()
+        poll.register(sock.fileno(), select.POLLIN | select.POLLHUP | select.POLLERR)
+        return not poll.poll(0)
+    except (OSError, ValueError):
+        return False
+
+
+class HttpChannel:
+    """Keeps connections to one address; each carries one request at a time.
+
+    A connection is closed at its first timeout or error and never used again.
+
+    Args:
+        address: ``IP:port`` of the receiver.
+        idle_max: most idle connections that are kept.
+        connect_timeout_ms: longest time that opening a connection may take.
+    """
+
+    __slots__ = (
+        "address",
+        "idle_max",
+        "connect_timeout_ms",
+        "_family",
+        "_peer",
+        "_idle",
+        "_closed",
+    )
+
+    def __init__(
+        self, address: str, idle_max: int = 2, connect_timeout_ms: float = CONNECT_TIMEOUT_MS
+    ) -> None:
+        self.address = address
+        self.idle_max = idle_max
+        self.connect_timeout_ms = connect_timeout_ms
+        self._peer = split_address(address)
+        self._family = sockets.AF_INET6 if ":" in self._peer[0] else sockets.AF_INET
+        self._idle: list[socket.socket] = []
+        self._closed = False
+
+    def close(self) -> None:
+        """Close the idle connections; those in use close when their exchange ends."""
+        self._closed = True
+        while self._idle:
+            self._idle.pop().close()
+
+    def connect(self) -> socket.socket:
+        """Open a connection or raise :class:`NotSent`."""
+        sock = socket.socket(self._family, sockets.SOCK_STREAM)
+        try:
+            sock.settimeout(self.connect_timeout_ms / 1000)
+            sock.connect(self._peer)
+            sock.setsockopt(sockets.IPPROTO_TCP, sockets.TCP_NODELAY, 1)
+            sock.settimeout(None)
+        except OSError as error:
+            sock.close()
+            raise NotSent(f"{self.address}: {error}") from error
+        except BaseException:
+            sock.close()
+            raise
+        return sock
+
+    def exchange(
+        self,
+        method: str,
+        target: str,
+        body: bytes,
+        timeout_ms: float,
+        headers: dict[str, str] | None = None,
+        fresh: bool = False,
+    ) -> HttpAnswer:
+        """Send one request, once, and return its answer.
+
+        Args:
+            method: HTTP method.
+            target: path and query.
+            body: body, may be empty.
+            timeout_ms: longest time from the first byte sent to the last byte received.
+            headers: further headers.
+            fresh: whether to open a new connection for it.
+
+        Raises:
+            NotSent: no byte was sent.
+            AnswerLost: the request may have been received.
+        """
+        request = self._encode(method, target, body, headers)
+        sock = None if fresh else self._take_idle()
+        if sock is None:
+            sock = self.connect()
+        try:
+            with gevent.Timeout(timeout_ms / 1000):
+                sock.sendall(request)
+                response = _Response(sock, READ_BLOCK_BYTES, method)
+                content = response.read()
+            if response.answers != 1:
+                sock.close()
+                raise AnswerLost(f"{self.address}: {response.answers} answers to one request")
+        except gevent.Timeout as error:
+            sock.close()
+            raise AnswerLost(f"{self.address}: no answer in {timeout_ms:.0f} ms") from error
+        except (OSError, HTTPParseError) as error:
+            sock.close()
+            raise AnswerLost(f"{self.address}: {error}") from error
+        except BaseException:
+            sock.close()
+            raise
+        self._give_back(sock, response)
+        return HttpAnswer(response.status_code, dict(response.headers), bytes(content))
+
+    def _encode(
+        self, method: str, target: str, body: bytes, headers: dict[str, str] | None
+    ) -> bytes:
+        lines = [f"{method} {target} HTTP/1.1", f"Host: {self.address}"]
+        if body or method not in ("GET", "HEAD"):
+            lines.append(f"Content-Length: {len(body)}")
+        for name, value in (headers or {}).items():
+            lines.append(f"{name}: {value}")
+        text = "\r\n".join(lines)
+        if text.count("\n") != len(lines) - 1 or text.count("\r") != len(lines) - 1:
+            raise ValueError("a line break in a request line or header")
+        try:
+            head = text.encode("latin-1")
+        except UnicodeEncodeError as error:
+            raise ValueError("a request line or header that is not Latin-1") from error
+        return head + b"\r\n\r\n" + body
+
+    def _take_idle(self) -> socket.socket | None:
+        while self._idle:
+            sock = self._idle.pop()
+            if _is_idle(sock):
+                return sock
+            sock.close()
+        return None
+
+    def _give_back(self, sock: socket.socket, response: HTTPSocketResponse) -> None:
+        if self._closed or len(self._idle) >= self.idle_max or response.should_close():
+            sock.close()
+        else:
+            self._idle.append(sock)
--- /dev/null
+++ b/camphorchute/workers/http_upstream.py
@@ -0,0 +1,246 @@
+"""Upstreams: plain HTTP servers that single requests are handed to."""
+
+import base64
+import time
+
+import gevent
+import msgspec
+from gevent.event import Event
+
+from camphorchute.services.definition import ServiceDefinition
+from camphorchute.workers.back_end import (
+    REFUSED_NO_SLOT,
+    REFUSED_UNREACHABLE,
+    RUNNING,
+    AnswerPage,
+    Attempt,
+    AttemptAnswer,
+    BackEnd,
+    BackEndError,
+    BackEndStatus,
+    FoundAttempt,
+    StartReport,
+    register_back_end,
+)
+from camphorchute.workers.http_channel import AnswerLost, HttpAnswer, HttpChannel, NotSent
+from camphorchute.workers.retry_budget import RetryBudget
+
+__all__ = ["HttpUpstream", "UpstreamAnswer", "UpstreamRequest"]
+
+REQUEST_TIMEOUT_MS = 300_000.0
+REPEATABLE_TIMEOUT_MIN_MS = 2000.0
+REPEATABLE_TIMEOUT_FACTOR = 4.0
+RETRIES_MAX = 2
+RETRY_RATIO_DEFAULT = 0.1
+STATUS_NOT_RUN = 503
+HEADER_NOT_RUN = "x-not-run"
+CONNECTION_HEADERS = frozenset(
+    (
+        "connection",
+        "content-length",
+        "expect",
+        "host",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    )
+)
+ATTEMPT_HEADERS = frozenset(("idempotency-key", "x-attempt-id"))
+
+
+class UpstreamRequest(msgspec.Struct, omit_defaults=True):
+    """The payload of a task of kind ``request``.
+
+    Attributes:
+        body: the body as text.
+        body_base64: the body, where it is no text.
+        repeatable: whether it may be sent again when no answer came.
+    """
+
+    method: str
+    path: str
+    headers: dict[str, str] = {}
+    body: str = ""
+    body_base64: str = ""
+    repeatable: bool = False
+
+    def content(self) -> bytes:
+        """Return the bytes of the body."""
+        return _content(self.body, self.body_base64)
+
+
+class UpstreamAnswer(msgspec.Struct, omit_defaults=True):
+    """The answer to a task of kind ``request``; the body fields are as in the request."""
+
+    status: int
+    headers: dict[str, str] = {}
+    body: str = ""
+    body_base64: str = ""
+
+    def content(self) -> bytes:
+        """Return the bytes of the body."""
+        return _content(self.body, self.body_base64)
+
+
+def _content(text: str, encoded: str) -> bytes:
+    return base64.b64decode(encoded, validate=True) if encoded else text.encode()
+
+
+def _answer_of(answer: HttpAnswer) -> UpstreamAnswer:
+    headers = {
+        name: value
+        for name, value in answer.headers.items()
+        if name.lower() not in CONNECTION_HEADERS
+    }
+    try:
+        return UpstreamAnswer(answer.status, headers, answer.body.decode())
+    except UnicodeDecodeError:
+        encoded = base64.b64encode(answer.body).decode()
+        return UpstreamAnswer(answer.status, headers, body_base64=encoded)
+
+
+def _says_not_run(answer: HttpAnswer) -> bool:
+    if answer.status != STATUS_NOT_RUN:
+        return False
+    values = [value for name, value in answer.headers.items() if name.lower() == HEADER_NOT_RUN]
+    return values == ["1"]
+
+
+_requests = msgspec.json.Decoder(UpstreamRequest)
+
+
+@register_back_end("upstream")
+class HttpUpstream(BackEnd):
+    """An upstream; each attempt is one request on a connection of its own.
+
+    A request is sent again only if it is repeatable and no answer came, within the retry budget.
+    """
+
+    __slots__ = ("_budget", "_channel", "_running", "_ready", "_page", "_repeatable", "_refused")
+
+    def __init__(self, home_id: str, address: str, connections: int = 64) -> None:
+        super().__init__(home_id, address, connections)
+        self._budget = RetryBudget(RETRY_RATIO_DEFAULT)
+        self._channel = HttpChannel(address, idle_max=connections)
+        self._running: dict[str, tuple[Attempt, gevent.Greenlet]] = {}
+        self._ready = Event()
+        self._page = AnswerPage(0)
+        self._repeatable: frozenset[str] = frozenset()
+        self._refused = False
+
+    def define(self, definition: ServiceDefinition) -> None:
+        """Apply the retry budget and the repeatable kinds of the service."""
+        self._budget.ratio = definition.limits.retry_budget_ratio
+        self._repeatable = frozenset(definition.repeatable_kinds)
+
+    def close(self) -> None:
+        """Close the connections, also of running requests."""
+        gevent.killall([greenlet for _, greenlet in self._running.values()])
+        self._channel.close()
+
+    def start_attempts(self, attempts: list[Attempt]) -> StartReport:
+        """Send each request on its own connection; what becomes of it comes as an answer."""
+        for attempt in attempts:
+            greenlet = gevent.Greenlet(self._run, attempt)
+            self._running[attempt.attempt] = (attempt, greenlet)
+            greenlet.start()
+        return StartReport(started=[attempt.attempt for attempt in attempts])
+
+    def next_answers(self, after: int, wait_ms: float) -> AnswerPage:
+        """Wait for ended requests; an upstream that refused to connect is tried first."""
+        if self._refused and not self._ready.is_set():
+            self.status()
+        self._ready.wait(wait_ms / 1000)
+        self._ready.clear()
+        page, self._page = self._page, AnswerPage(after)
+        page.last = after + len(page.answers)
+        return page
+
+    def find(self, job: str) -> list[FoundAttempt]:
+        """Return the requests of a job that wait for their answers."""
+        return [
+            FoundAttempt(attempt.attempt, attempt.index, RUNNING)
+            for attempt, _ in self._running.values()
+            if attempt.job == job
+        ]
+
+    def stop(self, job: str) -> None:
+        """Stop waiting for the answers of a job and close its connections."""
+        for attempt, greenlet in list(self._running.values()):
+            if attempt.job == job:
+                greenlet.kill(block=False)
+
+    def status(self) -> BackEndStatus:
+        """Try whether the upstream takes connections."""
+        try:
+            self._channel.connect().close()
+        except NotSent as error:
+            raise BackEndError(str(error)) from error
+        self._refused = False
+        return BackEndStatus(self.connections, len(self._running))
+
+    def _run(self, attempt: Attempt) -> None:
+        started_s = time.monotonic()
+        try:
+            answer = self._request(attempt)
+            if answer is None:
+                self._page.lost.append(attempt.attempt)
+            elif _says_not_run(answer):
+                self._page.refused[attempt.attempt] = REFUSED_NO_SLOT
+            else:
+                run_ms = (time.monotonic() - started_s) * 1000
+                text = msgspec.json.encode(_answer_of(answer)).decode()
+                self._page.answers.append(_ended(attempt, True, text, run_ms))
+        except NotSent:
+            self._refused = True
+            self._page.refused[attempt.attempt] = REFUSED_UNREACHABLE
+        except (msgspec.MsgspecError, ValueError) as error:
+            self._page.answers.append(_ended(attempt, False, f"malformed request: {error}", 0.0))
+        finally:
+            del self._running[attempt.attempt]
+            self._ready.set()
+
+    def _request(self, attempt: Attempt) -> HttpAnswer | None:
+        """Return the answer, or ``None`` where the request may have run and none can be had."""
+        request = _requests.decode(attempt.payload)
+        repeatable = request.repeatable or attempt.kind in self._repeatable
+        timeout_ms = REQUEST_TIMEOUT_MS
+        if repeatable:
+            usual_ms = REPEATABLE_TIMEOUT_FACTOR * attempt.run_time_ms
+            timeout_ms = max(REPEATABLE_TIMEOUT_MIN_MS, usual_ms)
+        self._budget.note_first_send()
+        try:
+            return self._send(attempt, request, timeout_ms, fresh=False)
+        except AnswerLost:
+            if not repeatable:
+                return None
+        for _ in range(RETRIES_MAX):
+            if not self._budget.take():
+                return None
+            try:
+                answer = self._send(attempt, request, timeout_ms, fresh=True)
+            except (AnswerLost, NotSent):
+                continue
+            return None if _says_not_run(answer) else answer
+        return None
+
+    def _send(
+        self, attempt: Attempt, request: UpstreamRequest, timeout_ms: float, fresh: bool
+    ) -> HttpAnswer:
+        dropped = CONNECTION_HEADERS | ATTEMPT_HEADERS
+        headers = {
+            name: value for name, value in request.headers.items() if name.lower() not in dropped
+        }
+        headers["Idempotency-Key"] = attempt.job
+        headers["X-Attempt-Id"] = attempt.attempt
+        return self._channel.exchange(
+            request.method, request.path, request.content(), timeout_ms, headers, fresh
+        )
+
+
+def _ended(attempt: Attempt, ok: bool, answer: str, run_ms: float) -> AttemptAnswer:
+    return AttemptAnswer(attempt.attempt, attempt.job, attempt.index, ok, answer, run_ms)
--- /dev/null
+++ b/camphorchute/zones/ledger.py
@@ -0,0 +1,105 @@
+"""The keys that a process holds, as their owner or as a witness."""
+
+import time
+from collections import deque
+
+from camphorchute.contracts.codes import ResultCode
+from camphorchute.contracts.errors import InvariantBroken, Refusal
+from camphorchute.contracts.messages import KeyEntry
+
+__all__ = ["Ledger"]
+
+
+class Ledger:
+    """Accepted keys, each until its resubmission window has passed.
+
+    Args:
+        max_keys: most keys held; a further one is refused.
+
+    Examples:
+        >>> ledger = Ledger(max_keys=1)
+        >>> ledger.hold(KeyEntry("k", 3, b"d", 2**60))
+        True
+        >>> ledger.hold(KeyEntry("k", 3, b"d", 2**60))
+        False
+        >>> [entry.key for entry in ledger.of_shard(3)]
+        ['k']
+    """
+
+    __slots__ = ("max_keys", "_shards", "_expiry", "_count")
+
+    def __init__(self, max_keys: int) -> None:
+        self.max_keys = max_keys
+        self._shards: dict[int, dict[str, KeyEntry]] = {}
+        self._expiry: deque[tuple[int, int, str]] = deque()
+        self._count = 0
+
+    def __len__(self) -> int:
+        return self._count
+
+    def get(self, shard: int, key: str) -> KeyEntry | None:
+        """Return the entry of a key, or None."""
+        return self._shards.get(shard, {}).get(key)
+
+    def of_shard(self, shard: int) -> list[KeyEntry]:
+        """Return all entries of a shard."""
+        return list(self._shards.get(shard, {}).values())
+
+    def hold(self, entry: KeyEntry) -> bool:
+        """Hold an entry; return whether it is new.
+
+        Raises:
+            Refusal: ``KEY_CONFLICT`` where the key is held with another digest, or
+                ``LEDGER_FULL``.
+        """
+        held = self.get(entry.shard, entry.key)
+        if held is not None:
+            if held.digest != entry.digest:
+                raise Refusal(ResultCode.KEY_CONFLICT, f"key {entry.key!r} has another body")
+            _join_owners(held, entry)
+            return False
+        self.expire()
+        if self._count >= self.max_keys:
+            raise Refusal(ResultCode.LEDGER_FULL, f"{self._count} keys held", 1000)
+        self._add(entry)
+        return True
+
+    def drop(self, shard: int, key: str) -> None:
+        """Forget a key of which no task was handed on and none will be."""
+        if self._shards.get(shard, {}).pop(key, None) is not None:
+            self._count -= 1
+
+    def expire(self) -> None:
+        """Forget the keys whose window has passed."""
+        now_unix_ms = time.time() * 1000
+        while self._expiry and self._expiry[0][0] <= now_unix_ms:
+            _, shard, key = self._expiry.popleft()
+            held = self.get(shard, key)
+            if held is not None and held.expires_unix_ms <= now_unix_ms:
+                self.drop(shard, key)
+
+    def merge(self, entries: list[KeyEntry]) -> None:
+        """Hold entries that another process accepted, whatever the limit.
+
+        Raises:
+            InvariantBroken: two processes accepted one key with different digests.
+        """
+        for entry in entries:
+            held = self.get(entry.shard, entry.key)
+            if held is None:
+                self._add(entry)
+            elif held.digest != entry.digest:
+                raise InvariantBroken(f"one_body_per_key: {entry.key!r} was accepted twice")
+            else:
+                _join_owners(held, entry)
+
+    def _add(self, entry: KeyEntry) -> None:
+        self._shards.setdefault(entry.shard, {})[entry.key] = entry
+        self._expiry.append((entry.expires_unix_ms, entry.shard, entry.key))
+        self._count += 1
+
+
+def _join_owners(held: KeyEntry, entry: KeyEntry) -> None:
+    for owner in entry.owners:
+        if owner not in held.owners:
+            held.owners.append(owner)
