--- a/camphorchute/contracts/errors.py
+++ b/camphorchute/contracts/errors.py
@@ -34,4 +34,16 @@
 
 
 class InvariantBroken(Exception):  # noqa: N818
-    """A promise of the program was found broken inside the program."""
+    """A promise of the program was found broken inside the program.
+
+    The text begins with the name of the check and a colon.
+
+    Examples:
+        >>> InvariantBroken("one_start_per_task: job k, task 3").name
+        'one_start_per_task'
+    """
+
+    @property
+    def name(self) -> str:
+        """Name of the check."""
+        return str(self).partition(":")[0]
--- a/camphorchute/contracts/messages.py
+++ b/camphorchute/contracts/messages.py
@@ -114,9 +114,11 @@
     Attributes:
         key: the idempotency key.
         shard: its shard.
-        digest: tells its body from another.
+        digest: tells its body from another; empty where two bodies are known.
         expires_unix_ms: when it may be forgotten.
         owners: every owner that may have handed on tasks of the key.
+        local: tasks that an owner may have handed to a home beyond its reach, such as itself.
+        uncertain: whether later acknowledgements of the key may have been lost.
     """
 
     key: str
@@ -124,6 +126,8 @@
     digest: bytes
     expires_unix_ms: int
     owners: list[KeyOwner] = []
+    local: list[int] = []
+    uncertain: bool = False
 
 
 class SubmitJob(msgspec.Struct, tag="submit"):
@@ -154,13 +158,18 @@
 
 
 class Witness(msgspec.Struct, tag="witness"):
-    """Hold these accepted keys; the reply is :class:`Done`."""
+    """Hold these accepted keys; the reply is :class:`Done`.
+
+    Attributes:
+        gathered: whether the keys were accepted in earlier terms, and none may be refused.
+    """
 
     zone: str
     shard: int
     term: int
     owner_id: str
     entries: list[KeyEntry]
+    gathered: bool = False
 
 
 class Fence(msgspec.Struct, tag="fence"):
--- a/camphorchute/entry/daemon.py
+++ b/camphorchute/entry/daemon.py
@@ -1,15 +1,17 @@
 """The entry process: its parts put together, started and stopped in order."""
 
+import os
 import signal
 import sys
 import time
 import uuid
+from collections.abc import Callable
 
 import gevent
 from eliot import log_message
 from gevent.event import Event
 
-from camphorchute.contracts import Refusal, ResultCode
+from camphorchute.contracts import InvariantBroken, Refusal, ResultCode
 from camphorchute.contracts.member import Member
 from camphorchute.contracts.messages import Heartbeat, StatusIs
 from camphorchute.entry.caller_pages import CallerPages, HealthPages
@@ -44,6 +46,7 @@
 LAG_REPORT_MS = 100.0
 LEAVE_SHARE = 0.5
 USAGE_EXIT = 2
+BROKEN_EXIT = 70
 
 
 class EntryProcess:
@@ -137,6 +140,8 @@
         self._http = HttpServer(settings.http_address, settings.body_max_bytes, count)
         self._greenlets: list[gevent.Greenlet] = []
         self._connect_parts(zones)
+        self._handlers.broken = self._broken
+        _call_on_broken_invariant(self._broken)
 
     def start(self) -> None:
         """Start every part; return once this process is a member of its zone and serves.
@@ -212,6 +217,13 @@
         for page in pages:
             self._http.add(page)
 
+    def _broken(self, error: InvariantBroken) -> None:
+        """Stop at once: a process whose promise is broken must decide on nothing more."""
+        self._metrics.count(f"invariant.{error.name}")
+        log_message(message_type="entry", text=f"entry: invariant broken: {error}")
+        sys.stderr.flush()
+        os._exit(BROKEN_EXIT)
+
     def _hear(self, peer: Member, heartbeat: Heartbeat) -> None:
         self._distribution.heard_revision(heartbeat.config_revision)
         if peer.zone == self._member.zone:
@@ -298,6 +310,19 @@
     process.close()
 
 
+def _call_on_broken_invariant(broken: Callable[[InvariantBroken], None]) -> None:
+    """Have broken invariants in any greenlet reported, not only printed."""
+    hub = gevent.get_hub()
+    print_error = hub.handle_error
+
+    def handle_error(context: object, kind: type, value: object, trace: object) -> None:
+        print_error(context, kind, value, trace)
+        if isinstance(value, InvariantBroken):
+            broken(value)
+
+    hub.handle_error = handle_error
+
+
 def _address(url: str) -> str:
     return url.removeprefix("http://").rstrip("/")
 
--- a/camphorchute/jobs/dispatch.py
+++ b/camphorchute/jobs/dispatch.py
@@ -4,6 +4,10 @@
 from collections import deque
 from collections.abc import Callable
 
+import gevent
+
+from camphorchute.contracts.codes import ResultCode
+from camphorchute.contracts.errors import Refusal
 from camphorchute.contracts.member import Member
 from camphorchute.contracts.messages import (
     CancelTasks,
@@ -30,9 +34,22 @@
         peers: links to the homes.
         policy_of: name of the placement policy of a service.
         count: adds to a named counter.
+
+    Attributes:
+        acknowledge_local: has it acknowledged that tasks of a job may be handed to a home
+            beyond the job's reach.
     """
 
-    __slots__ = ("_view", "_peers", "_policy_of", "_count", "_waiting", "_homes", "_numbers")
+    __slots__ = (
+        "acknowledge_local",
+        "_view",
+        "_peers",
+        "_policy_of",
+        "_count",
+        "_waiting",
+        "_homes",
+        "_numbers",
+    )
 
     def __init__(
         self,
@@ -41,6 +58,7 @@
         policy_of: Callable[[str], str],
         count: Callable[..., None],
     ) -> None:
+        self.acknowledge_local: Callable[[Job, list[int]], None] = lambda job, indices: None
         self._view = view
         self._peers = peers
         self._policy_of = policy_of
@@ -99,16 +117,19 @@
         batch = self._take(grant.service, grant.team, grant.slots, home)
         left = grant.slots - sum(len(indices) for _, indices in batch)
         for job, indices in batch:
-            self._hand(job, indices, home.member_id, len(indices))
+            self._hand_to(job, indices, home, len(indices))
         if left:
             self._give_back(grant, home, left)
 
-    def returned(self, job: Job, message: TasksReturned) -> None:
-        """Let tasks wait again that a home could not start."""
+    def returned(self, job: Job, home: Member, message: TasksReturned) -> None:
+        """Let tasks wait again that a home did not start."""
+        code = ResultCode(message.code)
+        if code is ResultCode.FITS_NO_WORKER:
+            job.unfit_homes.add(home.member_id)
         attempts = set(message.attempts)
         indices = [i for i, task in enumerate(job.tasks) if task.attempt in attempts]
         taken = [i for i in indices if job.take_back(i, job.tasks[i].attempt)]
-        self._count("jobs.retry.no_slot", len(taken))
+        self._count(f"jobs.retry.{code.name.lower()}", len(taken))
         self.add_back(job, taken)
 
     def cancel(self, job: Job) -> None:
@@ -121,13 +142,16 @@
         homes = self._eligible(service)
         if not queue or not homes:
             return
+        near = {member.member_id for member in self._view.homes(self._view.reach())}
+        for member_id, home in homes.items():
+            home.beyond_reach = member_id not in near
         shares = place(self._policy_of(service), list(homes.values()), len(queue))
         for member_id, share in shares.items():
             home = self._view.record.member(member_id)
             if home is not None:
                 for job, indices in self._take(service, team, share, home):
                     homes[member_id].free -= len(indices)
-                    self._hand(job, indices, member_id, 0)
+                    self._hand_to(job, indices, home, 0)
 
     def _take(self, service: str, team: str, most: int, home: Member) -> list:
         """Take waiting tasks that may be handed to this home, grouped by job."""
@@ -139,7 +163,7 @@
             job, index = queue.popleft()
             if not job.is_open or job.tasks[index].state is not TaskState.WAITING:
                 continue
-            if home not in self._view.homes(job.reach):
+            if home.member_id in job.unfit_homes:
                 passed_over.append((job, index))
                 continue
             batch.setdefault(id(job), (job, []))[1].append(index)
@@ -150,6 +174,21 @@
                 del self._waiting[(service, team)]
         return list(batch.values())
 
+    def _hand_to(self, job: Job, indices: list[int], home: Member, granted: int) -> None:
+        if home in self._view.homes(job.reach):
+            self._hand(job, indices, home.member_id, granted)
+        else:
+            gevent.spawn(self._hand_beyond_reach, job, indices, home, granted)
+
+    def _hand_beyond_reach(self, job: Job, indices: list[int], home: Member, granted: int) -> None:
+        try:
+            self.acknowledge_local(job, indices)
+        except Refusal as refusal:
+            self._count(f"jobs.retry.local_{refusal.code.name.lower()}")
+            self.add_back(job, indices)
+            return
+        self._hand(job, indices, home.member_id, granted)
+
     def _hand(self, job: Job, indices: list[int], home_id: str, granted: int) -> None:
         term = self._view.owned_term(job.key.shard)
         if term is None or not job.is_open:
@@ -178,7 +217,7 @@
     def _give_back(self, grant: Grant, home: Member, slots: int) -> None:
         self._count("jobs.grant_not_needed", slots)
         me = self._view.member.member_id
-        message = HandOff("", 0, 0, me, grant.service, grant.team, 0.0, slots, [])
+        message = HandOff("", 0, 0, me, grant.service, grant.team, 1.0, slots, [])
         self._peers.send_linked(home.member_id, message)
 
     def _tell_demand(self, service: str, team: str) -> None:
@@ -192,5 +231,5 @@
 
     def _eligible(self, service: str) -> dict[str, HomeSlots]:
         homes = self._homes.get(service, {})
-        within = {member.member_id for member in self._view.homes(self._view.reach())}
-        return {member_id: home for member_id, home in homes.items() if member_id in within}
+        members = {member.member_id for member in self._view.record.members}
+        return {member_id: home for member_id, home in homes.items() if member_id in members}
--- a/camphorchute/jobs/job.py
+++ b/camphorchute/jobs/job.py
@@ -54,6 +54,7 @@
         kept: whether its answer is counted among those that are kept.
         entry: the ledger's entry of the key, once it is accepted.
         reach: to which homes tasks may be handed.
+        unfit_homes: homes whose workers are all too small for a task of the job.
         answer: the final answer, None while there is none.
         moved: whether another process decides on the key now.
         finished: set once there is an answer or the job has moved.
@@ -79,6 +80,7 @@
         "tasks",
         "entry",
         "reach",
+        "unfit_homes",
         "answer",
         "moved",
         "finished",
@@ -95,6 +97,7 @@
         self.tasks = [Task() for _ in spec.tasks]
         self.entry: KeyEntry | None = None
         self.reach = Reach.OTHER_HOSTS
+        self.unfit_homes: set[str] = set()
         self.answer: JobAnswer | None = None
         self.moved = False
         self.finished = Event()
--- a/camphorchute/jobs/owner.py
+++ b/camphorchute/jobs/owner.py
@@ -17,6 +17,7 @@
     JobEnded,
     KeyEntry,
     KeyOwner,
+    Reach,
     SubmitJob,
     TasksEnded,
     TasksReturned,
@@ -102,6 +103,7 @@
 
     def start(self) -> None:
         """Begin to follow the ownership record and the deadlines."""
+        self._dispatch.acknowledge_local = self._acknowledge_local
         self._view.changed.append(self._give_up_moved)
         self._greenlet = gevent.spawn(self._run)
 
@@ -164,9 +166,7 @@
         job = self._jobs.get(message.key)
         if job is None or not job.is_open:
             return Done()
-        self._dispatch.returned(job, message)
-        if message.code != ResultCode.NO_SLOT:
-            self._fail(job, ResultCode(message.code), message.detail)
+        self._dispatch.returned(job, peer, message)
         return Done()
 
     @handles(Grant, prompt=True)
@@ -220,13 +220,14 @@
         now_ms = time.time() * 1000
         expires_unix_ms = round(now_ms + self._window_ms + 2 * self._clock_skew_ms)
         key = job.key
-        job.entry = KeyEntry(key.text, key.shard, job.digest, expires_unix_ms, [self._self(job)])
+        job.entry = KeyEntry(
+            key.text, key.shard, job.digest, expires_unix_ms, [self._self(job.reach)]
+        )
         self._ledger.hold(job.entry)
         self._jobs[key.text] = job
         try:
             self._acknowledge(job)
         except Refusal as refusal:
-            self._ledger.drop(key.shard, key.text)
             self._jobs.pop(key.text, None)
             job.finish(refusal_answer(key.text, refusal))
             raise
@@ -249,7 +250,7 @@
                 self._finished(job)
                 return
             if indices:
-                self._widen(job)
+                self._acknowledge_reach(job, self._view.reach())
                 self._dispatch.add(job, indices)
         except Refusal as refusal:
             self._end_by(job, refusal)
@@ -264,12 +265,17 @@
         except Refusal as refusal:
             self._end_by(job, refusal)
 
-    def _widen(self, job: Job) -> None:
-        """Have it acknowledged that this owner too may hand on tasks of the job."""
-        owner = self._self(job)
+    def _acknowledge_local(self, job: Job, indices: list[int]) -> None:
+        job.entry.local = sorted({*job.entry.local, *indices})
+        self._acknowledge(job)
+
+    def _acknowledge_reach(self, job: Job, reach: Reach) -> None:
+        """Have it acknowledged that this owner may hand tasks of the job that far."""
+        owner = self._self(reach)
         if owner not in job.entry.owners:
             job.entry.owners.append(owner)
-            self._acknowledge(job)
+        self._acknowledge(job)
+        job.reach = reach
 
     def _acknowledge(self, job: Job) -> None:
         term = self._view.owned_term(job.key.shard)
@@ -279,9 +285,9 @@
         if self._view.owned_term(job.key.shard) is None:
             raise self._not_owner(job.key)
 
-    def _self(self, job: Job) -> KeyOwner:
+    def _self(self, reach: Reach) -> KeyOwner:
         me = self._view.member
-        return KeyOwner(me.member_id, me.host, job.reach)
+        return KeyOwner(me.member_id, me.host, reach)
 
     def _end_by(self, job: Job, refusal: Refusal) -> None:
         if refusal.code in (ResultCode.NOT_OWNER, ResultCode.STALE_TERM):
@@ -303,7 +309,8 @@
     def _expire(self, job: Job) -> None:
         if not job.is_open:
             return
-        fresh = job.entry.owners == [self._self(job)]
+        me = self._view.member.member_id
+        fresh = all(owner.member_id == me for owner in job.entry.owners)
         if fresh and not job.any_handed():
             self._fail(job, ResultCode.DEADLINE_UNREACHABLE, "no slot came free in time")
         else:
@@ -313,6 +320,8 @@
         if job.answer is None or job.kept:
             return
         job.kept = True
+        if job.answer.retry_after_ms or job.answer.code == ResultCode.DEADLINE_UNREACHABLE:
+            self._jobs.pop(job.key.text, None)
         self._count(f"jobs.ended.{ResultCode(job.answer.code).name.lower()}")
         size_bytes = sum(len(answer) for answer in job.answer.answers) + 200
         until_s = time.monotonic() + self._answer_retention_ms / 1000
@@ -350,6 +359,8 @@
         raise Refusal(ResultCode.JOB_UNKNOWN, f"no record of {key.text!r}")
 
     def _check_digest(self, key: JobKey, held: bytes, digest: bytes) -> None:
+        if not held:
+            raise Refusal(ResultCode.RECORDS_LOST, f"two bodies are known of {key.text!r}")
         if held != digest:
             raise Refusal(ResultCode.KEY_CONFLICT, f"key {key.text!r} has another body")
 
@@ -394,19 +405,6 @@
                 self._count("jobs.moved")
                 job.move()
                 del self._jobs[job.key.text]
-        self._widen_stranded()
-
-    def _widen_stranded(self) -> None:
-        for job in self.open_jobs():
-            if not self._view.homes(job.reach) and job.waiting():
-                gevent.spawn(self._widen_reach, job)
-
-    def _widen_reach(self, job: Job) -> None:
-        job.reach = self._view.reach()
-        try:
-            self._widen(job)
-        except Refusal as refusal:
-            self._end_by(job, refusal)
 
     def _run(self) -> None:
         while True:
--- a/camphorchute/jobs/placing.py
+++ b/camphorchute/jobs/placing.py
@@ -14,15 +14,17 @@
         free: slots that are free, less what was handed to it since it said so.
         slots: all its slots.
         waiting: tasks that wait at owners for this home's slots.
+        beyond_reach: whether a witness must hold which tasks are handed to it.
     """
 
-    __slots__ = ("member_id", "free", "slots", "waiting")
+    __slots__ = ("member_id", "free", "slots", "waiting", "beyond_reach")
 
     def __init__(self, member_id: str, free: int = 0, slots: int = 0, waiting: int = 0) -> None:
         self.member_id = member_id
         self.free = free
         self.slots = slots
         self.waiting = waiting
+        self.beyond_reach = False
 
 
 Placing = Callable[[list[HomeSlots], int], dict[str, int]]
@@ -54,9 +56,9 @@
 
 @register_placing("home")
 def free_slots_first(homes: list[HomeSlots], tasks: int) -> dict[str, int]:
-    """Fill the homes with most free slots first and hand on no more than is free."""
+    """Fill the homes within reach and with most free slots first, and hand on no more."""
     shares: dict[str, int] = {}
-    for home in sorted(homes, key=lambda h: (-h.free, random.random())):
+    for home in sorted(homes, key=lambda h: (h.beyond_reach, -h.free, random.random())):
         share = min(max(home.free, 0), tasks)
         if share:
             shares[home.member_id] = share
--- a/camphorchute/jobs/recovery.py
+++ b/camphorchute/jobs/recovery.py
@@ -7,7 +7,7 @@
 
 from camphorchute.contracts import InvariantBroken, Refusal, ResultCode
 from camphorchute.contracts.member import Member
-from camphorchute.contracts.messages import FindTasks, FoundTasks, KeyOwner, Reach
+from camphorchute.contracts.messages import FindTasks, FoundTasks, KeyEntry, KeyOwner, Reach
 from camphorchute.jobs.job import Job
 from camphorchute.links import LinkLost, Peers
 from camphorchute.workers.back_end import BackEndError, FoundAttempt
@@ -21,24 +21,32 @@
 SEARCH_PATIENCE_MS = 3000.0
 
 
-def may_have_been_handed(member: Member, owners: list[KeyOwner]) -> bool:
-    """Whether one of the owners may have handed tasks to a member.
+def may_have_been_handed(member: Member, entry: KeyEntry, tasks: int) -> set[int]:
+    """Return the tasks of a job that its owners may have handed to a member.
+
+    Args:
+        member: a home.
+        entry: the accepted key.
+        tasks: how many tasks the job has.
 
     Examples:
         >>> m = Member("m", "north", "vm1", "", "127.0.0.1:1", "127.0.0.1:2")
-        >>> may_have_been_handed(m, [KeyOwner("o", "vm1", Reach.OTHER_HOSTS)])
-        False
-        >>> may_have_been_handed(m, [KeyOwner("o", "vm1", Reach.OTHER_PROCESSES)])
-        True
+        >>> near = KeyOwner("o", "vm1", Reach.OTHER_HOSTS)
+        >>> may_have_been_handed(m, KeyEntry("k", 0, b"", 0, [near], local=[1]), 3)
+        {1}
+        >>> far = KeyOwner("o", "vm2", Reach.OTHER_HOSTS)
+        >>> may_have_been_handed(m, KeyEntry("k", 0, b"", 0, [far]), 3)
+        {0, 1, 2}
     """
-    for owner in owners:
-        if owner.reach is Reach.ANY:
-            return True
-        if owner.reach is Reach.OTHER_PROCESSES and owner.member_id != member.member_id:
-            return True
-        if owner.reach is Reach.OTHER_HOSTS and owner.host != member.host:
-            return True
-    return False
+    if entry.uncertain or any(_is_within_reach(member, owner) for owner in entry.owners):
+        return set(range(tasks))
+    return set(entry.local)
+
+
+def _is_within_reach(member: Member, owner: KeyOwner) -> bool:
+    if owner.reach is Reach.OTHER_PROCESSES:
+        return owner.member_id != member.member_id
+    return owner.reach is Reach.ANY or owner.host != member.host
 
 
 class Recovery:
@@ -75,19 +83,28 @@
             Refusal: the job cannot be completed; its code says how it must end.
         """
         homes = self._homes_of(job)
+        dead: list[Member] = []
         while homes:
             homes = [home for home in homes if not self._ask(job, home)]
-            dead = [home for home in homes if self._deaths.is_dead(home)]
-            if dead:
-                self._count("jobs.recovery.home_dead", len(dead))
-                raise Refusal(
-                    ResultCode.OWNER_LOST,
-                    f"{len(dead)} homes that may have started tasks are dead",
-                )
+            dead += [home for home in homes if self._deaths.is_dead(home)]
+            homes = [home for home in homes if home not in dead]
             if homes:
                 self._pause(job)
+        if dead and job.is_open:
+            self._search_for_dead(job, dead)
         return job.waiting()
 
+    def _search_for_dead(self, job: Job, dead: list[Member]) -> None:
+        """Look at the workers for the tasks that dead homes may have started."""
+        self._count("jobs.recovery.home_dead", len(dead))
+        unsure: set[int] = set()
+        for home in dead:
+            unsure |= may_have_been_handed(home, job.entry, len(job.tasks))
+        for index in job.waiting():
+            if index in unsure:
+                job.adopt(index, dead[0].member_id)
+        self._search_workers(job, dead[0])
+
     def from_home(self, job: Job, home: Member) -> list[int]:
         """Gather what a home, whose link was lost, holds of a job; return the tasks to place.
 
@@ -108,7 +125,8 @@
     def _homes_of(self, job: Job) -> list[Member]:
         record = self._view.record
         members = [*record.members, *(d.member for d in record.departed)]
-        return [m for m in members if may_have_been_handed(m, job.entry.owners)]
+        tasks = len(job.tasks)
+        return [m for m in members if may_have_been_handed(m, job.entry, tasks)]
 
     def _ask(self, job: Job, home: Member, attempts: list[str] | None = None) -> FoundTasks | None:
         term = self._view.owned_term(job.key.shard)
@@ -127,6 +145,9 @@
         except LinkLost:
             self._count("jobs.retry.find_tasks")
             return None
+        except Refusal as refusal:
+            self._view.learn(refusal)
+            raise
         self._take_in(job, home, found)
         return found
 
@@ -163,7 +184,7 @@
             gevent.sleep(SEARCH_MS / 1000)
 
     def _take_in_attempts(self, job: Job, home: Member) -> set[int]:
-        attempts = {job.tasks[i].attempt: i for i in job.handed_to(home.member_id)}
+        searched = set(job.handed_to(home.member_id))
         running = set()
         try:
             found = self._find(job.spec.service, job.key.text)
@@ -171,15 +192,15 @@
             self._count("jobs.retry.find_attempts")
             return running
         for item in found:
-            index = attempts.get(item.attempt)
-            if index is None or index != item.index:
+            index = item.index
+            if index not in searched or job.tasks[index].attempt not in ("", item.attempt):
                 continue
             if item.state == "running":
                 running.add(index)
             elif not item.ok:
                 raise Refusal(ResultCode.TASK_FAILED, f"task {index} failed")
             else:
-                job.end(index, item.attempt, item.answer or "")
+                job.end(index, "", item.answer or "")
         return running
 
     def _pause(self, job: Job) -> None:
--- a/camphorchute/jobs/router.py
+++ b/camphorchute/jobs/router.py
@@ -12,7 +12,6 @@
 from camphorchute.contracts.messages import CancelJob, FetchJob, Message, SubmitJob
 from camphorchute.links import LinkLost, Peers, PeerUnreachable
 from camphorchute.zones import Membership, RecordStore, ZoneView
-from camphorchute.zones.record import decode_record
 
 __all__ = ["Router", "Submission"]
 
@@ -146,7 +145,7 @@
                     return refusal_answer(key.text, refusal)
                 self._count(f"router.retry.{refusal.code.name.lower()}")
                 detail = str(refusal)
-                self._learn(refusal)
+                self._view.learn(refusal)
             except LinkLost as error:
                 kind = "unreachable" if isinstance(error, PeerUnreachable) else "link_lost"
                 self._count(f"router.retry.{kind}")
@@ -172,8 +171,3 @@
             if linked and member.member_id != self._view.member.member_id:
                 self._membership.fetch_record_of(key.zone, member)
         self._records.refresh(key.zone)
-
-    def _learn(self, refusal: Refusal) -> None:
-        data = getattr(refusal, "record", b"")
-        if data:
-            self._view.adopt(decode_record(data))
--- a/camphorchute/links/handlers.py
+++ b/camphorchute/links/handlers.py
@@ -5,7 +5,7 @@
 from eliot import log_message, write_traceback
 
 from camphorchute.contracts.codes import ResultCode
-from camphorchute.contracts.errors import Refusal
+from camphorchute.contracts.errors import InvariantBroken, Refusal
 from camphorchute.contracts.member import Member
 from camphorchute.contracts.messages import Message, Refused
 
@@ -33,6 +33,9 @@
     Args:
         count: adds to a named counter.
 
+    Attributes:
+        broken: called with the error where a handler found a promise broken.
+
     Examples:
         >>> from camphorchute.contracts.messages import AskStatus, Done
         >>> class Part:
@@ -45,10 +48,11 @@
         Done()
     """
 
-    __slots__ = ("count", "_handlers")
+    __slots__ = ("count", "broken", "_handlers")
 
     def __init__(self, count: Callable[[str], None] = lambda name: None) -> None:
         self.count = count
+        self.broken: Callable[[InvariantBroken], None] = lambda error: None
         self._handlers: dict[type, tuple[Callable, bool]] = {}
 
     def add(self, part: object) -> None:
@@ -84,6 +88,9 @@
                 refusal.retry_after_ms,
                 getattr(refusal, "record", b""),
             )
+        except InvariantBroken as error:
+            self.broken(error)
+            return Refused(int(ResultCode.INTERNAL), str(error))
         except Exception as error:  # noqa: BLE001 - the peer must learn that it failed
             self.count("links.handler_fault")
             write_traceback()
--- a/camphorchute/workers/context.py
+++ b/camphorchute/workers/context.py
@@ -56,7 +56,10 @@
         self.timing = timing or HomeTiming()
         self.rng = rng or random.Random()
         self.fence = StartFence(
-            self.timing.remember_s, int(self.timing.remember_max_tasks), metrics
+            self.timing.remember_s,
+            int(self.timing.remember_max_tasks),
+            int(self.timing.remember_max_keys),
+            metrics,
         )
         self.run_times = RunTimes()
         self.closing = False
--- a/camphorchute/workers/fence.py
+++ b/camphorchute/workers/fence.py
@@ -6,7 +6,7 @@
 
 from eliot import log_message
 
-from camphorchute.contracts import InvariantBroken, TaskOutcome, TaskSpec
+from camphorchute.contracts import InvariantBroken, ResultCode, TaskOutcome, TaskSpec
 from camphorchute.contracts.messages import HandedTask, HandOff
 
 __all__ = ["AttemptState", "KeyRecord", "OpenAttempt", "StartFence"]
@@ -66,6 +66,7 @@
         fenced: whether the record must outlive its tasks, to refuse an older owner.
         barred: attempts that were promised never to start.
         attempts: task index to attempt.
+        spent: a bit for each task that ended and whose answer is no longer held.
         open_tasks: attempts whose outcome is not known yet.
     """
 
@@ -81,6 +82,7 @@
         "cancelled",
         "barred",
         "attempts",
+        "spent",
         "open_tasks",
         "idle_since_ms",
     )
@@ -97,9 +99,20 @@
         self.cancelled = False
         self.barred: set[str] = set()
         self.attempts: dict[int, OpenAttempt] = {}
+        self.spent = 0
         self.open_tasks = 0
         self.idle_since_ms = 0.0
 
+    def is_spent(self, index: int) -> bool:
+        """Whether a task ended here and its answer is no longer held."""
+        return bool(self.spent >> index & 1)
+
+    def outcomes(self) -> list[TaskOutcome]:
+        """Return what became of the tasks that ended."""
+        known = [a.outcome for a in self.attempts.values() if a.outcome is not None]
+        expired = [i for i in range(self.spent.bit_length()) if self.is_spent(i)]
+        return known + [TaskOutcome(i, int(ResultCode.ANSWER_EXPIRED)) for i in expired]
+
     def open_attempts(self) -> list[OpenAttempt]:
         """Return the attempts whose outcome is not known yet."""
         return [a for a in self.attempts.values() if a.state < AttemptState.LINGERING]
@@ -110,21 +123,41 @@
 
     Args:
         remember_s: how long a job is remembered after its last task ended.
-        max_tasks: most ended tasks that are remembered; the oldest jobs go first.
+        max_tasks: most ended tasks whose answers are held; the oldest jobs lose theirs first,
+            and are still remembered.
+        max_keys: most jobs that are remembered; a further one is refused.
         count: counter of metrics.
     """
 
-    __slots__ = ("records", "attempts", "open_tasks", "_idle", "_remember_ms", "_max", "_count")
+    __slots__ = (
+        "records",
+        "attempts",
+        "open_tasks",
+        "_idle",
+        "_held",
+        "_remember_ms",
+        "_max",
+        "_keys",
+        "_count",
+    )
 
-    def __init__(self, remember_s: float, max_tasks: int, count: Callable[..., None]) -> None:
+    def __init__(
+        self, remember_s: float, max_tasks: int, max_keys: int, count: Callable[..., None]
+    ) -> None:
         self.records: dict[str, KeyRecord] = {}
         self.attempts: dict[str, OpenAttempt] = {}
         self.open_tasks = 0
         self._idle: OrderedDict[str, KeyRecord] = OrderedDict()
+        self._held: OrderedDict[str, KeyRecord] = OrderedDict()
         self._remember_ms = remember_s * 1000
         self._max = max_tasks
+        self._keys = max_keys
         self._count = count
 
+    def is_full(self, key: str) -> bool:
+        """Whether a job would be one more than can be remembered."""
+        return key not in self.records and len(self.records) >= self._keys
+
     def record(self, key: str, owner_id: str, term: int, service: str) -> KeyRecord:
         """Return the record of a key, made if need be, pointed to the newest owner."""
         record = self.records.get(key)
@@ -137,7 +170,8 @@
 
     def admit(self, record: KeyRecord, task: HandedTask) -> OpenAttempt | None:
         """Note a handed task; ``None`` where it or its attempt was handed before."""
-        if task.index in record.attempts or task.attempt in self.attempts:
+        known = task.index in record.attempts or record.is_spent(task.index)
+        if known or task.attempt in self.attempts:
             return None
         attempt = OpenAttempt(task.attempt, record, task.index, task.spec)
         record.attempts[task.index] = attempt
@@ -145,6 +179,7 @@
         record.open_tasks += 1
         self.open_tasks += 1
         self._idle.pop(record.key, None)
+        self._held.pop(record.key, None)
         return attempt
 
     def bar(self, record: KeyRecord, attempts: list[str]) -> None:
@@ -181,28 +216,36 @@
         """Keep or drop a record that has no open task."""
         if record.open_tasks:
             return
-        if record.attempts or record.fenced or record.cancelled:
+        if record.attempts or record.spent or record.fenced or record.cancelled:
             record.idle_since_ms = now_ms
-            self._idle[record.key] = record
-            self._idle.move_to_end(record.key)
+            for queue in (self._idle, self._held):
+                queue[record.key] = record
+                queue.move_to_end(record.key)
         else:
             self._idle.pop(record.key, None)
+            self._held.pop(record.key, None)
             self.records.pop(record.key, None)
 
     def forget(self, now_ms: float) -> None:
-        """Drop the records that are old or too many."""
+        """Drop the records that are old, and the answers that are too many."""
         while self._idle:
             record = next(iter(self._idle.values()))
-            old = now_ms - record.idle_since_ms >= self._remember_ms
-            ended_tasks = len(self.attempts) - self.open_tasks
-            if not old and ended_tasks <= self._max:
-                return
-            if not old:
-                self._count("home.forgotten_early", len(record.attempts))
+            if now_ms - record.idle_since_ms < self._remember_ms:
+                break
+            self._drop_answers(record)
             del self._idle[record.key]
             del self.records[record.key]
-            for attempt in record.attempts.values():
-                del self.attempts[attempt.attempt]
+        while self._held and len(self.attempts) - self.open_tasks > self._max:
+            record = next(iter(self._held.values()))
+            self._count("home.answers_dropped", len(record.attempts))
+            self._drop_answers(record)
+
+    def _drop_answers(self, record: KeyRecord) -> None:
+        self._held.pop(record.key, None)
+        for index, attempt in record.attempts.items():
+            record.spent |= 1 << index
+            del self.attempts[attempt.attempt]
+        record.attempts = {}
 
     def _close_one(self, record: KeyRecord, now_ms: float) -> None:
         record.open_tasks -= 1
--- a/camphorchute/workers/home.py
+++ b/camphorchute/workers/home.py
@@ -9,7 +9,7 @@
 import gevent
 from eliot import log_message
 
-from camphorchute.contracts import Refusal, ResultCode
+from camphorchute.contracts import InvariantBroken, Refusal, ResultCode
 from camphorchute.contracts.messages import (
     CancelTasks,
     Demand,
@@ -128,7 +128,10 @@
         now_ms = context.now_ms()
         known = context.fence.records.get(message.key)
         if known is not None and message.term < known.term:
-            self._refuse(message, message.tasks)
+            self._refuse(message, message.tasks, ResultCode.STALE_TERM)
+            return
+        if context.fence.is_full(message.key):
+            self._refuse(message, message.tasks, ResultCode.LEDGER_FULL)
             return
         record = context.fence.record(message.key, message.owner_id, message.term, message.service)
         record.team = message.team
@@ -144,7 +147,7 @@
             else:
                 admitted.append(attempt)
         if barred:
-            self._refuse(message, barred)
+            self._refuse(message, barred, ResultCode.STALE_TERM)
         self._place(message, record, admitted)
         if record.open_tasks:
             self._watch_deadline(record)
@@ -183,9 +186,8 @@
         record.fenced = True
         fence.bar(record, message.attempts)
         fence.settle(record, self._context.now_ms())
-        ended = [a.outcome for a in record.attempts.values() if a.outcome is not None]
         running = [a.index for a in record.open_attempts()]
-        return FoundTasks(message.key, ended, running)
+        return FoundTasks(message.key, record.outcomes(), running)
 
     def owner_lost(self, owner_id: str) -> None:
         """Free what is kept for an owner; its running tasks go on."""
@@ -223,8 +225,7 @@
                 del pool.links[address]
                 link.close()
 
-    def _refuse(self, message: HandOff, tasks: list[HandedTask]) -> None:
-        code = ResultCode.STALE_TERM
+    def _refuse(self, message: HandOff, tasks: list[HandedTask], code: ResultCode) -> None:
         self._context.count(f"home.returned.{code.name.lower()}", len(tasks))
         ids = [task.attempt for task in tasks]
         self._context.send(message.owner_id, TasksReturned(message.key, ids, int(code)))
@@ -285,6 +286,8 @@
             gevent.sleep(self._context.timing.sweep_every_ms / 1000)
             try:
                 self.sweep()
+            except InvariantBroken:
+                raise
             except Exception:
                 self._context.count("home.internal_error")
                 log_message("workers: unexpected error.", traceback=traceback.format_exc())
--- a/camphorchute/workers/tests/test_home.py
+++ b/camphorchute/workers/tests/test_home.py
@@ -123,7 +123,7 @@
     assert stand.fake.batches == [["job-0", "job-1"]]
 
 
-def test_the_fence_forgets_after_the_window_and_the_oldest_ended_over_the_bound():
+def test_over_the_bound_the_fence_drops_answers_but_not_starts():
     stand = Stand(remember_s=10.0, remember_max_tasks=2)
     for key in ("a", "b", "c"):
         stand.hand(key)
@@ -132,15 +132,26 @@
         stand.step(10)
     stand.hand("open")
     stand.step()
-    assert find(stand, "a").ended == []
-    assert len(find(stand, "b").ended) == 1
-    assert stand.counts["home.forgotten_early"] == 1
+    assert [o.code for o in find(stand, "a").ended] == [ResultCode.ANSWER_EXPIRED]
+    assert [o.code for o in find(stand, "b").ended] == [ResultCode.COMPLETE]
+    assert stand.counts["home.answers_dropped"] == 1
+    with pytest.raises(InvariantBroken):
+        stand.hand("a", attempt="again", term=2)
     stand.now_s += 11
     stand.home.sweep()
     assert find(stand, "c").ended == []
     assert find(stand, "open").running == [0]
 
 
+def test_a_job_more_than_can_be_remembered_is_returned():
+    stand = Stand(remember_max_keys=1)
+    stand.hand("a")
+    stand.hand("b")
+    stand.step()
+    assert stand.told() == [("LEDGER_FULL", "b-0")]
+    assert stand.fake.batches == [["a-0"]]
+
+
 @pytest.mark.parametrize("sent", [False, True])
 def test_find_tasks_tells_all_and_points_reports_to_the_new_owner(sent):
     stand = Stand()
--- a/camphorchute/workers/timing.py
+++ b/camphorchute/workers/timing.py
@@ -19,7 +19,8 @@
         lost_after_ms: silence of a worker after which its attempts count as lost.
         status_every_ms: how often the status is read while slots are in doubt.
         remember_s: how long an ended task is remembered.
-        remember_max_tasks: most ended tasks that are remembered.
+        remember_max_tasks: most ended tasks whose answers are held.
+        remember_max_keys: most jobs that are remembered.
 
     Examples:
         >>> HomeTiming(reservation_ms=100.0).reservation_ms
@@ -39,7 +40,8 @@
         "lost_after_ms": 4000.0,
         "status_every_ms": 500.0,
         "remember_s": 900.0,
-        "remember_max_tasks": 200_000,
+        "remember_max_tasks": 100_000,
+        "remember_max_keys": 400_000,
     }
     __slots__ = tuple(_DEFAULTS)
 
--- a/camphorchute/workers/worker_link.py
+++ b/camphorchute/workers/worker_link.py
@@ -6,7 +6,7 @@
 from eliot import log_message
 from gevent.event import Event
 
-from camphorchute.contracts import ResultCode
+from camphorchute.contracts import InvariantBroken, ResultCode
 from camphorchute.workers.answers import AnswerIntake
 from camphorchute.workers.attempt_checks import AttemptChecks
 from camphorchute.workers.back_end import (
@@ -212,6 +212,8 @@
         self.sending = True
         try:
             report = self.back_end.start_attempts(wire)
+        except InvariantBroken:
+            raise
         except Exception:
             log_message("workers: unexpected error.", traceback=traceback.format_exc())
             report = StartReport(unclear=[attempt.attempt for attempt in wire])
@@ -284,6 +286,8 @@
     def _guarded(self, step):
         try:
             return step()
+        except InvariantBroken:
+            raise
         except Exception:
             self._context.count("home.internal_error")
             log_message("workers: unexpected error.", traceback=traceback.format_exc())
--- a/camphorchute/zones/ledger.py
+++ b/camphorchute/zones/ledger.py
@@ -4,7 +4,7 @@
 from collections import deque
 
 from camphorchute.contracts.codes import ResultCode
-from camphorchute.contracts.errors import InvariantBroken, Refusal
+from camphorchute.contracts.errors import Refusal
 from camphorchute.contracts.messages import KeyEntry
 
 __all__ = ["Ledger"]
@@ -52,20 +52,19 @@
             Refusal: ``KEY_CONFLICT`` where the key is held with another digest, or
                 ``LEDGER_FULL``.
         """
+        self.expire()
         held = self.get(entry.shard, entry.key)
         if held is not None:
             if held.digest != entry.digest:
                 raise Refusal(ResultCode.KEY_CONFLICT, f"key {entry.key!r} has another body")
             _join_owners(held, entry)
             return False
-        self.expire()
         if self._count >= self.max_keys:
             raise Refusal(ResultCode.LEDGER_FULL, f"{self._count} keys held", 1000)
         self._add(entry)
         return True
 
-    def drop(self, shard: int, key: str) -> None:
-        """Forget a key of which no task was handed on and none will be."""
+    def _drop(self, shard: int, key: str) -> None:
         if self._shards.get(shard, {}).pop(key, None) is not None:
             self._count -= 1
 
@@ -76,22 +75,26 @@
             _, shard, key = self._expiry.popleft()
             held = self.get(shard, key)
             if held is not None and held.expires_unix_ms <= now_unix_ms:
-                self.drop(shard, key)
+                self._drop(shard, key)
 
     def merge(self, entries: list[KeyEntry]) -> None:
         """Hold entries that another process accepted, whatever the limit.
 
-        Raises:
-            InvariantBroken: two processes accepted one key with different digests.
+        A key that is held with another digest belongs to neither body from then on.
         """
         for entry in entries:
             held = self.get(entry.shard, entry.key)
             if held is None:
                 self._add(entry)
-            elif held.digest != entry.digest:
-                raise InvariantBroken(f"one_body_per_key: {entry.key!r} was accepted twice")
-            else:
-                _join_owners(held, entry)
+                continue
+            if held.digest != entry.digest:
+                held.digest = b""
+            _join_owners(held, entry)
+
+    def doubt(self, shard: int) -> None:
+        """Note that later acknowledgements of a shard's keys may have been lost."""
+        for entry in self._shards.get(shard, {}).values():
+            entry.uncertain = True
 
     def _add(self, entry: KeyEntry) -> None:
         self._shards.setdefault(entry.shard, {})[entry.key] = entry
@@ -100,6 +103,9 @@
 
 
 def _join_owners(held: KeyEntry, entry: KeyEntry) -> None:
+    if held is not entry:
+        held.local = sorted({*held.local, *entry.local})
+        held.uncertain = held.uncertain or entry.uncertain
     for owner in entry.owners:
         if owner not in held.owners:
             held.owners.append(owner)
--- a/camphorchute/zones/settling.py
+++ b/camphorchute/zones/settling.py
@@ -94,6 +94,7 @@
             try:
                 self._settle(self._unsettled())
             except Refusal as refusal:
+                self._view.learn(refusal)
                 self._count("zones.retry.settle")
                 log_message(message_type="zones", text=f"zones: settling waits: {refusal}")
 
@@ -107,24 +108,24 @@
             return
         record = self._view.record
         fenced = self._fence(record, shards)
-        if self._view.record.version != record.version:
-            return
         dead = {m for m in self._concerned(record, shards) if self._is_dead(record, m)}
         lost = {}
         for shard in shards:
             outcomes = {term_gathered(t, fenced, dead) for t in record.shards[shard].pending}
             if Gathered.OPEN not in outcomes:
+                if Gathered.LOST in outcomes:
+                    self._ledger.doubt(shard)
                 self._acknowledge_anew(record.shards[shard], shard)
                 lost[shard] = round(time.time() * 1000) if Gathered.LOST in outcomes else 0
         if lost:
-            self._store(lost)
+            self._store(record, lost)
 
-    def _store(self, lost: dict[int, int]) -> None:
+    def _store(self, record: OwnershipRecord, lost: dict[int, int]) -> None:
         me = self._view.member.member_id
-        expected = self._view.record.version
 
         def change(current: OwnershipRecord) -> OwnershipRecord | None:
-            return with_settled(current, me, lost) if current.version == expected else None
+            same = {s: at for s, at in lost.items() if current.shards[s] == record.shards[s]}
+            return with_settled(current, me, same) if same else None
 
         if self._records.change(change):
             self._count("zones.shards_settled", len(lost))
@@ -133,7 +134,7 @@
     def _acknowledge_anew(self, shard_record: ShardRecord, shard: int) -> None:
         entries = self._ledger.of_shard(shard)
         if entries:
-            self._witnessing.acknowledge(shard_record.current, shard, entries)
+            self._witnessing.acknowledge(shard_record.current, shard, entries, gathered=True)
 
     def _concerned(self, record: OwnershipRecord, shards: list[int]) -> set[str]:
         members: set[str] = set()
--- /dev/null
+++ b/camphorchute/zones/tests/fakes.py
@@ -0,0 +1,93 @@
+"""Members, a store and peers whose answers the test chooses."""
+
+from collections import Counter
+
+from camphorchute.contracts import Refusal, ResultCode
+from camphorchute.contracts.member import Member
+from camphorchute.contracts.messages import Done
+from camphorchute.links import LinkLost
+from camphorchute.platform import SwapLost
+from camphorchute.zones.record import empty_record, encode_record, with_members
+
+WINDOW_MS = 600_000
+
+
+def member(name, host=None, rack=""):
+    host = host or f"vm-{name}"
+    return Member(name, "north", host, rack, f"{name}:1", f"{name}:2")
+
+
+def record_of(members, after=None, now_unix_ms=0):
+    return with_members(after or empty_record("north"), members, now_unix_ms, WINDOW_MS)
+
+
+class FakePeers:
+    """Answers each request by ``answer[type](member, message)``; an exception is raised."""
+
+    def __init__(self):
+        self.answer = {}
+        self.sent = []
+        self.asked = []
+        self.down = set()
+        self.linked = set()
+
+    def request(self, member, message, timeout_ms):
+        self.asked.append((member.member_id, message))
+        if member.member_id in self.down:
+            raise LinkLost(member.member_id)
+        answer = self.answer.get(type(message), lambda member, message: Done())
+        return answer(member, message)
+
+    def send_linked(self, member_id, message):
+        if member_id in self.down:
+            return False
+        self.sent.append((member_id, message))
+        return True
+
+    def is_linked(self, member_id):
+        return member_id in self.linked
+
+    def sent_of(self, message_type):
+        return [(to, message) for to, message in self.sent if isinstance(message, message_type)]
+
+    def asked_of(self, message_type):
+        return [(to, message) for to, message in self.asked if isinstance(message, message_type)]
+
+
+class Stored:
+    def __init__(self, value, mod_revision):
+        self.value = value
+        self.mod_revision = mod_revision
+
+
+class FakeStore:
+    """One record, changed by compare-and-swap."""
+
+    def __init__(self, record):
+        self.put(record, 0)
+
+    def put(self, record, revision):
+        self.stored = Stored(encode_record(record), revision + 1)
+
+    def get(self, key):
+        return self.stored
+
+    def swap(self, key, value, mod_revision):
+        if mod_revision != self.stored.mod_revision:
+            raise SwapLost(key)
+        self.stored = Stored(value, mod_revision + 1)
+
+
+class Counts(Counter):
+    def __call__(self, name, n=1):
+        self[name] += n
+
+
+def refuse(code):
+    def answer(member, message):
+        raise Refusal(code)
+
+    return answer
+
+
+stale = refuse(ResultCode.STALE_TERM)
--- /dev/null
+++ b/camphorchute/zones/tests/test_takeover.py
@@ -0,0 +1,249 @@
+"""Model checking of the ownership record and the takeover rule; only the network is a model."""
+
+import pytest
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, precondition, rule
+
+from camphorchute.contracts import Refusal
+from camphorchute.zones.record import Term, empty_record, with_members, with_settled
+from camphorchute.zones.takeover import Gathered, term_gathered
+from camphorchute.zones.tests.fakes import member
+from camphorchute.zones.view import ZoneView
+
+SHARDS = 2
+KEYS = 4
+MEMBERS_MAX = 5
+
+TERM = Term(4, "a", ("b", "c"))
+ALONE = Term(4, "a", ())
+
+
+@pytest.mark.parametrize(
+    "term, fenced, dead, gathered",
+    [
+        (TERM, "a", "", "WHOLE"),
+        (TERM, "a", "bc", "WHOLE"),
+        (TERM, "bc", "", "WHOLE"),
+        (TERM, "bc", "a", "WHOLE"),
+        (TERM, "b", "", "OPEN"),
+        (TERM, "b", "a", "OPEN"),
+        (TERM, "", "a", "OPEN"),
+        (TERM, "b", "c", "LOST"),
+        (TERM, "", "bc", "LOST"),
+        (TERM, "", "abc", "LOST"),
+        (ALONE, "a", "", "WHOLE"),
+        (ALONE, "b", "", "OPEN"),
+        (ALONE, "b", "a", "LOST"),
+    ],
+)
+def test_term_gathered(term, fenced, dead, gathered):
+    assert term_gathered(term, set(fenced), set(dead)) is Gathered[gathered]
+
+
+class Process:
+    """One member: its view, the keys that it holds and what it has under way."""
+
+    def __init__(self, member):
+        self.member = member
+        self.view = ZoneView(member)
+        self.ledger = {shard: set() for shard in range(SHARDS)}
+        self.runs = True
+        self.dead = False
+        self.accepting = []
+        self.settling = None
+
+
+class Takeover(RuleBasedStateMachine):
+    """Keys are accepted while members join, go, pause and die."""
+
+    def __init__(self):
+        super().__init__()
+        self.processes = {}
+        self.record = empty_record("north")
+        self.now = 1
+        self.created = {}
+        self.accepted = set()
+
+    @initialize(hosts=st.lists(st.integers(0, 3), min_size=2, max_size=4))
+    def begin(self, hosts):
+        for host in hosts:
+            self.join(host)
+        for process in self.running():
+            process.view.adopt(self.record)
+        for process in self.running():
+            self.settle(process, set(), True)
+
+    def running(self):
+        return [p for p in self.processes.values() if p.runs and not p.dead]
+
+    def pick(self, number):
+        candidates = self.running()
+        return candidates[number % len(candidates)] if candidates else None
+
+    def answers(self, member_id):
+        process = self.processes[member_id]
+        return process if process.runs and not process.dead else None
+
+    def change_members(self, process, members):
+        process.view.adopt(self.record)
+        self.record = with_members(self.record, members, self.now, 10**9)
+        process.view.adopt(self.record)
+
+    @rule(host=st.integers(0, 3))
+    def join(self, host):
+        alive = [p for p in self.processes.values() if not p.dead]
+        if len(alive) >= MEMBERS_MAX:
+            return
+        process = Process(member(f"m{len(self.processes)}", f"vm{host}"))
+        self.processes[process.member.member_id] = process
+        self.change_members(process, [*self.record.members, process.member])
+
+    @rule(remover=st.integers(0, 9), victim=st.integers(0, 9))
+    def remove(self, remover, victim):
+        process = self.pick(remover)
+        others = [m for m in self.record.members if process and m != process.member]
+        if others and self.record.is_member(process.member.member_id):
+            gone = others[victim % len(others)]
+            self.change_members(process, [m for m in self.record.members if m != gone])
+
+    @rule(number=st.integers(0, 9))
+    def rejoin(self, number):
+        process = self.pick(number)
+        if process and not self.record.is_member(process.member.member_id):
+            self.change_members(process, [*self.record.members, process.member])
+
+    @rule(number=st.integers(0, 9))
+    def kill(self, number):
+        processes = [p for p in self.processes.values() if not p.dead]
+        if len(processes) > 1:
+            processes[number % len(processes)].dead = True
+
+    @rule(number=st.integers(0, 9))
+    def pause(self, number):
+        process = self.pick(number)
+        if process and len(self.running()) > 1:
+            process.runs = False
+
+    @rule(number=st.integers(0, 9))
+    def resume(self, number):
+        paused = [p for p in self.processes.values() if not p.runs and not p.dead]
+        if paused:
+            paused[number % len(paused)].runs = True
+
+    @rule(number=st.integers(0, 9))
+    def learn(self, number):
+        process = self.pick(number)
+        if process:
+            process.view.adopt(self.record)
+
+    @rule(
+        number=st.integers(0, 9),
+        key=st.integers(0, KEYS - 1),
+        fresh=st.booleans(),
+        ack_lost=st.booleans(),
+        witness=st.integers(0, 2),
+        ends=st.booleans(),
+    )
+    def accept(self, number, key, fresh, ack_lost, witness, ends):
+        self.now += 1
+        name = len(self.created) if fresh else key
+        self.created.setdefault(name, self.now)
+        owners = [p for p in self.running() if p.view.owned_term(name % SHARDS)]
+        if not owners:
+            return
+        owner, shard = owners[number % len(owners)], name % SHARDS
+        lost = owner.view.record.shards[shard].lost_unix_ms
+        if name in owner.ledger[shard] or (lost and self.created[name] <= lost):
+            return
+        term = owner.view.owned_term(shard)
+        owner.ledger[shard].add(name)
+        if self.acknowledge(term, shard, {name}, witness) and not ack_lost:
+            owner.accepting.append((shard, name))
+        if ends:
+            self.end_accepts(owner)
+
+    def acknowledge(self, term, shard, names, first):
+        if not term.witnesses:
+            return True
+        order = term.witnesses[first % len(term.witnesses) :] + term.witnesses
+        for witness in filter(None, map(self.answers, order)):
+            try:
+                witness.view.check_term("north", shard, term.number)
+            except Refusal:
+                return False
+            witness.ledger[shard] |= names
+            return True
+        return False
+
+    @rule(number=st.integers(0, 9))
+    def end_accept(self, number):
+        process = self.pick(number)
+        if process:
+            self.end_accepts(process)
+
+    def end_accepts(self, owner):
+        while owner.accepting:
+            shard, name = owner.accepting.pop()
+            if owner.view.owned_term(shard) is not None:
+                assert name not in self.accepted, "a key was accepted as fresh twice"
+                self.accepted.add(name)
+
+    @rule(
+        number=st.integers(0, 9),
+        silent=st.sets(st.integers(0, 9), max_size=2),
+        ends=st.booleans(),
+    )
+    def begin_settle(self, number, silent, ends):
+        process = self.pick(number)
+        if process:
+            self.settle(process, {f"m{i}" for i in silent}, ends)
+
+    def settle(self, process, silent, ends):
+        record = process.view.record
+        mine = record.shards_of(process.member.member_id) if record.shards else []
+        shards = [s for s in mine if s < SHARDS and record.shards[s].pending]
+        concerned = {
+            m for s in shards for t in record.shards[s].pending for m in (t.owner, *t.witnesses)
+        }
+        fenced = set()
+        for member_id in concerned - silent:
+            other = self.answers(member_id)
+            if other is not None:
+                other.view.adopt(record)
+                fenced.add(member_id)
+                for shard in shards:
+                    process.ledger[shard] |= other.ledger[shard]
+        process.settling = (record, shards, fenced)
+        if ends:
+            self.finish_settle(process, 0)
+
+    @precondition(lambda self: any(p.settling for p in self.running()))
+    @rule(number=st.integers(0, 9), witness=st.integers(0, 2))
+    def end_settle(self, number, witness):
+        self.now += 1
+        settling = [p for p in self.running() if p.settling]
+        self.finish_settle(settling[number % len(settling)], witness)
+
+    def finish_settle(self, process, witness):
+        record, shards, fenced = process.settling
+        process.settling = None
+        dead = {name for name, p in self.processes.items() if p.dead}
+        lost = {}
+        for shard in shards:
+            old = record.shards[shard]
+            outcomes = {term_gathered(t, fenced, dead) for t in old.pending}
+            if Gathered.OPEN in outcomes:
+                continue
+            if self.acknowledge(old.current, shard, process.ledger[shard], witness):
+                lost[shard] = self.now if Gathered.LOST in outcomes else 0
+        same = {s: at for s, at in lost.items() if self.record.shards[s] == record.shards[s]}
+        if same:
+            self.record = with_settled(self.record, process.member.member_id, same)
+            process.view.adopt(self.record)
+
+
+Takeover.TestCase.settings = settings(
+    derandomize=True, max_examples=150, stateful_step_count=50, deadline=None
+)
+TestTakeover = Takeover.TestCase
--- a/camphorchute/zones/view.py
+++ b/camphorchute/zones/view.py
@@ -7,7 +7,13 @@
 from camphorchute.contracts.keys import SHARDS_PER_ZONE
 from camphorchute.contracts.member import Member
 from camphorchute.contracts.messages import Reach
-from camphorchute.zones.record import OwnershipRecord, Term, empty_record, encode_record
+from camphorchute.zones.record import (
+    OwnershipRecord,
+    Term,
+    decode_record,
+    empty_record,
+    encode_record,
+)
 
 __all__ = ["ZoneView"]
 
@@ -52,6 +58,12 @@
                 listener()
         return True
 
+    def learn(self, refusal: Refusal) -> None:
+        """Take in the record that a peer sent with its refusal, if it sent one."""
+        data = getattr(refusal, "record", b"")
+        if data:
+            self.adopt(decode_record(data))
+
     def check_term(self, zone: str, shard: int, term: int) -> None:
         """Refuse a message sent under an older term of a shard than one already seen.
 
--- a/camphorchute/zones/witnessing.py
+++ b/camphorchute/zones/witnessing.py
@@ -36,9 +36,17 @@
         self._ledger = ledger
         self._count = count
 
-    def acknowledge(self, term: Term, shard: int, entries: list[KeyEntry]) -> None:
+    def acknowledge(
+        self, term: Term, shard: int, entries: list[KeyEntry], gathered: bool = False
+    ) -> None:
         """Return once a witness of the term holds the entries.
 
+        Args:
+            term: the term in force.
+            shard: the shard of the entries.
+            entries: what to hold.
+            gathered: whether the keys were accepted before and none may be refused.
+
         Raises:
             Refusal: ``STALE_TERM`` where the term is over, ``NO_WITNESS`` where none answered,
                 ``KEY_CONFLICT`` where a witness holds a key with another digest.
@@ -46,7 +54,12 @@
         if not term.witnesses:
             return
         message = Witness(
-            self._view.member.zone, shard, term.number, self._view.member.member_id, entries
+            self._view.member.zone,
+            shard,
+            term.number,
+            self._view.member.member_id,
+            entries,
+            gathered,
         )
         for member in self._linked_first(term):
             try:
@@ -55,7 +68,7 @@
             except LinkLost:
                 self._count("zones.retry.witness_silent")
             except Refusal as refusal:
-                self._learn(refusal)
+                self._view.learn(refusal)
                 if refusal.code is not ResultCode.LEDGER_FULL:
                     raise
         raise Refusal(ResultCode.NO_WITNESS, f"none of {len(term.witnesses)} answered", 1000)
@@ -64,6 +77,9 @@
     def hold(self, peer: Member, message: Witness) -> Done:
         """Hold entries that an owner accepts."""
         self._view.check_term(message.zone, message.shard, message.term)
+        if message.gathered:
+            self._ledger.merge(message.entries)
+            return Done()
         for entry in message.entries:
             self._ledger.hold(entry)
         return Done()
@@ -80,8 +96,3 @@
         members = [self._view.record.member(witness) for witness in term.witnesses]
         known = [member for member in members if member is not None]
         return sorted(known, key=lambda member: not self._peers.is_linked(member.member_id))
-
-    def _learn(self, refusal: Refusal) -> None:
-        data = getattr(refusal, "record", b"")
-        if data:
-            self._view.adopt(decode_record(data))
