End slow senders with an answer, follow a job through the logs

Cause: a sender that stopped in its headers held a connection for ever, one that stopped in its body got no answer because the server waited for the rest; a failed acceptance forgot a later job of the same key; several store gateways could not be set.

--- a/camphorchute/entry/caller_pages.py
+++ b/camphorchute/entry/caller_pages.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 
 import msgspec
+from eliot import log_message
 
 from camphorchute.contracts import JobSpec, Refusal, ResultCode, TaskSpec, new_key
 from camphorchute.contracts.job import DEADLINE_MAX_MS
@@ -52,6 +53,7 @@
         key = _key(request.header(KEY_HEADER))
         spec = request.decode(JobSpec)
         wait_ms = request.query_ms("wait_ms", spec.deadline_ms, DEADLINE_MAX_MS)
+        log_message(message_type="http", text="http: job came in", job=key)
         submission = self._router.submit(key, spec)
         return self._answer(submission.wait(wait_ms))
 
--- a/camphorchute/entry/daemon.py
+++ b/camphorchute/entry/daemon.py
@@ -12,6 +12,7 @@
 from gevent.event import Event
 
 from camphorchute.contracts import InvariantBroken, Refusal, ResultCode
+from camphorchute.contracts.job import DEADLINE_MAX_MS
 from camphorchute.contracts.member import Member
 from camphorchute.contracts.messages import Heartbeat, StatusIs
 from camphorchute.entry.caller_pages import CallerPages, HealthPages
@@ -27,7 +28,7 @@
 from camphorchute.links import Handlers, Peers
 from camphorchute.platform import EtcdStore, VmList, VmState
 from camphorchute.services import Catalogue, Distribution, Planner
-from camphorchute.workers import Home
+from camphorchute.workers import Home, HomeTiming
 from camphorchute.zones import (
     Deaths,
     Ledger,
@@ -76,7 +77,7 @@
         window_ms = settings.window_s * MS_PER_S
         self._handlers = Handlers(count)
         self._peers = Peers(self._member, zones, self._handlers, settings.link_address)
-        self._store = EtcdStore([_address(settings.store_url)])
+        self._store = EtcdStore([_address(url) for url in settings.store_url])
         self._vm_list = VmList(_address(settings.vm_list_url)) if settings.vm_list_url else None
         self._view = ZoneView(self._member)
         self._records = RecordStore(self._store, self._view, count)
@@ -108,7 +109,12 @@
         self._distribution = Distribution(
             self._store, self._catalogue, self._config, self._config.is_watcher
         )
-        self._home = Home(self._member.member_id, self._peers.send_linked, metrics=count)
+        self._home = Home(
+            self._member.member_id,
+            self._peers.send_linked,
+            metrics=count,
+            timing=HomeTiming(remember_s=settings.window_s + DEADLINE_MAX_MS / MS_PER_S),
+        )
         self._home_part = HomePart(self._home, self._view, self._catalogue, self._peers, count)
         self._dispatch = Dispatch(self._view, self._peers, self._policy_of, count)
         self._recovery = Recovery(
--- a/camphorchute/entry/home_part.py
+++ b/camphorchute/entry/home_part.py
@@ -5,6 +5,7 @@
 import gevent
 import msgspec
 import xxhash
+from eliot import log_message
 from gevent.event import Event
 
 from camphorchute.contracts import Refusal
@@ -94,6 +95,12 @@
                 self._count("home.returned.stale_term", len(message.tasks))
                 self._return_all(peer, message, refusal)
                 return Done()
+            log_message(
+                message_type="workers",
+                text="workers: tasks came in",
+                job=message.key,
+                tasks=len(message.tasks),
+            )
         self._home.hand_off(message)
         return Done()
 
--- a/camphorchute/entry/http_server.py
+++ b/camphorchute/entry/http_server.py
@@ -19,6 +19,7 @@
 CONNECTIONS_MAX = 4096
 BODY_TIMEOUT_MS = 10_000.0
 IDLE_TIMEOUT_MS = 60_000.0
+SOCKET_KEY = "camphorchute.socket"
 
 
 def route(method: str, path: str) -> Callable:
@@ -186,6 +187,7 @@
             with gevent.Timeout(BODY_TIMEOUT_MS / 1000):
                 body = environ["wsgi.input"].read(self._body_max_bytes + 1)
         except gevent.Timeout:
+            environ[SOCKET_KEY].shutdown(socket.SHUT_RD)
             raise Refusal(ResultCode.REQUEST_TIMEOUT, "the body came too slowly") from None
         except OSError as error:
             raise Refusal(ResultCode.MALFORMED_BODY, f"body: {error}") from error
@@ -196,6 +198,10 @@
         return body
 
 
+class _HeadersTooSlow(Exception):  # noqa: N818
+    """The headers of a request did not come in time."""
+
+
 class _Server(WSGIServer):
     owner: HttpServer
 
@@ -219,6 +225,22 @@
         finally:
             owner.idle.discard(self)
 
+    def read_request(self, raw_requestline: str) -> bool:
+        with gevent.Timeout(IDLE_TIMEOUT_MS / 1000, _HeadersTooSlow):
+            return super().read_request(raw_requestline)
+
+    def _handle_client_error(self, ex: Exception) -> object:
+        if isinstance(ex, _HeadersTooSlow):
+            refusal = Refusal(ResultCode.REQUEST_TIMEOUT, "the headers came too slowly")
+            response = problem_response(refusal)
+            return str(response.status), _whole_message(response)
+        return super()._handle_client_error(ex)
+
+    def get_environ(self) -> dict:
+        environ = super().get_environ()
+        environ[SOCKET_KEY] = self.socket
+        return environ
+
     def end_idle(self) -> None:
         """End a connection that waits for its next request."""
         try:
@@ -227,6 +249,16 @@
             return
 
 
+def _whole_message(response: Response) -> bytes:
+    headers = [
+        *response.headers,
+        ("Content-Length", str(len(response.body))),
+        ("Connection", "close"),
+    ]
+    lines = [f"HTTP/1.1 {response.status_line}", *(f"{name}: {value}" for name, value in headers)]
+    return "\r\n".join([*lines, "", ""]).encode() + response.body
+
+
 def _content_length(environ: dict) -> int | None:
     text = environ.get("CONTENT_LENGTH") or ""
     if not text:
--- /dev/null
+++ b/camphorchute/entry/tests/test_http_server.py
@@ -0,0 +1,192 @@
+"""The HTTP server alone: socket options, timeouts and the orderly stop."""
+
+import socket
+
+import gevent
+import pytest
+from gevent import socket as gevent_socket
+
+from camphorchute.contracts import ResultCode
+from camphorchute.entry import http_server
+from camphorchute.entry.http_server import HttpServer, Request, route
+from camphorchute.entry.problem import PROBLEM_TYPE, json_response
+
+TIMEOUT_S = 5.0
+SHORT_MS = 100.0
+BODY_MAX_BYTES = 1000
+
+
+class Pages:
+    """A page that answers at once and one that waits to be released."""
+
+    def __init__(self):
+        self.entered = gevent.event.Event()
+        self.release = gevent.event.Event()
+
+    @route("POST", "/quick")
+    def quick(self, request: Request):
+        return json_response(len(request.body))
+
+    @route("POST", "/slow")
+    def slow(self, request: Request):
+        self.entered.set()
+        self.release.wait(TIMEOUT_S)
+        return json_response("x" * 100_000)
+
+
+class Running:
+    """A started server with its pages and counters."""
+
+    def __init__(self):
+        self.counted = []
+        self.pages = Pages()
+        self.server = HttpServer(
+            "127.0.0.1:0", BODY_MAX_BYTES, lambda name, n=1: self.counted.append(name)
+        )
+        self.server.add(self.pages)
+        self.server.start()
+
+    def connect(self):
+        address = ("127.0.0.1", self.server._server.server_port)
+        return gevent_socket.create_connection(address, timeout=TIMEOUT_S)
+
+
+@pytest.fixture
+def running():
+    started = Running()
+    yield started
+    started.pages.release.set()
+    started.server.close(TIMEOUT_S * 1000)
+
+
+def post(path, body=b"", length=None):
+    length = len(body) if length is None else length
+    return f"POST {path} HTTP/1.1\r\nContent-Length: {length}\r\n\r\n".encode() + body
+
+
+def receive_all(connection):
+    """Return every byte until the server ends the connection."""
+    received = b""
+    while chunk := connection.recv(65536):
+        received += chunk
+    return received
+
+
+def receive_reply(connection):
+    """Return one reply: its head and its whole body."""
+    received = b""
+    while b"\r\n\r\n" not in received:
+        received += connection.recv(65536)
+    head, _, body = received.partition(b"\r\n\r\n")
+    length = int(head.lower().split(b"content-length: ")[1].split(b"\r\n")[0])
+    while len(body) < length:
+        body += connection.recv(65536)
+    return head.decode(), body
+
+
+def test_no_delay_is_set_on_accepted_sockets(running, monkeypatch):
+    options = []
+    handle = http_server.WSGIServer.do_handle
+
+    def note_option(server, client_socket, address):
+        options.append(client_socket.getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY))
+        handle(server, client_socket, address)
+
+    monkeypatch.setattr(http_server.WSGIServer, "do_handle", note_option)
+    for _ in range(3):
+        with running.connect() as connection:
+            connection.sendall(post("/quick", b"abc"))
+            assert receive_reply(connection)[1] == b"3"
+    assert len(options) == 3
+    assert all(options)
+
+
+def test_small_reply_is_at_most_two_writes(running, monkeypatch):
+    writes = []
+    write = http_server.WSGIHandler._sendall
+
+    def note_write(handler, data):
+        writes.append(len(data))
+        write(handler, data)
+
+    monkeypatch.setattr(http_server.WSGIHandler, "_sendall", note_write)
+    with running.connect() as connection:
+        for _ in range(3):
+            connection.sendall(post("/quick", b"abc"))
+            receive_reply(connection)
+    assert len(writes) <= 6
+
+
+SLOW_SENDERS = {
+    "sends nothing": (b"", "IDLE_TIMEOUT_MS", b""),
+    "stops in the request line": (b"POST /qu", "IDLE_TIMEOUT_MS", b""),
+    "stops in the headers": (
+        b"POST /quick HTTP/1.1\r\nX-A: b\r\n",
+        "IDLE_TIMEOUT_MS",
+        b"HTTP/1.1 408",
+    ),
+    "stops in the body": (post("/quick", b"a", length=9), "BODY_TIMEOUT_MS", b"HTTP/1.1 408"),
+}
+
+
+@pytest.mark.parametrize(
+    ("data", "timeout_name", "answer"), SLOW_SENDERS.values(), ids=SLOW_SENDERS.keys()
+)
+def test_slow_sender_is_ended(running, monkeypatch, data, timeout_name, answer):
+    monkeypatch.setattr(http_server, timeout_name, SHORT_MS)
+    with running.connect() as connection:
+        connection.sendall(data)
+        received = receive_all(connection)
+    assert received.startswith(answer) and bool(received) == bool(answer)
+    if answer:
+        assert PROBLEM_TYPE.encode() in received
+        assert f'"code":{int(ResultCode.REQUEST_TIMEOUT)}'.encode() in received
+
+
+def test_stop_lets_a_request_in_flight_have_its_whole_answer(running):
+    with running.connect() as busy, running.connect() as idle:
+        busy.sendall(post("/slow"))
+        idle.sendall(post("/quick"))
+        receive_reply(idle)
+        running.pages.entered.wait(TIMEOUT_S)
+        closing = gevent.spawn(running.server.close, TIMEOUT_S * 1000)
+        assert receive_all(idle) == b""
+        with pytest.raises(OSError):
+            running.connect()
+        running.pages.release.set()
+        head, body = receive_reply(busy)
+        assert "Connection: close" in head
+        assert len(body) == 100_002
+        assert closing.get(timeout=TIMEOUT_S) is True
+
+
+def test_request_after_the_stop_began_is_told_by_an_end_of_the_connection(running):
+    with running.connect() as busy:
+        busy.sendall(post("/slow") + post("/quick"))
+        running.pages.entered.wait(TIMEOUT_S)
+        closing = gevent.spawn(running.server.close, TIMEOUT_S * 1000)
+        gevent.sleep(0)
+        running.pages.release.set()
+        received = receive_all(busy)
+        assert closing.get(timeout=TIMEOUT_S) is True
+    assert received.count(b"HTTP/1.1 ") == 1
+
+
+def test_stop_reports_a_request_that_did_not_end(running):
+    with running.connect() as busy:
+        busy.sendall(post("/slow"))
+        running.pages.entered.wait(TIMEOUT_S)
+        assert running.server.close(SHORT_MS) is False
+
+
+def test_fault_of_a_page_is_an_honest_answer(running, monkeypatch):
+    def broken(request):
+        raise KeyError("x")
+
+    monkeypatch.setattr(running.server, "_find", lambda request: broken)
+    with running.connect() as connection:
+        connection.sendall(post("/quick"))
+        head, body = receive_reply(connection)
+    assert head.startswith("HTTP/1.1 500")
+    assert f'"code":{int(ResultCode.INTERNAL)}'.encode() in body
+    assert "http.fault" in running.counted
--- a/camphorchute/jobs/owner.py
+++ b/camphorchute/jobs/owner.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 
 import gevent
+from eliot import log_message
 
 from camphorchute.contracts import Fate, JobAnswer, JobKey, Refusal, ResultCode, code_info
 from camphorchute.contracts.job import refusal_answer
@@ -246,7 +247,7 @@
         try:
             self._acknowledge(job)
         except Refusal as refusal:
-            self._jobs.pop(key.text, None)
+            self._forget(job)
             if refusal.code is ResultCode.KEY_CONFLICT:
                 job.entry.digest = b""
             if refusal.code in MOVED_CODES:
@@ -254,7 +255,7 @@
             else:
                 job.finish(refusal_answer(key.text, refusal))
             raise
-        self._count("jobs.accepted")
+        self._note("accepted", job)
         gevent.spawn_later(max(job.remaining_ms, 0) / 1000, self._expire, job)
         self._dispatch.add(job, job.waiting())
 
@@ -263,7 +264,7 @@
         job.resumed = True
         job.reach = self._view.reach()
         self._jobs[job.key.text] = job
-        self._count("jobs.resumed")
+        self._note("resumed", job)
         gevent.spawn_later(max(job.remaining_ms, 0) / 1000, self._expire, job)
         gevent.spawn(self._recover, job)
 
@@ -376,14 +377,22 @@
         job.kept = True
         self._dispatch.leave(job)
         if code_info(ResultCode(job.answer.code)).retry:
-            self._jobs.pop(job.key.text, None)
-        self._count(f"jobs.ended.{ResultCode(job.answer.code).name.lower()}")
+            self._forget(job)
+        self._note(f"ended.{ResultCode(job.answer.code).name.lower()}", job)
         size_bytes = sum(len(answer) for answer in job.answer.answers) + 200
         until_s = time.monotonic() + self._answer_retention_ms / 1000
         self._kept.append((until_s, size_bytes, job.key.text))
         self._kept_bytes += size_bytes
         self._drop_old_answers()
 
+    def _forget(self, job: Job) -> None:
+        if self._jobs.get(job.key.text) is job:
+            del self._jobs[job.key.text]
+
+    def _note(self, event: str, job: Job) -> None:
+        self._count(f"jobs.{event}")
+        log_message(message_type="jobs", text=f"jobs: {event}", job=job.key.text)
+
     def _drop_old_answers(self) -> None:
         now_s = time.monotonic()
         while self._kept and (self._kept[0][0] <= now_s or self._kept_bytes > ANSWERS_MAX_BYTES):
@@ -457,10 +466,10 @@
         """Leave the jobs whose shards moved to their new owner."""
         for job in self.open_jobs():
             if self._view.owned_term(job.key.shard) is None:
-                self._count("jobs.moved")
+                self._note("moved", job)
                 job.move()
                 self._dispatch.leave(job)
-                del self._jobs[job.key.text]
+                self._forget(job)
 
     def _run(self) -> None:
         while True:
--- a/camphorchute/jobs/tests/test_owner.py
+++ b/camphorchute/jobs/tests/test_owner.py
@@ -25,7 +25,8 @@
     spec,
 )
 from camphorchute.links import LinkLost
-from camphorchute.zones.tests.fakes import WINDOW_MS, member, stale
+from camphorchute.zones.record import ShardRecord, Term
+from camphorchute.zones.tests.fakes import WINDOW_MS, member, record_of, stale
 
 KEY = "k"
 
@@ -413,3 +414,30 @@
     part.hear(B)
     settle()
     assert not part.hand_offs()
+
+
+def test_a_failed_acceptance_leaves_a_later_job_of_the_key_alone(part):
+    """The shard went away and came back while the witnesses of the first one were silent."""
+    part.hear(B)
+    later = []
+
+    def hold(member, message):
+        if message.term == 1 and not later:
+            part.move_away()
+            back = record_of([A, B, C], part.view.record)
+            terms = [Term(back.version, "a", ("b", "c")), Term(1, "a", ("b", "c"))]
+            back.shards = [ShardRecord(terms[0], terms[1:]) for _ in back.shards]
+            part.view.adopt(back)
+            later.append(part.submit(KEY))
+            settle()
+        if message.term == 1:
+            raise LinkLost(member.member_id)
+
+    part.peers.answer[Witness] = hold
+    first = part.submit(KEY)
+    settle()
+    assert refused(first) in (ResultCode.NO_WITNESS, ResultCode.NOT_OWNER)
+    part.hear(B)
+    part.end(B, KEY, 0, 1)
+    assert answer_of(later[0]).code == 0
+    assert sorted(part.handed()) == [("b", 0), ("b", 1)]
--- a/camphorchute/zones/tests/test_takeover.py
+++ b/camphorchute/zones/tests/test_takeover.py
@@ -12,9 +12,10 @@
 from camphorchute.zones.view import ZoneView
 
 SHARDS = 2
-KEYS = 4
 MEMBERS_MAX = 5
 
+unreached = st.sets(st.integers(0, 6).map("m{}".format), max_size=3)
+
 TERM = Term(4, "a", ("b", "c"))
 ALONE = Term(4, "a", ())
 
@@ -68,11 +69,9 @@
     @initialize(hosts=st.lists(st.integers(0, 3), min_size=2, max_size=4))
     def begin(self, hosts):
         for host in hosts:
-            self.join(host)
-        for process in self.running():
-            process.view.adopt(self.record)
-        for process in self.running():
-            self.settle(process, set(), True)
+            self.join(host, set())
+        for _ in hosts:
+            self.spread(set())
 
     def running(self):
         return [p for p in self.processes.values() if p.runs and not p.dead]
@@ -90,22 +89,39 @@
         self.record = with_members(self.record, members, self.now, 10**9)
         process.view.adopt(self.record)
 
-    @rule(host=st.integers(0, 3))
-    def join(self, host):
+    @rule(host=st.integers(0, 3), unaware=unreached)
+    def join(self, host, unaware):
         alive = [p for p in self.processes.values() if not p.dead]
         if len(alive) >= MEMBERS_MAX:
             return
         process = Process(member(f"m{len(self.processes)}", f"vm{host}"))
         self.processes[process.member.member_id] = process
         self.change_members(process, [*self.record.members, process.member])
+        self.spread(unaware)
 
-    @rule(remover=st.integers(0, 9), victim=st.integers(0, 9))
-    def remove(self, remover, victim):
-        process = self.pick(remover)
-        others = [m for m in self.record.members if process and m != process.member]
-        if others and self.record.is_member(process.member.member_id):
-            gone = others[victim % len(others)]
-            self.change_members(process, [m for m in self.record.members if m != gone])
+    @rule(
+        number=st.integers(0, 9), fault=st.sampled_from(["kill", "pause", "cut"]), silent=unreached
+    )
+    def replace(self, number, fault, silent):
+        """A member fails, the others remove it and take over what they can."""
+        victim, others = self.pick(number), self.running()
+        if victim is None or len(others) < 2:
+            return
+        others.remove(victim)
+        victim.dead = fault == "kill"
+        victim.runs = fault != "pause"
+        if self.record.is_member(victim.member.member_id):
+            kept = [m for m in self.record.members if m != victim.member]
+            if kept:
+                self.change_members(others[0], kept)
+        self.spread(silent | {victim.member.member_id})
+
+    def spread(self, unaware):
+        """Processes that are reached learn the record and settle what they own."""
+        for process in self.running():
+            if process.member.member_id not in unaware:
+                process.view.adopt(self.record)
+                self.settle(process, unaware, True)
 
     @rule(number=st.integers(0, 9))
     def rejoin(self, number):
@@ -113,55 +129,43 @@
         if process and not self.record.is_member(process.member.member_id):
             self.change_members(process, [*self.record.members, process.member])
 
-    @rule(number=st.integers(0, 9))
-    def kill(self, number):
-        processes = [p for p in self.processes.values() if not p.dead]
-        if len(processes) > 1:
-            processes[number % len(processes)].dead = True
-
-    @rule(number=st.integers(0, 9))
-    def pause(self, number):
-        process = self.pick(number)
-        if process and len(self.running()) > 1:
-            process.runs = False
-
     @rule(number=st.integers(0, 9))
     def resume(self, number):
         paused = [p for p in self.processes.values() if not p.runs and not p.dead]
         if paused:
             paused[number % len(paused)].runs = True
 
-    @rule(number=st.integers(0, 9))
-    def learn(self, number):
-        process = self.pick(number)
-        if process:
-            process.view.adopt(self.record)
+    @rule(unaware=unreached)
+    def learn(self, unaware):
+        self.spread(unaware)
 
     @rule(
-        number=st.integers(0, 9),
-        key=st.integers(0, KEYS - 1),
+        key=st.integers(0, 9),
         fresh=st.booleans(),
         ack_lost=st.booleans(),
         witness=st.integers(0, 2),
         ends=st.booleans(),
     )
-    def accept(self, number, key, fresh, ack_lost, witness, ends):
+    def submit(self, key, fresh, ack_lost, witness, ends):
+        """A key is sent to every process that takes itself for its owner."""
         self.now += 1
-        name = len(self.created) if fresh else key
+        name = len(self.created) if fresh or not self.created else key % len(self.created)
         self.created.setdefault(name, self.now)
-        owners = [p for p in self.running() if p.view.owned_term(name % SHARDS)]
-        if not owners:
-            return
-        owner, shard = owners[number % len(owners)], name % SHARDS
+        for owner in self.running():
+            if owner.view.owned_term(name % SHARDS):
+                self.accept(owner, name, ack_lost, witness)
+                if ends:
+                    self.end_accepts(owner)
+
+    def accept(self, owner, name, ack_lost, witness):
+        shard = name % SHARDS
         lost = owner.view.record.shards[shard].lost_unix_ms
         if name in owner.ledger[shard] or (lost and self.created[name] <= lost):
             return
-        term = owner.view.owned_term(shard)
         owner.ledger[shard].add(name)
+        term = owner.view.owned_term(shard)
         if self.acknowledge(term, shard, {name}, witness) and not ack_lost:
             owner.accepting.append((shard, name))
-        if ends:
-            self.end_accepts(owner)
 
     def acknowledge(self, term, shard, names, first):
         if not term.witnesses:
@@ -189,15 +193,11 @@
                 assert name not in self.accepted, "a key was accepted as fresh twice"
                 self.accepted.add(name)
 
-    @rule(
-        number=st.integers(0, 9),
-        silent=st.sets(st.integers(0, 9), max_size=2),
-        ends=st.booleans(),
-    )
-    def begin_settle(self, number, silent, ends):
+    @rule(number=st.integers(0, 9), silent=unreached)
+    def begin_settle(self, number, silent):
         process = self.pick(number)
         if process:
-            self.settle(process, {f"m{i}" for i in silent}, ends)
+            self.settle(process, silent, False)
 
     def settle(self, process, silent, ends):
         record = process.view.record
