--- a/camphorchute/cli/calls.py
+++ b/camphorchute/cli/calls.py
@@ -12,9 +12,10 @@
 from camphorchute.cli.exits import ExitCode, exit_code
 from camphorchute.cli.show import refusal_text
 
-__all__ = ["call", "call_options", "finish", "read_json", "show_reply"]
+__all__ = ["call", "caller_options", "finish", "operator_options", "read_json", "show_reply"]
 
 DEFAULT_TIMEOUT_MS = 10_000
+OPERATOR_MAX_CHARS = 64
 
 
 def _check_address(context: click.Context, parameter: click.Parameter, value: str) -> str:
@@ -28,7 +29,13 @@
     return value
 
 
-_OPTIONS = (
+def _check_operator(context: click.Context, parameter: click.Parameter, value: str) -> str:
+    if not (value.isascii() and value.isprintable() and len(value) <= OPERATOR_MAX_CHARS):
+        raise click.BadParameter(f"at most {OPERATOR_MAX_CHARS} printable ASCII characters")
+    return value
+
+
+_CALLER_OPTIONS = (
     click.option(
         "--entry",
         "entry_address",
@@ -38,43 +45,54 @@
         callback=_check_address,
         help="IP:port of any entry process.",
     ),
+    click.option(
+        "--timeout-ms",
+        type=click.IntRange(1),
+        default=DEFAULT_TIMEOUT_MS,
+        show_default=True,
+        help="How long to wait for an answer.",
+    ),
+    click.option("--json", "as_json", is_flag=True, help="Print the answer as JSON."),
+)
+_OPERATOR_OPTIONS = (
     click.option(
         "--token",
         envvar="CAMPHORCHUTE_OPERATOR_TOKEN",
         show_envvar=True,
-        default="",
+        required=True,
         help="The operators' token.",
     ),
     click.option(
         "--operator",
         envvar="CAMPHORCHUTE_OPERATOR",
         show_envvar=True,
-        default="",
+        required=True,
+        callback=_check_operator,
         help="Your name, recorded with what you confirm.",
     ),
-    click.option(
-        "--timeout-ms",
-        type=click.IntRange(1),
-        default=DEFAULT_TIMEOUT_MS,
-        show_default=True,
-        help="How long to wait for an answer.",
-    ),
-    click.option("--json", "as_json", is_flag=True, help="Print the answer as JSON."),
 )
 
 
-def call_options(command: Callable) -> Callable:
-    """Return a command that takes the options of a call as one `EntryClient` and a flag.
+def caller_options(command: Callable) -> Callable:
+    """Return a command that takes the options of a caller's request.
 
-    The command is called with ``client`` and ``as_json`` besides its own arguments.
+    It is called with ``client``, an `EntryClient`, and ``as_json`` besides its own arguments.
     """
+    return _with_client(command, _CALLER_OPTIONS)
+
+
+def operator_options(command: Callable) -> Callable:
+    """Return a command that takes the options of an operator's call, as `caller_options` does."""
+    return _with_client(command, _CALLER_OPTIONS + _OPERATOR_OPTIONS)
+
 
+def _with_client(command: Callable, options: tuple[Callable, ...]) -> Callable:
     @functools.wraps(command)
-    def wrapped(entry_address, token, operator, timeout_ms, **arguments):
+    def wrapped(entry_address, timeout_ms, token="", operator="", **arguments):
         client = EntryClient(entry_address, token, operator, timeout_ms)
         return command(client=client, **arguments)
 
-    for option in reversed(_OPTIONS):
+    for option in reversed(options):
         wrapped = option(wrapped)
     return wrapped
 
--- a/camphorchute/cli/drain.py
+++ b/camphorchute/cli/drain.py
@@ -2,7 +2,7 @@
 
 import click
 
-from camphorchute.cli.calls import call, call_options, show_reply
+from camphorchute.cli.calls import call, operator_options, show_reply
 from camphorchute.cli.client import EntryClient
 from camphorchute.cli.show import tree_text
 
@@ -13,7 +13,7 @@
 @click.argument("kind", type=click.Choice(["worker", "upstream", "entry"]))
 @click.argument("name")
 @click.option("--service", "service_name", help="The service of the worker or upstream.")
-@call_options
+@operator_options
 def drain(
     client: EntryClient, as_json: bool, kind: str, name: str, service_name: str | None
 ) -> None:
--- a/camphorchute/cli/job.py
+++ b/camphorchute/cli/job.py
@@ -5,7 +5,7 @@
 
 import click
 
-from camphorchute.cli.calls import call, call_options, read_json, show_reply
+from camphorchute.cli.calls import call, caller_options, read_json, show_reply
 from camphorchute.cli.client import EntryClient, Reply
 from camphorchute.cli.show import tree_text
 from camphorchute.contracts import ResultCode, new_key
@@ -32,7 +32,7 @@
 @click.argument("file", type=click.File("rb"))
 @click.option("--key", help="The idempotency key; a fresh one by default.")
 @_wait_option
-@call_options
+@caller_options
 def submit(client: EntryClient, as_json: bool, file: Any, key: str | None, wait_ms: int) -> None:
     """Submit the job in FILE (- for standard input).
 
@@ -49,7 +49,7 @@
 @job.command()
 @click.argument("key")
 @_wait_option
-@call_options
+@caller_options
 def get(client: EntryClient, as_json: bool, key: str, wait_ms: int) -> None:
     """Fetch the answer to a job."""
     reply = call(client, "GET", f"/v1/jobs/{quote(key, safe=':')}?wait_ms={wait_ms}")
@@ -58,7 +58,7 @@
 
 @job.command()
 @click.argument("key")
-@call_options
+@caller_options
 def cancel(client: EntryClient, as_json: bool, key: str) -> None:
     """Cancel a job."""
     reply = call(client, "DELETE", f"/v1/jobs/{quote(key, safe=':')}")
--- a/camphorchute/cli/service.py
+++ b/camphorchute/cli/service.py
@@ -5,11 +5,17 @@
 
 import click
 
-from camphorchute.cli.calls import call, call_options, finish, read_json, show_reply
+from camphorchute.cli.calls import call, finish, operator_options, read_json, show_reply
 from camphorchute.cli.client import EntryClient, Reply
 from camphorchute.cli.exits import ExitCode
 from camphorchute.cli.intent import set_values
-from camphorchute.cli.show import confirmation_text, history_text, plan_text, tree_text
+from camphorchute.cli.show import (
+    confirmation_text,
+    history_text,
+    plan_text,
+    status_text,
+    tree_text,
+)
 
 __all__ = ["service"]
 
@@ -25,7 +31,7 @@
 @click.option("--set", "assignments", multiple=True, metavar="PATH=VALUE", help="Set one value.")
 @click.option("--remove", is_flag=True, help="Remove the service.")
 @click.option("--undo", "undo_revision", type=click.IntRange(1), help="Restore a revision.")
-@call_options
+@operator_options
 def plan(
     client: EntryClient,
     as_json: bool,
@@ -69,15 +75,16 @@
     A plan whose base is not the definition that was read is discarded: it would undo the
     change that came between.
     """
-    reply = call(client, "GET", f"/v1/services/{quote(name, safe='')}")
+    reply = call(client, "GET", f"/v1/services/{quote(name, safe='')}/history")
     if reply.code:
-        show_reply(reply, as_json, tree_text)
+        show_reply(reply, as_json, history_text)
+    newest = reply.body["entries"][0]
     try:
-        definition = set_values(reply.body.get("definition") or {"name": name}, assignments)
+        definition = set_values(newest.get("definition") or {"name": name}, assignments)
     except ValueError as error:
         raise click.UsageError(str(error)) from error
     planned = _plan(client, {"service": name, "definition": definition})
-    if not planned.code and planned.body["base_revision"] != reply.body["revision"]:
+    if not planned.code and planned.body["base_revision"] != newest["revision"]:
         call(client, "DELETE", f"/v1/plans/{planned.body['id']}")
         click.echo(f"{name} was changed meanwhile; nothing is planned, try again", err=True)
         finish(ExitCode.REFUSED)
@@ -86,7 +93,7 @@
 
 @service.command("plan-show")
 @click.argument("plan_id")
-@call_options
+@operator_options
 def plan_show(client: EntryClient, as_json: bool, plan_id: str) -> None:
     """Show a plan."""
     show_reply(call(client, "GET", f"/v1/plans/{quote(plan_id, safe='')}"), as_json, plan_text)
@@ -94,7 +101,7 @@
 
 @service.command()
 @click.argument("plan_id")
-@call_options
+@operator_options
 def confirm(client: EntryClient, as_json: bool, plan_id: str) -> None:
     """Put a plan in force; safe to repeat."""
     reply = call(client, "POST", f"/v1/plans/{quote(plan_id, safe='')}/confirm", {})
@@ -103,7 +110,7 @@
 
 @service.command()
 @click.argument("plan_id")
-@call_options
+@operator_options
 def discard(client: EntryClient, as_json: bool, plan_id: str) -> None:
     """Remove a plan that is not to be confirmed."""
     reply = call(client, "DELETE", f"/v1/plans/{quote(plan_id, safe='')}")
@@ -112,7 +119,7 @@
 
 @service.command()
 @click.argument("name")
-@call_options
+@operator_options
 def history(client: EntryClient, as_json: bool, name: str) -> None:
     """List the states of a service, the newest first."""
     reply = call(client, "GET", f"/v1/services/{quote(name, safe='')}/history")
@@ -120,15 +127,15 @@
 
 
 @service.command()
-@call_options
+@operator_options
 def status(client: EntryClient, as_json: bool) -> None:
     """Show which revision is in force at every entry process."""
-    show_reply(call(client, "GET", "/v1/status"), as_json, tree_text)
+    show_reply(call(client, "GET", "/v1/status"), as_json, status_text)
 
 
 @service.command()
 @click.argument("name")
-@call_options
+@operator_options
 def show(client: EntryClient, as_json: bool, name: str) -> None:
     """Show a service as it is in force at the entry process asked."""
     reply = call(client, "GET", f"/v1/services/{quote(name, safe='')}")
--- a/camphorchute/cli/settings.py
+++ b/camphorchute/cli/settings.py
@@ -68,6 +68,11 @@
         shown = ", ".join(f"{name}={text}" for name, text, _ in self.rows())
         return f"Settings({shown})"
 
+    @property
+    def store_addresses(self) -> list[str]:
+        """``IP:port`` of each gateway of the platform's store."""
+        return [url.removeprefix("http://") for url in self.store_url]
+
     def rows(self) -> list[tuple[str, str, str]]:
         """Return name, value as text and source of every setting; secrets are hidden."""
         return [(info.name, self._shown(info), self.sources[info.name]) for info in SETTINGS]
--- a/camphorchute/cli/settings_table.py
+++ b/camphorchute/cli/settings_table.py
@@ -51,8 +51,8 @@
     return value.rstrip("/")
 
 
-def _urls(value: str) -> str:
-    return ",".join(_url(part.strip()) for part in value.split(","))
+def _urls(value: str) -> list[str]:
+    return [_url(part.strip()) for part in value.split(",")]
 
 
 def _token(value: str) -> str:
--- a/camphorchute/cli/show.py
+++ b/camphorchute/cli/show.py
@@ -11,6 +11,7 @@
     "history_text",
     "plan_text",
     "refusal_text",
+    "status_text",
     "table_text",
     "tree_text",
 ]
@@ -154,6 +155,31 @@
     return "defined" if entry.get("definition") else "removed"
 
 
+def status_text(answer: dict[str, Any]) -> str:
+    """Return the status of the entry processes as a table, and those that did not answer."""
+    heads = ["zone", "host", "http", "ready", "leaving", "revision", "known", "shards"]
+    rows = [_process_row(process) for process in answer["processes"]]
+    lines = [table_text(heads, sorted(rows))]
+    if answer.get("not_asked"):
+        lines.append(f"could not be asked: {', '.join(sorted(answer['not_asked']))}")
+    return "\n".join(lines)
+
+
+def _process_row(process: dict[str, Any]) -> list[str]:
+    member, age_ms = process["member"], process["config_age_ms"]
+    known = f"{age_ms / 1000:.1f} s ago" if age_ms >= 0 else "-"
+    return [
+        member["zone"],
+        member["host"],
+        member["http_address"],
+        _plain(process["ready"]),
+        _plain(process["leaving"]),
+        str(process["config_revision"]),
+        known,
+        str(process["owned_shards"]),
+    ]
+
+
 def refusal_text(body: Any, status: int) -> str:
     """Return a refusal with its code, what was wrong and what to do.
 
--- a/camphorchute/contracts/messages.py
+++ b/camphorchute/contracts/messages.py
@@ -34,6 +34,7 @@
     "KeyEntry",
     "KeyOwner",
     "Message",
+    "PoolUse",
     "Reach",
     "RecordIs",
     "Refused",
@@ -76,12 +77,14 @@
     Attributes:
         record_version: version of the zone's ownership record that the sender knows.
         config_revision: highest configuration revision in force at the sender.
+        config_age_ms: how long ago the sender last knew that to be the newest; -1 if never.
         leaving: whether the sender takes no new work.
         slots: free slots at the sender's workers.
     """
 
     record_version: int
     config_revision: int
+    config_age_ms: float = -1.0
     leaving: bool = False
     slots: list[SlotCount] = []
 
@@ -185,9 +188,15 @@
 
 
 class Entries(msgspec.Struct, tag="entries"):
-    """All unexpired keys that the sender holds for the shards it was asked for."""
+    """Unexpired keys that the sender holds for the shards it was asked for.
+
+    Attributes:
+        entries: all keys of the shards that are told.
+        left: shards that are fenced too, to be asked for again.
+    """
 
     entries: list[KeyEntry]
+    left: list[int] = []
 
 
 class AskRecord(msgspec.Struct, tag="ask_record"):
@@ -319,6 +328,22 @@
     """Ask a process for its status; the reply is :class:`StatusIs`."""
 
 
+class PoolUse(msgspec.Struct):
+    """Present use of one pool of back ends at one process.
+
+    Attributes:
+        pool: name of the service, or of its upstreams.
+        running: tasks that run, for each back end's name of which the process is home.
+        waiting: tasks that wait at all owners, as the process knows it.
+        team_tasks: tasks that have not ended, for each team, of the jobs that the process owns.
+    """
+
+    pool: str
+    running: dict[str, int] = {}
+    waiting: int = 0
+    team_tasks: dict[str, int] = {}
+
+
 class StatusIs(msgspec.Struct, tag="status_is"):
     """Status of a process, as operators read it."""
 
@@ -330,6 +355,7 @@
     record_version: int
     owned_shards: int
     members: list[str]
+    pools: list[PoolUse] = []
 
 
 class Done(msgspec.Struct, tag="done"):
--- a/camphorchute/entry/config_part.py
+++ b/camphorchute/entry/config_part.py
@@ -1,7 +1,5 @@
 """Service records between entry processes."""
 
-import gevent
-
 from camphorchute.contracts import Refusal
 from camphorchute.contracts.member import Member
 from camphorchute.contracts.messages import ConfigRecords, FetchConfig
@@ -38,7 +36,7 @@
         return ConfigRecords([encode_for_peer(record) for record in records], revision)
 
     def ask_records_after(self, revision: int) -> list[ServiceRecord] | None:
-        """Return a ready peer's records over a revision; None where no peer answered."""
+        """Return the records over a revision of a peer that is further on, or None."""
         links = self._peers.links()
         links.sort(key=lambda link: link.peer.zone != self._view.member.zone)
         for link in links:
@@ -46,9 +44,9 @@
                 reply = link.request(FetchConfig(revision), ASK_TIMEOUT_MS)
             except (LinkLost, Refusal):
                 continue
-            if reply.revision >= max(revision, 0):
+            learns_first_state = reply.revision >= 0 and not self._catalogue.ready
+            if reply.revision > revision or learns_first_state:
                 return [decode_from_peer(record) for record in reply.records]
-            gevent.sleep(0)
         return None
 
     def is_watcher(self) -> bool:
--- a/camphorchute/entry/daemon.py
+++ b/camphorchute/entry/daemon.py
@@ -14,7 +14,7 @@
 from camphorchute.contracts import InvariantBroken, Refusal, ResultCode
 from camphorchute.contracts.job import DEADLINE_MAX_MS
 from camphorchute.contracts.member import Member
-from camphorchute.contracts.messages import Heartbeat, StatusIs
+from camphorchute.contracts.messages import Heartbeat, PoolUse, StatusIs
 from camphorchute.entry.caller_pages import CallerPages, HealthPages
 from camphorchute.entry.config_part import ConfigPart
 from camphorchute.entry.home_part import HomePart
@@ -101,7 +101,7 @@
             self._heartbeat,
             settings.heartbeat_ms,
             settings.suspect_ms,
-            window_ms,
+            window_ms + 2 * settings.clock_skew_ms,
             count,
         )
         self._catalogue = Catalogue()
@@ -113,7 +113,7 @@
             self._member.member_id,
             self._peers.send_linked,
             metrics=count,
-            timing=HomeTiming(remember_s=settings.window_s + DEADLINE_MAX_MS / MS_PER_S),
+            timing=HomeTiming(remember_s=self._remember_s()),
         )
         self._home_part = HomePart(self._home, self._view, self._catalogue, self._peers, count)
         self._dispatch = Dispatch(self._view, self._peers, self._policy_of, count)
@@ -194,6 +194,11 @@
         )
         self._metrics.close()
 
+    def _remember_s(self) -> float:
+        """Return how long a home remembers its starts: longer than any owner a key."""
+        margin_ms = DEADLINE_MAX_MS + 2 * self._settings.clock_skew_ms
+        return self._settings.window_s + margin_ms / MS_PER_S
+
     def _connect_parts(self, zones: list[str]) -> None:
         for part in (
             self._membership,
@@ -207,7 +212,7 @@
         self._peers.replaced = self._deaths.prove
         self._peers.lost = self._peer_lost
         self._membership.heard.append(self._hear)
-        planner = Planner(self._store, self._catalogue, zones)
+        planner = Planner(self._store, self._catalogue, zones, self._board.usage)
         pages = (
             CallerPages(self._router, self._refuse_unready, self._metrics.count),
             HealthPages(self._refuse_not_serving),
@@ -231,7 +236,7 @@
         os._exit(BROKEN_EXIT)
 
     def _hear(self, peer: Member, heartbeat: Heartbeat) -> None:
-        self._distribution.heard_revision(heartbeat.config_revision)
+        self._distribution.heard_revision(heartbeat.config_revision, heartbeat.config_age_ms)
         if peer.zone == self._member.zone:
             self._dispatch.hear(peer, heartbeat)
 
@@ -244,6 +249,7 @@
         message = Heartbeat(
             self._view.record.version,
             self._catalogue.revision,
+            _age_ms(self._catalogue.age_ms),
             self.stopping.is_set(),
             [] if self.stopping.is_set() else self._home.slot_counts(),
         )
@@ -257,12 +263,21 @@
             self._is_ready(),
             self.stopping.is_set(),
             self._catalogue.revision,
-            self._catalogue.age_ms if self._catalogue.age_ms is not None else -1.0,
+            _age_ms(self._catalogue.age_ms),
             record.version,
             len(record.shards_of(self._member.member_id)),
             [member.member_id for member in record.members],
+            self._pool_uses(),
         )
 
+    def _pool_uses(self) -> list[PoolUse]:
+        uses = {name: PoolUse(name, running) for name, running in self._home.running().items()}
+        for pool, teams in self._owner.open_tasks().items():
+            uses.setdefault(pool, PoolUse(pool)).team_tasks = teams
+        for pool, use in uses.items():
+            use.waiting = self._dispatch.waiting(pool)
+        return list(uses.values())
+
     def _is_ready(self) -> bool:
         return self._catalogue.ready and self._view.record.version > 0
 
@@ -333,5 +348,9 @@
     return url.removeprefix("http://").rstrip("/")
 
 
+def _age_ms(age_ms: float | None) -> float:
+    return -1.0 if age_ms is None else age_ms
+
+
 def _left_ms(until_s: float) -> float:
     return max(0.0, (until_s - time.monotonic()) * MS_PER_S)
--- a/camphorchute/entry/operator_pages.py
+++ b/camphorchute/entry/operator_pages.py
@@ -2,6 +2,7 @@
 
 import hmac
 from collections.abc import Callable
+from functools import partial
 
 import msgspec
 
@@ -135,20 +136,9 @@
             self._board.check_is_here(body.entry)
             self._drain_self()
             return json_response({"draining": body.entry})
-        plan = self._planner.plan(body.service, self._drained(body), operator)
+        plan = self._planner.plan_change(body.service, partial(_drained, body), operator)
         return json_response(self._planner.confirm(plan.id, operator))
 
-    def _drained(self, body: DrainBody) -> ServiceDefinition:
-        definition = self._catalogue.definition(body.service)
-        if definition is None:
-            raise Refusal(ResultCode.UNKNOWN_SERVICE, f"no service {body.service!r}")
-        workers = [_drain(worker, body.worker) for worker in definition.workers]
-        upstreams = [_drain(upstream, body.upstream) for upstream in definition.upstreams]
-        drained = msgspec.structs.replace(definition, workers=workers, upstreams=upstreams)
-        if drained == definition:
-            raise Refusal(ResultCode.PLAN_INVALID, f"nothing to drain in {body.service!r}")
-        return drained
-
     def _operator(self, request: Request) -> str:
         scheme, _, token = request.header("Authorization").partition(" ")
         matches = hmac.compare_digest(token.encode(), self._token)
@@ -160,6 +150,15 @@
         return operator
 
 
+def _drained(body: DrainBody, definition: ServiceDefinition) -> ServiceDefinition:
+    workers = [_drain(worker, body.worker) for worker in definition.workers]
+    upstreams = [_drain(upstream, body.upstream) for upstream in definition.upstreams]
+    drained = msgspec.structs.replace(definition, workers=workers, upstreams=upstreams)
+    if drained == definition:
+        raise Refusal(ResultCode.PLAN_INVALID, f"nothing to drain in {body.service!r}")
+    return drained
+
+
 def _drain(back_end: object, name: str) -> object:
     if back_end.name != name:
         return back_end
--- a/camphorchute/entry/status.py
+++ b/camphorchute/entry/status.py
@@ -7,8 +7,10 @@
 
 from camphorchute.contracts import Refusal, ResultCode
 from camphorchute.contracts.member import Member
-from camphorchute.contracts.messages import AskStatus, StatusIs
+from camphorchute.contracts.messages import AskStatus, PoolUse, StatusIs
+from camphorchute.jobs import upstream_pool
 from camphorchute.links import LinkLost, Peers, handles
+from camphorchute.services import Usage
 from camphorchute.zones import RecordStore, ZoneView
 
 __all__ = ["FleetStatus", "StatusBoard"]
@@ -70,6 +72,18 @@
         missing = [m.link_address for m, a in zip(members, answers, strict=True) if a is None]
         return FleetStatus([answer for answer in answers if answer is not None], missing)
 
+    def usage(self, service: str) -> Usage:
+        """Return the present use of a service, from every process that answers."""
+        fleet = self.all()
+        usage = Usage(not_asked=fleet.not_asked)
+        for process in fleet.processes:
+            for use in process.pools:
+                if use.pool == service:
+                    _add_workers(usage, process.member.zone, use)
+                elif use.pool == upstream_pool(service):
+                    usage.running_by_upstream.update(use.running)
+        return usage
+
     def check_is_here(self, name: str) -> None:
         """Refuse a name that does not mean this process.
 
@@ -88,3 +102,12 @@
             return self._peers.request(member, AskStatus(), ASK_TIMEOUT_MS)
         except (LinkLost, Refusal):
             return None
+
+
+def _add_workers(usage: Usage, zone: str, use: PoolUse) -> None:
+    usage.running_by_worker.update(use.running)
+    waiting = usage.waiting_by_zone.get(zone, 0)
+    usage.waiting_by_zone[zone] = max(waiting, use.waiting)
+    teams = usage.team_tasks_by_zone.setdefault(zone, {})
+    for team, tasks in use.team_tasks.items():
+        teams[team] = teams.get(team, 0) + tasks
--- a/camphorchute/jobs/dispatch.py
+++ b/camphorchute/jobs/dispatch.py
@@ -113,7 +113,9 @@
             homes.pop(member_id, None)
 
     def add(self, job: Job, indices: list[int]) -> None:
-        """Place tasks of a job."""
+        """Place tasks of a job, unless it has ended."""
+        if not job.is_open or job.ending:
+            return
         queue = self._waiting.setdefault((job.pool, job.spec.team), deque())
         queue.extend((job, index) for index in indices)
         self._count_queued(job, len(indices))
@@ -181,7 +183,7 @@
         taken = 0
         while queue and taken < most:
             job, index = queue.popleft()
-            if not job.is_open or job.tasks[index].state is not TaskState.WAITING:
+            if not job.is_open or job.ending or job.tasks[index].state is not TaskState.WAITING:
                 continue
             if home.member_id in job.unfit_homes:
                 passed_over.append((job, index))
--- a/camphorchute/jobs/job.py
+++ b/camphorchute/jobs/job.py
@@ -57,6 +57,7 @@
         entry: the ledger's entry of the key, once it is accepted.
         reach: to which homes tasks may be handed.
         resumed: whether an earlier owner or attempt may have handed on tasks of the key.
+        ending: whether it is about to get its final answer, and no task is handed on.
         queued: how many of its tasks stand in the queue of waiting tasks.
         unfit_homes: homes whose workers are all too small for a task of the job.
         answer: the final answer, None while there is none.
@@ -85,6 +86,7 @@
         "entry",
         "reach",
         "resumed",
+        "ending",
         "queued",
         "unfit_homes",
         "answer",
@@ -104,6 +106,7 @@
         self.entry: KeyEntry | None = None
         self.reach = Reach.OTHER_HOSTS
         self.resumed = False
+        self.ending = False
         self.queued = 0
         self.unfit_homes: set[str] = set()
         self.answer: JobAnswer | None = None
--- a/camphorchute/jobs/owner.py
+++ b/camphorchute/jobs/owner.py
@@ -120,8 +120,16 @@
 
     def open_of_team(self, service: str, team: str) -> int:
         """Return how many tasks of a team have not ended here."""
-        jobs = [j for j in self.open_jobs() if (j.spec.service, j.spec.team) == (service, team)]
-        return sum(1 for job in jobs for t in job.tasks if t.state is not TaskState.ENDED)
+        return self.open_tasks().get(service, {}).get(team, 0)
+
+    def open_tasks(self) -> dict[str, dict[str, int]]:
+        """Return how many tasks have not ended, for each pool and team."""
+        counts: dict[str, dict[str, int]] = {}
+        for job in self.open_jobs():
+            teams = counts.setdefault(job.pool, {})
+            left = sum(1 for task in job.tasks if task.state is not TaskState.ENDED)
+            teams[job.spec.team] = teams.get(job.spec.team, 0) + left
+        return counts
 
     @handles(SubmitJob)
     def submit(self, peer: Member, message: SubmitJob) -> JobEnded:
@@ -189,6 +197,8 @@
             self._count("jobs.crossed_outcome")
             return
         task = job.tasks[outcome.index]
+        if job.resumed:
+            job.adopt(outcome.index, peer.member_id)
         if task.home_id != peer.member_id:
             self._count("jobs.crossed_outcome")
         elif outcome.code != ResultCode.COMPLETE:
@@ -319,7 +329,12 @@
             job.move()
             self._dispatch.leave(job)
             return
-        may_have_run = code_info(refusal.code).fate is Fate.MAY_HAVE_RUN
+        fate = code_info(refusal.code).fate
+        if fate is Fate.UNKNOWN and not (job.resumed or job.any_handed()):
+            job.finish(refusal_answer(job.key.text, refusal))
+            self._finished(job)
+            return
+        may_have_run = fate is Fate.MAY_HAVE_RUN
         code = refusal.code if may_have_run else ResultCode.OWNER_LOST
         self._fail(job, code, str(refusal), maybe_all=True)
 
@@ -350,6 +365,7 @@
         if job.resumed or job.any_handed():
             self._fail(job, may_have_run, detail, maybe_all=job.resumed)
             return
+        job.ending = True
         try:
             self._confirm_owner(job.key)
         except Refusal as refusal:
@@ -449,11 +465,12 @@
     def _check_not_lost(self, key: JobKey) -> None:
         lost_unix_ms = self._view.record.shards[key.shard].lost_unix_ms
         now_unix_ms = time.time() * 1000
-        if not lost_unix_ms or now_unix_ms > lost_unix_ms + self._window_ms:
+        kept_ms = self._window_ms + 2 * self._clock_skew_ms
+        if not lost_unix_ms or now_unix_ms > lost_unix_ms + kept_ms:
             return
         created = key.created_unix_ms
         if created is None or created <= lost_unix_ms + self._clock_skew_ms:
-            left_ms = lost_unix_ms + self._window_ms - now_unix_ms
+            left_ms = lost_unix_ms + kept_ms - now_unix_ms
             raise Refusal(ResultCode.RECORDS_LOST, f"shard {key.shard}", round(left_ms))
 
     def _not_owner(self, key: JobKey) -> Refusal:
--- a/camphorchute/jobs/router.py
+++ b/camphorchute/jobs/router.py
@@ -6,7 +6,7 @@
 
 import gevent
 
-from camphorchute.contracts import JobAnswer, JobKey, JobSpec, Refusal, ResultCode
+from camphorchute.contracts import InvariantBroken, JobAnswer, JobKey, JobSpec, Refusal, ResultCode
 from camphorchute.contracts.job import refusal_answer
 from camphorchute.contracts.member import Member
 from camphorchute.contracts.messages import CancelJob, FetchJob, Message, SubmitJob
@@ -139,7 +139,8 @@
             try:
                 owner = self._owner_of(key)
                 message = make_message(remaining_ms)
-                return self._peers.request(owner, message, remaining_ms + ANSWER_GRACE_MS).answer
+                reply = self._peers.request(owner, message, remaining_ms + ANSWER_GRACE_MS)
+                return _own_answer(key, reply.answer)
             except Refusal as refusal:
                 if refusal.code not in TRY_AGAIN_CODES:
                     return refusal_answer(key.text, refusal)
@@ -171,3 +172,9 @@
             if linked and member.member_id != self._view.member.member_id:
                 self._membership.fetch_record_of(key.zone, member)
         self._records.refresh(key.zone)
+
+
+def _own_answer(key: JobKey, answer: JobAnswer) -> JobAnswer:
+    if answer.key != key.text:
+        raise InvariantBroken(f"own_answer: asked for {key.text!r}, got {answer.key!r}")
+    return answer
--- a/camphorchute/links/link.py
+++ b/camphorchute/links/link.py
@@ -13,7 +13,13 @@
 from camphorchute.contracts.errors import Refusal
 from camphorchute.contracts.member import Member
 from camphorchute.contracts.messages import Message, Refused
-from camphorchute.links.codec import Frame, FrameKind, decode_frame, encode_frame
+from camphorchute.links.codec import (
+    FRAME_MAX_BYTES,
+    Frame,
+    FrameKind,
+    decode_frame,
+    encode_frame,
+)
 from camphorchute.links.handlers import Handlers
 
 __all__ = ["Link", "LinkLost", "OUTBOX_MAX_FRAMES"]
@@ -35,10 +41,13 @@
         peer: the process at the other end.
         handlers: what to do with the peer's messages.
         ended: called once with the link when it has ended.
+        opened_by: member id of the process that opened it.
     """
 
     __slots__ = (
         "peer",
+        "opened_by",
+        "opened_s",
         "last_heard_s",
         "_socket",
         "_handlers",
@@ -51,10 +60,17 @@
     )
 
     def __init__(
-        self, socket_: object, peer: Member, handlers: Handlers, ended: Callable[["Link"], None]
+        self,
+        socket_: object,
+        peer: Member,
+        handlers: Handlers,
+        ended: Callable[["Link"], None],
+        opened_by: str = "",
     ) -> None:
         self.peer = peer
-        self.last_heard_s = time.monotonic()
+        self.opened_by = opened_by
+        self.opened_s = time.monotonic()
+        self.last_heard_s = self.opened_s
         self._socket = socket_
         self._handlers = handlers
         self._ended = ended
@@ -126,6 +142,11 @@
         gevent.spawn(self._close_socket)
         self._ended(self)
 
+    def discard(self) -> None:
+        """End a link that was never used."""
+        self._open = False
+        gevent.spawn(self._close_socket)
+
     def _close_socket(self) -> None:
         if self._writer is not None:
             self._writer.kill(block=False)
@@ -139,18 +160,33 @@
     def _put(self, frame: Frame) -> bool:
         if not self._open:
             return False
+        data = encode_frame(frame)
+        if len(data) > FRAME_MAX_BYTES:
+            return self._put_too_large(frame, len(data))
         try:
-            self._outbox.put_nowait(frame)
+            self._outbox.put_nowait(data)
         except Full:
             self._handlers.count("links.outbox_full")
             self.close()
             return False
         return True
 
+    def _put_too_large(self, frame: Frame, size_bytes: int) -> bool:
+        self._handlers.count("links.message_too_large")
+        refusal = Refusal(
+            ResultCode.VALUE_TOO_LARGE, f"{size_bytes} bytes, at most {FRAME_MAX_BYTES}"
+        )
+        if frame.kind is FrameKind.REPLY:
+            refused = Refused(int(refusal.code), refusal.detail)
+            return self._put(Frame(FrameKind.REPLY, frame.number, refused))
+        if frame.kind is FrameKind.REQUEST:
+            raise refusal
+        return False
+
     def _write(self) -> None:
         try:
             while self._open:
-                self._socket.send(encode_frame(self._outbox.get()))
+                self._socket.send(self._outbox.get())
         except (ConnectionClosed, OSError):
             self.close()
 
@@ -174,6 +210,8 @@
 
 
 def _refusal(reply: Refused) -> Refusal:
-    refusal = Refusal(ResultCode(reply.code), reply.detail, reply.retry_after_ms)
+    known = reply.code in ResultCode._value2member_map_
+    code = ResultCode(reply.code) if known else ResultCode.INTERNAL
+    refusal = Refusal(code, reply.detail, reply.retry_after_ms)
     refusal.record = reply.record
     return refusal
--- a/camphorchute/links/peers.py
+++ b/camphorchute/links/peers.py
@@ -181,9 +181,13 @@
             self.replaced(member)
             socket_.close_socket()
             raise PeerUnreachable(f"{member.link_address} has another incarnation now")
-        link = self._adopt(socket_, reply.member)
-        self._greenlets.append(gevent.spawn(link.run))
-        self._greenlets = [g for g in self._greenlets if not g.dead]
+        opened = Link(
+            socket_, reply.member, self._handlers, self._link_ended, self.member.member_id
+        )
+        link = self._adopt(opened)
+        if link is opened:
+            self._greenlets = [g for g in self._greenlets if not g.dead]
+            self._greenlets.append(gevent.spawn(link.run))
         return link
 
     def _accept(self, socket_: object) -> None:
@@ -198,15 +202,32 @@
             socket_.send(encode_frame(Frame(FrameKind.ONE_WAY, 0, refused)))
             return
         socket_.send(encode_frame(Frame(FrameKind.ONE_WAY, 0, Welcome(self.member))))
-        self._adopt(socket_, hello.member).run()
+        peer = hello.member
+        opened = Link(socket_, peer, self._handlers, self._link_ended, peer.member_id)
+        if self._adopt(opened) is opened:
+            opened.run()
+
+    def _adopt(self, link: Link) -> Link:
+        """Use a new link and end the one before it; return the link that is used.
 
-    def _adopt(self, socket_: object, peer: Member) -> Link:
-        link = Link(socket_, peer, self._handlers, self._link_ended)
-        link.last_heard_s = time.monotonic()
-        self._links[peer.member_id] = link
+        Where both ends have opened one at the same time, both keep the one that was opened by the
+        lower member id. What was still under way on the other one is never read.
+        """
+        old = self._links.get(link.peer.member_id)
+        if old is not None and self._is_preferred(old, link):
+            link.discard()
+            return old
+        self._links[link.peer.member_id] = link
         link.start()
+        if old is not None:
+            old.close()
         return link
 
+    def _is_preferred(self, old: Link, new: Link) -> bool:
+        at_once = time.monotonic() - old.opened_s < CONNECT_TIMEOUT_MS / 1000
+        crossed = old.opened_by != new.opened_by
+        return old.is_open and at_once and crossed and old.opened_by < new.opened_by
+
     def _link_ended(self, link: Link) -> None:
         if self._links.get(link.peer.member_id) is link:
             del self._links[link.peer.member_id]
--- /dev/null
+++ b/camphorchute/links/tests/test_peers.py
@@ -0,0 +1,240 @@
+import socket
+
+import gevent
+import pytest
+from websockets.sync.client import connect
+
+from camphorchute.contracts import Refusal, ResultCode
+from camphorchute.contracts.member import Member
+from camphorchute.contracts.messages import (
+    AskRecord,
+    AskStatus,
+    CancelTasks,
+    Done,
+    Hello,
+    RecordIs,
+    Welcome,
+)
+from camphorchute.links import (
+    Frame,
+    FrameKind,
+    Handlers,
+    LinkLost,
+    Peers,
+    PeerUnreachable,
+    decode_frame,
+    encode_frame,
+    handles,
+)
+from camphorchute.zones.tests.fakes import Counts
+
+
+def free_address(host):
+    with socket.create_server((host, 0)) as server:
+        return f"{host}:{server.getsockname()[1]}"
+
+
+def wait_until(condition):
+    with gevent.Timeout(5):
+        while not condition():
+            gevent.sleep(0.005)
+
+
+class Process:
+    """One real end of links on loopback."""
+
+    def __init__(self, name, address=None, zones=("north", "south")):
+        host = f"127.77.0.{ord(name) % 100}"
+        address = address or free_address(host)
+        self.member = Member(name, "north", f"vm-{name}", "", address, "")
+        self.counts = Counts()
+        self.handlers = Handlers(self.counts)
+        self.handlers.add(self)
+        self.peers = Peers(self.member, list(zones), self.handlers, address)
+        self.replaced, self.lost, self.told = [], [], []
+        self.peers.replaced = self.replaced.append
+        self.peers.lost = self.lost.append
+        self.delay_s = 0.0
+        self.peers.start()
+
+    @handles(AskRecord)
+    def slow(self, peer, message):
+        gevent.sleep(self.delay_s)
+        return RecordIs(message.zone.encode())
+
+    @handles(AskStatus, prompt=True)
+    def refuse(self, peer, message):
+        refusal = Refusal(ResultCode.STALE_TERM, "old", 70)
+        refusal.record = b"record"
+        raise refusal
+
+    @handles(CancelTasks, prompt=True)
+    def tell(self, peer, message):
+        self.told.append((peer.member_id, message.key))
+        if message.key == "fault":
+            raise KeyError(message.key)
+        return Done()
+
+    def request(self, other, message=None, timeout_ms=2000.0):
+        return self.peers.request(other.member, message or AskRecord("x"), timeout_ms)
+
+    def link(self, other):
+        return next(k for k in self.peers.links() if k.peer.member_id == other.member.member_id)
+
+
+@pytest.fixture
+def start():
+    started = []
+
+    def start(*args, **kwargs):
+        started.append(Process(*args, **kwargs))
+        return started[-1]
+
+    yield start
+    for process in started:
+        process.peers.close()
+    gevent.sleep(0.01)
+
+
+@pytest.fixture
+def pair(start):
+    return start("a"), start("b")
+
+
+def test_requests_run_in_both_directions_on_one_link(pair):
+    a, b = pair
+    assert a.request(b).record == b"x"
+    assert b.request(a).record == b"x"
+    assert a.request(a).record == b"x"
+    assert len(a.peers.links()) == len(b.peers.links()) == 1
+
+
+def test_replies_go_to_their_own_requests(pair):
+    a, b = pair
+    b.delay_s = 0.02
+    asked = [gevent.spawn(a.request, b, AskRecord(f"zone{i}")) for i in range(20)]
+    assert [g.get(timeout=5).record for g in asked] == [b"zone%d" % i for i in range(20)]
+
+
+def test_a_refusal_is_raised_with_all_that_it_carries(pair):
+    a, b = pair
+    for asked in (a, b):
+        with pytest.raises(Refusal) as raised:
+            asked.request(b, AskStatus())
+        refusal = raised.value
+        assert (refusal.code, refusal.detail) == (ResultCode.STALE_TERM, "old")
+        assert (refusal.retry_after_ms, refusal.record) == (70, b"record")
+
+
+def test_messages_one_way_arrive_in_order_and_a_fault_in_one_is_counted(pair):
+    a, b = pair
+    keys = ["1", "fault", "2"]
+    assert all(a.peers.send(b.member, CancelTasks(key)) for key in keys)
+    wait_until(lambda: len(b.told) == 3)
+    assert [key for _, key in b.told] == keys and b.counts["links.handler_fault"] == 1
+    assert a.request(b).record == b"x"
+
+
+def test_a_reply_after_the_timeout_is_dropped_and_counted(pair):
+    a, b = pair
+    b.delay_s = 0.1
+    with pytest.raises(LinkLost):
+        a.request(b, timeout_ms=20.0)
+    wait_until(lambda: a.counts["links.late_reply"] == 1)
+    b.delay_s = 0.0
+    assert a.request(b, AskRecord("y")).record == b"y"
+
+
+@pytest.mark.parametrize("closer", [0, 1])
+def test_the_end_of_a_link_fails_what_waits_and_is_told_on_both_sides(pair, closer):
+    a, b = pair
+    a.request(b)
+    b.delay_s = 5.0
+    waiting = gevent.spawn(a.request, b)
+    gevent.sleep(0.02)
+    pair[closer].link(pair[1 - closer]).close()
+    with pytest.raises(LinkLost):
+        waiting.get(timeout=2)
+    wait_until(lambda: a.lost and b.lost)
+    assert a.lost == [b.member] and b.lost == [a.member]
+    assert not a.peers.is_linked("b") and not b.peers.is_linked("a")
+    b.delay_s = 0.0
+    assert a.request(b).record == b"x"
+
+
+def test_the_end_of_a_link_that_was_replaced_is_told_too(pair):
+    a, b = pair
+    a.request(b)
+    first = a.link(b)
+    a.peers._links.clear()
+    a.request(b)
+    assert a.link(b) is not first
+    first.close()
+    wait_until(lambda: a.lost and b.lost)
+    assert a.peers.is_linked("b") and a.request(b).record == b"x"
+
+
+def test_another_incarnation_at_the_address_proves_the_first_dead(start):
+    a, b = start("a"), start("b")
+    a.request(b)
+    b.peers.close()
+    wait_until(lambda: not a.peers.is_linked("b"))
+    start("c", address=b.member.link_address)
+    with pytest.raises(PeerUnreachable):
+        a.request(b)
+    assert a.replaced == [b.member]
+
+
+def test_a_refused_connection_proves_death_and_a_silent_address_does_not(start):
+    a = start("a")
+    dead = Member("b", "north", "vm-b", "", free_address("127.77.0.98"), "")
+    with pytest.raises(PeerUnreachable):
+        a.peers.request(dead, AskRecord("x"), 100.0)
+    assert a.replaced == [dead]
+    with socket.create_server(("127.77.0.99", 0)) as listening:
+        port = listening.getsockname()[1]
+        silent = Member("c", "north", "vm-c", "", f"127.77.0.99:{port}", "")
+        with pytest.raises(PeerUnreachable):
+            a.peers.request(silent, AskRecord("x"), 100.0)
+    assert a.replaced == [dead]
+
+
+def test_processes_with_other_zones_are_refused(start):
+    a, b = start("a"), start("b", zones=["north"])
+    with pytest.raises(PeerUnreachable):
+        a.request(b)
+    assert b.counts["links.zones_differ"] == 1 and not a.replaced
+    assert not a.peers.links() and not b.peers.links()
+
+
+@pytest.mark.parametrize("data", [b"\xff\x00", b"\x80", "text", b"\x81" * 5000])
+@pytest.mark.parametrize("greeted", [True, False])
+def test_a_malformed_frame_closes_only_its_link(pair, data, greeted):
+    a, b = pair
+    raw = connect(f"ws://{b.member.link_address}/", compression=None, proxy=None)
+    if greeted:
+        hello = Hello(Member("z", "north", "vm-z", "", "127.77.0.3:1", ""), b.peers.zones)
+        raw.send(encode_frame(Frame(FrameKind.ONE_WAY, 0, hello)))
+        assert isinstance(decode_frame(raw.recv(timeout=2)).message, Welcome)
+    raw.send(data)
+    with pytest.raises(Exception, match="close|reset|received|sent"):
+        raw.recv(timeout=2)
+    assert b.counts["links.malformed_message" if greeted else "links.no_greeting"] == 1
+    assert not b.peers.is_linked("z") and a.request(b).record == b"x"
+
+
+def test_both_ends_send_without_delay(pair):
+    a, b = pair
+    a.request(b)
+    for link in (a.link(b), b.link(a)):
+        socket_ = link._socket.socket
+        assert socket_.getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY)
+
+
+def test_a_message_too_large_for_a_frame_fails_alone(pair):
+    a, b = pair
+    a.request(b)
+    link = a.link(b)
+    with pytest.raises((LinkLost, Refusal)):
+        a.request(b, AskRecord("x" * (17 * 1024 * 1024)))
+    assert link.is_open and a.request(b).record == b"x"
--- a/camphorchute/services/distribution.py
+++ b/camphorchute/services/distribution.py
@@ -19,22 +19,26 @@
 
 WATCH_TIMEOUT_S = 5.0
 ROLE_CHECK_S = 1.0
-PEER_TRIES_AT_START = 3
+PEER_TRIES = 3
 
 
 class PeerSource(Protocol):
     """Asks other entry processes for service records."""
 
     def ask_records_after(self, revision: int) -> list[ServiceRecord] | None:
-        """Return one ready peer's records over a revision; None where no peer answered."""
+        """Return one ready peer's records over a revision; None where no peer answered.
+
+        A peer that knows no higher revision is to be passed over for one that does: two
+        processes that ask only each other would never learn.
+        """
 
 
 class Distribution:
     """Keeps a catalogue up to date.
 
     The few watchers of a zone list the services once and watch them from there. Every other
-    process asks a peer when a heartbeat tells of a higher revision, and lists the store only at
-    its start, when no peer tells it a state. A watcher asks peers too, so that a watch that
+    process asks a peer when a heartbeat tells of a higher revision, and lists the store only when
+    no peer tells it a first state or what it lacks. A watcher asks peers too, so that a watch that
     went silent delays a change no longer than a heartbeat.
 
     Args:
@@ -134,13 +138,18 @@
         self._catalogue.heard(lasted_s * 1000.0)
 
     def _list(self) -> None:
-        """Learn the whole state from the store."""
+        """Learn the whole state from the store.
+
+        Raises:
+            StoreUnavailable: the store did not answer, or with a state older than is known here.
+        """
         began_s = time.monotonic()
         listing = self._store.list(SERVICES_PREFIX)
-        self._listed_revision = listing.revision
         if listing.revision < self._catalogue.revision:
-            _log("services: the store is behind this process", revision=listing.revision)
-            return
+            raise StoreUnavailable(
+                f"the store is at revision {listing.revision}, behind this process"
+            )
+        self._listed_revision = listing.revision
         self._apply(listing.values, self._deleted(listing))
         self._catalogue.heard((time.monotonic() - began_s) * 1000.0)
 
@@ -166,16 +175,22 @@
 
     def _keep_learning(self) -> None:
         self._learn_first_state()
-        backoff = Backoff(self._rng)
         while True:
             self._wake.wait()
             self._wake.clear()
-            if self._heard_revision <= self._catalogue.revision:
-                continue
+            self._catch_up()
+
+    def _catch_up(self) -> None:
+        """Return once the highest revision heard of is known; list the store if no peer helps."""
+        backoff = Backoff(self._rng)
+        tries = 0
+        while self._heard_revision > self._catalogue.revision:
             if self._ask_peers():
-                backoff.reset()
-            else:
-                gevent.sleep(backoff.next_s())
+                continue
+            tries += 1
+            if tries % PEER_TRIES == 0:
+                self._list_as_last_resort()
+            gevent.sleep(backoff.next_s())
 
     def _learn_first_state(self) -> None:
         """Return once a state is known, from a peer or, as the last resort, from the store."""
@@ -185,7 +200,7 @@
             if self._ask_peers():
                 return
             tries += 1
-            if tries >= PEER_TRIES_AT_START and not self._is_watcher():
+            if tries >= PEER_TRIES and not self._is_watcher():
                 self._list_as_last_resort()
             if not self._catalogue.ready:
                 self._wake.clear()
@@ -194,17 +209,19 @@
     def _list_as_last_resort(self) -> None:
         try:
             self._list()
+            if self._listed_revision >= self._heard_revision:
+                self._heard_revision = self._catalogue.revision
         except StoreUnavailable as error:
             _log("services: no peer and no store tells the state", error=repr(error))
 
     def _ask_peers(self) -> bool:
-        """Apply what a peer knows; return whether this brought anything."""
+        """Apply what a peer knows; return whether this put anything in force."""
         records = self._peers.ask_records_after(self._catalogue.revision)
         if not records:
             return False
-        self._catalogue.apply_all(records)
+        applied = self._catalogue.apply_all(records)
         self._catalogue.learnt()
-        return True
+        return applied > 0
 
 
 def _log(text: str, **fields) -> None:
--- a/camphorchute/services/faults.py
+++ b/camphorchute/services/faults.py
@@ -1,14 +1,15 @@
 """Every fault of an intended definition, each with its path."""
 
 import ipaddress
-from collections.abc import Iterable
+import re
+from collections.abc import Collection, Iterable
 from typing import Any, get_type_hints
 
 import msgspec
 from msgspec import inspect
 
 from camphorchute.contracts import Refusal, ResultCode
-from camphorchute.services.definition import ServiceDefinition, Upstream, Worker
+from camphorchute.services.definition import ServiceDefinition
 from camphorchute.services.record import DEFINITION_MAX_BYTES
 
 __all__ = [
@@ -22,6 +23,8 @@
 DRAIN_MAX_MS = 3_600_000
 PORT_MAX = 65_535
 
+_ADDRESS_FORM = re.compile(r"[0-9a-f.:\[\]]+:[0-9]{1,5}")
+
 
 class DefinitionFault(Exception):  # noqa: N818
     """One fault of a definition.
@@ -41,7 +44,7 @@
         super().__init__(f"{path}: {problem}")
 
 
-def read_definition(raw: object, zones: Iterable[str] | None = None) -> ServiceDefinition:
+def read_definition(raw: object, zones: Collection[str] | None = None) -> ServiceDefinition:
     """Return the definition that plain data holds.
 
     Args:
@@ -62,15 +65,15 @@
         drain_ms: Expected `float` > 0.0
         slots: unknown field
     """
-    faults = _type_faults(raw)
+    faults = _plain_faults(raw, zones)
     if faults:
         _refuse(faults)
     definition = msgspec.convert(raw, ServiceDefinition)
-    check_definition(definition, zones)
+    _check_size(definition)
     return definition
 
 
-def check_definition(definition: ServiceDefinition, zones: Iterable[str] | None = None) -> None:
+def check_definition(definition: ServiceDefinition, zones: Collection[str] | None = None) -> None:
     """Raise a refusal with every fault that the types alone do not rule out.
 
     Raises:
@@ -80,6 +83,10 @@
     faults = find_faults(definition, zones)
     if faults:
         _refuse(faults)
+    _check_size(definition)
+
+
+def _check_size(definition: ServiceDefinition) -> None:
     size_bytes = len(msgspec.json.encode(definition))
     if size_bytes > DEFINITION_MAX_BYTES:
         raise Refusal(
@@ -89,24 +96,31 @@
 
 
 def find_faults(
-    definition: ServiceDefinition, zones: Iterable[str] | None = None
+    definition: ServiceDefinition, zones: Collection[str] | None = None
 ) -> list[DefinitionFault]:
     """Return every fault of a definition, in the order of its fields."""
-    faults = _type_faults(msgspec.to_builtins(definition))
-    known_zones = None if zones is None else set(zones)
+    return _plain_faults(msgspec.to_builtins(definition), zones)
+
+
+def _plain_faults(raw: Any, zones: Collection[str] | None) -> list[DefinitionFault]:
+    """Return every fault of plain data, whether its types fit or not."""
+    faults = _type_faults(raw)
+    if not isinstance(raw, dict):
+        return faults
     addresses: dict[str, str] = {}
     for field in ("workers", "upstreams"):
-        back_ends = getattr(definition, field)
-        faults += _name_faults(field, back_ends)
-        for position, back_end in enumerate(back_ends):
-            path = f"{field}[{position}]"
-            faults += _address_faults(path, back_end.address, addresses)
-            if known_zones is not None and back_end.zone not in known_zones:
-                faults.append(_zone_fault(path, back_end.zone, known_zones))
-    if definition.drain_ms > DRAIN_MAX_MS:
-        problem = f"{definition.drain_ms:g} is over {DRAIN_MAX_MS}"
-        faults.append(DefinitionFault("drain_ms", problem))
-    return faults
+        back_ends = _back_ends(raw.get(field), field)
+        faults += _name_faults(back_ends)
+        for path, back_end in back_ends:
+            faults += _address_faults(path, back_end.get("address"), addresses)
+            faults += _zone_faults(path, back_end.get("zone"), zones)
+    return faults + _drain_faults(raw.get("drain_ms"))
+
+
+def _back_ends(raw: Any, field: str) -> list[tuple[str, dict[str, Any]]]:
+    """Return the back ends of plain data with their paths; what is none is passed over."""
+    items = raw if isinstance(raw, list) else []
+    return [(f"{field}[{i}]", item) for i, item in enumerate(items) if isinstance(item, dict)]
 
 
 def _refuse(faults: list[DefinitionFault]) -> None:
@@ -115,37 +129,46 @@
     raise Refusal(ResultCode.PLAN_INVALID, detail) from ExceptionGroup(count, faults)
 
 
-def _name_faults(field: str, back_ends: list[Worker] | list[Upstream]) -> list[DefinitionFault]:
-    first: dict[str, int] = {}
+def _name_faults(back_ends: list[tuple[str, dict[str, Any]]]) -> list[DefinitionFault]:
+    first: dict[str, str] = {}
     faults = []
-    for position, back_end in enumerate(back_ends):
-        earlier = first.setdefault(back_end.name, position)
-        if earlier != position:
-            problem = f"{back_end.name!r} is the name of {field}[{earlier}] too"
-            faults.append(DefinitionFault(f"{field}[{position}].name", problem))
+    for path, back_end in back_ends:
+        name = back_end.get("name")
+        if isinstance(name, str) and first.setdefault(name, path) != path:
+            problem = f"{name!r} is the name of {first[name]} too"
+            faults.append(DefinitionFault(f"{path}.name", problem))
     return faults
 
 
-def _address_faults(path: str, address: str, seen: dict[str, str]) -> list[DefinitionFault]:
+def _address_faults(path: str, address: Any, seen: dict[str, str]) -> list[DefinitionFault]:
+    """Return the faults of an address that its type alone does not rule out."""
+    if not isinstance(address, str) or not _ADDRESS_FORM.fullmatch(address):
+        return []
     host, _, port = address.rpartition(":")
-    faults = []
+    problems = []
     try:
         host = str(ipaddress.ip_address(host.strip("[]")))
     except ValueError:
-        faults.append(DefinitionFault(f"{path}.address", f"{host!r} is not an IP number"))
-    if not 1 <= int(port or 0) <= PORT_MAX:
-        problem = f"port {port} is not in 1 to {PORT_MAX}"
-        faults.append(DefinitionFault(f"{path}.address", problem))
-    earlier = seen.setdefault(f"{host} {port}", path)
+        problems.append(f"{host!r} is not an IP number")
+    if not 1 <= int(port) <= PORT_MAX:
+        problems.append(f"port {port} is not in 1 to {PORT_MAX}")
+    earlier = seen.setdefault(f"{host} {int(port)}", path)
     if earlier != path:
-        problem = f"{address} is the address of {earlier} too"
-        faults.append(DefinitionFault(f"{path}.address", problem))
-    return faults
+        problems.append(f"{address} is the address of {earlier} too")
+    return [DefinitionFault(f"{path}.address", problem) for problem in problems]
+
+
+def _zone_faults(path: str, zone: Any, zones: Collection[str] | None) -> list[DefinitionFault]:
+    if zones is None or not isinstance(zone, str) or zone in zones:
+        return []
+    known = ", ".join(sorted(zones))
+    return [DefinitionFault(f"{path}.zone", f"{zone!r} is not one of {known}")]
 
 
-def _zone_fault(path: str, zone: str, known_zones: set[str]) -> DefinitionFault:
-    known = ", ".join(sorted(known_zones))
-    return DefinitionFault(f"{path}.zone", f"{zone!r} is not one of {known}")
+def _drain_faults(drain_ms: Any) -> list[DefinitionFault]:
+    if not isinstance(drain_ms, int | float) or drain_ms <= DRAIN_MAX_MS:
+        return []
+    return [DefinitionFault("drain_ms", f"{drain_ms:g} is over {DRAIN_MAX_MS}")]
 
 
 def _type_faults(raw: Any) -> list[DefinitionFault]:
--- a/camphorchute/services/plan.py
+++ b/camphorchute/services/plan.py
@@ -2,7 +2,7 @@
 
 import re
 import secrets
-from collections.abc import Iterable
+from collections.abc import Collection
 
 import msgspec
 
@@ -17,6 +17,7 @@
     "PLANS_PREFIX",
     "PLAN_MAX_BYTES",
     "Plan",
+    "check_names",
     "make_plan",
     "new_plan_id",
     "plan_key",
@@ -27,6 +28,8 @@
 PLAN_MAX_BYTES = 960 * 1024
 PLAN_ID_RANDOM_BYTES = 8
 
+_SERVICE_FORM = re.compile(r"[a-z0-9][a-z0-9_.-]{0,63}")
+_OPERATOR_FORM = re.compile(r"[^\x00-\x1f\x7f]{1,64}")
 _PLAN_ID_FORM = re.compile(r"(?P<service>[a-z0-9][a-z0-9_.-]{0,63})-[0-9a-f]{16}")
 
 
@@ -89,13 +92,25 @@
     return match["service"]
 
 
+def check_names(service: str, operator: str) -> None:
+    """Raise a refusal where a service or an operator cannot be named so.
+
+    Raises:
+        Refusal: ``PLAN_INVALID``.
+    """
+    if not _SERVICE_FORM.fullmatch(service):
+        raise Refusal(ResultCode.PLAN_INVALID, f"service: {service[:80]!r} is not a name")
+    if not _OPERATOR_FORM.fullmatch(operator):
+        raise Refusal(ResultCode.PLAN_INVALID, "operator: a name of 1 to 64 characters is needed")
+
+
 def make_plan(
     record: ServiceRecord,
     definition: ServiceDefinition | None,
     usage: Usage,
     operator: str,
     made_unix_ms: int,
-    zones: Iterable[str] | None = None,
+    zones: Collection[str] | None = None,
 ) -> Plan:
     """Return the plan that brings a service from its record to a definition.
 
@@ -139,7 +154,7 @@
 
 
 def _check_intent(
-    record: ServiceRecord, definition: ServiceDefinition | None, zones: Iterable[str] | None
+    record: ServiceRecord, definition: ServiceDefinition | None, zones: Collection[str] | None
 ) -> None:
     if definition is None:
         if record.definition is None:
--- a/camphorchute/services/planner.py
+++ b/camphorchute/services/planner.py
@@ -1,6 +1,5 @@
 """Operators' changes: plan, show, confirm, discard, history and undo."""
 
-import re
 import time
 from collections.abc import Callable, Sequence
 
@@ -14,7 +13,7 @@
 from camphorchute.services.effects import Usage
 from camphorchute.services.faults import read_definition
 from camphorchute.services.outdated import outdated_refusal
-from camphorchute.services.plan import Plan, make_plan, plan_service
+from camphorchute.services.plan import Plan, check_names, make_plan, plan_service
 from camphorchute.services.record import (
     HistoryEntry,
     ServiceRecord,
@@ -29,9 +28,6 @@
 
 UNCLEAR_MAX_PLANS = 1000
 
-_SERVICE_FORM = re.compile(r"[a-z0-9][a-z0-9_.-]{0,63}")
-_OPERATOR_FORM = re.compile(r"[^\x00-\x1f\x7f]{1,64}")
-
 
 class Planner:
     """Makes and confirms plans at one entry process.
@@ -78,18 +74,37 @@
             Refusal: ``PLAN_INVALID`` with every fault, ``VALUE_TOO_LARGE``, or
                 ``UNKNOWN_SERVICE`` where there is nothing to remove.
         """
-        _check_names(service, operator)
+        check_names(service, operator)
         definition = self._read_intent(intent)
         record, from_store = self._base(service)
         return self._make(record, definition, operator, from_store)
 
+    def plan_change(
+        self, service: str, change: Callable[[ServiceDefinition], ServiceDefinition], operator: str
+    ) -> Plan:
+        """Return a new plan that changes the definition of the very base that it rests on.
+
+        Args:
+            service: name of the service.
+            change: returns the intended definition of the one in force.
+            operator: who makes the plan.
+
+        Raises:
+            Refusal: as `plan` does, and ``UNKNOWN_SERVICE`` where there is none to change.
+        """
+        check_names(service, operator)
+        record, from_store = self._base(service)
+        if record.definition is None:
+            raise Refusal(ResultCode.UNKNOWN_SERVICE, f"no service {service!r}")
+        return self._make(record, change(record.definition), operator, from_store)
+
     def undo(self, service: str, revision: int, operator: str) -> Plan:
         """Return a new plan that restores a former revision of a service.
 
         Raises:
             Refusal: ``PLAN_INVALID`` where the history does not hold that revision.
         """
-        _check_names(service, operator)
+        check_names(service, operator)
         record, from_store = self._base(service)
         entry = record.find_revision(revision)
         if entry is None or entry.folded:
@@ -124,7 +139,7 @@
                 may have been.
         """
         service = plan_service(plan_id)
-        _check_names(service, operator)
+        check_names(service, operator)
         try:
             plan = self._plans.load(plan_id)
             record = self._stored_record(service)
@@ -263,13 +278,6 @@
         return int(self._clock() * 1000)
 
 
-def _check_names(service: str, operator: str) -> None:
-    if not _SERVICE_FORM.fullmatch(service):
-        raise Refusal(ResultCode.PLAN_INVALID, f"service: {service[:80]!r} is not a name")
-    if not _OPERATOR_FORM.fullmatch(operator):
-        raise Refusal(ResultCode.PLAN_INVALID, "operator: a name of 1 to 64 characters is needed")
-
-
 def _unavailable(what: str, error: Exception) -> Refusal:
     return Refusal(ResultCode.STORE_UNAVAILABLE, f"{what}: {error}")
 
--- a/camphorchute/services/tests/test_faults.py
+++ b/camphorchute/services/tests/test_faults.py
@@ -50,6 +50,23 @@
         {"name": "flags", "workers": [worker(address="127.0.0.999:70000", zone="west")]},
         {"workers[0].address", "workers[0].zone"},
     ),
+    (
+        {
+            "name": "flags",
+            "workers": [worker(slots=0), worker(address="127.0.2.1:91000", zone="west"), 7],
+            "drain_s": 30,
+            "drain_ms": 1e8,
+        },
+        {
+            "workers[0].slots",
+            "workers[1].name",
+            "workers[1].address",
+            "workers[1].zone",
+            "workers[2]",
+            "drain_s",
+            "drain_ms",
+        },
+    ),
     ({"name": "flags", "workers": [worker(address="127.0.2.1:0")]}, {"workers[0].address"}),
 ]
 
--- a/camphorchute/services/tests/test_planner.py
+++ b/camphorchute/services/tests/test_planner.py
@@ -1,3 +1,4 @@
+import gevent
 import msgspec
 import pytest
 
@@ -185,6 +186,8 @@
     planner.discard(plan.id)
     saved = planner.plan("flags", definition(60), "ada")
     planner_of(store).discard(saved.id)
+    gevent.sleep(0.01)
+    assert store.calls["late_lost"] == 0
     for gone in (plan, saved):
         for call in (planner.show, planner.discard):
             assert refusal(call, gone.id).code is ResultCode.PLAN_UNKNOWN
@@ -213,6 +216,21 @@
     assert str(first) in unknown.detail
 
 
+def test_a_change_is_made_on_the_base_of_its_plan():
+    store, catalogue = FakeStore(), Catalogue()
+    planner = planner_of(store, catalogue)
+    confirmed(planner, definition(50))
+    catalogue.apply(in_force(store))
+    confirmed(planner_of(store), definition(70), "ben")
+
+    def halve(found):
+        return definition(found.limits.queue_max_tasks // 2)
+
+    planner.confirm(planner.plan_change("flags", halve, "cy").id, "cy")
+    assert in_force(store).definition == definition(35)
+    assert refusal(planner.plan_change, "walks", halve, "cy").code is ResultCode.UNKNOWN_SERVICE
+
+
 @pytest.mark.parametrize(
     ("service", "intent", "operator", "code"),
     [
--- a/camphorchute/workers/home.py
+++ b/camphorchute/workers/home.py
@@ -198,6 +198,13 @@
         """Return free slots and waiting tasks of each service."""
         return [pool.slot_count() for pool in self._pools.values()]
 
+    def running(self) -> dict[str, dict[str, int]]:
+        """Return the busy slots of each back end by its name, for each pool."""
+        return {
+            name: {link.slots.name: link.slots.busy for link in pool.links.values()}
+            for name, pool in self._pools.items()
+        }
+
     def links(self) -> list[WorkerLink]:
         """Return the workers, also those that left and still run tasks."""
         return [link for pool in self._pools.values() for link in pool.links.values()]
--- a/camphorchute/zones/membership.py
+++ b/camphorchute/zones/membership.py
@@ -5,10 +5,10 @@
 from collections.abc import Callable
 
 import gevent
-from eliot import log_message
+from eliot import log_message, write_traceback
 from gevent.event import Event
 
-from camphorchute.contracts.errors import Refusal
+from camphorchute.contracts.errors import InvariantBroken, Refusal
 from camphorchute.contracts.member import Member
 from camphorchute.contracts.messages import AskRecord, Done, Heartbeat, RecordIs
 from camphorchute.links import LinkLost, Peers, handles
@@ -159,13 +159,22 @@
 
     def _run(self) -> None:
         while True:
-            if not self._leaving:
-                self._join_if_needed()
-                self._remove_silent()
-            self._connect_members()
-            self._tell_peers()
+            try:
+                self._step()
+            except InvariantBroken:
+                raise
+            except Exception:  # noqa: BLE001 - heartbeats must not end for good
+                self._count("zones.membership_fault")
+                write_traceback()
             gevent.sleep(self._heartbeat_ms / 1000)
 
+    def _step(self) -> None:
+        if not self._leaving:
+            self._join_if_needed()
+            self._remove_silent()
+        self._connect_members()
+        self._tell_peers()
+
     def _join_if_needed(self) -> None:
         me = self._view.member
         if self._view.record.is_member(me.member_id):
--- a/camphorchute/zones/settling.py
+++ b/camphorchute/zones/settling.py
@@ -4,9 +4,10 @@
 from collections.abc import Callable
 
 import gevent
+from eliot import write_traceback
 from gevent.event import Event
 
-from camphorchute.contracts.errors import Refusal
+from camphorchute.contracts.errors import InvariantBroken, Refusal
 from camphorchute.contracts.member import Member
 from camphorchute.contracts.messages import Fence
 from camphorchute.links import LinkLost, Peers
@@ -90,7 +91,13 @@
             shards = self._unsettled()
             self._wake.wait((RETRY_MS if shards else IDLE_MS) / 1000)
             self._wake.clear()
-            self._settle(self._unsettled())
+            try:
+                self._settle(self._unsettled())
+            except InvariantBroken:
+                raise
+            except Exception:  # noqa: BLE001 - a shard must not stay unserved for good
+                self._count("zones.settling_fault")
+                write_traceback()
 
     def _unsettled(self) -> list[int]:
         record = self._view.record
@@ -157,12 +164,16 @@
         return fenced | ({me} & concerned)
 
     def _fence_one(self, member: Member, message: Fence) -> str | None:
-        try:
-            reply = self._peers.request(member, message, FENCE_TIMEOUT_MS)
-        except (LinkLost, Refusal):
-            self._count("zones.retry.fence")
-            return None
-        self._ledger.merge(reply.entries)
+        left = message.shards
+        while left:
+            asked = Fence(message.zone, message.record, left)
+            try:
+                reply = self._peers.request(member, asked, FENCE_TIMEOUT_MS)
+            except (LinkLost, Refusal):
+                self._count("zones.retry.fence")
+                return None
+            self._ledger.merge(reply.entries)
+            left = reply.left
         return member.member_id
 
     def _is_dead(self, record: OwnershipRecord, member_id: str) -> bool:
--- a/camphorchute/zones/witnessing.py
+++ b/camphorchute/zones/witnessing.py
@@ -14,6 +14,7 @@
 __all__ = ["Witnessing", "WITNESS_TIMEOUT_MS"]
 
 WITNESS_TIMEOUT_MS = 400.0
+REPLY_ENTRIES = 4000
 
 
 class Witnessing:
@@ -89,7 +90,11 @@
         """Refuse older terms of the shards from now on and tell what is held."""
         self._view.adopt(decode_record(message.record))
         self._ledger.expire()
-        entries = [e for shard in message.shards for e in self._ledger.of_shard(shard)]
+        entries: list[KeyEntry] = []
+        for place, shard in enumerate(message.shards):
+            if len(entries) > REPLY_ENTRIES:
+                return Entries(entries, message.shards[place:])
+            entries += self._ledger.of_shard(shard)
         return Entries(entries)
 
     def _linked_first(self, term: Term) -> list[Member]:
