--- a/bench/demo.py
+++ b/bench/demo.py
@@ -157,7 +157,8 @@
         "seconds": round(seconds, 2),
     }
     print(msgspec.json.encode(summary).decode())
-    broken = doubled or partial or not upstream or not complete
+    stamped_once = list(upstream.values()) == [1]
+    broken = doubled or partial or not stamped_once or not complete
     return 1 if broken else 0
 
 
--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -5,6 +5,7 @@
 import subprocess
 import sys
 import time
+from http.client import HTTPException
 from pathlib import Path
 
 import msgspec
@@ -138,9 +139,9 @@
         vm = {"address": entry.host, "zone": entry.zone, "state": state}
         call(self.platform_address, "POST", "/vms", vm)
 
-    def start_entry(self, entry: Entry) -> None:
-        """Start the process of an entry."""
-        settings = {
+    def entry_settings(self, entry: Entry) -> dict[str, str]:
+        """Return the settings of an entry process."""
+        return {
             "zone": entry.zone,
             "zones": ",".join(self.zones),
             "http_address": entry.http_address,
@@ -150,6 +151,10 @@
             "operator_token": TOKEN,
             **self._options,
         }
+
+    def start_entry(self, entry: Entry) -> None:
+        """Start the process of an entry."""
+        settings = self.entry_settings(entry)
         environment = {f"CAMPHORCHUTE_{name.upper()}": value for name, value in settings.items()}
         command = [sys.executable, "-m", "camphorchute", "entry"]
         entry.process = self._spawn(f"entry-{entry.host}-{entry.number}", command, environment)
@@ -255,7 +260,7 @@
             try:
                 if call(address, "GET", path, timeout_s=2.0)[0] == 200:
                     return
-            except OSError:
+            except (OSError, HTTPException):
                 pass
             if time.monotonic() > until_s:
                 raise RuntimeError(f"{address}{path} did not come up; logs in {self._log_dir}")
--- /dev/null
+++ b/bench/slopes.py
@@ -0,0 +1,255 @@
+"""Measure what an entry process costs, one slope at a time: ``python -m bench.slopes NAME``.
+
+Each measurement prints JSON lines. `docs/CAPACITY.md` is worked out from them.
+"""
+
+from gevent import monkey
+
+monkey.patch_all()
+
+import tempfile  # noqa: E402
+import time  # noqa: E402
+from collections.abc import Callable, Iterator  # noqa: E402
+from contextlib import contextmanager  # noqa: E402
+from pathlib import Path  # noqa: E402
+
+import click  # noqa: E402
+import gevent  # noqa: E402
+import msgspec  # noqa: E402
+
+from bench.fleet import Entry, Fleet, call  # noqa: E402
+from bench.measure.caller import Caller  # noqa: E402
+from bench.measure.registry import MEASUREMENTS, measurement, show  # noqa: E402
+from bench.measure.sizes import SERVICE, ZONE  # noqa: E402
+from bench.measure.usage import Usage, total_usage  # noqa: E402
+from camphorchute.contracts import new_key  # noqa: E402
+
+NETWORK_BASE = 61
+SETTLE_S = 4.0
+IDLE_S = 8.0
+LOAD_S = 6.0
+RUN_TIME_MS = 10.0
+SLOTS = 8
+CALLERS_PER_ENTRY = 12
+
+
+@contextmanager
+def running_fleet(entries: int, workers: int = 0) -> Iterator[Fleet]:
+    """Run entry processes of one zone, each on a VM of its own, with workers of one service."""
+    with tempfile.TemporaryDirectory() as folder:
+        fleet = Fleet([ZONE], Path(folder), NETWORK_BASE)
+        try:
+            fleet.start_platform()
+            for first in range(0, workers, 8):
+                fleet.start_workers(ZONE, [1.0] * min(8, workers - first), SLOTS)
+            for number in range(entries):
+                fleet.add_entry(ZONE, number + 1)
+            fleet.wait_ready()
+            if workers:
+                revision = fleet.confirm_service(fleet.entries[0], fleet.definition(SERVICE))
+                fleet.wait_in_force(revision)
+            gevent.sleep(SETTLE_S)
+            yield fleet
+        finally:
+            fleet.close()
+
+
+def entry_usage(fleet: Fleet) -> Usage:
+    """Return what all entry processes have used."""
+    return total_usage(entry.process.pid for entry in fleet.entries)
+
+
+def store_calls(fleet: Fleet) -> dict[str, int]:
+    """Return the platform's number of calls by path."""
+    return call(fleet.platform_address, "GET", "/record")[1]["calls"]
+
+
+def added_calls(before: dict[str, int], after: dict[str, int]) -> dict[str, int]:
+    """Return the calls by path that came in between."""
+    added = {path: count - before.get(path, 0) for path, count in after.items()}
+    return {path: count for path, count in sorted(added.items()) if count and path != "/record"}
+
+
+def idle_row(fleet: Fleet, workers: int) -> None:
+    """Measure a fleet that has nothing to do."""
+    calls, used, began_s = store_calls(fleet), entry_usage(fleet), time.monotonic()
+    gevent.sleep(IDLE_S)
+    after, seconds = entry_usage(fleet), time.monotonic() - began_s
+    added = added_calls(calls, store_calls(fleet))
+    entries = len(fleet.entries)
+    show(
+        slope="idle",
+        entries=entries,
+        workers=workers,
+        core_share_per_entry=(after.cpu_s - used.cpu_s) / seconds / entries,
+        rss_mb_per_entry=after.rss_mb / entries,
+        store_calls_per_s={path: round(count / seconds, 2) for path, count in added.items()},
+    )
+
+
+@measurement
+def idle() -> None:
+    """Processor time, memory and store calls of idle processes over the size of a zone."""
+    for entries in (2, 4, 8, 16):
+        with running_fleet(entries) as fleet:
+            idle_row(fleet, 0)
+
+
+@measurement
+def polls() -> None:
+    """What workers cost that have nothing to do: a long poll each at its home."""
+    for workers in (24, 96):
+        with running_fleet(4, workers) as fleet:
+            idle_row(fleet, workers)
+
+
+@measurement
+def jobs() -> None:
+    """Processor time of a task through the whole path, over the size of a job."""
+    with running_fleet(3, 24) as fleet:
+        for tasks in (1, 10, 50, 150):
+            _load(fleet, tasks)
+            gevent.sleep(1.0)
+
+
+def _load(fleet: Fleet, tasks: int) -> None:
+    task = {"kind": "slopes", "run_time_ms": RUN_TIME_MS}
+    body = msgspec.json.encode(
+        {"service": SERVICE, "deadline_ms": 20_000.0, "tasks": [task] * tasks}
+    )
+    before, began_s = entry_usage(fleet), time.monotonic()
+    until_s = began_s + LOAD_S
+    greenlets = [
+        gevent.spawn(_submit_until, entry, body, until_s)
+        for entry in fleet.entries
+        for _ in range(CALLERS_PER_ENTRY)
+    ]
+    gevent.joinall(greenlets)
+    seconds, after = time.monotonic() - began_s, entry_usage(fleet)
+    statuses = [status for greenlet in greenlets for status in greenlet.value]
+    complete = statuses.count(200)
+    cpu_s = after.cpu_s - before.cpu_s
+    show(
+        slope="jobs",
+        tasks_per_job=tasks,
+        entries=len(fleet.entries),
+        workers=24,
+        jobs_complete=complete,
+        jobs_not_complete=len(statuses) - complete,
+        starts_per_s=complete * tasks / seconds,
+        cpu_ms_per_job=cpu_s * 1000 / max(complete, 1),
+        cpu_ms_per_task=cpu_s * 1000 / max(complete * tasks, 1),
+        starts_per_core_s=complete * tasks / cpu_s,
+        core_share_per_entry=cpu_s / seconds / len(fleet.entries),
+        rss_mb_per_entry=after.rss_mb / len(fleet.entries),
+    )
+
+
+def _submit_until(entry: Entry, body: bytes, until_s: float) -> list[int]:
+    caller = Caller([entry.http_address])
+    statuses = []
+    while time.monotonic() < until_s:
+        statuses.append(caller.submit(new_key(ZONE), body).status)
+    caller.close()
+    return statuses
+
+
+@measurement
+def members() -> None:
+    """Store calls that a kill and a return of one process cause, less those of an idle zone."""
+    for entries in (4, 8):
+        with running_fleet(entries) as fleet:
+            _member_row(fleet, "killed", lambda: fleet.kill(fleet.entries[-1]))
+            _member_row(fleet, "returned", lambda: fleet.start_entry(fleet.entries[-1]))
+
+
+def _member_row(fleet: Fleet, change: str, act: Callable[[], None]) -> None:
+    idle_before = store_calls(fleet)
+    gevent.sleep(IDLE_S)
+    calls = store_calls(fleet)
+    act()
+    gevent.sleep(IDLE_S)
+    idle_calls = added_calls(idle_before, calls)
+    changed = added_calls(calls, store_calls(fleet))
+    calls_added = {p: n - idle_calls.get(p, 0) for p, n in changed.items() if p.startswith("/v3")}
+    show(slope="members", change=change, entries=len(fleet.entries), calls_added=calls_added)
+
+
+@measurement
+def config() -> None:
+    """Store calls, time and processor time of a confirmed change, over the number of services."""
+    with running_fleet(8) as fleet:
+        known = 0
+        for services in (1, 20, 100, 260):
+            _confirm(fleet, [f"service-{n:04}" for n in range(known, services)])
+            known = services
+            _config_row(fleet, services)
+
+
+def _confirm(fleet: Fleet, names: list[str], limit: int = 20_000) -> int:
+    revision = 0
+    quotas = {f"team-{n:03}": 1000 for n in range(260)}
+    for name in names:
+        definition = {"name": name, "limits": {"queue_max_tasks": limit}, "quotas": quotas}
+        revision = fleet.confirm_service(fleet.entries[0], definition)
+    return revision
+
+
+def _config_row(fleet: Fleet, services: int, changes: int = 12) -> None:
+    before = store_calls(fleet)
+    gevent.sleep(IDLE_S)
+    calls, began_s = store_calls(fleet), time.monotonic()
+    waits_s = []
+    for number in range(changes):
+        revision = _confirm(fleet, ["service-0000"], 10_000 + number + services)
+        waits_s.append(fleet.wait_in_force(revision))
+    share = (time.monotonic() - began_s) / IDLE_S
+    added, idle_added = added_calls(calls, store_calls(fleet)), added_calls(before, calls)
+    per_change = {
+        path: round((count - idle_added.get(path, 0) * share) / changes, 2)
+        for path, count in added.items()
+        if path.startswith("/v3")
+    }
+    others_s, first_s = _change_cpu_s(fleet, services, changes)
+    show(
+        slope="config",
+        services=services,
+        entries=len(fleet.entries),
+        in_force_ms_mean=sum(waits_s) * 1000 / changes,
+        in_force_ms_max=max(waits_s) * 1000,
+        cpu_ms_per_change_learner=others_s * 1000,
+        cpu_ms_per_change_confirmer=first_s * 1000,
+        calls_per_change=per_change,
+        rss_mb_per_entry=entry_usage(fleet).rss_mb / len(fleet.entries),
+    )
+
+
+def _change_cpu_s(fleet: Fleet, services: int, changes: int) -> tuple[float, float]:
+    """Return the processor time of a change at the other processes and at the confirming one.
+
+    Nothing asks for the status meanwhile; what the same time costs idle is taken off.
+    """
+    first, *others = [entry.process.pid for entry in fleet.entries]
+    groups = [others, [first]]
+    idle = [total_usage(pids).cpu_s for pids in groups]
+    gevent.sleep(IDLE_S)
+    before = [total_usage(pids).cpu_s for pids in groups]
+    began_s = time.monotonic()
+    for number in range(changes):
+        _confirm(fleet, ["service-0000"], 15_000 + number + services)
+        gevent.sleep(max(0.0, began_s + (number + 1) * IDLE_S / changes - time.monotonic()))
+    after = [total_usage(pids).cpu_s for pids in groups]
+    added_s = [c - b - (b - a) for a, b, c in zip(idle, before, after, strict=True)]
+    return added_s[0] / changes / len(others), added_s[1] / changes
+
+
+@click.command()
+@click.argument("names", nargs=-1, type=click.Choice(sorted(MEASUREMENTS)))
+def main(names: tuple[str, ...]) -> None:
+    """Run the named measurements, all where none is named."""
+    for name in names or MEASUREMENTS:
+        MEASUREMENTS[name]()
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/bench/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Randomised runs: real processes, faults from a seed, and a checker of every promise."""
--- /dev/null
+++ b/bench/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the running processes."""
--- /dev/null
+++ b/bench/tests/small_fleet.py
@@ -0,0 +1,76 @@
+"""A small fleet for tests: one zone, two entry processes, two workers and an upstream."""
+
+import os
+import time
+from collections.abc import Iterator
+from contextlib import contextmanager
+from pathlib import Path
+
+from bench.fleet import Entry, Fleet, call
+from camphorchute.contracts import new_key
+
+__all__ = ["SERVICE", "ZONE", "job_body", "open_files", "settles_at", "small_fleet", "submit"]
+
+ZONE = "north"
+SERVICE = "flags"
+SETTLE_TIMEOUT_S = 8.0
+
+
+@contextmanager
+def small_fleet(log_dir: Path, base: int, **options: str) -> Iterator[Fleet]:
+    """Start the fleet with one service in force; end it afterwards.
+
+    Args:
+        log_dir: folder for logs.
+        base: second part of the loopback addresses.
+        options: further settings of the entry processes.
+    """
+    fleet = Fleet([ZONE], log_dir, base, options)
+    try:
+        fleet.start_platform()
+        fleet.start_workers(ZONE, [1.0, 1.0])
+        fleet.start_upstream(ZONE)
+        entries = [fleet.add_entry(ZONE, 1), fleet.add_entry(ZONE, 2)]
+        fleet.wait_ready()
+        revision = fleet.confirm_service(entries[0], fleet.definition(SERVICE))
+        fleet.wait_in_force(revision)
+        _warm_up(fleet)
+        yield fleet
+    finally:
+        fleet.close()
+
+
+def job_body(tasks: int = 1, **fields: object) -> dict:
+    """Return a job of small tasks, with some fields replaced."""
+    task = {"kind": "check", "run_time_ms": 10.0}
+    return {"service": SERVICE, "deadline_ms": 10_000.0, "tasks": [task] * tasks} | fields
+
+
+def submit(entry: Entry, key: str, body: dict) -> tuple[int, dict]:
+    """Submit a job and return status and body."""
+    return call(entry.http_address, "POST", "/v1/jobs", body, {"Idempotency-Key": key})
+
+
+def open_files(entry: Entry) -> int:
+    """Return how many files and sockets an entry process holds."""
+    return len(os.listdir(f"/proc/{entry.process.pid}/fd"))
+
+
+def settles_at(entry: Entry, most: int) -> bool:
+    """Whether the number of open files comes down to ``most`` in time."""
+    until_s = time.monotonic() + SETTLE_TIMEOUT_S
+    while open_files(entry) > most:
+        if time.monotonic() > until_s:
+            return False
+        time.sleep(0.05)
+    return True
+
+
+def _warm_up(fleet: Fleet) -> None:
+    """Use every path once, so that the pooled connections are open."""
+    until_s = time.monotonic() + SETTLE_TIMEOUT_S
+    for entry in fleet.entries:
+        while (answer := submit(entry, new_key(ZONE), job_body(tasks=40)))[0] != 200:
+            if time.monotonic() > until_s:
+                raise RuntimeError(f"no job was completed through {entry.http_address}: {answer}")
+            time.sleep(0.1)
--- a/camphorchute/cli/main.py
+++ b/camphorchute/cli/main.py
@@ -14,6 +14,7 @@
 import click  # noqa: E402
 import msgspec  # noqa: E402
 
+from camphorchute import __version__  # noqa: E402
 from camphorchute.cli.drain import drain  # noqa: E402
 from camphorchute.cli.exits import ExitCode  # noqa: E402
 from camphorchute.cli.job import job  # noqa: E402
@@ -27,7 +28,7 @@
 
 
 @click.group()
-@click.version_option(package_name="camphorchute")
+@click.version_option(__version__)
 def main() -> None:
     """A dispatcher for sub-second tasks that answers for their outcomes.
 
--- a/camphorchute/entry/caller_pages.py
+++ b/camphorchute/entry/caller_pages.py
@@ -18,6 +18,7 @@
 DEADLINE_HEADER = "X-Deadline-Ms"
 REPEATABLE_HEADER = "X-Repeatable"
 TEAM_HEADER = "X-Team"
+ANSWER_GRACE_MS = 1500.0
 REQUEST_DEADLINE_MS = 30_000.0
 
 
@@ -52,7 +53,8 @@
         self._refuse_unready()
         key = _key(request.header(KEY_HEADER))
         spec = request.decode(JobSpec)
-        wait_ms = request.query_ms("wait_ms", spec.deadline_ms, DEADLINE_MAX_MS)
+        whole_ms = spec.deadline_ms + ANSWER_GRACE_MS
+        wait_ms = request.query_ms("wait_ms", whole_ms, DEADLINE_MAX_MS)
         log_message(message_type="http", text="http: job came in", job=key)
         submission = self._router.submit(key, spec)
         return self._answer(submission.wait(wait_ms))
@@ -85,7 +87,9 @@
         repeatable = request.header(REPEATABLE_HEADER) == "1"
         text = request.header(KEY_HEADER)
         key = new_key() if repeatable and not text else _key(text)
-        answer = self._router.submit(key, _request_job(request, repeatable)).wait(DEADLINE_MAX_MS)
+        answer = self._router.submit(key, _request_job(request, repeatable)).wait(
+            DEADLINE_MAX_MS + ANSWER_GRACE_MS
+        )
         if answer.code != ResultCode.COMPLETE:
             return self._answer(answer)
         reply = msgspec.json.decode(answer.answers[0], type=_UpstreamReply)
--- a/camphorchute/entry/daemon.py
+++ b/camphorchute/entry/daemon.py
@@ -125,6 +125,7 @@
             self._dispatch.waiting,
             lambda service, team: self._owner.open_of_team(service, team),
             settings.zone,
+            lambda: self._catalogue.ready,
         )
         self._owner = JobOwner(
             self._view,
--- a/camphorchute/entry/http_server.py
+++ b/camphorchute/entry/http_server.py
@@ -19,6 +19,7 @@
 CONNECTIONS_MAX = 4096
 BODY_TIMEOUT_MS = 10_000.0
 IDLE_TIMEOUT_MS = 60_000.0
+LINE_TOO_LONG_STATUS = "414"
 SOCKET_KEY = "camphorchute.socket"
 
 
@@ -110,7 +111,7 @@
         self.leaving = False
         self.idle: set[_Handler] = set()
         self._body_max_bytes = body_max_bytes
-        self._count = count
+        self.count = count
         self._routes: list[tuple[str, re.Pattern, Callable]] = []
         self._pool = Pool(CONNECTIONS_MAX)
         self._server = _Server(
@@ -157,10 +158,10 @@
             request = Request(environ, self._read_body(environ))
             return self._find(request)(request)
         except Refusal as refusal:
-            self._count(f"http.refused.{refusal.code.name.lower()}")
+            self.count(f"http.refused.{refusal.code.name.lower()}")
             return problem_response(refusal)
         except Exception as error:  # noqa: BLE001 - the caller must get an honest answer
-            self._count("http.fault")
+            self.count("http.fault")
             write_traceback()
             return problem_response(Refusal(ResultCode.INTERNAL, repr(error)))
 
@@ -231,10 +232,20 @@
 
     def _handle_client_error(self, ex: Exception) -> object:
         if isinstance(ex, _HeadersTooSlow):
-            refusal = Refusal(ResultCode.REQUEST_TIMEOUT, "the headers came too slowly")
-            response = problem_response(refusal)
-            return str(response.status), _whole_message(response)
-        return super()._handle_client_error(ex)
+            return self._refuse(ResultCode.REQUEST_TIMEOUT, "the headers came too slowly")
+        return self._refuse(ResultCode.MALFORMED_BODY, f"no valid request: {ex}")
+
+    def handle_one_request(self) -> object:
+        result = super().handle_one_request()
+        if isinstance(result, tuple) and result[0] == LINE_TOO_LONG_STATUS:
+            return self._refuse(ResultCode.MALFORMED_BODY, "the request line is too long")
+        return result
+
+    def _refuse(self, code: ResultCode, detail: str) -> tuple[str, bytes]:
+        """Answer bytes that are no request, and end the connection."""
+        self.server.owner.count(f"http.refused.{code.name.lower()}")
+        response = problem_response(Refusal(code, detail))
+        return str(response.status), _whole_message(response)
 
     def get_environ(self) -> dict:
         environ = super().get_environ()
--- a/camphorchute/jobs/admission.py
+++ b/camphorchute/jobs/admission.py
@@ -22,13 +22,14 @@
         waiting: how many tasks of a service wait.
         open_of_team: how many tasks of a team have not ended.
         zone: the own availability zone.
+        is_ready: whether the configuration is known here.
 
     Attributes:
         run_times: run times learned from tasks that ended; what callers declare is only the
             first guess.
     """
 
-    __slots__ = ("run_times", "_definition_of", "_waiting", "_open_of_team", "_zone")
+    __slots__ = ("run_times", "_definition_of", "_waiting", "_open_of_team", "_zone", "_is_ready")
 
     def __init__(
         self,
@@ -36,20 +37,24 @@
         waiting: Callable[[str], int],
         open_of_team: Callable[[str, str], int],
         zone: str,
+        is_ready: Callable[[], bool] = lambda: True,
     ) -> None:
         self.run_times = RunTimes()
         self._definition_of = definition_of
         self._waiting = waiting
         self._open_of_team = open_of_team
         self._zone = zone
+        self._is_ready = is_ready
 
     def check(self, spec: JobSpec, remaining_ms: float) -> None:
         """Raise a refusal where the job cannot be done.
 
         Raises:
-            Refusal: ``UNKNOWN_SERVICE``, ``FITS_NO_WORKER``, ``NO_WORKER``,
+            Refusal: ``NOT_READY``, ``UNKNOWN_SERVICE``, ``FITS_NO_WORKER``, ``NO_WORKER``,
                 ``TEAM_OVER_QUOTA``, ``OVERLOADED`` or ``DEADLINE_UNREACHABLE``.
         """
+        if not self._is_ready():
+            raise Refusal(ResultCode.NOT_READY, "the configuration is not known yet", 300)
         definition = self._definition_of(spec.service)
         if definition is None:
             raise Refusal(ResultCode.UNKNOWN_SERVICE, f"no service {spec.service!r}")
--- a/camphorchute/jobs/owner.py
+++ b/camphorchute/jobs/owner.py
@@ -1,7 +1,6 @@
 """The process that decides on a key: accepts each job once and answers for it."""
 
 import time
-from collections import deque
 from collections.abc import Callable
 
 import gevent
@@ -25,17 +24,17 @@
 )
 from camphorchute.jobs.admission import Admission
 from camphorchute.jobs.dispatch import Dispatch
-from camphorchute.jobs.job import Job, TaskState
+from camphorchute.jobs.job import Job
+from camphorchute.jobs.job_table import JobTable
+from camphorchute.jobs.key_checks import KeyChecks, check_digest
 from camphorchute.jobs.recovery import Recovery
 from camphorchute.links import handles
 from camphorchute.zones import Ledger, Witnessing, ZoneView
-from camphorchute.zones.record import encode_record
 
 __all__ = ["JobOwner"]
 
 MOVED_CODES = frozenset({ResultCode.NOT_OWNER, ResultCode.STALE_TERM})
 EXPIRY_STEP_MS = 1000.0
-ANSWERS_MAX_BYTES = 64 * 1024 * 1024
 
 
 class JobOwner:
@@ -63,13 +62,9 @@
         "_dispatch",
         "_recovery",
         "_zones",
-        "_window_ms",
-        "_clock_skew_ms",
-        "_answer_retention_ms",
+        "_checks",
         "_count",
         "_jobs",
-        "_kept",
-        "_kept_bytes",
         "_greenlet",
     )
 
@@ -94,13 +89,9 @@
         self._dispatch = dispatch
         self._recovery = recovery
         self._zones = zones
-        self._window_ms = window_ms
-        self._clock_skew_ms = clock_skew_ms
-        self._answer_retention_ms = answer_retention_ms
+        self._checks = KeyChecks(view, window_ms, clock_skew_ms)
         self._count = count
-        self._jobs: dict[str, Job] = {}
-        self._kept: deque[tuple[float, int, str]] = deque()
-        self._kept_bytes = 0
+        self._jobs = JobTable(answer_retention_ms)
         self._greenlet = None
 
     def start(self) -> None:
@@ -114,23 +105,14 @@
         if self._greenlet is not None:
             self._greenlet.kill()
 
-    def open_jobs(self) -> list[Job]:
-        """Return the jobs that have no answer yet."""
-        return [job for job in self._jobs.values() if job.is_open]
+    def open_tasks(self) -> dict[str, dict[str, int]]:
+        """Return how many tasks have not ended, for each pool and team."""
+        return self._jobs.open_tasks()
 
     def open_of_team(self, service: str, team: str) -> int:
         """Return how many tasks of a team have not ended here."""
         return self.open_tasks().get(service, {}).get(team, 0)
 
-    def open_tasks(self) -> dict[str, dict[str, int]]:
-        """Return how many tasks have not ended, for each pool and team."""
-        counts: dict[str, dict[str, int]] = {}
-        for job in self.open_jobs():
-            teams = counts.setdefault(job.pool, {})
-            left = sum(1 for task in job.tasks if task.state is not TaskState.ENDED)
-            teams[job.spec.team] = teams.get(job.spec.team, 0) + left
-        return counts
-
     @handles(SubmitJob)
     def submit(self, peer: Member, message: SubmitJob) -> JobEnded:
         """Accept a job, or join the one under way, and wait for its answer."""
@@ -188,7 +170,7 @@
     def home_lost(self, home: Member) -> None:
         """Find out what a home, whose link was lost, still holds."""
         self._dispatch.forget_home(home.member_id)
-        for job in self.open_jobs():
+        for job in self._jobs.open_jobs():
             if job.handed_to(home.member_id):
                 gevent.spawn(self._recover_from_home, job, home)
 
@@ -220,20 +202,20 @@
     def _job_for(self, key: JobKey, message: SubmitJob) -> Job:
         digest = message.spec.digest()
         job = self._jobs.get(key.text)
-        if job is not None and not job.moved:
-            self._check_digest(key, job.digest, digest)
+        if job is not None:
+            check_digest(key, job.digest, digest)
             self._count("jobs.joined")
             return job
-        self._check_owned(key)
-        self._check_age(key)
+        self._checks.check_owned(key)
+        self._checks.check_age(key)
         job = Job(key, message.spec, digest, message.remaining_ms)
         entry = self._ledger.get(key.shard, key.text)
         if entry is None:
-            self._check_not_lost(key)
+            self._checks.check_not_lost(key)
             self._check_admission(key, message)
             self._accept(job)
         else:
-            self._check_digest(key, entry.digest, digest)
+            check_digest(key, entry.digest, digest)
             self._resume(job, entry)
         return job
 
@@ -247,17 +229,17 @@
     def _accept(self, job: Job) -> None:
         job.reach = self._view.reach()
         now_ms = time.time() * 1000
-        expires_unix_ms = round(now_ms + self._window_ms + 2 * self._clock_skew_ms)
+        expires_unix_ms = round(now_ms + self._checks.kept_ms)
         key = job.key
         job.entry = KeyEntry(
             key.text, key.shard, job.digest, expires_unix_ms, [self._self(job.reach)]
         )
         self._ledger.hold(job.entry)
-        self._jobs[key.text] = job
+        self._jobs.add(job)
         try:
             self._acknowledge(job)
         except Refusal as refusal:
-            self._forget(job)
+            self._jobs.forget(job)
             if refusal.code is ResultCode.KEY_CONFLICT:
                 job.entry.digest = b""
             if refusal.code in MOVED_CODES:
@@ -273,7 +255,7 @@
         job.entry = entry
         job.resumed = True
         job.reach = self._view.reach()
-        self._jobs[job.key.text] = job
+        self._jobs.add(job)
         self._note("resumed", job)
         gevent.spawn_later(max(job.remaining_ms, 0) / 1000, self._expire, job)
         gevent.spawn(self._recover, job)
@@ -315,10 +297,10 @@
     def _acknowledge(self, job: Job) -> None:
         term = self._view.owned_term(job.key.shard)
         if term is None:
-            raise self._not_owner(job.key)
+            raise self._checks.not_owner(job.key)
         self._witnessing.acknowledge(term, job.key.shard, [job.entry])
         if self._view.owned_term(job.key.shard) is None:
-            raise self._not_owner(job.key)
+            raise self._checks.not_owner(job.key)
 
     def _self(self, reach: Reach) -> KeyOwner:
         me = self._view.member
@@ -382,114 +364,54 @@
         """
         term = self._view.owned_term(key.shard)
         if term is None:
-            raise self._not_owner(key)
+            raise self._checks.not_owner(key)
         self._witnessing.acknowledge(term, key.shard, [])
         if self._view.owned_term(key.shard) is None:
-            raise self._not_owner(key)
+            raise self._checks.not_owner(key)
 
     def _finished(self, job: Job) -> None:
         if job.answer is None or job.kept:
             return
         job.kept = True
         self._dispatch.leave(job)
-        if code_info(ResultCode(job.answer.code)).retry:
-            self._forget(job)
         self._note(f"ended.{ResultCode(job.answer.code).name.lower()}", job)
-        size_bytes = sum(len(answer) for answer in job.answer.answers) + 200
-        until_s = time.monotonic() + self._answer_retention_ms / 1000
-        self._kept.append((until_s, size_bytes, job.key.text))
-        self._kept_bytes += size_bytes
-        self._drop_old_answers()
-
-    def _forget(self, job: Job) -> None:
-        if self._jobs.get(job.key.text) is job:
-            del self._jobs[job.key.text]
+        self._jobs.keep(job)
 
     def _note(self, event: str, job: Job) -> None:
         self._count(f"jobs.{event}")
         log_message(message_type="jobs", text=f"jobs: {event}", job=job.key.text)
 
-    def _drop_old_answers(self) -> None:
-        now_s = time.monotonic()
-        while self._kept and (self._kept[0][0] <= now_s or self._kept_bytes > ANSWERS_MAX_BYTES):
-            _, size_bytes, key = self._kept.popleft()
-            self._kept_bytes -= size_bytes
-            job = self._jobs.get(key)
-            if job is not None and not job.is_open:
-                del self._jobs[key]
-
     def _wait(self, job: Job, wait_ms: float | None) -> JobEnded:
         job.finished.wait(None if wait_ms is None else max(wait_ms, 0) / 1000)
         if job.moved:
-            raise self._not_owner(job.key)
+            raise self._checks.not_owner(job.key)
         if job.answer is None:
             return JobEnded(JobAnswer(job.key.text, int(ResultCode.ACCEPTED)))
         return JobEnded(job.answer)
 
     def _known_job(self, key: JobKey) -> Job:
         job = self._jobs.get(key.text)
-        if job is not None and not job.moved:
+        if job is not None:
             return job
-        self._check_owned(key)
+        self._checks.check_owned(key)
         if self._ledger.get(key.shard, key.text) is not None:
             raise Refusal(
                 ResultCode.JOB_UNKNOWN, "accepted earlier; submit it again for its answer"
             )
-        self._check_not_lost(key)
+        self._checks.check_not_lost(key)
         raise Refusal(ResultCode.JOB_UNKNOWN, f"no record of {key.text!r}")
 
-    def _check_digest(self, key: JobKey, held: bytes, digest: bytes) -> None:
-        if not held:
-            raise Refusal(ResultCode.RECORDS_LOST, f"two bodies are known of {key.text!r}")
-        if held != digest:
-            raise Refusal(ResultCode.KEY_CONFLICT, f"key {key.text!r} has another body")
-
-    def _check_owned(self, key: JobKey) -> None:
-        record = self._view.record
-        if key.zone != record.zone or not record.shards:
-            raise self._not_owner(key)
-        if record.shards[key.shard].current.owner != self._view.member.member_id:
-            raise self._not_owner(key)
-        if self._view.owned_term(key.shard) is None:
-            raise Refusal(ResultCode.SHARD_NOT_SETTLED, f"shard {key.shard}", 300)
-
-    def _check_age(self, key: JobKey) -> None:
-        if key.created_unix_ms is None:
-            return
-        age_ms = time.time() * 1000 - key.created_unix_ms
-        if age_ms > self._window_ms:
-            raise Refusal(ResultCode.KEY_EXPIRED, f"made {age_ms / 1000:.0f} s ago")
-        if age_ms < -self._clock_skew_ms:
-            raise Refusal(ResultCode.KEY_INVALID, f"made {-age_ms / 1000:.0f} s ahead of time")
-
-    def _check_not_lost(self, key: JobKey) -> None:
-        lost_unix_ms = self._view.record.shards[key.shard].lost_unix_ms
-        now_unix_ms = time.time() * 1000
-        kept_ms = self._window_ms + 2 * self._clock_skew_ms
-        if not lost_unix_ms or now_unix_ms > lost_unix_ms + kept_ms:
-            return
-        created = key.created_unix_ms
-        if created is None or created <= lost_unix_ms + self._clock_skew_ms:
-            left_ms = lost_unix_ms + kept_ms - now_unix_ms
-            raise Refusal(ResultCode.RECORDS_LOST, f"shard {key.shard}", round(left_ms))
-
-    def _not_owner(self, key: JobKey) -> Refusal:
-        refusal = Refusal(ResultCode.NOT_OWNER, f"{key.text!r} is decided on elsewhere", 50)
-        record = self._view.record
-        refusal.record = encode_record(record) if record.version else b""
-        return refusal
-
     def _give_up_moved(self) -> None:
         """Leave the jobs whose shards moved to their new owner."""
-        for job in self.open_jobs():
+        for job in self._jobs.open_jobs():
             if self._view.owned_term(job.key.shard) is None:
                 self._note("moved", job)
                 job.move()
                 self._dispatch.leave(job)
-                self._forget(job)
+                self._jobs.forget(job)
 
     def _run(self) -> None:
         while True:
             gevent.sleep(EXPIRY_STEP_MS / 1000)
             self._ledger.expire()
-            self._drop_old_answers()
+            self._jobs.drop_old()
--- a/camphorchute/jobs/tests/test_admission.py
+++ b/camphorchute/jobs/tests/test_admission.py
@@ -58,3 +58,10 @@
         admission.check(spec, remaining_ms)
     assert refusal.value.code is code
     assert (refusal.value.retry_after_ms > 0) is (200 < code < 300)
+
+
+def test_an_owner_without_configuration_is_not_ready():
+    admission = Admission(lambda name: None, lambda name: 0, lambda *of: 0, "north", lambda: False)
+    with pytest.raises(Refusal) as refusal:
+        admission.check(JobSpec(service="flags", tasks=TASK), 1000.0)
+    assert refusal.value.code is ResultCode.NOT_READY
--- a/camphorchute/jobs/tests/test_owner.py
+++ b/camphorchute/jobs/tests/test_owner.py
@@ -310,7 +310,7 @@
     first = part.submit(KEY)
     part.end(B, KEY, 0, 1)
     assert answer_of(first).code == 0
-    part.owner._answer_retention_ms = 0
+    part.owner._jobs.retention_ms = 0
     part.owner._jobs.clear()
     part.peers.down = {"b", "c"}
     assert answer_of(part.submit(KEY, remaining_ms=100.0)).fate is not Fate.NOT_RUN
--- a/camphorchute/links/peers.py
+++ b/camphorchute/links/peers.py
@@ -5,6 +5,7 @@
 
 import gevent
 from gevent.lock import RLock
+from gevent.queue import Queue
 from websockets.exceptions import InvalidHandshake, WebSocketException
 from websockets.sync.client import connect
 from websockets.sync.server import serve
@@ -53,6 +54,7 @@
         "_links",
         "_locks",
         "_server",
+        "_own_messages",
         "_greenlets",
     )
 
@@ -68,6 +70,7 @@
         self._links: dict[str, Link] = {}
         self._locks: dict[str, RLock] = {}
         self._server = None
+        self._own_messages: Queue = Queue()
         self._greenlets: list = []
 
     def start(self) -> None:
@@ -83,6 +86,7 @@
             open_timeout=CONNECT_TIMEOUT_MS / 1000,
         )
         self._greenlets.append(gevent.spawn(self._server.serve_forever))
+        self._greenlets.append(gevent.spawn(self._tell_self))
 
     def close(self) -> None:
         """End all links and accept no more."""
@@ -114,7 +118,7 @@
     def send(self, member: Member, message: Message) -> bool:
         """Send one way; return whether the message was queued on a link."""
         if member.member_id == self.member.member_id:
-            self._handlers.tell(self.member, message)
+            self._own_messages.put(message)
             return True
         try:
             return self._link_to(member).send(message)
@@ -128,6 +132,11 @@
             return member_id == self.member.member_id and self.send(self.member, message)
         return link.send(message)
 
+    def _tell_self(self) -> None:
+        """Deliver one-way messages to this process in order, never within their sender."""
+        while True:
+            self._handlers.tell(self.member, self._own_messages.get())
+
     def _answer_self(self, message: Message) -> Message:
         reply = self._handlers.answer(self.member, message)
         if isinstance(reply, Refused):
--- a/camphorchute/links/tests/test_peers.py
+++ b/camphorchute/links/tests/test_peers.py
@@ -238,3 +238,11 @@
     with pytest.raises((LinkLost, Refusal)):
         a.request(b, AskRecord("x" * (17 * 1024 * 1024)))
     assert link.is_open and a.request(b).record == b"x"
+
+
+def test_a_message_to_oneself_is_not_handled_within_its_sender(pair):
+    a, _ = pair
+    assert a.peers.send_linked(a.member.member_id, CancelTasks("own"))
+    assert not a.told
+    wait_until(lambda: a.told)
+    assert a.told == [(a.member.member_id, "own")]
--- a/camphorchute/zones/membership.py
+++ b/camphorchute/zones/membership.py
@@ -239,15 +239,16 @@
             is_other = member.member_id != self._view.member.member_id
             if is_other and member.member_id not in linked:
                 since_s = self._silent_since_s.setdefault(member.member_id, now_s)
-                if self._should_remove(member, now_s - since_s):
+                if self._should_remove(record, member, now_s - since_s):
                     self._remove(member)
+                    return
             else:
                 self._silent_since_s.pop(member.member_id, None)
 
-    def _should_remove(self, member: Member, silent_s: float) -> bool:
+    def _should_remove(self, record: OwnershipRecord, member: Member, silent_s: float) -> bool:
         if self._deaths.is_dead(member):
             return True
-        members = sorted(m.member_id for m in self._view.record.members)
+        members = sorted(m.member_id for m in record.members)
         turn = members.index(self._view.member.member_id)
         return silent_s * 1000 > self._suspect_ms + turn * REMOVAL_STEP_MS
 
