Cut what an idle process costs, and let a zone have 128 owners

Change: the VM list is read while someone asks whether a VM is gone, and once a minute; polls of workers that run nothing wait 5 s; a heartbeat carries slot counts only where they differ from what the link was told last, never to other zones; 128 shards. Ruled out: no VM list at rest, since a VM must have been listed to be gone.

--- a/camphorchute/contracts/keys.py
+++ b/camphorchute/contracts/keys.py
@@ -10,7 +10,7 @@
 
 __all__ = ["SHARDS_PER_ZONE", "KEY_MAX_CHARS", "JobKey", "new_key"]
 
-SHARDS_PER_ZONE = 32
+SHARDS_PER_ZONE = 128
 KEY_MAX_CHARS = 128
 
 _KEY_FORM = re.compile(r"(?:(?P<zone>[a-z0-9-]{1,32}):)?(?P<name>[A-Za-z0-9._-]{1,128})")
--- a/camphorchute/contracts/messages.py
+++ b/camphorchute/contracts/messages.py
@@ -79,14 +79,14 @@
         config_revision: highest configuration revision in force at the sender.
         config_age_ms: how long ago the sender last knew that to be the newest; -1 if never.
         leaving: whether the sender takes no new work.
-        slots: free slots at the sender's workers.
+        slots: free slots at the sender's workers; None where they are as last told on the link.
     """
 
     record_version: int
     config_revision: int
     config_age_ms: float = -1.0
     leaving: bool = False
-    slots: list[SlotCount] = []
+    slots: list[SlotCount] | None = None
 
 
 class Reach(IntEnum):
--- a/camphorchute/entry/daemon.py
+++ b/camphorchute/entry/daemon.py
@@ -1,6 +1,7 @@
 """The entry process: its parts put together, started and stopped in order."""
 
 import os
+import random
 import signal
 import sys
 import time
@@ -43,6 +44,7 @@
 
 MS_PER_S = 1000.0
 VM_LIST_INTERVAL_MS = 2000.0
+VM_LIST_IDLE_MS = 60_000.0
 LAG_CHECK_MS = 100.0
 LAG_REPORT_MS = 100.0
 LEAVE_SHARE = 0.5
@@ -79,6 +81,7 @@
         self._peers = Peers(self._member, zones, self._handlers, settings.link_address)
         self._store = EtcdStore([_address(url) for url in settings.store_url])
         self._vm_list = VmList(_address(settings.vm_list_url)) if settings.vm_list_url else None
+        self._vm_list_wanted = Event()
         self._view = ZoneView(self._member)
         self._records = RecordStore(self._store, self._view, count)
         self._deaths = Deaths(self._vm_is_gone, count)
@@ -212,6 +215,7 @@
             self._handlers.add(part)
         self._peers.replaced = self._deaths.prove
         self._peers.lost = self._peer_lost
+        self._view.changed.append(self._vm_list_wanted.set)
         self._membership.heard.append(self._hear)
         planner = Planner(self._store, self._catalogue, zones, self._board.usage)
         pages = (
@@ -296,12 +300,19 @@
         return definition.policy if definition else "home"
 
     def _vm_is_gone(self, host: str) -> bool:
-        return self._vm_list is not None and self._vm_list.state(host) is VmState.GONE
+        """Whether the VM list shows a host gone; asking has the list read again soon."""
+        if self._vm_list is None:
+            return False
+        self._vm_list_wanted.set()
+        return self._vm_list.state(host) is VmState.GONE
 
     def _follow_vm_list(self) -> None:
+        """Read the VM list while someone asks for it, and now and then to learn of new VMs."""
         while self._vm_list is not None:
+            self._vm_list_wanted.clear()
             self._vm_list.refresh()
             gevent.sleep(VM_LIST_INTERVAL_MS / MS_PER_S)
+            self._vm_list_wanted.wait(random.uniform(0.5, 1.0) * VM_LIST_IDLE_MS / MS_PER_S)
 
     def _watch_lag(self) -> None:
         """Count the times that the event loop was held up."""
--- a/camphorchute/jobs/dispatch.py
+++ b/camphorchute/jobs/dispatch.py
@@ -16,6 +16,7 @@
     HandedTask,
     HandOff,
     Heartbeat,
+    SlotCount,
     TasksReturned,
 )
 from camphorchute.jobs.job import Job, TaskState
@@ -49,6 +50,7 @@
         "_waiting",
         "_counts",
         "_homes",
+        "_told",
         "_numbers",
     )
 
@@ -67,6 +69,7 @@
         self._waiting: dict[tuple[str, str], deque[tuple[Job, int]]] = {}
         self._counts: dict[tuple[str, str], int] = {}
         self._homes: dict[str, dict[str, HomeSlots]] = {}
+        self._told: dict[str, list[SlotCount]] = {}
         self._numbers = itertools.count(1)
 
     def waiting(self, service: str) -> int:
@@ -91,11 +94,11 @@
 
     def hear(self, peer: Member, heartbeat: Heartbeat) -> None:
         """Take in a home's free slots."""
+        told = self._told.get(peer.member_id, []) if heartbeat.slots is None else heartbeat.slots
+        self._told[peer.member_id] = told
         seen = {}
-        for slots in heartbeat.slots:
+        for slots in [] if heartbeat.leaving else told:
             seen[slots.service] = HomeSlots(peer.member_id, slots.free, slots.slots, slots.waiting)
-        if heartbeat.leaving:
-            seen = {}
         for service in {*seen, *self._homes}:
             homes = self._homes.setdefault(service, {})
             if service in seen:
@@ -109,6 +112,7 @@
 
     def forget_home(self, member_id: str) -> None:
         """Hand nothing more to a home until it is heard of again."""
+        self._told.pop(member_id, None)
         for homes in self._homes.values():
             homes.pop(member_id, None)
 
--- a/camphorchute/jobs/tests/test_owner.py
+++ b/camphorchute/jobs/tests/test_owner.py
@@ -2,7 +2,14 @@
 
 import pytest
 
-from camphorchute.contracts import Fate, Refusal, ResultCode, TaskOutcome, code_info
+from camphorchute.contracts import (
+    SHARDS_PER_ZONE,
+    Fate,
+    Refusal,
+    ResultCode,
+    TaskOutcome,
+    code_info,
+)
 from camphorchute.contracts.messages import (
     CancelJob,
     CancelTasks,
@@ -410,7 +417,7 @@
 
 def test_an_owner_whose_term_ended_between_check_and_hand_off_hands_nothing(part):
     part.submit(KEY)
-    for shard in range(32):
+    for shard in range(SHARDS_PER_ZONE):
         part.view.check_term("north", shard, 99)
     part.hear(B)
     settle()
--- a/camphorchute/links/link.py
+++ b/camphorchute/links/link.py
@@ -12,7 +12,7 @@
 from camphorchute.contracts.codes import ResultCode
 from camphorchute.contracts.errors import Refusal
 from camphorchute.contracts.member import Member
-from camphorchute.contracts.messages import Message, Refused
+from camphorchute.contracts.messages import Message, Refused, SlotCount
 from camphorchute.links.codec import (
     FRAME_MAX_BYTES,
     Frame,
@@ -34,6 +34,11 @@
 class Link:
     """A websocket to one peer.
 
+    Attributes:
+        peer: the process at the other end.
+        last_heard_s: monotonic time of the last message from it.
+        told_slots: slot counts that the last heartbeat carried.
+
     One greenlet reads, one writes. Requests are numbered and may be outstanding together.
 
     Args:
@@ -49,6 +54,7 @@
         "opened_by",
         "opened_s",
         "last_heard_s",
+        "told_slots",
         "_socket",
         "_handlers",
         "_ended",
@@ -71,6 +77,7 @@
         self.opened_by = opened_by
         self.opened_s = time.monotonic()
         self.last_heard_s = self.opened_s
+        self.told_slots: list[SlotCount] | None = None
         self._socket = socket_
         self._handlers = handlers
         self._ended = ended
--- a/camphorchute/links/tests/test_codec.py
+++ b/camphorchute/links/tests/test_codec.py
@@ -1,3 +1,5 @@
+from types import NoneType, UnionType
+
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
@@ -33,6 +35,9 @@
         return st.lists(values(kind.__args__[0]), max_size=3)
     if getattr(kind, "__origin__", None) is dict:
         return st.dictionaries(*map(values, kind.__args__), max_size=3)
+    if isinstance(kind, UnionType):
+        parts = [part for part in kind.__args__ if part is not NoneType]
+        return st.one_of(st.none(), *map(values, parts))
     if not hasattr(kind, "__struct_fields__"):
         return st.sampled_from(kind)
     bounded = BOUNDED.get(kind, {})
--- a/camphorchute/workers/timing.py
+++ b/camphorchute/workers/timing.py
@@ -7,7 +7,8 @@
     """Named durations and bounds; every one can be set by keyword.
 
     Attributes:
-        poll_wait_ms: how long a long poll waits at the worker.
+        poll_wait_ms: how long a long poll waits at a worker that runs tasks.
+        idle_poll_wait_ms: how long it waits at a worker that runs none.
         poll_retry_ms: wait before the second poll of a silent worker; doubled up to a second.
         check_every_ms: how often a worker's open questions are looked at.
         sweep_every_ms: how often deadlines and reservations are looked at.
@@ -29,6 +30,7 @@
 
     _DEFAULTS = {
         "poll_wait_ms": 1000.0,
+        "idle_poll_wait_ms": 5000.0,
         "poll_retry_ms": 50.0,
         "check_every_ms": 100.0,
         "sweep_every_ms": 50.0,
--- a/camphorchute/workers/worker_link.py
+++ b/camphorchute/workers/worker_link.py
@@ -161,7 +161,10 @@
 
     def poll_once(self) -> bool:
         """Wait for answers once; whether the worker answered."""
-        wait_ms = self._context.timing.poll_wait_ms if self.slots.answering else 0.0
+        timing = self._context.timing
+        wait_ms = timing.poll_wait_ms if self.open else timing.idle_poll_wait_ms
+        if not self.slots.answering:
+            wait_ms = 0.0
         try:
             page = self.back_end.next_answers(self.after, wait_ms)
         except BackEndError as error:
--- a/camphorchute/zones/membership.py
+++ b/camphorchute/zones/membership.py
@@ -5,13 +5,14 @@
 from collections.abc import Callable
 
 import gevent
+import msgspec
 from eliot import log_message, write_traceback
 from gevent.event import Event
 
 from camphorchute.contracts.errors import InvariantBroken, Refusal
 from camphorchute.contracts.member import Member
 from camphorchute.contracts.messages import AskRecord, Done, Heartbeat, RecordIs
-from camphorchute.links import LinkLost, Peers, handles
+from camphorchute.links import Link, LinkLost, Peers, handles
 from camphorchute.platform import StoreUnavailable
 from camphorchute.zones.deaths import Deaths
 from camphorchute.zones.record import (
@@ -227,7 +228,15 @@
                 self._count("links.closed_silent")
                 link.close()
             else:
-                link.send(message)
+                link.send(self._heartbeat_for(link, message))
+
+    def _heartbeat_for(self, link: Link, message: Heartbeat) -> Heartbeat:
+        """Return the heartbeat for a link: slot counts only where the peer needs them anew."""
+        other_zone = link.peer.zone != self._view.member.zone
+        if other_zone or link.told_slots == message.slots:
+            return msgspec.structs.replace(message, slots=None)
+        link.told_slots = message.slots
+        return message
 
     def _remove_silent(self) -> None:
         record = self._view.record
--- a/camphorchute/zones/tests/test_view.py
+++ b/camphorchute/zones/tests/test_view.py
@@ -1,6 +1,6 @@
 import pytest
 
-from camphorchute.contracts import Refusal, ResultCode
+from camphorchute.contracts import SHARDS_PER_ZONE, Refusal, ResultCode
 from camphorchute.contracts.messages import Reach
 from camphorchute.zones.record import Term, decode_record, with_settled
 from camphorchute.zones.tests.fakes import member, record_of
@@ -34,7 +34,7 @@
         ("north", 0, 1, ResultCode.STALE_TERM),
         ("south", 0, 9, ResultCode.NOT_OWNER),
         ("north", -1, 9, ResultCode.NOT_OWNER),
-        ("north", 32, 9, ResultCode.NOT_OWNER),
+        ("north", SHARDS_PER_ZONE, 9, ResultCode.NOT_OWNER),
     ],
 )
 def test_check_term(zone, shard, term, code):
