--- a/bench/checks.py
+++ b/bench/checks.py
@@ -23,12 +23,14 @@
 
 def main() -> int:
     """Run the checks and return the exit status."""
-    known = known_red_tests(KNOWN_RED.read_text()) if KNOWN_RED.exists() else []
+    text = KNOWN_RED.read_text() if KNOWN_RED.exists() else ""
+    known = known_red_tests(text)
     deselected = [f"--deselect={test}" for test in known]
     status = pytest.main([*sys.argv[1:], *deselected])
     for test in known:
         red = pytest.main([test])
         print(f"known red: {test}: {'still fails' if red else 'passes now, take it off the list'}")
+    print(text)
     return int(status)
 
 
--- a/camphorchute/jobs/dispatch.py
+++ b/camphorchute/jobs/dispatch.py
@@ -1,6 +1,7 @@
 """Hand the waiting tasks of jobs to homes: at once where slots are free, else on a grant."""
 
 import itertools
+import math
 from collections import deque
 from collections.abc import Callable
 
@@ -51,6 +52,7 @@
         "_counts",
         "_homes",
         "_told",
+        "_asked",
         "_numbers",
     )
 
@@ -70,13 +72,14 @@
         self._counts: dict[tuple[str, str], int] = {}
         self._homes: dict[str, dict[str, HomeSlots]] = {}
         self._told: dict[str, list[SlotCount]] = {}
+        self._asked: dict[tuple[str, str, str], int] = {}
         self._numbers = itertools.count(1)
 
     def waiting(self, service: str) -> int:
         """Return how many tasks of a service wait here, or at all owners as homes know it."""
         here = sum(n for (name, _), n in self._counts.items() if name == service)
         homes = self._homes.get(service, {}).values()
-        return max([here, *(home.waiting for home in homes)])
+        return max(here, sum(home.waiting for home in homes))
 
     def waiting_of_team(self, service: str, team: str) -> int:
         """Return how many tasks of a team wait here."""
@@ -93,12 +96,14 @@
             home.free = min(home.slots, home.free + slots)
 
     def hear(self, peer: Member, heartbeat: Heartbeat) -> None:
-        """Take in a home's free slots."""
+        """Take in a home's free slots, of which each owner may use its share unasked."""
         told = self._told.get(peer.member_id, []) if heartbeat.slots is None else heartbeat.slots
         self._told[peer.member_id] = told
         seen = {}
+        owners = max(1, len(self._view.record.members))
         for slots in [] if heartbeat.leaving else told:
-            seen[slots.service] = HomeSlots(peer.member_id, slots.free, slots.slots, slots.waiting)
+            share = slots.free // owners
+            seen[slots.service] = HomeSlots(peer.member_id, share, slots.slots, slots.waiting)
         for service in {*seen, *self._homes}:
             homes = self._homes.setdefault(service, {})
             if service in seen:
@@ -136,12 +141,16 @@
 
     def granted(self, home: Member, grant: Grant) -> None:
         """Use a grant for waiting tasks; what is not needed is given back at once."""
+        asked = (home.member_id, grant.service, grant.team)
+        self._asked[asked] = self._asked.get(asked, 0) - grant.slots
         batch = self._take(grant.service, grant.team, grant.slots, home)
         left = grant.slots - sum(len(indices) for _, indices in batch)
         for job, indices in batch:
             self._hand_to(job, indices, home, len(indices))
         if left:
             self._give_back(grant, home, left)
+        if self._asked[asked] <= 0:
+            self._tell_demand(grant.service, grant.team)
 
     def returned(self, job: Job, home: Member, message: TasksReturned) -> None:
         """Let tasks wait again that a home did not start."""
@@ -259,9 +268,15 @@
             self._tell_demand_to(member_id, service, team)
 
     def _tell_demand_to(self, member_id: str, service: str, team: str) -> None:
+        """Ask a home for its share, by slots, of the slots that the waiting tasks need."""
         waiting = self.waiting_of_team(service, team)
-        if waiting:
-            self._peers.send_linked(member_id, Demand(service, team, waiting))
+        homes = self._eligible(service)
+        slots = sum(home.slots for home in homes.values())
+        if not waiting or member_id not in homes or not slots:
+            return
+        share = math.ceil(waiting * homes[member_id].slots / slots)
+        self._asked[(member_id, service, team)] = share
+        self._peers.send_linked(member_id, Demand(service, team, share))
 
     def _eligible(self, service: str) -> dict[str, HomeSlots]:
         homes = self._homes.get(service, {})
--- a/camphorchute/jobs/job_table.py
+++ b/camphorchute/jobs/job_table.py
@@ -20,12 +20,13 @@
         max_bytes: most bytes of answers that are kept; the oldest go first.
     """
 
-    __slots__ = ("retention_ms", "_max_bytes", "_jobs", "_kept", "_kept_bytes")
+    __slots__ = ("retention_ms", "_max_bytes", "_jobs", "_open", "_kept", "_kept_bytes")
 
     def __init__(self, retention_ms: float, max_bytes: int = ANSWERS_MAX_BYTES) -> None:
         self.retention_ms = retention_ms
         self._max_bytes = max_bytes
         self._jobs: dict[str, Job] = {}
+        self._open: dict[str, Job] = {}
         self._kept: deque[tuple[float, int, Job]] = deque()
         self._kept_bytes = 0
 
@@ -37,19 +38,22 @@
     def add(self, job: Job) -> None:
         """Take in a job."""
         self._jobs[job.key.text] = job
+        self._open[job.key.text] = job
 
     def forget(self, job: Job) -> None:
         """Drop a job, unless its key has a later one."""
+        self._close(job)
         if self._jobs.get(job.key.text) is job:
             del self._jobs[job.key.text]
 
     def clear(self) -> None:
         """Drop all jobs."""
         self._jobs.clear()
+        self._open.clear()
 
     def open_jobs(self) -> list[Job]:
         """Return the jobs that have no answer yet."""
-        return [job for job in self._jobs.values() if job.is_open]
+        return [job for job in self._open.values() if job.is_open]
 
     def open_tasks(self) -> dict[str, dict[str, int]]:
         """Return how many tasks have not ended, for each pool and team."""
@@ -62,6 +66,7 @@
 
     def keep(self, job: Job) -> None:
         """Keep an answer for its time; one that invites the caller again is not kept."""
+        self._close(job)
         if code_info(ResultCode(job.answer.code)).retry:
             self.forget(job)
             return
@@ -71,6 +76,10 @@
         self._kept_bytes += size_bytes
         self.drop_old()
 
+    def _close(self, job: Job) -> None:
+        if self._open.get(job.key.text) is job:
+            del self._open[job.key.text]
+
     def drop_old(self) -> None:
         """Drop the answers whose time is over or that are too many."""
         now_s = time.monotonic()
