Confirm every refusal that says "not run" in one place

Cause: a full ledger and a conflicting body were refused as not run without asking a witness, so an owner replaced unknowingly could deny what its successor ran; a job that moved during recovery stayed in the table; the check stood twice. Change: submit asks a witness after any refusal whose code says not run; one method acknowledges keys and confirms the term. Idle workers' checks run each second instead of ten times.

--- a/camphorchute/jobs/owner.py
+++ b/camphorchute/jobs/owner.py
@@ -118,7 +118,12 @@
         """Accept a job, or join the one under way, and wait for its answer."""
         message.spec.check()
         key = JobKey(message.key, self._zones)
-        job = self._job_for(key, message)
+        try:
+            job = self._job_for(key, message)
+        except Refusal as refusal:
+            if code_info(refusal.code).fate is Fate.NOT_RUN:
+                self._acknowledge(key, [])
+            raise
         return self._wait(job, None)
 
     @handles(FetchJob)
@@ -212,20 +217,13 @@
         entry = self._ledger.get(key.shard, key.text)
         if entry is None:
             self._checks.check_not_lost(key)
-            self._check_admission(key, message)
+            self._admission.check(message.spec, message.remaining_ms)
             self._accept(job)
         else:
             check_digest(key, entry.digest, digest)
             self._resume(job, entry)
         return job
 
-    def _check_admission(self, key: JobKey, message: SubmitJob) -> None:
-        try:
-            self._admission.check(message.spec, message.remaining_ms)
-        except Refusal:
-            self._confirm_owner(key)
-            raise
-
     def _accept(self, job: Job) -> None:
         job.reach = self._view.reach()
         now_ms = time.time() * 1000
@@ -237,7 +235,7 @@
         self._ledger.hold(job.entry)
         self._jobs.add(job)
         try:
-            self._acknowledge(job)
+            self._acknowledge(key, [job.entry])
         except Refusal as refusal:
             self._jobs.forget(job)
             if refusal.code is ResultCode.KEY_CONFLICT:
@@ -284,23 +282,28 @@
 
     def _acknowledge_local(self, job: Job, indices: list[int]) -> None:
         job.entry.local = sorted({*job.entry.local, *indices})
-        self._acknowledge(job)
+        self._acknowledge(job.key, [job.entry])
 
     def _acknowledge_reach(self, job: Job, reach: Reach) -> None:
         """Have it acknowledged that this owner may hand tasks of the job that far."""
         owner = self._self(reach)
         if owner not in job.entry.owners:
             job.entry.owners.append(owner)
-        self._acknowledge(job)
+        self._acknowledge(job.key, [job.entry])
         job.reach = reach
 
-    def _acknowledge(self, job: Job) -> None:
-        term = self._view.owned_term(job.key.shard)
+    def _acknowledge(self, key: JobKey, entries: list[KeyEntry]) -> None:
+        """Return once a witness has taken the entries under the term in force.
+
+        Without entries it proves that no other process can have decided on the key up to now: a
+        taker settles a shard only after every witness of the earlier term refuses that term.
+        """
+        term = self._view.owned_term(key.shard)
         if term is None:
-            raise self._checks.not_owner(job.key)
-        self._witnessing.acknowledge(term, job.key.shard, [job.entry])
-        if self._view.owned_term(job.key.shard) is None:
-            raise self._checks.not_owner(job.key)
+            raise self._checks.not_owner(key)
+        self._witnessing.acknowledge(term, key.shard, entries)
+        if self._view.owned_term(key.shard) is None:
+            raise self._checks.not_owner(key)
 
     def _self(self, reach: Reach) -> KeyOwner:
         me = self._view.member
@@ -308,8 +311,7 @@
 
     def _end_by(self, job: Job, refusal: Refusal) -> None:
         if refusal.code in MOVED_CODES:
-            job.move()
-            self._dispatch.leave(job)
+            self._move(job)
             return
         fate = code_info(refusal.code).fate
         if fate is Fate.UNKNOWN and not (job.resumed or job.any_handed()):
@@ -349,26 +351,13 @@
             return
         job.ending = True
         try:
-            self._confirm_owner(job.key)
+            self._acknowledge(job.key, [])
         except Refusal as refusal:
             self._end_by(job, refusal)
             return
         handed = job.any_handed()
         self._fail(job, may_have_run if handed else not_run, detail)
 
-    def _confirm_owner(self, key: JobKey) -> None:
-        """Return where no other process can have decided on the key up to now.
-
-        A taker settles a shard only after every witness of the earlier term refuses it, so one
-        witness that still takes the term proves that there is none.
-        """
-        term = self._view.owned_term(key.shard)
-        if term is None:
-            raise self._checks.not_owner(key)
-        self._witnessing.acknowledge(term, key.shard, [])
-        if self._view.owned_term(key.shard) is None:
-            raise self._checks.not_owner(key)
-
     def _finished(self, job: Job) -> None:
         if job.answer is None or job.kept:
             return
@@ -405,10 +394,14 @@
         """Leave the jobs whose shards moved to their new owner."""
         for job in self._jobs.open_jobs():
             if self._view.owned_term(job.key.shard) is None:
-                self._note("moved", job)
-                job.move()
-                self._dispatch.leave(job)
-                self._jobs.forget(job)
+                self._move(job)
+
+    def _move(self, job: Job) -> None:
+        """Send the callers of a job to its new owner."""
+        self._note("moved", job)
+        job.move()
+        self._dispatch.leave(job)
+        self._jobs.forget(job)
 
     def _run(self) -> None:
         while True:
--- a/camphorchute/workers/timing.py
+++ b/camphorchute/workers/timing.py
@@ -11,6 +11,7 @@
         idle_poll_wait_ms: how long it waits at a worker that runs none.
         poll_retry_ms: wait before the second poll of a silent worker; doubled up to a second.
         check_every_ms: how often a worker's open questions are looked at.
+        idle_check_every_ms: how often they are looked at while there is none.
         sweep_every_ms: how often deadlines and reservations are looked at.
         reservation_ms: how long a granted slot is kept.
         find_first_ms: wait before the first question about an unclear start; doubled for each.
@@ -33,6 +34,7 @@
         "idle_poll_wait_ms": 5000.0,
         "poll_retry_ms": 50.0,
         "check_every_ms": 100.0,
+        "idle_check_every_ms": 1000.0,
         "sweep_every_ms": 50.0,
         "reservation_ms": 500.0,
         "find_first_ms": 100.0,
--- a/camphorchute/workers/worker_link.py
+++ b/camphorchute/workers/worker_link.py
@@ -238,6 +238,7 @@
             self.checks.schedule(attempt)
         if unclear:
             self._context.count("home.start.unclear", len(unclear))
+            self._wake_checks.set()
             self.slots.block(self._context.now_ms())
 
     def _refuse(self, refused: dict[str, str]) -> None:
@@ -282,10 +283,15 @@
 
     def _checks_forever(self) -> None:
         while True:
-            self._wake_checks.wait(self._context.timing.check_every_ms / 1000)
+            self._wake_checks.wait(self._check_wait_ms() / 1000)
             self._wake_checks.clear()
             self._guarded(self.checks.check_once)
 
+    def _check_wait_ms(self) -> float:
+        timing = self._context.timing
+        in_doubt = self.open or self.slots.foreign or not self.slots.answering
+        return timing.check_every_ms if in_doubt else timing.idle_check_every_ms
+
     def _guarded(self, step):
         try:
             return step()
