--- a/camphorchute/services/definition.py
+++ b/camphorchute/services/definition.py
@@ -88,8 +88,8 @@
         limits: its limits.
         quotas: for each team, the most tasks of it that may be queued or running in a zone.
         team_weights: for each team, its share under contention; 1 where none is given.
-        waste_weight: 0 weighs only response time, 1 weighs only wasted messages. The benchmark weighs
-            policies by it; placement itself does not use it yet.
+        waste_weight: 0 weighs only response time, 1 weighs only wasted messages. The
+            benchmark weighs policies by it; placement itself does not use it yet.
         policy: name of the placement policy.
         repeatable_kinds: kinds whose requests may be sent again after an unclear start.
         drain_ms: longest time that running work is given when a back end leaves.
