--- a/camphorchute/cli/main.py
+++ b/camphorchute/cli/main.py
@@ -26,6 +26,8 @@
 
 __all__ = ["main"]
 
+ETCD = "etcd"
+
 
 @click.group()
 @click.version_option(__version__)
@@ -62,8 +64,10 @@
 def entry(**flags: str | None) -> None:
     """Run an entry process until it is told to stop."""
     settings = _load(flags)
-    from camphorchute.entry.daemon import run
-
+    if settings.platform == ETCD:
+        from camphorchute.entry.daemon import run
+    else:
+        from camphorchute.entry.hosted_process import run
     run(settings)
 
 
--- a/camphorchute/cli/settings.py
+++ b/camphorchute/cli/settings.py
@@ -48,7 +48,9 @@
         "link_address",
         "log_file",
         "operator_token",
+        "platform",
         "rack",
+        "ready_address",
         "sources",
         "statsd_address",
         "store_url",
@@ -158,7 +160,21 @@
     return address.rpartition(":")[0] not in UNSPECIFIED_HOSTS
 
 
+def _needed_by_etcd(value: str, platform: str) -> bool:
+    return platform != "etcd" or bool(value)
+
+
 _RULES = (
+    (
+        ("vm_list_url", "platform"),
+        _needed_by_etcd,
+        "is required: --vm-list-url or CAMPHORCHUTE_VM_LIST_URL",
+    ),
+    (
+        ("operator_token", "platform"),
+        _needed_by_etcd,
+        "is required: --operator-token or CAMPHORCHUTE_OPERATOR_TOKEN",
+    ),
     (("zone", "zones"), lambda zone, zones: zone in zones, "'{0}' is not one of {1}"),
     (
         ("heartbeat_ms", "suspect_ms"),
--- a/camphorchute/cli/settings_table.py
+++ b/camphorchute/cli/settings_table.py
@@ -11,6 +11,7 @@
 ENVIRONMENT_PREFIX = "CAMPHORCHUTE_"
 TOKEN_MIN_CHARS = 16
 PORT_MAX = 65_535
+PLATFORMS = ("etcd", "fleet")
 
 _NAME_FORM = re.compile(r"[a-z0-9-]{1,32}")
 
@@ -25,6 +26,12 @@
     return value
 
 
+def _platform(value: str) -> str:
+    if value not in PLATFORMS:
+        raise ValueError(f"{value!r} is not one of {', '.join(PLATFORMS)}")
+    return value
+
+
 def _names(value: str) -> list[str]:
     names = [_name(part.strip()) for part in value.split(",")]
     if len(set(names)) < len(names):
@@ -154,13 +161,32 @@
         _urls,
         "http://IP:port of the platform's store; several gateways are separated by commas.",
     ),
-    SettingInfo("vm_list_url", None, _url, "http://IP:port of the platform's VM list."),
+    SettingInfo(
+        "platform",
+        "etcd",
+        _platform,
+        "Platform that the process runs on: etcd, with a VM list and workers that cannot be "
+        "fenced, or fleet, with service discovery in the store and workers that can.",
+    ),
+    SettingInfo(
+        "ready_address",
+        "",
+        _address,
+        "IP:port that tells the balancer whether to send requests here; only with platform fleet.",
+    ),
+    SettingInfo(
+        "vm_list_url",
+        "",
+        _url,
+        "http://IP:port of the platform's VM list; required with platform etcd.",
+    ),
     SettingInfo("statsd_address", "", _address, "IP:port for metrics; none are sent if empty."),
     SettingInfo(
         "operator_token",
-        None,
+        "",
         _token,
-        f"Token that operators' calls carry, {TOKEN_MIN_CHARS} characters or more. "
+        f"Token that operators' calls carry, {TOKEN_MIN_CHARS} characters or more; "
+        "required with platform etcd. "
         "The environment variable keeps it out of process lists.",
         secret=True,
     ),
--- /dev/null
+++ b/camphorchute/contracts/batch_job.py
@@ -0,0 +1,66 @@
+"""Jobs of several steps that run on the workers of a queue's service."""
+
+import msgspec
+
+from camphorchute.contracts.resources import Resources
+
+__all__ = ["BatchJob", "BatchStep", "QueueLimits"]
+
+MAX_TASKS = 1000
+
+
+class BatchStep(msgspec.Struct, frozen=True):
+    """Tasks of one kind that may run at the same time.
+
+    Attributes:
+        tasks: number of tasks.
+        demand: what each of them needs of its worker.
+        estimate_ms: rough run time of a task, as declared.
+        after: numbers of the steps whose tasks must be done before.
+    """
+
+    tasks: int
+    demand: Resources
+    estimate_ms: float
+    after: tuple[int, ...] = ()
+
+
+class BatchJob(msgspec.Struct, frozen=True):
+    """A job as its caller submitted it.
+
+    Attributes:
+        job_id: the caller's name of it.
+        payload: opaque text that each of its tasks is started with.
+        steps: its steps, each after those that it waits for.
+        kept: whether the job has to outlive this process once it is acknowledged.
+    """
+
+    job_id: str
+    payload: str
+    steps: tuple[BatchStep, ...]
+    kept: bool = False
+
+
+class QueueLimits(msgspec.Struct, frozen=True):
+    """What a queue promises of its jobs.
+
+    Attributes:
+        priority: 0 goes first.
+        max_attempts: failed runs of a task after which its job has failed.
+        stretch: aimed time of a job as a multiple of its work.
+        target_latency_ms: time added to that.
+    """
+
+    priority: int
+    max_attempts: int
+    stretch: float
+    target_latency_ms: float
+
+    def slack_ms(self, work_ms: float) -> float:
+        """Return how much longer than its work a job may take.
+
+        Examples:
+            >>> QueueLimits(0, 4, 1.5, 60.0).slack_ms(100.0)
+            110.0
+        """
+        return (self.stretch - 1) * work_ms + self.target_latency_ms
--- a/camphorchute/contracts/messages.py
+++ b/camphorchute/contracts/messages.py
@@ -11,6 +11,7 @@
 
 from camphorchute.contracts.job import JobAnswer, JobSpec, TaskOutcome, TaskSpec
 from camphorchute.contracts.member import Member
+from camphorchute.contracts.run_messages import RunMessage
 
 __all__ = [
     "AskRecord",
@@ -403,4 +404,5 @@
     | StatusIs
     | Done
     | Refused
+    | RunMessage
 )
--- /dev/null
+++ b/camphorchute/entry/hosted_process.py
@@ -0,0 +1,157 @@
+"""The entry process on a platform whose workers can be fenced: its parts put together."""
+
+import signal
+import time
+import uuid
+
+import gevent
+from eliot import log_message
+from gevent.event import Event
+
+import camphorchute.platform  # noqa: F401 - fills the registry of platforms
+from camphorchute.contracts import Refusal, ResultCode
+from camphorchute.contracts.member import Member
+from camphorchute.contracts.run_messages import RoomReport
+from camphorchute.entry.http_server import HttpServer
+from camphorchute.entry.logs import start_logs
+from camphorchute.entry.metrics import Metrics
+from camphorchute.entry.queue_pages import QueuePages, ReadyPage
+from camphorchute.hosting import make_platform
+from camphorchute.links import Handlers, Peers
+from camphorchute.queues import QueueOwner, RoomView
+from camphorchute.roster import Beats, Claims, MembershipLease, SharedView, StoreFollower
+from camphorchute.runs import GroupHome
+
+__all__ = ["HostedProcess", "run"]
+
+MS_PER_S = 1000.0
+REPORT_MIN_MS = 20.0
+REPORT_MAX_MS = 500.0
+STOP_POLL_MS = 20.0
+UNREADY_RETRY_MS = 500
+READY_BODY_BYTES = 1024
+
+
+class HostedProcess:
+    """One entry process.
+
+    Args:
+        settings: the checked settings.
+
+    Attributes:
+        stopping: set when an orderly stop was asked for.
+    """
+
+    def __init__(self, settings: object) -> None:
+        self.stopping = Event()
+        self._settings = settings
+        self._metrics = Metrics(settings.statsd_address)
+        count = self._metrics.count
+        self._member = Member(
+            uuid.uuid4().hex[:12],
+            settings.zone,
+            settings.host,
+            settings.rack,
+            settings.advertise_link_address,
+            settings.advertise_http_address,
+        )
+        self._platform = make_platform(settings.platform, settings.store_addresses[0], count)
+        store = self._platform.store
+        self._handlers = Handlers(count)
+        self._peers = Peers(
+            self._member, sorted(settings.zones), self._handlers, settings.link_address
+        )
+        self._view = SharedView(self._platform, count)
+        self._follower = StoreFollower(store, self._view, count)
+        self._lease = MembershipLease(store, self._member, count)
+        self._home = GroupHome(self._platform.open_worker, self._peers.send_linked, count)
+        self._claims = Claims(store, self._view, self._lease, self._member, self._home, count)
+        self._beats = Beats(self._peers, self._view, count)
+        self._rooms = RoomView()
+        self._owner = QueueOwner(self._rooms, self._peers, count)
+        self._http = HttpServer(settings.http_address, settings.body_max_bytes, count)
+        self._ready_http = HttpServer(settings.ready_address, READY_BODY_BYTES, count)
+        self._room_changed = Event()
+        self._greenlets: list[gevent.Greenlet] = []
+        self._connect_parts(count)
+
+    def start(self) -> None:
+        """Start every part and listen."""
+        self._peers.start()
+        for part in (self._follower, self._lease, self._home, self._claims, self._beats):
+            part.start()
+        self._greenlets.append(gevent.spawn(self._report_room))
+        self._ready_http.start()
+        self._http.start()
+        log_message(
+            message_type="entry",
+            text="entry: started",
+            member=self._member.member_id,
+            zone=self._member.zone,
+        )
+
+    def close(self) -> None:
+        """Take no more jobs, let those under way end, hand the groups over, and stop."""
+        log_message(message_type="entry", text="entry: stopping", jobs=self._owner.open_jobs())
+        until_s = time.monotonic() + self._settings.drain_ms / MS_PER_S
+        self._beats.leaving = True
+        self._claims.close()
+        while self._owner.open_jobs() and time.monotonic() < until_s:
+            gevent.sleep(STOP_POLL_MS / MS_PER_S)
+        self._http.close(max(0.0, until_s - time.monotonic()) * MS_PER_S)
+        self._home.close()
+        self._lease.close()
+        self._beats.close()
+        self._follower.close()
+        gevent.killall(self._greenlets, block=False)
+        self._peers.close()
+        self._ready_http.close(0)
+        self._platform.store.close()
+        self._metrics.close()
+        log_message(message_type="entry", text="entry: stopped", counters=self.counters())
+
+    def counters(self) -> dict[str, int]:
+        """Return every counter of this process."""
+        return dict(sorted(self._metrics.counters.items()))
+
+    def _connect_parts(self, count: object) -> None:
+        for part in (self._home, self._beats, self._rooms, self._owner):
+            self._handlers.add(part)
+        self._home.changed = self._room_changed.set
+        self._peers.lost = self._peer_lost
+        pages = QueuePages(self._platform, self._view, self._owner, self._refuse_not_serving, count)
+        self._http.add(pages)
+        self._ready_http.add(ReadyPage(self._is_ready))
+
+    def _peer_lost(self, peer: Member) -> None:
+        self._home.owner_lost(peer.member_id)
+        self._owner.home_lost(peer.member_id)
+
+    def _is_ready(self) -> bool:
+        return self._view.queues is not None and not self.stopping.is_set()
+
+    def _refuse_not_serving(self) -> None:
+        if self._view.queues is None:
+            raise Refusal(ResultCode.NOT_READY, "no configuration is known yet", UNREADY_RETRY_MS)
+
+    def _report_room(self) -> None:
+        """Tell every member the free room here, soon after it has changed."""
+        while True:
+            self._room_changed.wait(REPORT_MAX_MS / MS_PER_S)
+            self._room_changed.clear()
+            report = RoomReport(self._home.room())
+            self._peers.send(self._member, report)
+            for link in self._peers.links():
+                link.send(report)
+            gevent.sleep(REPORT_MIN_MS / MS_PER_S)
+
+
+def run(settings: object) -> None:
+    """Run an entry process until SIGTERM or SIGINT."""
+    start_logs(settings.log_file)
+    process = HostedProcess(settings)
+    for number in (signal.SIGTERM, signal.SIGINT):
+        gevent.signal_handler(number, process.stopping.set)
+    process.start()
+    process.stopping.wait()
+    process.close()
--- a/camphorchute/entry/http_server.py
+++ b/camphorchute/entry/http_server.py
@@ -8,8 +8,10 @@
 import gevent
 import msgspec
 from eliot import write_traceback
+from gevent.event import Event
 from gevent.pool import Pool
 from gevent.pywsgi import WSGIHandler, WSGIServer
+from gevent.socket import wait_read
 
 from camphorchute.contracts import Refusal, ResultCode
 from camphorchute.entry.problem import Response, problem_response
@@ -65,6 +67,10 @@
         """Return a header's value, empty where there is none."""
         return self._environ.get("HTTP_" + name.upper().replace("-", "_"), "")
 
+    def watch_caller(self) -> "CallerWatch":
+        """Return a watch that notices when the caller closes its connection."""
+        return CallerWatch(self._environ[SOCKET_KEY])
+
     def query_ms(self, name: str, default: float, most: float) -> float:
         """Return a duration from the query.
 
@@ -94,6 +100,41 @@
             raise Refusal(ResultCode.MALFORMED_BODY, str(error)) from error
 
 
+class CallerWatch:
+    """Notices that a caller has closed its connection while it waits for its answer.
+
+    Args:
+        sock: the connection.
+
+    Attributes:
+        gone: set when the connection was closed or reset.
+    """
+
+    __slots__ = ("gone", "_socket", "_greenlet")
+
+    def __init__(self, sock: socket.socket) -> None:
+        self.gone = Event()
+        self._socket = sock
+        self._greenlet: gevent.Greenlet | None = None
+
+    def start(self) -> None:
+        """Watch from now on."""
+        self._greenlet = gevent.spawn(self._watch)
+
+    def close(self) -> None:
+        """Stop to watch."""
+        if self._greenlet is not None:
+            self._greenlet.kill(block=False)
+
+    def _watch(self) -> None:
+        try:
+            wait_read(self._socket.fileno())
+            if not self._socket.recv(1, socket.MSG_PEEK):
+                self.gone.set()
+        except OSError:
+            self.gone.set()
+
+
 class HttpServer:
     """Serves the marked methods of the parts.
 
--- /dev/null
+++ b/camphorchute/entry/queue_pages.py
@@ -0,0 +1,126 @@
+"""What callers ask of the queues."""
+
+from collections.abc import Callable
+
+from camphorchute.contracts import Refusal, ResultCode
+from camphorchute.entry.http_server import Request, route
+from camphorchute.entry.problem import JSON_TYPE, Response, json_response
+from camphorchute.hosting import HostingPlatform, Queue
+from camphorchute.queues import JobOutcome, QueueOwner
+from camphorchute.roster import SharedView
+
+__all__ = ["QueuePages", "ReadyPage"]
+
+DEADLINE_DEFAULT_MS = 5000.0
+DEADLINE_MAX_MS = 60_000.0
+JOB_ID_MAX_CHARS = 64
+
+
+class QueuePages:
+    """Jobs of queues.
+
+    Args:
+        platform: reads and writes the bodies.
+        view: knows the queues.
+        owner: runs the jobs.
+        refuse_not_serving: raises a refusal while this process takes no jobs.
+        count: adds to a named counter.
+    """
+
+    def __init__(
+        self,
+        platform: HostingPlatform,
+        view: SharedView,
+        owner: QueueOwner,
+        refuse_not_serving: Callable[[], None],
+        count: Callable[..., None],
+    ) -> None:
+        self._platform = platform
+        self._view = view
+        self._owner = owner
+        self._refuse_not_serving = refuse_not_serving
+        self._count = count
+
+    @route("POST", "/<rest:path>")
+    def submit(self, request: Request) -> Response:
+        """Run a job and answer when it has ended."""
+        queue = self._queue(request)
+        self._refuse_not_serving()
+        job_id = _job_id(request, queue)
+        try:
+            job = self._platform.decode_job(job_id, request.body)
+        except ValueError as error:
+            raise Refusal(ResultCode.MALFORMED_BODY, str(error)) from error
+        if job.kept:
+            self._count("queues.refused.kept_job")
+            raise Refusal(ResultCode.NOT_READY, "jobs that must be kept are not offered yet")
+        watch = request.watch_caller()
+        watch.start()
+        try:
+            outcome = self._owner.run(job, queue, self._deadline_ms(request), watch.gone)
+        finally:
+            watch.close()
+        if outcome is JobOutcome.LOST:
+            raise Refusal(ResultCode.DEADLINE_PASSED, f"job {job_id}")
+        body = self._platform.encode_job_state(outcome.value)
+        return Response(200, body, [("Content-Type", JSON_TYPE)])
+
+    @route("GET", "/<rest:path>")
+    def state(self, request: Request) -> Response:
+        """Tell how many jobs of a queue wait; no job outlives its request."""
+        queue = self._queue(request)
+        if request.path != queue.prefix:
+            raise Refusal(ResultCode.ANSWER_EXPIRED, request.path[:100])
+        body = self._platform.encode_waiting(self._owner.waiting_jobs(queue.name))
+        return Response(200, body, [("Content-Type", JSON_TYPE)])
+
+    @route("DELETE", "/<rest:path>")
+    def cancel(self, request: Request) -> Response:
+        """Tell that there is no such job to cancel."""
+        self._queue(request)
+        raise Refusal(ResultCode.ANSWER_EXPIRED, request.path[:100])
+
+    def _queue(self, request: Request) -> Queue:
+        if self._view.queues is None:
+            raise Refusal(ResultCode.NOT_READY, "no configuration is known yet", 500)
+        host = request.header("Host").partition(":")[0]
+        queue = self._view.queues.find(host, request.path)
+        if queue is None:
+            raise Refusal(ResultCode.NO_SUCH_PAGE, f"{host} {request.path[:100]}")
+        return queue
+
+    def _deadline_ms(self, request: Request) -> float:
+        text = request.header(self._platform.deadline_header)
+        if not text:
+            return DEADLINE_DEFAULT_MS
+        try:
+            deadline_ms = float(text)
+        except ValueError:
+            deadline_ms = -1.0
+        if not 0 <= deadline_ms <= DEADLINE_MAX_MS:
+            raise Refusal(ResultCode.DEADLINE_INVALID, f"{text[:40]!r}")
+        return deadline_ms
+
+
+class ReadyPage:
+    """Whether the balancer may send requests here.
+
+    Args:
+        is_ready: whether this process serves.
+    """
+
+    def __init__(self, is_ready: Callable[[], bool]) -> None:
+        self._is_ready = is_ready
+
+    @route("GET", "/ready")
+    def ready(self, request: Request) -> Response:
+        """Answer 200 or 503."""
+        ready = self._is_ready()
+        return json_response({"ready": ready}, 200 if ready else 503)
+
+
+def _job_id(request: Request, queue: Queue) -> str:
+    job_id = request.path[len(queue.prefix) :]
+    if not job_id or len(job_id) > JOB_ID_MAX_CHARS or "/" in job_id or "." in job_id:
+        raise Refusal(ResultCode.KEY_INVALID, f"job {job_id[:80]!r}")
+    return job_id
--- a/camphorchute/entry/zone_list.py
+++ b/camphorchute/entry/zone_list.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from camphorchute.platform import Store, StoreUnavailable, SwapLost, SwapUnknown
+from camphorchute.hosting import Store, StoreUnavailable, SwapLost, SwapUnknown
 
 __all__ = ["ZonesDiffer", "agree_on_zones"]
 
--- /dev/null
+++ b/camphorchute/hosting/__init__.py
@@ -0,0 +1,58 @@
+"""What the program needs of a platform: a store, worker discovery, workers and ingress."""
+
+from camphorchute.hosting.platform import (
+    HostingPlatform,
+    make_platform,
+    register_platform,
+)
+from camphorchute.hosting.queue_table import Queue, QueueTable
+from camphorchute.hosting.run_port import (
+    EndKind,
+    OrderLost,
+    OrderRefused,
+    RefusedReason,
+    RunEnd,
+    RunListing,
+    RunOrder,
+    RunPort,
+    RunSeen,
+)
+from camphorchute.hosting.store import (
+    Store,
+    StoredListing,
+    StoredValue,
+    StoreRefused,
+    StoreUnavailable,
+    SwapLost,
+    SwapUnknown,
+    make_store,
+    register_store,
+)
+from camphorchute.hosting.worker_entry import WorkerEntry
+
+__all__ = [
+    "EndKind",
+    "HostingPlatform",
+    "OrderLost",
+    "OrderRefused",
+    "Queue",
+    "QueueTable",
+    "RefusedReason",
+    "RunEnd",
+    "RunListing",
+    "RunOrder",
+    "RunPort",
+    "RunSeen",
+    "Store",
+    "StoreRefused",
+    "StoreUnavailable",
+    "StoredListing",
+    "StoredValue",
+    "SwapLost",
+    "SwapUnknown",
+    "WorkerEntry",
+    "make_platform",
+    "make_store",
+    "register_platform",
+    "register_store",
+]
--- a/camphorchute/platform/store.py
+++ b/camphorchute/hosting/store.py
@@ -181,7 +181,7 @@
         >>> make_store("paper")
         Traceback (most recent call last):
         ...
-        ValueError: unknown store 'paper', known: etcd
+        ValueError: unknown store 'paper', known: ...
     """
     if name not in _STORES:
         raise ValueError(f"unknown store {name!r}, known: {', '.join(sorted(_STORES))}")
--- a/camphorchute/platform/__init__.py
+++ b/camphorchute/platform/__init__.py
@@ -1,30 +1,7 @@
-"""The platform that the program runs on: its key-value store and its list of VMs."""
+"""Adapters: classes that translate between a platform and the interfaces of the product."""
 
 from camphorchute.platform.etcd_store import EtcdStore
-from camphorchute.platform.store import (
-    Store,
-    StoredListing,
-    StoredValue,
-    StoreRefused,
-    StoreUnavailable,
-    SwapLost,
-    SwapUnknown,
-    make_store,
-    register_store,
-)
+from camphorchute.platform.fleet import FleetPlatform
 from camphorchute.platform.vm_list import VmList, VmState
 
-__all__ = [
-    "EtcdStore",
-    "Store",
-    "StoreRefused",
-    "StoreUnavailable",
-    "StoredListing",
-    "StoredValue",
-    "SwapLost",
-    "SwapUnknown",
-    "VmList",
-    "VmState",
-    "make_store",
-    "register_store",
-]
+__all__ = ["EtcdStore", "FleetPlatform", "VmList", "VmState"]
--- a/camphorchute/platform/etcd_store.py
+++ b/camphorchute/platform/etcd_store.py
@@ -15,7 +15,7 @@
     NotSent,
     StatusError,
 )
-from camphorchute.platform.store import (
+from camphorchute.hosting.store import (
     Store,
     StoredListing,
     StoredValue,
--- a/camphorchute/platform/tests/test_etcd_store.py
+++ b/camphorchute/platform/tests/test_etcd_store.py
@@ -5,7 +5,7 @@
 
 from bench.standins import keyspace
 from bench.standins.platform import Platform
-from camphorchute.platform import (
+from camphorchute.hosting import (
     StoreRefused,
     StoreUnavailable,
     SwapLost,
--- /dev/null
+++ b/camphorchute/queues/__init__.py
@@ -0,0 +1,7 @@
+"""Jobs of queues: admitted, handed to homes and answered for."""
+
+from camphorchute.queues.job_run import JobOutcome, JobRun, TaskState
+from camphorchute.queues.queue_owner import QueueOwner
+from camphorchute.queues.room_view import RoomView
+
+__all__ = ["JobOutcome", "JobRun", "QueueOwner", "RoomView", "TaskState"]
--- /dev/null
+++ b/camphorchute/queues/queue_owner.py
@@ -0,0 +1,270 @@
+"""Answers for the jobs that came in at this process."""
+
+import time
+from collections.abc import Callable
+
+import gevent
+
+from camphorchute.contracts import Refusal, ResultCode
+from camphorchute.contracts.batch_job import BatchJob
+from camphorchute.contracts.member import Member
+from camphorchute.contracts.run_messages import (
+    StartTasks,
+    StopTasks,
+    TaskEnd,
+    TaskOrder,
+    TaskResult,
+    TasksFinished,
+)
+from camphorchute.hosting import Queue
+from camphorchute.links import Peers, handles
+from camphorchute.queues.job_run import JobOutcome, JobRun, TaskProgress, TaskState
+from camphorchute.queues.room_view import RoomView
+
+__all__ = ["QueueOwner"]
+
+ANSWER_MARGIN_MS = 60.0
+RETRY_MS = 50.0
+REFUSED_AGAIN_MS = 1000.0
+WAIT_SHARE = 0.8
+MS_PER_S = 1000.0
+
+
+class QueueOwner:
+    """Runs best-effort jobs: hands their tasks to homes and waits for the ends.
+
+    Args:
+        rooms: the free room of the homes.
+        peers: the links to the homes.
+        count: adds to a named counter.
+    """
+
+    __slots__ = ("_rooms", "_peers", "_count", "_jobs")
+
+    def __init__(self, rooms: RoomView, peers: Peers, count: Callable[..., None]) -> None:
+        self._rooms = rooms
+        self._peers = peers
+        self._count = count
+        self._jobs: dict[str, JobRun] = {}
+
+    def open_jobs(self) -> int:
+        """Return the number of jobs under way."""
+        return len(self._jobs)
+
+    def waiting_jobs(self, queue: str) -> int:
+        """Return the number of a queue's jobs of which no task was handed out."""
+        return sum(1 for run in self._jobs.values() if run.queue.name == queue and not run.touched)
+
+    def run(
+        self, job: BatchJob, queue: Queue, deadline_ms: float, client_gone: gevent.event.Event
+    ) -> JobOutcome:
+        """Run a job to its end, or join the same job if it is under way here.
+
+        Args:
+            job: the job.
+            queue: the queue that it came in by.
+            deadline_ms: how long its caller waits.
+            client_gone: set when the caller has closed its connection.
+
+        Raises:
+            Refusal: no task of it was started.
+        """
+        run = self._jobs.get(job.job_id)
+        if run is None:
+            run = self._admit(job, queue, deadline_ms)
+            gevent.spawn(self._drive, run)
+        else:
+            self._count("queues.joined")
+            run.finish_by_s = max(run.finish_by_s, _finish_by_s(deadline_ms))
+        run.waiters += 1
+        try:
+            gevent.wait([run.ended, client_gone], count=1)
+        finally:
+            run.waiters -= 1
+        if run.outcome is None and not run.waiters:
+            self._count("queues.caller_left")
+            self._end(run, JobOutcome.LOST)
+        if run.outcome is JobOutcome.NOT_RUN:
+            raise self._overloaded("no room in time", REFUSED_AGAIN_MS)
+        return run.outcome or JobOutcome.LOST
+
+    def home_lost(self, member_id: str) -> None:
+        """Take note that a home cannot be reached; its tasks may go on."""
+        self._rooms.forget(member_id)
+        for run in list(self._jobs.values()):
+            for step in run.steps:
+                for task in step:
+                    if task.state is TaskState.HANDED and task.home_id == member_id:
+                        self._count("queues.home_lost")
+                        task.state = TaskState.MAY_RUN
+                        run.changed.set()
+
+    @handles(TasksFinished, prompt=True)
+    def tasks_finished(self, peer: Member, message: TasksFinished) -> None:
+        """Take note of ends at a home."""
+        run = self._jobs.get(message.job_id)
+        if run is None:
+            return
+        for result in message.results:
+            self._take_result(run, peer, result)
+        run.changed.set()
+
+    def _take_result(self, run: JobRun, peer: Member, result: TaskResult) -> None:
+        if result.step >= len(run.steps) or result.index >= len(run.steps[result.step]):
+            self._count("queues.unknown_task")
+            return
+        task = run.steps[result.step][result.index]
+        if task.state is TaskState.DONE or task.home_id != peer.member_id:
+            return
+        task.run = max(task.run, result.run + 1)
+        if result.end is TaskEnd.DONE:
+            task.state = TaskState.DONE
+        elif result.end is TaskEnd.FAILED:
+            self._end(run, JobOutcome.FAILED)
+        elif result.end is TaskEnd.MAY_RUN:
+            task.state = TaskState.MAY_RUN
+        else:
+            task.state = TaskState.WAITING
+            run.refused = True
+
+    def _admit(self, job: BatchJob, queue: Queue, deadline_ms: float) -> JobRun:
+        """Return the job with its first tasks handed out, or refuse it."""
+        run = JobRun(job, queue, _finish_by_s(deadline_ms))
+        for step in job.steps:
+            if not self._rooms.can_ever_run(queue.service, step.demand):
+                self._count("queues.refused.no_worker")
+                raise Refusal(ResultCode.NO_WORKER, f"service {queue.service}", REFUSED_AGAIN_MS)
+        first = job.steps[0]
+        plan = self._rooms.plan(queue.service, first, first.tasks, queue.limits)
+        slack_ms = queue.limits.slack_ms(first.estimate_ms)
+        if plan.wait_ms > WAIT_SHARE * slack_ms:
+            raise self._overloaded(f"{plan.wait_ms:.0f} ms to wait", plan.wait_ms)
+        self._jobs[job.job_id] = run
+        self._hand_out(run, first_round=True)
+        return run
+
+    def _drive(self, run: JobRun) -> None:
+        """Hand out tasks as they become ready, until the job has ended."""
+        while run.outcome is None:
+            left_s = run.finish_by_s - time.monotonic()
+            if run.is_done():
+                self._end(run, JobOutcome.DONE)
+            elif run.refused and not self._any_started(run):
+                self._end(run, JobOutcome.NOT_RUN)
+            elif left_s <= 0:
+                self._count("queues.past_deadline")
+                self._end(run, JobOutcome.LOST)
+            else:
+                held = self._hand_out(run)
+                wait_s = min(left_s, RETRY_MS / MS_PER_S) if held else left_s
+                run.changed.wait(max(0.0, wait_s))
+                run.changed.clear()
+
+    def _any_started(self, run: JobRun) -> bool:
+        """Whether a task was started or may still be; waiting ones do not count."""
+        if any(task.run > 1 for step in run.steps for task in step):
+            return True
+        states = {task.state for step in run.steps for task in step}
+        return bool(states & {TaskState.DONE, TaskState.MAY_RUN, TaskState.HANDED})
+
+    def _hand_out(self, run: JobRun, first_round: bool = False) -> bool:
+        """Hand out every task that is ready; return whether some could not be handed out."""
+        held = False
+        for number in range(len(run.steps)):
+            if run.is_step_ready(number):
+                held |= self._hand_step(run, number, first_round)
+                held |= self._hand_again(run, number)
+        return held
+
+    def _hand_step(self, run: JobRun, number: int, first_round: bool) -> bool:
+        step = run.job.steps[number]
+        indices = [
+            index for index, task in enumerate(run.steps[number]) if task.state is TaskState.WAITING
+        ]
+        if not indices:
+            return False
+        limits = run.queue.limits
+        plan = self._rooms.plan(run.queue.service, step, len(indices), limits)
+        self._rooms.take(plan, step, limits)
+        for group, tasks in plan.tasks.items():
+            taken, indices = indices[:tasks], indices[tasks:]
+            home = self._rooms.home_of(group)
+            if home is None or not self._send(run, number, group, home, taken, first_round):
+                indices += taken
+        return bool(indices)
+
+    def _hand_again(self, run: JobRun, number: int) -> bool:
+        """Hand tasks of lost homes to the next home of their group, which knows their runs."""
+        held = False
+        lost: dict[str, list[int]] = {}
+        for index, task in enumerate(run.steps[number]):
+            if task.state is TaskState.MAY_RUN:
+                lost.setdefault(task.group, []).append(index)
+        for group, indices in lost.items():
+            home = self._rooms.home_of(group)
+            if home is None or not self._send(run, number, group, home, indices, False):
+                held = True
+        return held
+
+    def _send(
+        self,
+        run: JobRun,
+        number: int,
+        group: str,
+        home: Member,
+        indices: list[int],
+        first_round: bool,
+    ) -> bool:
+        step, limits = run.job.steps[number], run.queue.limits
+        tasks = [run.steps[number][index] for index in indices]
+        finish_ms = (run.finish_by_s - time.monotonic()) * MS_PER_S
+        start_ms = limits.slack_ms(step.estimate_ms) if first_round else finish_ms
+        message = StartTasks(
+            group,
+            run.job.job_id,
+            number,
+            run.job.payload,
+            step.demand,
+            step.estimate_ms,
+            run.queue.name,
+            limits,
+            min(start_ms, finish_ms),
+            finish_ms,
+            [_order(index, task) for index, task in zip(indices, tasks, strict=True)],
+        )
+        before = [(task.state, task.group, task.home_id) for task in tasks]
+        for task in tasks:
+            task.state, task.group, task.home_id = TaskState.HANDED, group, home.member_id
+        run.touched = True
+        if self._peers.send(home, message):
+            return True
+        for task, kept in zip(tasks, before, strict=True):
+            task.state, task.group, task.home_id = kept
+        self._count("queues.retry.hand_out")
+        return False
+
+    def _end(self, run: JobRun, outcome: JobOutcome) -> None:
+        """End a job; what still runs of it is stopped."""
+        if run.outcome is not None:
+            return
+        run.outcome = outcome
+        self._count(f"queues.ended.{outcome.name.lower()}")
+        if self._jobs.get(run.job.job_id) is run:
+            del self._jobs[run.job.job_id]
+        if outcome is not JobOutcome.DONE:
+            for home_id in run.open_homes():
+                self._peers.send_linked(home_id, StopTasks(run.job.job_id))
+        run.ended.set()
+        run.changed.set()
+
+    def _overloaded(self, detail: str, retry_after_ms: float) -> Refusal:
+        self._count("queues.refused.overloaded")
+        return Refusal(ResultCode.OVERLOADED, detail, max(REFUSED_AGAIN_MS, retry_after_ms))
+
+
+def _order(index: int, task: TaskProgress) -> TaskOrder:
+    return TaskOrder(index, task.run, 0, task.state is TaskState.MAY_RUN)
+
+
+def _finish_by_s(deadline_ms: float) -> float:
+    return time.monotonic() + max(0.0, deadline_ms - ANSWER_MARGIN_MS) / MS_PER_S
--- /dev/null
+++ b/camphorchute/queues/room_view.py
@@ -0,0 +1,168 @@
+"""The free room of all worker groups, as their homes have told it."""
+
+import time
+
+from camphorchute.contracts.batch_job import BatchStep, QueueLimits
+from camphorchute.contracts.member import Member
+from camphorchute.contracts.resources import Resources
+from camphorchute.contracts.run_messages import GroupRoom, RoomReport, WorkerRoom
+from camphorchute.links import handles
+from camphorchute.runs import rank_worker
+
+__all__ = ["RoomPlan", "RoomView"]
+
+STALE_MS = 2000.0
+MS_PER_S = 1000.0
+
+
+class _Heard:
+    """The last report of a group."""
+
+    __slots__ = ("member", "room", "heard_s")
+
+    def __init__(self, member: Member, room: GroupRoom, heard_s: float) -> None:
+        self.member = member
+        self.room = room
+        self.heard_s = heard_s
+
+
+class RoomPlan:
+    """Where the tasks of a step are to go.
+
+    Attributes:
+        tasks: number of tasks for each group.
+        without_room: how many of them have to wait.
+        wait_ms: how long the last of these is expected to wait.
+    """
+
+    __slots__ = ("tasks", "without_room", "wait_ms")
+
+    def __init__(self, tasks: dict[str, int], without_room: int, wait_ms: float) -> None:
+        self.tasks = tasks
+        self.without_room = without_room
+        self.wait_ms = wait_ms
+
+
+class RoomView:
+    """Plans placement from the reports; what it hands out is taken off until the next report."""
+
+    __slots__ = ("_groups",)
+
+    def __init__(self) -> None:
+        self._groups: dict[str, _Heard] = {}
+
+    @handles(RoomReport, prompt=True)
+    def hear(self, peer: Member, report: RoomReport) -> None:
+        """Take in a report; groups that its sender no longer names have no home there."""
+        now_s = time.monotonic()
+        named = {room.group for room in report.groups}
+        for group, heard in list(self._groups.items()):
+            if heard.member.member_id == peer.member_id and group not in named:
+                del self._groups[group]
+        for room in report.groups:
+            self._groups[room.group] = _Heard(peer, room, now_s)
+
+    def forget(self, member_id: str) -> None:
+        """Forget the reports of a member."""
+        for group, heard in list(self._groups.items()):
+            if heard.member.member_id == member_id:
+                del self._groups[group]
+
+    def home_of(self, group: str) -> Member | None:
+        """Return the home of a group, None where none is known."""
+        heard = self._groups.get(group)
+        return heard.member if heard else None
+
+    def can_ever_run(self, service: str, demand: Resources) -> bool:
+        """Whether the service has a group whose workers together hold a task."""
+        return any(heard.room.capacity.holds(demand) for heard in self._of(service))
+
+    def plan(self, service: str, step: BatchStep, tasks: int, limits: QueueLimits) -> RoomPlan:
+        """Return where to place a number of tasks of a step; the room is not taken yet."""
+        groups = self._of(service)
+        chosen: dict[str, int] = {}
+        left = tasks
+        for group, _, copies in self._by_rank(groups, step, limits):
+            if not left:
+                break
+            taken = min(copies, left)
+            chosen[group] = chosen.get(group, 0) + taken
+            left -= taken
+        if not left or not groups:
+            return RoomPlan(chosen, left, 0.0)
+        wait_ms = self._spread(groups, step, left, limits.priority, chosen)
+        return RoomPlan(chosen, left, wait_ms)
+
+    def take(self, plan: RoomPlan, step: BatchStep, limits: QueueLimits) -> None:
+        """Take the planned room off until the homes report again."""
+        for group, tasks in plan.tasks.items():
+            heard = self._groups.get(group)
+            if heard is not None:
+                self._take_from(heard.room, step, tasks, limits)
+
+    def _of(self, service: str) -> list[_Heard]:
+        oldest_s = time.monotonic() - STALE_MS / MS_PER_S
+        return [
+            heard
+            for heard in self._groups.values()
+            if heard.room.service == service and heard.heard_s >= oldest_s
+        ]
+
+    def _by_rank(
+        self, groups: list[_Heard], step: BatchStep, limits: QueueLimits
+    ) -> list[tuple[str, WorkerRoom, int]]:
+        able = [
+            (heard.room.group, worker, worker.free.copies_of(step.demand))
+            for heard in groups
+            for worker in heard.room.workers
+            if worker.free.holds(step.demand)
+        ]
+        able.sort(key=lambda row: rank_worker(row[1].speed, step.estimate_ms, limits))
+        return able
+
+    def _spread(
+        self,
+        groups: list[_Heard],
+        step: BatchStep,
+        tasks: int,
+        priority: int,
+        chosen: dict[str, int],
+    ) -> float:
+        """Add tasks that have to wait to the groups with the least backlog."""
+        able = [heard for heard in groups if heard.room.capacity.holds(step.demand)]
+        if not able:
+            return 0.0
+        task_core_ms = step.demand.cpu_millicores / 1000 * max(1.0, step.estimate_ms)
+        backlog = {heard.room.group: _backlog_core_ms(heard.room, priority) for heard in able}
+        cores = {heard.room.group: _cores(heard.room) for heard in able}
+        wait_ms = 0.0
+        for _ in range(tasks):
+            group = min(backlog, key=lambda name: backlog[name] / cores[name])
+            backlog[group] += task_core_ms
+            chosen[group] = chosen.get(group, 0) + 1
+            wait_ms = max(wait_ms, backlog[group] / cores[group])
+        return wait_ms
+
+    def _take_from(self, room: GroupRoom, step: BatchStep, tasks: int, limits: QueueLimits) -> None:
+        order = sorted(
+            range(len(room.workers)),
+            key=lambda n: rank_worker(room.workers[n].speed, step.estimate_ms, limits),
+        )
+        for number in order:
+            worker = room.workers[number]
+            while tasks and worker.free.holds(step.demand):
+                worker = WorkerRoom(worker.free.minus(step.demand), worker.speed)
+                tasks -= 1
+            room.workers[number] = worker
+        if tasks:
+            core_ms = step.demand.cpu_millicores / 1000 * step.estimate_ms * tasks
+            waiting = room.waiting_core_ms
+            waiting[limits.priority] = waiting.get(limits.priority, 0.0) + core_ms
+
+
+def _backlog_core_ms(room: GroupRoom, priority: int) -> float:
+    return sum(ms for other, ms in room.waiting_core_ms.items() if other <= priority)
+
+
+def _cores(room: GroupRoom) -> float:
+    return max(1.0, room.capacity.cpu_millicores / 1000)
--- /dev/null
+++ b/camphorchute/roster/__init__.py
@@ -0,0 +1,9 @@
+"""Who takes part: members, workers, homes and queues, as the platform's store shows them."""
+
+from camphorchute.roster.beats import Beats
+from camphorchute.roster.claims import Claims
+from camphorchute.roster.membership_lease import MembershipLease
+from camphorchute.roster.shared_view import Claim, SharedView
+from camphorchute.roster.store_follower import StoreFollower
+
+__all__ = ["Beats", "Claim", "Claims", "MembershipLease", "SharedView", "StoreFollower"]
--- /dev/null
+++ b/camphorchute/roster/membership_lease.py
@@ -0,0 +1,85 @@
+"""The lease that this process is registered under."""
+
+import random
+from collections.abc import Callable
+
+import gevent
+import msgspec
+from eliot import log_message
+
+from camphorchute.contracts.member import Member
+from camphorchute.hosting import Store, StoreRefused, StoreUnavailable, SwapLost, SwapUnknown
+from camphorchute.roster.shared_view import MEMBER_PREFIX
+
+__all__ = ["MembershipLease"]
+
+LEASE_TTL_S = 3
+RENEW_MS = 900.0
+RETRY_MS = 250.0
+MS_PER_S = 1000.0
+
+
+class MembershipLease:
+    """Registers this process and renews the lease; claims are bound to it too.
+
+    Args:
+        store: the platform's store.
+        member: this process.
+        count: adds to a named counter.
+
+    Attributes:
+        lease_id: the lease, 0 while there is none.
+    """
+
+    __slots__ = ("lease_id", "_store", "_member", "_count", "_greenlet")
+
+    def __init__(self, store: Store, member: Member, count: Callable[..., None]) -> None:
+        self.lease_id = 0
+        self._store = store
+        self._member = member
+        self._count = count
+        self._greenlet: gevent.Greenlet | None = None
+
+    def start(self) -> None:
+        """Register and keep registered."""
+        self._greenlet = gevent.spawn(self._keep)
+
+    def close(self) -> None:
+        """End the lease, so that others need not wait until it expires."""
+        if self._greenlet is not None:
+            self._greenlet.kill(block=False)
+        lease_id, self.lease_id = self.lease_id, 0
+        if lease_id:
+            try:
+                self._store.revoke_lease(lease_id)
+            except StoreUnavailable as error:
+                self._count("roster.revoke_failed")
+                log_message(message_type="roster", text=f"roster: lease not ended: {error}")
+
+    def _keep(self) -> None:
+        while True:
+            try:
+                if not self.lease_id:
+                    self._register()
+                elif not self._store.renew_lease(self.lease_id):
+                    self._count("roster.lease_expired")
+                    log_message(message_type="roster", text="roster: lease expired; registering")
+                    self.lease_id = 0
+                    continue
+                pause_ms = RENEW_MS
+            except (StoreUnavailable, SwapLost, SwapUnknown):
+                self._count("roster.retry.lease")
+                pause_ms = RETRY_MS
+            gevent.sleep(random.uniform(0.8, 1.0) * pause_ms / MS_PER_S)
+
+    def _register(self) -> None:
+        lease_id = self._store.grant_lease(LEASE_TTL_S)
+        key = MEMBER_PREFIX + self._member.member_id
+        value = msgspec.json.encode(self._member)
+        try:
+            self._store.swap(key, value, 0, lease_id)
+        except SwapLost as lost:
+            if lost.current is None:
+                raise StoreRefused("registration") from lost
+            self._store.swap(key, value, lost.current.mod_revision, lease_id)
+        self.lease_id = lease_id
--- /dev/null
+++ b/camphorchute/runs/__init__.py
@@ -0,0 +1,20 @@
+"""Runs of tasks on workers: fenced by the home of their worker group and held by leases."""
+
+from camphorchute.runs.group_home import GroupHome
+from camphorchute.runs.leased_worker import LeasedWorker
+from camphorchute.runs.placement import rank_worker
+from camphorchute.runs.run import Run, RunState, WaitingTask
+from camphorchute.runs.worker_groups import group_count, group_of
+from camphorchute.runs.worker_speed import WorkerSpeed
+
+__all__ = [
+    "GroupHome",
+    "LeasedWorker",
+    "Run",
+    "RunState",
+    "WaitingTask",
+    "WorkerSpeed",
+    "group_count",
+    "group_of",
+    "rank_worker",
+]
--- /dev/null
+++ b/camphorchute/runs/group_home.py
@@ -0,0 +1,376 @@
+"""The home of worker groups: the one process that gives their workers orders."""
+
+import time
+from bisect import insort
+from collections import defaultdict
+from collections.abc import Callable
+
+import gevent
+
+from camphorchute.contracts.member import Member
+from camphorchute.contracts.resources import Resources
+from camphorchute.contracts.run_messages import (
+    GroupRoom,
+    StartTasks,
+    StopTasks,
+    TaskEnd,
+    TaskResult,
+    TasksFinished,
+    WorkerRoom,
+)
+from camphorchute.hosting import EndKind, RunPort, WorkerEntry
+from camphorchute.links import handles
+from camphorchute.runs.leased_worker import LeasedWorker
+from camphorchute.runs.placement import rank_worker
+from camphorchute.runs.run import Run, WaitingTask
+
+__all__ = ["GroupHome"]
+
+SWEEP_MS = 20.0
+FLUSH_MS = 1.0
+MS_PER_S = 1000.0
+
+
+class _Group:
+    """A worker group that this process is the home of."""
+
+    __slots__ = ("name", "service", "fence", "workers")
+
+    def __init__(self, name: str, service: str, fence: int) -> None:
+        self.name = name
+        self.service = service
+        self.fence = fence
+        self.workers: dict[str, LeasedWorker] = {}
+
+
+class GroupHome:
+    """Places the tasks that owners hand to it on the workers of its groups.
+
+    Args:
+        open_worker: opens a port to a worker.
+        tell: sends a message to an owner one way.
+        count: adds to a named counter.
+
+    Attributes:
+        fenced_groups: groups with a worker that obeys a newer home.
+        changed: called when the free room has changed.
+    """
+
+    def __init__(
+        self,
+        open_worker: Callable[[WorkerEntry], RunPort],
+        tell: Callable[[str, TasksFinished], bool],
+        count: Callable[..., None],
+    ) -> None:
+        self.fenced_groups: set[str] = set()
+        self.changed: Callable[[], None] = lambda: None
+        self._open_worker = open_worker
+        self._tell = tell
+        self._count = count
+        self._groups: dict[str, _Group] = {}
+        self._waiting: dict[str, list[WaitingTask]] = defaultdict(list)
+        self._jobs: dict[str, dict[str, WaitingTask]] = defaultdict(dict)
+        self._results: dict[tuple[str, str], list[TaskResult]] = {}
+        self._arrivals = 0
+        self._greenlet: gevent.Greenlet | None = None
+
+    def start(self) -> None:
+        """Hand back what waits too long, from now on."""
+        self._greenlet = gevent.spawn(self._sweep)
+
+    def close(self) -> None:
+        """Give up every group."""
+        for name in list(self._groups):
+            self.drop_group(name)
+        self._flush()
+        if self._greenlet is not None:
+            self._greenlet.kill(block=False)
+
+    def groups(self) -> list[str]:
+        """Return the names of the groups held."""
+        return list(self._groups)
+
+    def take_group(self, name: str, service: str, fence: int) -> None:
+        """Become the home of a group, or go on with a higher fencing token."""
+        self.fenced_groups.discard(name)
+        group = self._groups.get(name)
+        if group is None:
+            self._groups[name] = _Group(name, service, fence)
+            return
+        group.fence = fence
+        for worker in group.workers.values():
+            worker.refresh_fence()
+
+    def drop_group(self, name: str) -> None:
+        """Stop being the home of a group; its tasks go back to their owners."""
+        self.fenced_groups.discard(name)
+        group = self._groups.pop(name, None)
+        if group is None:
+            return
+        for task in self._waiting.pop(name, []):
+            end = TaskEnd.MAY_RUN if task.may_run else TaskEnd.NOT_STARTED
+            self._finish(task, task.next_run - 1, end)
+        for worker in group.workers.values():
+            for run in list(worker.runs.values()):
+                self._finish(run.task, run.number, TaskEnd.MAY_RUN)
+            worker.close()
+        self.changed()
+
+    def set_workers(self, name: str, entries: dict[str, WorkerEntry]) -> None:
+        """Say which workers a group has now."""
+        group = self._groups.get(name)
+        if group is None:
+            return
+        for worker_id, worker in list(group.workers.items()):
+            entry = entries.get(worker_id)
+            if entry is None or not entry.is_same_life(worker.entry):
+                self._drop_worker(group, worker)
+            else:
+                worker.entry = entry
+        for worker_id, entry in entries.items():
+            if worker_id not in group.workers:
+                self._add_worker(group, entry)
+
+    def room(self) -> list[GroupRoom]:
+        """Return the free room of each group."""
+        now_s = time.monotonic()
+        return [self._room_of(group, now_s) for group in self._groups.values()]
+
+    def owner_lost(self, owner_id: str) -> None:
+        """Stop the tasks of an owner that no link leads to any more."""
+        for tasks in list(self._jobs.values()):
+            for task in list(tasks.values()):
+                if task.owner_id == owner_id:
+                    self._count("runs.owner_lost")
+                    self._stop_task(task)
+
+    @handles(StartTasks, prompt=True)
+    def start_tasks(self, peer: Member, message: StartTasks) -> None:
+        """Take in tasks and place those that there is room for."""
+        group = self._groups.get(message.group)
+        now_s = time.monotonic()
+        for order in message.tasks:
+            self._arrivals += 1
+            task = WaitingTask(peer.member_id, message, order, now_s, self._arrivals)
+            if group is None:
+                self._count("runs.not_home")
+                end = TaskEnd.MAY_RUN if order.may_run else TaskEnd.NOT_STARTED
+                self._finish(task, order.run - 1, end)
+            else:
+                self._take_task(group, task)
+        if group is not None:
+            self._place(group)
+
+    @handles(StopTasks, prompt=True)
+    def stop_tasks(self, peer: Member, message: StopTasks) -> None:
+        """Drop the tasks of a job and stop those that run."""
+        for task in list(self._jobs.get(message.job_id, {}).values()):
+            if task.owner_id == peer.member_id:
+                self._stop_task(task)
+
+    def run_ended(self, worker: LeasedWorker, run: Run, kind: EndKind) -> None:
+        """Tell the owner, or run the task again."""
+        task = run.task
+        self._count(f"runs.ended.{kind.name.lower()}")
+        if self._jobs.get(task.message.job_id, {}).get(task.name) is not task:
+            return
+        if kind is EndKind.DONE:
+            self._finish(task, run.number, TaskEnd.DONE)
+        elif task.stopped:
+            self._finish(task, run.number, TaskEnd.NOT_STARTED)
+        elif kind is EndKind.FAILED and task.failures + 1 >= task.message.limits.max_attempts:
+            self._finish(task, run.number, TaskEnd.FAILED)
+        else:
+            task.failures += kind is EndKind.FAILED
+            task.avoid = worker.entry.worker_id
+            task.start_by_s = task.finish_by_s
+            self._wait_again(task)
+
+    def start_refused(self, worker: LeasedWorker, run: Run, reason: str) -> None:
+        """Place a task anew that a worker has not started."""
+        if run.task.stopped:
+            self._finish(run.task, run.number, TaskEnd.NOT_STARTED)
+        elif self._jobs.get(run.task.message.job_id, {}).get(run.task.name) is run.task:
+            self._wait_again(run.task)
+
+    def worker_changed(self, worker: LeasedWorker) -> None:
+        """Use the room that a worker may have."""
+        for group in list(self._groups.values()):
+            if group.workers.get(worker.entry.worker_id) is worker:
+                self._adopt_on(group, worker)
+                self._place(group)
+
+    def fenced(self, worker: LeasedWorker) -> None:
+        """Have the claim of the worker's group checked."""
+        for group in self._groups.values():
+            if group.workers.get(worker.entry.worker_id) is worker:
+                self.fenced_groups.add(group.name)
+
+    def _add_worker(self, group: _Group, entry: WorkerEntry) -> None:
+        port = self._open_worker(entry)
+        worker = LeasedWorker(entry, port, lambda: group.fence, self, self._count)
+        group.workers[entry.worker_id] = worker
+        worker.start()
+
+    def _drop_worker(self, group: _Group, worker: LeasedWorker) -> None:
+        """Forget a worker that is gone; its runs may go on until their leases are over."""
+        del group.workers[worker.entry.worker_id]
+        worker.close()
+        if worker.runs:
+            wait_s = max(0.0, worker.quiet_at_s - time.monotonic())
+            gevent.spawn_later(wait_s, self._end_runs, worker)
+
+    def _end_runs(self, worker: LeasedWorker) -> None:
+        for run in list(worker.runs.values()):
+            del worker.runs[run.task.name]
+            self.run_ended(worker, run, EndKind.LEASE_EXPIRED)
+
+    def _take_task(self, group: _Group, task: WaitingTask) -> None:
+        tasks = self._jobs[task.message.job_id]
+        earlier = tasks.get(task.name)
+        if earlier is not None:
+            self._count("runs.owner_changed")
+            earlier.owner_id = task.owner_id
+            earlier.message = task.message
+            earlier.stopped = False
+            earlier.finish_by_s = task.finish_by_s
+            return
+        tasks[task.name] = task
+        if any(worker.adopt(task) for worker in group.workers.values()):
+            return
+        insort(self._waiting[group.name], task, key=lambda waiting: waiting.order)
+
+    def _adopt_on(self, group: _Group, worker: LeasedWorker) -> None:
+        if not worker.orphans and not worker.orphan_ends:
+            return
+        waiting = self._waiting[group.name]
+        for task in list(waiting):
+            if task.name in worker.orphans or task.name in worker.orphan_ends:
+                waiting.remove(task)
+                worker.adopt(task)
+
+    def _wait_again(self, task: WaitingTask) -> None:
+        group = self._groups.get(task.message.group)
+        if group is None:
+            self._finish(task, task.next_run - 1, TaskEnd.NOT_STARTED)
+            return
+        insort(self._waiting[group.name], task, key=lambda waiting: waiting.order)
+        gevent.spawn(self._place, group)
+
+    def _place(self, group: _Group) -> None:
+        """Start the waiting tasks that there is room for, the most urgent first."""
+        waiting = self._waiting[group.name]
+        now_s = time.monotonic()
+        left: list[WaitingTask] = []
+        full_for: Resources | None = None
+        known = all(worker.synced for worker in group.workers.values())
+        for task in waiting:
+            demand = task.message.demand
+            if (task.may_run and not known) or (full_for and demand.holds(full_for)):
+                left.append(task)
+                continue
+            worker = self._choose(group, task, now_s)
+            if worker is None:
+                full_for = demand if full_for is None or full_for.holds(demand) else full_for
+                left.append(task)
+            else:
+                worker.order_start(task)
+        if len(left) < len(waiting):
+            waiting[:] = left
+            self.changed()
+
+    def _choose(self, group: _Group, task: WaitingTask, now_s: float) -> LeasedWorker | None:
+        able = [worker for worker in group.workers.values() if worker.can_start(task, now_s)]
+        if not able:
+            return None
+        message = task.message
+        return min(
+            able,
+            key=lambda worker: (
+                worker.entry.worker_id == task.avoid,
+                rank_worker(worker.speed.value, message.estimate_ms, message.limits),
+                worker.free.cpu_millicores,
+            ),
+        )
+
+    def _stop_task(self, task: WaitingTask) -> None:
+        task.stopped = True
+        group = self._groups.get(task.message.group)
+        if group is None:
+            return
+        waiting = self._waiting[group.name]
+        if task in waiting:
+            waiting.remove(task)
+            self._finish(task, task.next_run - 1, TaskEnd.NOT_STARTED)
+            return
+        for worker in group.workers.values():
+            run = worker.runs.get(task.name)
+            if run is not None:
+                worker.order_stop(run)
+
+    def _finish(self, task: WaitingTask, run: int, end: TaskEnd) -> None:
+        """Tell the owner of a task's end and forget the task.
+
+        Args:
+            task: the task.
+            run: number of its last run, one below that of its first run if there was none.
+            end: how it ended.
+        """
+        job_id = task.message.job_id
+        tasks = self._jobs.get(job_id)
+        if tasks is not None and tasks.get(task.name) is task:
+            del tasks[task.name]
+            if not tasks:
+                del self._jobs[job_id]
+        if not self._results:
+            gevent.spawn_later(FLUSH_MS / MS_PER_S, self._flush)
+        result = TaskResult(task.message.step, task.index, run, end)
+        self._results.setdefault((task.owner_id, job_id), []).append(result)
+
+    def _flush(self) -> None:
+        results, self._results = self._results, {}
+        for (owner_id, job_id), ended in results.items():
+            if not self._tell(owner_id, TasksFinished(job_id, ended)):
+                self._count("runs.result_undelivered")
+        if results:
+            self.changed()
+
+    def _sweep(self) -> None:
+        while True:
+            gevent.sleep(SWEEP_MS / MS_PER_S)
+            now_s = time.monotonic()
+            for group in list(self._groups.values()):
+                self._hand_back_late(group, now_s)
+                if self._waiting[group.name]:
+                    self._place(group)
+            self._stop_late(now_s)
+
+    def _hand_back_late(self, group: _Group, now_s: float) -> None:
+        waiting = self._waiting[group.name]
+        late = [task for task in waiting if now_s >= min(task.start_by_s, task.finish_by_s)]
+        for task in late:
+            waiting.remove(task)
+            self._count("runs.waited_too_long")
+            self._finish(task, task.next_run - 1, TaskEnd.NOT_STARTED)
+
+    def _stop_late(self, now_s: float) -> None:
+        for tasks in list(self._jobs.values()):
+            for task in list(tasks.values()):
+                if now_s >= task.finish_by_s and not task.stopped:
+                    self._count("runs.past_deadline")
+                    self._stop_task(task)
+
+    def _room_of(self, group: _Group, now_s: float) -> GroupRoom:
+        waiting: dict[int, float] = {}
+        for task in self._waiting[group.name]:
+            message = task.message
+            cores = message.demand.cpu_millicores / 1000
+            priority = message.limits.priority
+            waiting[priority] = waiting.get(priority, 0.0) + cores * message.estimate_ms
+        rooms, capacity = [], Resources(0)
+        for worker in group.workers.values():
+            speed = round(worker.speed.value, 3)
+            rooms.append(WorkerRoom(worker.room(now_s), speed))
+            if worker.synced and not worker.entry.draining:
+                capacity = capacity.plus(worker.entry.capacity)
+        return GroupRoom(group.name, group.service, capacity, waiting, rooms)
--- /dev/null
+++ b/camphorchute/runs/leased_worker.py
@@ -0,0 +1,391 @@
+"""One worker under the home of its group: its leases, runs and free room."""
+
+import time
+from collections.abc import Callable
+from typing import Protocol
+
+import gevent
+from eliot import log_message
+from gevent.event import Event
+
+from camphorchute.contracts.resources import Resources
+from camphorchute.hosting import (
+    EndKind,
+    OrderLost,
+    OrderRefused,
+    RefusedReason,
+    RunEnd,
+    RunListing,
+    RunOrder,
+    RunPort,
+    WorkerEntry,
+)
+from camphorchute.runs.run import Run, RunState, WaitingTask
+from camphorchute.runs.worker_speed import WorkerSpeed
+
+__all__ = ["LeasedWorker", "RunListener"]
+
+LEASE_MS = 1000.0
+LOOK_WAIT_MS = 350.0
+RETRY_PAUSE_MS = 60.0
+NO_ROOM_PAUSE_MS = 40.0
+UNHEALTHY_PAUSE_MS = 500.0
+CLOCK_DRIFT = 0.02
+LEASE_MARGIN_MS = 80.0
+ORPHAN_GRACE_MS = 600.0
+MS_PER_S = 1000.0
+
+
+class RunListener(Protocol):
+    """Hears what becomes of the runs of a worker."""
+
+    def run_ended(self, worker: "LeasedWorker", run: Run, kind: EndKind) -> None:
+        """Take note that a run has ended."""
+
+    def start_refused(self, worker: "LeasedWorker", run: Run, reason: str) -> None:
+        """Take note that a run was not started."""
+
+    def worker_changed(self, worker: "LeasedWorker") -> None:
+        """Take note that a worker may have room or is known now."""
+
+    def fenced(self, worker: "LeasedWorker") -> None:
+        """Take note that the worker obeys a newer home."""
+
+
+class LeasedWorker:
+    """Follows one incarnation of a worker and gives it orders.
+
+    One greenlet renews the leases and takes in the ends; each order has a greenlet of its own.
+    A renewal is sent only while the worker answers, so that :attr:`quiet_at_s` bounds how long
+    anything can go on running after the last answer.
+
+    Args:
+        entry: the worker's entry in service discovery.
+        port: takes its orders.
+        fence: returns the fencing token in force.
+        listener: hears of the ends.
+        count: adds to a named counter.
+
+    Attributes:
+        runs: the runs ordered here that have not ended, by task.
+        orphans: runs of an earlier home that nobody has claimed, by task.
+        orphan_ends: ends of such runs.
+        speed: how fast the worker is.
+        synced: whether it has been asked for its runs under the fence in force.
+    """
+
+    __slots__ = (
+        "entry",
+        "runs",
+        "orphans",
+        "orphan_ends",
+        "speed",
+        "synced",
+        "free",
+        "_port",
+        "_fence",
+        "_listener",
+        "_count",
+        "_acknowledged",
+        "_clock_ms",
+        "_clock_read_s",
+        "_answers",
+        "_paused_until_s",
+        "quiet_at_s",
+        "_failures",
+        "_wanted",
+        "_greenlet",
+        "_closed",
+    )
+
+    def __init__(
+        self,
+        entry: WorkerEntry,
+        port: RunPort,
+        fence: Callable[[], int],
+        listener: RunListener,
+        count: Callable[..., None],
+    ) -> None:
+        self.entry = entry
+        self.runs: dict[str, Run] = {}
+        self.orphans: dict[str, tuple[int, float]] = {}
+        self.orphan_ends: dict[str, RunEnd] = {}
+        self.speed = WorkerSpeed()
+        self.synced = False
+        self.free = entry.capacity
+        self.quiet_at_s = 0.0
+        self._port = port
+        self._fence = fence
+        self._listener = listener
+        self._count = count
+        self._acknowledged = 0
+        self._clock_ms = 0.0
+        self._clock_read_s = 0.0
+        self._answers = False
+        self._paused_until_s = 0.0
+        self._failures = 0
+        self._wanted = Event()
+        self._greenlet: gevent.Greenlet | None = None
+        self._closed = False
+
+    def start(self) -> None:
+        """Follow the worker."""
+        self._greenlet = gevent.spawn(self._follow)
+
+    def close(self) -> None:
+        """Give no more orders; what runs ends with its lease."""
+        self._closed = True
+        self._wanted.set()
+        self._port.close()
+
+    def refresh_fence(self) -> None:
+        """Ask the worker for its runs again, under the fence in force now."""
+        self.synced = False
+        self._wanted.set()
+
+    def can_start(self, task: WaitingTask, now_s: float) -> bool:
+        """Whether the worker takes this task now."""
+        return (
+            self.synced
+            and self._answers
+            and not self._closed
+            and not self.orphans
+            and not self.entry.draining
+            and now_s >= self._paused_until_s
+            and self.free.holds(task.message.demand)
+        )
+
+    def room(self, now_s: float) -> Resources:
+        """Return the free resources that tasks may be placed on."""
+        usable = self.synced and self._answers and not self.orphans and not self.entry.draining
+        return self.free if usable and now_s >= self._paused_until_s else Resources(0)
+
+    def order_start(self, task: WaitingTask) -> None:
+        """Start a run of a task."""
+        run = Run(task, task.next_run, time.monotonic())
+        task.next_run += 1
+        task.started = True
+        self.runs[task.name] = run
+        self.free = self.free.minus(task.message.demand)
+        gevent.spawn(self._start, run)
+
+    def adopt(self, task: WaitingTask) -> bool:
+        """Take over a run of an earlier home; return whether there is one."""
+        end = self.orphan_ends.pop(task.name, None)
+        number, _ = self.orphans.pop(task.name, (0, 0.0))
+        if end is None and not number:
+            return False
+        run = Run(task, end.run if end else number, time.monotonic())
+        run.state = RunState.RUNNING
+        run.acknowledged_s = run.ordered_s
+        task.started = True
+        task.next_run = max(task.next_run, run.number + 1)
+        self._count("runs.adopted")
+        self.free = self.free.minus(task.message.demand)
+        self.runs[task.name] = run
+        if end is not None:
+            self._end(run, end.kind)
+        return True
+
+    def order_stop(self, run: Run) -> None:
+        """Stop a run."""
+        if not run.stopping:
+            run.stopping = True
+            gevent.spawn(self._stop, run.task.name, run.number)
+
+    def _start(self, run: Run) -> None:
+        task = run.task
+        order = RunOrder(task.name, run.number, task.message.payload, task.message.demand)
+        self._extend_quiet()
+        try:
+            clock_ms = self._port.start_run(order, self._fence(), self._lease_until_ms())
+        except OrderRefused as refused:
+            self._refused(run, refused.reason)
+        except OrderLost as lost:
+            self._lost(run, lost)
+        else:
+            self._note_clock(clock_ms)
+            run.state = RunState.RUNNING
+            run.acknowledged_s = time.monotonic()
+            self._wanted.set()
+
+    def _refused(self, run: Run, reason: RefusedReason) -> None:
+        self._count(f"runs.start_refused.{reason.name.lower()}")
+        self._drop(run)
+        pause_ms = NO_ROOM_PAUSE_MS if reason is RefusedReason.NO_ROOM else RETRY_PAUSE_MS
+        if reason is RefusedReason.UNHEALTHY:
+            pause_ms = UNHEALTHY_PAUSE_MS
+        if reason is RefusedReason.OLD_RUN:
+            run.task.next_run += run.number
+        else:
+            self._paused_until_s = time.monotonic() + pause_ms / MS_PER_S
+        if reason is RefusedReason.FENCED:
+            self._listener.fenced(self)
+        self._listener.start_refused(self, run, reason.name.lower())
+
+    def _lost(self, run: Run, lost: OrderLost) -> None:
+        self._count("runs.start_lost" if lost.sent else "runs.start_not_sent")
+        self._suspect(str(lost))
+        if not lost.sent:
+            self._drop(run)
+            self._listener.start_refused(self, run, "not_sent")
+            return
+        run.state = RunState.UNKNOWN
+        self._wanted.set()
+        self.order_stop(run)
+
+    def _stop(self, name: str, number: int) -> None:
+        """Stop a run; a run that was not there yet is barred by the stop and has ended."""
+        try:
+            self._port.stop_run(name, number, self._fence())
+        except OrderRefused as refused:
+            self._count(f"runs.stop_refused.{refused.reason.name.lower()}")
+        except OrderLost as lost:
+            self._count("runs.stop_lost")
+            self._suspect(str(lost))
+        else:
+            run = self.runs.get(name)
+            if run is not None and run.number == number and run.state is RunState.UNKNOWN:
+                run.state = RunState.RUNNING
+                run.acknowledged_s = time.monotonic()
+        self._wanted.set()
+
+    def _follow(self) -> None:
+        while not self._closed:
+            if self.synced and self._answers and not self.runs and not self.orphans:
+                self._wanted.wait()
+            self._wanted.clear()
+            if not self._closed:
+                self._look()
+                self._end_unheard()
+                self._stop_orphans()
+
+    def _look(self) -> None:
+        """Renew the leases and take in what the worker lists."""
+        fence = self._fence()
+        sent_s = time.monotonic()
+        busy = bool(self.runs or self.orphans) and self._answers and self.synced
+        lease_until_ms = self._lease_until_ms() if busy else None
+        if busy:
+            self._extend_quiet()
+        wait_ms = LOOK_WAIT_MS if busy else 0.0
+        try:
+            listing = self._port.renew(fence, self._acknowledged, lease_until_ms, wait_ms)
+        except OrderRefused as refused:
+            self._look_refused(refused.reason)
+        except OrderLost as lost:
+            self._count("runs.look_lost")
+            self._suspect(str(lost))
+            gevent.sleep(RETRY_PAUSE_MS / MS_PER_S)
+        else:
+            self._answers = True
+            self._failures = 0
+            self._note_clock(listing.clock_ms)
+            self._take_in(listing, sent_s)
+            if fence == self._fence() and not self.synced:
+                self.synced = True
+            self._listener.worker_changed(self)
+
+    def _look_refused(self, reason: RefusedReason) -> None:
+        self._count(f"runs.look_refused.{reason.name.lower()}")
+        if reason is RefusedReason.OTHER_INCARNATION:
+            self._end_all()
+            self._closed = True
+            return
+        if reason is RefusedReason.FENCED:
+            self._listener.fenced(self)
+        else:
+            self._suspect(reason.value)
+        gevent.sleep(RETRY_PAUSE_MS / MS_PER_S)
+
+    def _take_in(self, listing: RunListing, sent_s: float) -> None:
+        for end in listing.ended:
+            if end.number <= self._acknowledged:
+                continue
+            self._acknowledged = end.number
+            self._take_end(end)
+        listed = {seen.task: seen.run for seen in listing.running}
+        for name, number in listed.items():
+            known = self.runs.get(name)
+            if known is None and name not in self.orphans:
+                self.orphans[name] = (number, time.monotonic())
+        for name in [name for name in self.orphans if name not in listed]:
+            del self.orphans[name]
+        for name, run in list(self.runs.items()):
+            acknowledged = run.state is RunState.RUNNING and run.acknowledged_s < sent_s
+            if acknowledged and listed.get(name) != run.number:
+                self._count("runs.vanished")
+                self._end(run, EndKind.LEASE_EXPIRED)
+
+    def _take_end(self, end: RunEnd) -> None:
+        run = self.runs.get(end.task)
+        if run is not None and run.number == end.run:
+            self._end(run, end.kind)
+            return
+        self.orphans.pop(end.task, None)
+        if run is None:
+            self.orphan_ends[end.task] = end
+
+    def _end(self, run: Run, kind: EndKind) -> None:
+        if kind is EndKind.DONE:
+            seen_ms = (time.monotonic() - run.ordered_s) * MS_PER_S
+            self.speed.see(run.task.message.estimate_ms, seen_ms)
+        self._drop(run)
+        self._listener.run_ended(self, run, kind)
+
+    def _drop(self, run: Run) -> None:
+        if self.runs.pop(run.task.name, None) is not None:
+            self.free = self.free.plus(run.task.message.demand)
+
+    def _end_all(self) -> None:
+        for run in list(self.runs.values()):
+            self._end(run, EndKind.LEASE_EXPIRED)
+
+    def _end_unheard(self) -> None:
+        """End the runs of a worker that has not answered until every lease was over."""
+        if self._answers or time.monotonic() < self.quiet_at_s:
+            return
+        if self.runs:
+            self._count("runs.lease_over_unheard", len(self.runs))
+            log_message(
+                message_type="runs",
+                text="runs: worker did not answer until its leases were over",
+                worker=self.entry.worker_id,
+                runs=len(self.runs),
+            )
+        self._end_all()
+
+    def _stop_orphans(self) -> None:
+        """Stop runs of an earlier home that no owner has asked for in time."""
+        now_s = time.monotonic()
+        for name, (number, since_s) in list(self.orphans.items()):
+            if (now_s - since_s) * MS_PER_S > ORPHAN_GRACE_MS:
+                self.orphans[name] = (number, now_s)
+                self._count("runs.orphan_stopped")
+                gevent.spawn(self._stop, name, number)
+
+    def _suspect(self, detail: str) -> None:
+        """Place nothing more on the worker until it answers."""
+        if self._answers:
+            self._count("runs.worker_suspected")
+            log_message(
+                message_type="runs",
+                text="runs: worker does not answer",
+                worker=self.entry.worker_id,
+                detail=detail,
+            )
+        self._answers = False
+        self._failures += 1
+        self._wanted.set()
+
+    def _note_clock(self, clock_ms: float) -> None:
+        self._clock_ms = clock_ms
+        self._clock_read_s = time.monotonic()
+
+    def _lease_until_ms(self) -> float:
+        since_ms = (time.monotonic() - self._clock_read_s) * MS_PER_S
+        return self._clock_ms + since_ms + LEASE_MS
+
+    def _extend_quiet(self) -> None:
+        lease_ms = LEASE_MS * (1 + CLOCK_DRIFT) + LEASE_MARGIN_MS
+        self.quiet_at_s = max(self.quiet_at_s, time.monotonic() + lease_ms / MS_PER_S)
--- a/camphorchute/services/distribution.py
+++ b/camphorchute/services/distribution.py
@@ -10,7 +10,7 @@
 from gevent.event import Event
 
 from camphorchute.contracts import Refusal
-from camphorchute.platform import Store, StoredListing, StoredValue, StoreUnavailable
+from camphorchute.hosting import Store, StoredListing, StoredValue, StoreUnavailable
 from camphorchute.services.backoff import Backoff
 from camphorchute.services.catalogue import Catalogue
 from camphorchute.services.record import SERVICES_PREFIX, ServiceRecord, read_record, service_key
--- a/camphorchute/services/planner.py
+++ b/camphorchute/services/planner.py
@@ -6,7 +6,7 @@
 from eliot import log_message
 
 from camphorchute.contracts import Refusal, ResultCode
-from camphorchute.platform import Store, StoreUnavailable, SwapLost, SwapUnknown
+from camphorchute.hosting import Store, StoreUnavailable, SwapLost, SwapUnknown
 from camphorchute.services.answers import Confirmation, ServiceHistory
 from camphorchute.services.catalogue import Catalogue
 from camphorchute.services.definition import ServiceDefinition
--- a/camphorchute/services/saved_plans.py
+++ b/camphorchute/services/saved_plans.py
@@ -4,7 +4,7 @@
 from eliot import log_message
 
 from camphorchute.contracts import Refusal, ResultCode
-from camphorchute.platform import Store, StoredValue, StoreUnavailable, SwapLost, SwapUnknown
+from camphorchute.hosting import Store, StoredValue, StoreUnavailable, SwapLost, SwapUnknown
 from camphorchute.services.plan import Plan, new_plan_id, plan_key
 
 __all__ = ["PLAN_TTL_S", "UNSAVED_MAX_PLANS", "SavedPlans"]
--- a/camphorchute/services/tests/fakes.py
+++ b/camphorchute/services/tests/fakes.py
@@ -6,7 +6,7 @@
 import gevent
 from gevent.event import Event
 
-from camphorchute.platform import (
+from camphorchute.hosting import (
     StoredListing,
     StoredValue,
     StoreRefused,
--- a/camphorchute/zones/membership.py
+++ b/camphorchute/zones/membership.py
@@ -13,7 +13,7 @@
 from camphorchute.contracts.member import Member
 from camphorchute.contracts.messages import AskRecord, Done, Heartbeat, RecordIs
 from camphorchute.links import Link, LinkLost, Peers, handles
-from camphorchute.platform import StoreUnavailable
+from camphorchute.hosting import StoreUnavailable
 from camphorchute.zones.deaths import Deaths
 from camphorchute.zones.record import (
     OwnershipRecord,
--- a/camphorchute/zones/record_store.py
+++ b/camphorchute/zones/record_store.py
@@ -3,7 +3,7 @@
 import time
 from collections.abc import Callable
 
-from camphorchute.platform import Store, StoreUnavailable, SwapLost, SwapUnknown
+from camphorchute.hosting import Store, StoreUnavailable, SwapLost, SwapUnknown
 from camphorchute.zones.record import OwnershipRecord, decode_record, empty_record, encode_record
 from camphorchute.zones.view import ZoneView
 
--- a/camphorchute/zones/tests/fakes.py
+++ b/camphorchute/zones/tests/fakes.py
@@ -6,7 +6,7 @@
 from camphorchute.contracts.member import Member
 from camphorchute.contracts.messages import Done
 from camphorchute.links import LinkLost
-from camphorchute.platform import SwapLost
+from camphorchute.hosting import SwapLost
 from camphorchute.zones.record import empty_record, encode_record, with_members
 
 WINDOW_MS = 600_000
