Hash names as bytes, so that groups find a home

Cause: the claims greenlet died on its first look, since xxhash 4 takes bytes only; every job was refused. Ruled out: the watch and the configuration (the routes were answered 200 and 404). Change: names are encoded first.

--- a/camphorchute/platform/etcd_store.py
+++ b/camphorchute/platform/etcd_store.py
@@ -5,16 +5,6 @@
 
 import msgspec
 
-from camphorchute.platform import etcd_messages as etcd
-from camphorchute.platform.json_client import (
-    CALL_TIMEOUT_MS,
-    CONNECT_TIMEOUT_MS,
-    CONNECTIONS,
-    AnswerLost,
-    JsonClient,
-    NotSent,
-    StatusError,
-)
 from camphorchute.hosting.store import (
     Store,
     StoredListing,
@@ -25,6 +15,16 @@
     SwapUnknown,
     register_store,
 )
+from camphorchute.platform import etcd_messages as etcd
+from camphorchute.platform.json_client import (
+    CALL_TIMEOUT_MS,
+    CONNECT_TIMEOUT_MS,
+    CONNECTIONS,
+    AnswerLost,
+    JsonClient,
+    NotSent,
+    StatusError,
+)
 
 __all__ = ["EtcdStore"]
 
--- a/camphorchute/roster/beats.py
+++ b/camphorchute/roster/beats.py
@@ -94,8 +94,8 @@
         """Open a link to each member that there is none to; the lower id opens first."""
         while True:
             own_id = self._peers.member.member_id
-            for member in list(self._view.members.values()):
-                if member.member_id != own_id and not self._peers.is_linked(member.member_id):
-                    if own_id < member.member_id:
-                        gevent.spawn(self._peers.send, member, MemberBeat(self._version()))
+            later = [m for m in self._view.members.values() if own_id < m.member_id]
+            for member in later:
+                if not self._peers.is_linked(member.member_id):
+                    gevent.spawn(self._peers.send, member, MemberBeat(self._version()))
             gevent.sleep(random.uniform(0.5, 1.0) * CONNECT_MS / MS_PER_S)
--- a/camphorchute/roster/claims.py
+++ b/camphorchute/roster/claims.py
@@ -159,7 +159,7 @@
     def _turn(self, group: str, members: list[Member]) -> int:
         ranked = sorted(
             {member.member_id for member in members} | {self._member.member_id},
-            key=lambda member_id: xxhash.xxh32_intdigest(f"{group} {member_id}"),
+            key=lambda member_id: xxhash.xxh32_intdigest(f"{group} {member_id}".encode()),
         )
         return ranked.index(self._member.member_id)
 
--- a/camphorchute/runs/worker_groups.py
+++ b/camphorchute/runs/worker_groups.py
@@ -28,7 +28,7 @@
         >>> group_of("north", "flags", "w1", 1)
         'north/flags/0'
     """
-    number = xxhash.xxh32_intdigest(worker_id) % count
+    number = xxhash.xxh32_intdigest(worker_id.encode()) % count
     return SEPARATOR.join((zone, service, str(number)))
 
 
--- a/camphorchute/zones/membership.py
+++ b/camphorchute/zones/membership.py
@@ -12,8 +12,8 @@
 from camphorchute.contracts.errors import InvariantBroken, Refusal
 from camphorchute.contracts.member import Member
 from camphorchute.contracts.messages import AskRecord, Done, Heartbeat, RecordIs
-from camphorchute.links import Link, LinkLost, Peers, handles
 from camphorchute.hosting import StoreUnavailable
+from camphorchute.links import Link, LinkLost, Peers, handles
 from camphorchute.zones.deaths import Deaths
 from camphorchute.zones.record import (
     OwnershipRecord,
--- a/camphorchute/zones/tests/fakes.py
+++ b/camphorchute/zones/tests/fakes.py
@@ -5,8 +5,8 @@
 from camphorchute.contracts import Refusal, ResultCode
 from camphorchute.contracts.member import Member
 from camphorchute.contracts.messages import Done
-from camphorchute.links import LinkLost
 from camphorchute.hosting import SwapLost
+from camphorchute.links import LinkLost
 from camphorchute.zones.record import empty_record, encode_record, with_members
 
 WINDOW_MS = 600_000
