Adopt a running task before an end of it, repeat lost stops, survive SIGHUP

Ruled out: late orders (the starts carry deadlines), doubled claims (the fences differ). Change: a run under way goes first, an end counts once every worker has been asked; a stop whose answer was lost is repeated; links are suspected after 750 ms, so that a lost owner's tasks have ended before its callers come again.

--- a/camphorchute/entry/hosted_process.py
+++ b/camphorchute/entry/hosted_process.py
@@ -152,6 +152,12 @@
     process = HostedProcess(settings)
     for number in (signal.SIGTERM, signal.SIGINT):
         gevent.signal_handler(number, process.stopping.set)
+    gevent.signal_handler(signal.SIGHUP, _say_settings_stay)
     process.start()
     process.stopping.wait()
     process.close()
+
+
+def _say_settings_stay() -> None:
+    """Answer SIGHUP: settings are flags and environment variables, which a process keeps."""
+    log_message(message_type="entry", text="entry: SIGHUP; settings stay until the next start")
--- a/camphorchute/roster/beats.py
+++ b/camphorchute/roster/beats.py
@@ -15,7 +15,7 @@
 __all__ = ["Beats"]
 
 BEAT_MS = 250.0
-SUSPECT_MS = 900.0
+SUSPECT_MS = 750.0
 CONNECT_MS = 500.0
 FETCH_TIMEOUT_MS = 500.0
 MS_PER_S = 1000.0
--- a/camphorchute/runs/group_home.py
+++ b/camphorchute/runs/group_home.py
@@ -197,7 +197,7 @@
         """Use the room that a worker may have."""
         for group in list(self._groups.values()):
             if group.workers.get(worker.entry.worker_id) is worker:
-                self._adopt_on(group, worker)
+                self._adopt_waiting(group)
                 self._place(group)
 
     def fenced(self, worker: LeasedWorker) -> None:
@@ -236,18 +236,44 @@
             earlier.finish_by_s = task.finish_by_s
             return
         tasks[task.name] = task
-        if any(worker.adopt(task) for worker in group.workers.values()):
-            return
-        insort(self._waiting[group.name], task, key=lambda waiting: waiting.order)
+        if not self._adopt(group, task):
+            insort(self._waiting[group.name], task, key=lambda waiting: waiting.order)
 
-    def _adopt_on(self, group: _Group, worker: LeasedWorker) -> None:
-        if not worker.orphans and not worker.orphan_ends:
-            return
+    def _adopt(self, group: _Group, task: WaitingTask) -> bool:
+        """Go on with what an earlier home has started of a task; return whether it did.
+
+        A run under way goes before every end: the task may have been started again after an end
+        that its earlier home had not acknowledged yet. An end counts only once every worker of
+        the group has been asked, and only where it is a success.
+        """
+        found = [
+            (worker.orphans[task.name][0], worker)
+            for worker in group.workers.values()
+            if task.name in worker.orphans
+        ]
+        if found:
+            number, worker = max(found, key=lambda row: row[0])
+            worker.adopt(task, number)
+            return True
+        if not task.may_run or not self._is_known(group):
+            return False
+        for worker in group.workers.values():
+            end, _ = worker.orphan_ends.get(task.name, (None, 0.0))
+            if end is not None and end.kind is EndKind.DONE:
+                worker.adopt(task, end.run, end.kind)
+                return True
+        return False
+
+    def _is_known(self, group: _Group) -> bool:
+        """Whether every worker of a group has listed its runs under the fence in force."""
+        return all(worker.synced for worker in group.workers.values())
+
+    def _adopt_waiting(self, group: _Group) -> None:
+        """Look for runs of the tasks whose earlier home was lost."""
         waiting = self._waiting[group.name]
-        for task in list(waiting):
-            if task.name in worker.orphans or task.name in worker.orphan_ends:
+        for task in [task for task in waiting if task.may_run]:
+            if self._adopt(group, task):
                 waiting.remove(task)
-                worker.adopt(task)
 
     def _wait_again(self, task: WaitingTask) -> None:
         group = self._groups.get(task.message.group)
@@ -263,7 +289,7 @@
         now_s = time.monotonic()
         left: list[WaitingTask] = []
         full_for: Resources | None = None
-        known = all(worker.synced for worker in group.workers.values())
+        known = self._is_known(group)
         for task in waiting:
             demand = task.message.demand
             if (task.may_run and not known) or (full_for and demand.holds(full_for)):
--- a/camphorchute/runs/leased_worker.py
+++ b/camphorchute/runs/leased_worker.py
@@ -33,6 +33,7 @@
 CLOCK_DRIFT = 0.02
 LEASE_MARGIN_MS = 80.0
 ORPHAN_GRACE_MS = 600.0
+ORPHAN_END_MS = 10_000.0
 MS_PER_S = 1000.0
 
 
@@ -68,8 +69,8 @@
 
     Attributes:
         runs: the runs ordered here that have not ended, by task.
-        orphans: runs of an earlier home that nobody has claimed, by task.
-        orphan_ends: ends of such runs.
+        orphans: number and time of discovery of runs of an earlier home, by task.
+        orphan_ends: ends of such runs, with the time at which they were listed.
         speed: how fast the worker is.
         synced: whether it has been asked for its runs under the fence in force.
     """
@@ -109,7 +110,7 @@
         self.entry = entry
         self.runs: dict[str, Run] = {}
         self.orphans: dict[str, tuple[int, float]] = {}
-        self.orphan_ends: dict[str, RunEnd] = {}
+        self.orphan_ends: dict[str, tuple[RunEnd, float]] = {}
         self.speed = WorkerSpeed()
         self.synced = False
         self.free = entry.capacity
@@ -169,23 +170,26 @@
         self.free = self.free.minus(task.message.demand)
         gevent.spawn(self._start, run)
 
-    def adopt(self, task: WaitingTask) -> bool:
-        """Take over a run of an earlier home; return whether there is one."""
-        end = self.orphan_ends.pop(task.name, None)
-        number, _ = self.orphans.pop(task.name, (0, 0.0))
-        if end is None and not number:
-            return False
-        run = Run(task, end.run if end else number, time.monotonic())
+    def adopt(self, task: WaitingTask, number: int, end: EndKind | None = None) -> None:
+        """Go on with a run of an earlier home.
+
+        Args:
+            task: the task.
+            number: number of the run.
+            end: how it has ended, None while it is under way.
+        """
+        run = Run(task, number, time.monotonic())
         run.state = RunState.RUNNING
         run.acknowledged_s = run.ordered_s
         task.started = True
-        task.next_run = max(task.next_run, run.number + 1)
+        task.next_run = max(task.next_run, number + 1)
         self._count("runs.adopted")
+        self.orphans.pop(task.name, None)
+        self.orphan_ends.pop(task.name, None)
         self.free = self.free.minus(task.message.demand)
         self.runs[task.name] = run
         if end is not None:
-            self._end(run, end.kind)
-        return True
+            self._end(run, end)
 
     def order_stop(self, run: Run) -> None:
         """Stop a run."""
@@ -259,6 +263,7 @@
                 self._look()
                 self._end_unheard()
                 self._stop_orphans()
+                self._stop_again()
 
     def _look(self) -> None:
         """Renew the leases and take in what the worker lists."""
@@ -324,7 +329,7 @@
             return
         self.orphans.pop(end.task, None)
         if run is None:
-            self.orphan_ends[end.task] = end
+            self.orphan_ends[end.task] = (end, time.monotonic())
 
     def _end(self, run: Run, kind: EndKind) -> None:
         if kind is EndKind.DONE:
@@ -363,6 +368,15 @@
                 self.orphans[name] = (number, now_s)
                 self._count("runs.orphan_stopped")
                 gevent.spawn(self._stop, name, number)
+        for name, (_, since_s) in list(self.orphan_ends.items()):
+            if (now_s - since_s) * MS_PER_S > ORPHAN_END_MS:
+                del self.orphan_ends[name]
+
+    def _stop_again(self) -> None:
+        """Repeat the stops of runs that go on, since an order to stop may have been lost."""
+        for run in self.runs.values():
+            if run.stopping and run.state is RunState.RUNNING:
+                gevent.spawn(self._stop, run.task.name, run.number)
 
     def _suspect(self, detail: str) -> None:
         """Place nothing more on the worker until it answers."""
