Hand groups over at a stop, count unheard workers as unknown, watch by part

Cause: a stopping home kept its tasks while its successor had fenced the workers and stopped the orphans after 600 ms; claims of dead incarnations stood until their leases ended; one watch over everything returned for each worker's beat (13 calls/s a node). Ruled out: a start under an old fence (the run began before the new home reached the worker). Change: a released group is dropped at once and its runs are adopted; a claim is void where its holder is not registered or another registers at its address; unheard workers are kept and block tasks that may run there; three watches, that of the workers gathering 400 ms.

--- a/camphorchute/entry/hosted_process.py
+++ b/camphorchute/entry/hosted_process.py
@@ -19,17 +19,26 @@
 from camphorchute.hosting import make_platform
 from camphorchute.links import Handlers, Peers
 from camphorchute.queues import QueueOwner, RoomView
-from camphorchute.roster import Beats, Claims, MembershipLease, SharedView, StoreFollower
+from camphorchute.roster import (
+    OWN_PREFIX,
+    Beats,
+    Claims,
+    MembershipLease,
+    SharedView,
+    StoreFollower,
+)
 from camphorchute.runs import GroupHome
 
 __all__ = ["HostedProcess", "run"]
 
 MS_PER_S = 1000.0
+WORKER_GATHER_MS = 400.0
 REPORT_MIN_MS = 20.0
 REPORT_MAX_MS = 500.0
-STOP_POLL_MS = 20.0
+NOTICED_SHARE = 0.45
 UNREADY_RETRY_MS = 500
 READY_BODY_BYTES = 1024
+COUNTERS_LOG_S = 60.0
 
 
 class HostedProcess:
@@ -62,7 +71,12 @@
             self._member, sorted(settings.zones), self._handlers, settings.link_address
         )
         self._view = SharedView(self._platform, count)
-        self._follower = StoreFollower(store, self._view, count)
+        platform = self._platform
+        self._followers = [
+            StoreFollower(store, OWN_PREFIX, self._view, count),
+            StoreFollower(store, platform.operator_prefix, self._view, count),
+            StoreFollower(store, platform.worker_prefix, self._view, count, WORKER_GATHER_MS),
+        ]
         self._lease = MembershipLease(store, self._member, count)
         self._home = GroupHome(self._platform.open_worker, self._peers.send_linked, count)
         self._claims = Claims(store, self._view, self._lease, self._member, self._home, count)
@@ -78,9 +92,10 @@
     def start(self) -> None:
         """Start every part and listen."""
         self._peers.start()
-        for part in (self._follower, self._lease, self._home, self._claims, self._beats):
+        for part in (*self._followers, self._lease, self._home, self._claims, self._beats):
             part.start()
         self._greenlets.append(gevent.spawn(self._report_room))
+        self._greenlets.append(gevent.spawn(self._log_counters))
         self._ready_http.start()
         self._http.start()
         log_message(
@@ -91,18 +106,22 @@
         )
 
     def close(self) -> None:
-        """Take no more jobs, let those under way end, hand the groups over, and stop."""
+        """Hand the groups over, take jobs until the balancer has noticed, end those under way."""
         log_message(message_type="entry", text="entry: stopping", jobs=self._owner.open_jobs())
-        until_s = time.monotonic() + self._settings.drain_ms / MS_PER_S
+        started_s = time.monotonic()
+        until_s = started_s + self._settings.drain_ms / MS_PER_S
         self._beats.leaving = True
         self._claims.close()
-        while self._owner.open_jobs() and time.monotonic() < until_s:
-            gevent.sleep(STOP_POLL_MS / MS_PER_S)
-        self._http.close(max(0.0, until_s - time.monotonic()) * MS_PER_S)
+        noticed_s = started_s + NOTICED_SHARE * self._settings.drain_ms / MS_PER_S
+        gevent.sleep(max(0.0, noticed_s - time.monotonic()))
+        ended = self._http.close(max(0.0, until_s - time.monotonic()) * MS_PER_S)
+        if not ended:
+            self._metrics.count("entry.requests_cut")
         self._home.close()
         self._lease.close()
         self._beats.close()
-        self._follower.close()
+        for follower in self._followers:
+            follower.close()
         gevent.killall(self._greenlets, block=False)
         self._peers.close()
         self._ready_http.close(0)
@@ -111,8 +130,17 @@
         log_message(message_type="entry", text="entry: stopped", counters=self.counters())
 
     def counters(self) -> dict[str, int]:
-        """Return every counter of this process."""
-        return dict(sorted(self._metrics.counters.items()))
+        """Return every counter of this process, with the calls to the store by kind."""
+        store = self._platform.store
+        calls = {f"store.calls.{name}": n for name, n in store.calls.items()}
+        failures = {f"store.failed.{name}": n for name, n in store.failures.items()}
+        return dict(sorted({**self._metrics.counters, **calls, **failures}.items()))
+
+    def _log_counters(self) -> None:
+        """Write the counters at intervals, so that the logs alone tell how a process fares."""
+        while True:
+            gevent.sleep(COUNTERS_LOG_S)
+            log_message(message_type="entry", text="entry: counters", counters=self.counters())
 
     def _connect_parts(self, count: object) -> None:
         for part in (self._home, self._beats, self._rooms, self._owner):
--- a/camphorchute/hosting/platform.py
+++ b/camphorchute/hosting/platform.py
@@ -18,12 +18,14 @@
     Attributes:
         store: its key-value store.
         worker_prefix: start of the keys of its service discovery.
+        operator_prefix: start of the keys that operators write.
         queues_key: key of the operators' configuration.
         deadline_header: header that says how long a caller waits, in milliseconds.
     """
 
     store: Store
     worker_prefix: str
+    operator_prefix: str
     queues_key: str
     deadline_header: str
 
--- a/camphorchute/hosting/store.py
+++ b/camphorchute/hosting/store.py
@@ -148,9 +148,13 @@
         """
 
     @abstractmethod
-    def watch(self, prefix: str, from_revision: int, timeout_s: float) -> Iterator[StoredValue]:
+    def watch(
+        self, prefix: str, from_revision: int, timeout_s: float, gather_ms: float = 0.0
+    ) -> Iterator[StoredValue]:
         """Yield every write under a prefix from a revision on, in order.
 
+        Where each delivery is a call, writes of ``gather_ms`` are delivered together.
+
         The iteration ends after ``timeout_s``. A deleted key comes with the value ``None``.
 
         Raises:
--- a/camphorchute/platform/etcd_store.py
+++ b/camphorchute/platform/etcd_store.py
@@ -118,7 +118,9 @@
         request = etcd.LeaseRequest(lease_id=lease_id)
         self._ask("revoke_lease", "/v3/lease/revoke", request, etcd.Message)
 
-    def watch(self, prefix: str, from_revision: int, timeout_s: float) -> Iterator[StoredValue]:
+    def watch(
+        self, prefix: str, from_revision: int, timeout_s: float, gather_ms: float = 0.0
+    ) -> Iterator[StoredValue]:
         """Yield every write under a prefix from a revision on, in order."""
         key = prefix.encode()
         create = etcd.WatchCreate(
--- a/camphorchute/platform/fleet.py
+++ b/camphorchute/platform/fleet.py
@@ -38,6 +38,7 @@
     """
 
     worker_prefix = "servers/"
+    operator_prefix = "op/"
     queues_key = "op/config"
     deadline_header = "Camphorchute-Deadline-Ms"
 
--- a/camphorchute/platform/kv_store.py
+++ b/camphorchute/platform/kv_store.py
@@ -7,6 +7,7 @@
 from collections.abc import Iterator
 from urllib.parse import urlencode
 
+import gevent
 import msgspec
 
 from camphorchute.hosting.store import (
@@ -29,6 +30,7 @@
 WATCH_WAIT_MS = 3000
 WATCH_GRACE_MS = 500.0
 MS_PER_S = 1000
+WATCHES = 4
 OK, NOT_FOUND, GONE, CONDITION_FAILED = 200, 404, 410, 412
 
 
@@ -45,7 +47,7 @@
         self.calls = Counter()
         self.failures = Counter()
         self._channel = HttpChannel(address, 2, CONNECT_TIMEOUT_MS)
-        self._watch_channel = HttpChannel(address, 1, CONNECT_TIMEOUT_MS)
+        self._watch_channel = HttpChannel(address, WATCHES, CONNECT_TIMEOUT_MS)
 
     def start(self) -> None:
         """Make ready for calls; connections are opened as they are needed."""
@@ -118,7 +120,9 @@
         """End a lease; the keys bound to it are deleted."""
         self._send("revoke_lease", "DELETE", f"/kv-lease-end/{lease_id}")
 
-    def watch(self, prefix: str, from_revision: int, timeout_s: float) -> Iterator[StoredValue]:
+    def watch(
+        self, prefix: str, from_revision: int, timeout_s: float, gather_ms: float = 0.0
+    ) -> Iterator[StoredValue]:
         """Yield every write under a prefix from a revision on, in order."""
         end_s = time.monotonic() + timeout_s
         after = from_revision - 1
@@ -128,6 +132,7 @@
             for item in changes.events:
                 yield _stored(item)
             after = changes.store_revision
+            gevent.sleep(gather_ms / MS_PER_S)
 
     def _poll(self, query: str) -> HttpAnswer:
         self.calls["watch"] += 1
--- a/camphorchute/roster/__init__.py
+++ b/camphorchute/roster/__init__.py
@@ -3,7 +3,15 @@
 from camphorchute.roster.beats import Beats
 from camphorchute.roster.claims import Claims
 from camphorchute.roster.membership_lease import MembershipLease
-from camphorchute.roster.shared_view import Claim, SharedView
+from camphorchute.roster.shared_view import OWN_PREFIX, Claim, SharedView
 from camphorchute.roster.store_follower import StoreFollower
 
-__all__ = ["Beats", "Claim", "Claims", "MembershipLease", "SharedView", "StoreFollower"]
+__all__ = [
+    "OWN_PREFIX",
+    "Beats",
+    "Claim",
+    "Claims",
+    "MembershipLease",
+    "SharedView",
+    "StoreFollower",
+]
--- a/camphorchute/roster/claims.py
+++ b/camphorchute/roster/claims.py
@@ -89,11 +89,16 @@
             self._release(group, revision)
 
     def _release(self, group: str, revision: int) -> None:
+        """Give a claim back; without an answer the group is kept until the process ends."""
         try:
             self._store.swap(CLAIM_PREFIX + group, None, revision)
-        except (StoreUnavailable, SwapLost, SwapUnknown) as error:
+        except (StoreUnavailable, SwapUnknown) as error:
             self._count("roster.release_failed")
             log_message(message_type="roster", text=f"roster: claim not released: {error}")
+            return
+        except SwapLost:
+            self._count("roster.release_late")
+        self._give_up(group)
 
     def _follow(self) -> None:
         while True:
@@ -115,7 +120,7 @@
         elif claim is not None and claim.member_id == self._member.member_id:
             self._vacant_since_s.pop(group, None)
             self._take(group, claim.revision)
-        elif claim is None or self._should_move(group, claim):
+        elif claim is None or self._is_void(claim) or self._should_move(group, claim):
             self._claim_in_turn(group, 0 if claim is None else claim.revision)
         else:
             self._vacant_since_s.pop(group, None)
@@ -132,6 +137,10 @@
             if (time.monotonic() - last_s) * MS_PER_S > RECLAIM_MS:
                 self._claim(group, 0 if claim is None else claim.revision)
 
+    def _is_void(self, claim: Claim) -> bool:
+        """Whether the holder of a claim is no longer registered, or replaced at its address."""
+        return claim.member_id not in self._view.members
+
     def _should_move(self, group: str, claim: Claim) -> bool:
         """Whether a group's home stands in another zone although this one has members."""
         holder = self._view.members.get(claim.member_id)
--- a/camphorchute/roster/shared_view.py
+++ b/camphorchute/roster/shared_view.py
@@ -11,10 +11,11 @@
 from camphorchute.hosting import HostingPlatform, QueueTable, StoredValue, WorkerEntry
 from camphorchute.runs import group_count, group_of
 
-__all__ = ["CLAIM_PREFIX", "MEMBER_PREFIX", "Claim", "SharedView"]
+__all__ = ["CLAIM_PREFIX", "MEMBER_PREFIX", "OWN_PREFIX", "Claim", "SharedView"]
 
-MEMBER_PREFIX = "camphorchute/members/"
-CLAIM_PREFIX = "camphorchute/homes/"
+OWN_PREFIX = "camphorchute/"
+MEMBER_PREFIX = OWN_PREFIX + "members/"
+CLAIM_PREFIX = OWN_PREFIX + "homes/"
 GONE_AFTER_MS = 2500.0
 MS_PER_S = 1000.0
 
@@ -58,6 +59,7 @@
         "_platform",
         "_count",
         "_gone_since_s",
+        "_by_address",
     )
 
     def __init__(self, platform: HostingPlatform, count: Callable[..., None]) -> None:
@@ -69,16 +71,17 @@
         self._platform = platform
         self._count = count
         self._gone_since_s: dict[str, float] = {}
+        self._by_address: dict[str, tuple[str, int]] = {}
 
-    def replace(self, values: list[StoredValue]) -> None:
-        """Take in a full listing; what it does not show is gone."""
+    def replace(self, listed_prefix: str, values: list[StoredValue]) -> None:
+        """Take in a full listing of a prefix; what it does not show is gone."""
         keys = {value.key for value in values}
         prefix = self._platform.worker_prefix
         shown = [f"{prefix}{name}" for name in self.workers]
         shown += [f"{MEMBER_PREFIX}{name}" for name in self.members]
         shown += [f"{CLAIM_PREFIX}{name}" for name in self.claims]
         for key in shown:
-            if key not in keys:
+            if key.startswith(listed_prefix) and key not in keys:
                 self.apply(StoredValue(key, None, 0))
         for value in values:
             self.apply(value)
@@ -92,7 +95,7 @@
         elif key.startswith(self._platform.worker_prefix):
             self._apply_worker(key, change.value)
         elif key.startswith(MEMBER_PREFIX):
-            self._apply_member(key.removeprefix(MEMBER_PREFIX), change.value)
+            self._apply_member(key.removeprefix(MEMBER_PREFIX), change)
         elif key.startswith(CLAIM_PREFIX):
             self._apply_claim(key.removeprefix(CLAIM_PREFIX), change)
         self.changed.set()
@@ -142,14 +145,23 @@
         elif worker_id in self.workers:
             self._gone_since_s.setdefault(worker_id, time.monotonic())
 
-    def _apply_member(self, member_id: str, value: bytes | None) -> None:
-        if value is None:
+    def _apply_member(self, member_id: str, change: StoredValue) -> None:
+        """Take in a registration; one at the address of another shows that the older is dead."""
+        if change.value is None:
             self.members.pop(member_id, None)
             return
         try:
-            self.members[member_id] = msgspec.json.decode(value, type=Member)
+            member = msgspec.json.decode(change.value, type=Member)
         except (msgspec.MsgspecError, UnicodeDecodeError):
             self._count("roster.member_malformed")
+            return
+        holder = self._by_address.get(member.link_address)
+        if holder is not None and holder[0] != member_id:
+            if holder[1] > change.mod_revision:
+                return
+            self.members.pop(holder[0], None)
+        self._by_address[member.link_address] = (member_id, change.mod_revision)
+        self.members[member_id] = member
 
     def _apply_claim(self, group: str, change: StoredValue) -> None:
         known = self.claims.get(group)
--- a/camphorchute/roster/store_follower.py
+++ b/camphorchute/roster/store_follower.py
@@ -1,4 +1,4 @@
-"""Keeps the shared view up to date from the platform's store."""
+"""Keeps the shared view up to date from one part of the platform's store."""
 
 import random
 from collections.abc import Callable
@@ -14,25 +14,45 @@
 RETRY_MIN_MS = 100.0
 RETRY_MAX_MS = 800.0
 WATCH_LIFETIME_S = 3600.0
-EVERYTHING = ""
 MS_PER_S = 1000.0
 
 
 class StoreFollower:
-    """Reads everything once, then follows the changes.
+    """Reads all keys under a prefix once, then follows the changes.
 
     Args:
         store: the platform's store.
+        prefix: start of the keys that are followed.
         view: takes in what is read.
         count: adds to a named counter.
+        gather_ms: for how long changes may be gathered before they are delivered together.
     """
 
-    __slots__ = ("_store", "_view", "_count", "_revision", "_greenlet", "_reachable", "_pause_ms")
-
-    def __init__(self, store: Store, view: SharedView, count: Callable[..., None]) -> None:
+    __slots__ = (
+        "_store",
+        "_prefix",
+        "_view",
+        "_count",
+        "_gather_ms",
+        "_revision",
+        "_greenlet",
+        "_reachable",
+        "_pause_ms",
+    )
+
+    def __init__(
+        self,
+        store: Store,
+        prefix: str,
+        view: SharedView,
+        count: Callable[..., None],
+        gather_ms: float = 0.0,
+    ) -> None:
         self._store = store
+        self._prefix = prefix
         self._view = view
         self._count = count
+        self._gather_ms = gather_ms
         self._revision = 0
         self._greenlet: gevent.Greenlet | None = None
         self._reachable = True
@@ -60,13 +80,16 @@
                 self._unreachable(error)
 
     def _read_all(self) -> None:
-        listing = self._store.list(EVERYTHING)
-        self._view.replace(list(listing.values))
+        listing = self._store.list(self._prefix)
+        self._view.replace(self._prefix, list(listing.values))
         self._revision = listing.revision
         self._is_reachable()
 
     def _watch(self) -> None:
-        for change in self._store.watch(EVERYTHING, self._revision + 1, WATCH_LIFETIME_S):
+        changes = self._store.watch(
+            self._prefix, self._revision + 1, WATCH_LIFETIME_S, self._gather_ms
+        )
+        for change in changes:
             self._revision = max(self._revision, change.mod_revision)
             self._view.apply(change)
             self._is_reachable()
@@ -75,7 +98,7 @@
         self._pause_ms = RETRY_MIN_MS
         if not self._reachable:
             self._reachable = True
-            log_message(message_type="roster", text="roster: store answers again")
+            log_message(message_type="roster", text=f"roster: store answers again: {self._prefix}")
 
     def _unreachable(self, error: Exception) -> None:
         self._count("roster.retry.store_unavailable")
--- a/camphorchute/runs/group_home.py
+++ b/camphorchute/runs/group_home.py
@@ -28,6 +28,8 @@
 
 SWEEP_MS = 20.0
 FLUSH_MS = 1.0
+UNSEEN_KEEP_MS = 10_000.0
+LEASES_OVER_MS = 1200.0
 MS_PER_S = 1000.0
 
 
@@ -123,10 +125,12 @@
             return
         for worker_id, worker in list(group.workers.items()):
             entry = entries.get(worker_id)
-            if entry is None or not entry.is_same_life(worker.entry):
+            if entry is not None and entry.is_same_life(worker.entry):
+                worker.see_entry(entry)
+                continue
+            worker.miss_entry()
+            if entry is not None or worker.synced or worker.unlisted_ms() > UNSEEN_KEEP_MS:
                 self._drop_worker(group, worker)
-            else:
-                worker.entry = entry
         for worker_id, entry in entries.items():
             if worker_id not in group.workers:
                 self._add_worker(group, entry)
@@ -255,7 +259,7 @@
             number, worker = max(found, key=lambda row: row[0])
             worker.adopt(task, number)
             return True
-        if not task.may_run or not self._is_known(group):
+        if not task.may_run or not self._is_known(group, task):
             return False
         for worker in group.workers.values():
             end, _ = worker.orphan_ends.get(task.name, (None, 0.0))
@@ -264,9 +268,18 @@
                 return True
         return False
 
-    def _is_known(self, group: _Group) -> bool:
-        """Whether every worker of a group has listed its runs under the fence in force."""
-        return all(worker.synced for worker in group.workers.values())
+    def _is_known(self, group: _Group, task: WaitingTask) -> bool:
+        """Whether no earlier run of a task can be under way on a worker not heard of yet.
+
+        Every worker must have listed its runs under the fence in force. One that service
+        discovery no longer shows may never answer; the home that lost the task has ceased to
+        renew its leases there, so that they are over after a while.
+        """
+        leases_over = time.monotonic() - task.arrived_s > LEASES_OVER_MS / MS_PER_S
+        return all(
+            worker.synced or (leases_over and worker.unlisted_ms() > 0)
+            for worker in group.workers.values()
+        )
 
     def _adopt_waiting(self, group: _Group) -> None:
         """Look for runs of the tasks whose earlier home was lost."""
@@ -289,10 +302,10 @@
         now_s = time.monotonic()
         left: list[WaitingTask] = []
         full_for: Resources | None = None
-        known = self._is_known(group)
         for task in waiting:
             demand = task.message.demand
-            if (task.may_run and not known) or (full_for and demand.holds(full_for)):
+            unknown = task.may_run and not self._is_known(group, task)
+            if unknown or (full_for and demand.holds(full_for)):
                 left.append(task)
                 continue
             worker = self._choose(group, task, now_s)
--- a/camphorchute/runs/leased_worker.py
+++ b/camphorchute/runs/leased_worker.py
@@ -94,6 +94,7 @@
         "_paused_until_s",
         "quiet_at_s",
         "_failures",
+        "_unlisted_since_s",
         "_wanted",
         "_greenlet",
         "_closed",
@@ -125,6 +126,7 @@
         self._answers = False
         self._paused_until_s = 0.0
         self._failures = 0
+        self._unlisted_since_s = 0.0
         self._wanted = Event()
         self._greenlet: gevent.Greenlet | None = None
         self._closed = False
@@ -139,6 +141,22 @@
         self._wanted.set()
         self._port.close()
 
+    def see_entry(self, entry: WorkerEntry) -> None:
+        """Take in a newer entry of the same incarnation."""
+        self.entry = entry
+        self._unlisted_since_s = 0.0
+
+    def unlisted_ms(self) -> float:
+        """Return for how long service discovery has not shown the worker; 0 where it does."""
+        if not self._unlisted_since_s:
+            return 0.0
+        return (time.monotonic() - self._unlisted_since_s) * MS_PER_S
+
+    def miss_entry(self) -> None:
+        """Take note that service discovery does not show the worker any more."""
+        if not self._unlisted_since_s:
+            self._unlisted_since_s = time.monotonic()
+
     def refresh_fence(self) -> None:
         """Ask the worker for its runs again, under the fence in force now."""
         self.synced = False
--- a/camphorchute/runs/run.py
+++ b/camphorchute/runs/run.py
@@ -35,6 +35,7 @@
         next_run: number of its next run.
         failures: runs that ended by a fault.
         may_run: whether an earlier run may be under way on a worker not heard of yet.
+        arrived_s: when it was handed over.
         start_by_s: when it is handed back if it has not started.
         finish_by_s: when nobody waits for it any more.
         stopped: whether its owner has no more use for it.
@@ -51,6 +52,7 @@
         "next_run",
         "failures",
         "may_run",
+        "arrived_s",
         "start_by_s",
         "finish_by_s",
         "stopped",
@@ -69,6 +71,7 @@
         self.next_run = order.run
         self.failures = order.failures
         self.may_run = order.may_run
+        self.arrived_s = now_s
         self.start_by_s = now_s + message.start_within_ms / 1000
         self.finish_by_s = now_s + message.finish_within_ms / 1000
         self.stopped = False
