Check what became of a start without an answer instead of avoiding its worker

Ruled out: processor time (0.11 of a core at most), claims (all groups had a home). Change: after a lost start the worker is asked for its runs: a listed run is kept, another is barred and the task placed anew; three failures in a row make a worker suspect; orders time out after 120 ms, a look waits 200 ms; a job is given up at four times its aim.

--- a/camphorchute/contracts/batch_job.py
+++ b/camphorchute/contracts/batch_job.py
@@ -56,6 +56,10 @@
     stretch: float
     target_latency_ms: float
 
+    def aim_ms(self, work_ms: float) -> float:
+        """Return the aimed time of a job from its submission to its end."""
+        return self.stretch * work_ms + self.target_latency_ms
+
     def slack_ms(self, work_ms: float) -> float:
         """Return how much longer than its work a job may take.
 
--- a/camphorchute/platform/fenced_worker.py
+++ b/camphorchute/platform/fenced_worker.py
@@ -19,8 +19,8 @@
 
 __all__ = ["FencedWorker"]
 
-ORDER_TIMEOUT_MS = 400.0
-CONNECT_TIMEOUT_MS = 400.0
+ORDER_TIMEOUT_MS = 120.0
+CONNECT_TIMEOUT_MS = 150.0
 IDLE_CONNECTIONS = 4
 OK = 200
 EXPECT_HEADER = "Camphorchute-Expect-Instance"
--- a/camphorchute/queues/queue_owner.py
+++ b/camphorchute/queues/queue_owner.py
@@ -27,6 +27,7 @@
 RETRY_MS = 50.0
 REFUSED_AGAIN_MS = 1000.0
 WAIT_SHARE = 0.8
+USEFUL_FACTOR = 4.0
 MS_PER_S = 1000.0
 
 
@@ -129,7 +130,8 @@
 
     def _admit(self, job: BatchJob, queue: Queue, deadline_ms: float) -> JobRun:
         """Return the job with its first tasks handed out, or refuse it."""
-        run = JobRun(job, queue, _finish_by_s(deadline_ms))
+        useful_ms = USEFUL_FACTOR * queue.limits.aim_ms(_chain_ms(job))
+        run = JobRun(job, queue, _finish_by_s(min(deadline_ms, useful_ms)))
         for step in job.steps:
             if not self._rooms.can_ever_run(queue.service, step.demand):
                 self._count("queues.refused.no_worker")
@@ -266,5 +268,14 @@
     return TaskOrder(index, task.run, 0, task.state is TaskState.MAY_RUN)
 
 
+def _chain_ms(job: BatchJob) -> float:
+    """Return the declared time of a job's longest chain of steps."""
+    ends_ms: list[float] = []
+    for step in job.steps:
+        start_ms = max((ends_ms[earlier] for earlier in step.after), default=0.0)
+        ends_ms.append(start_ms + step.estimate_ms)
+    return max(ends_ms)
+
+
 def _finish_by_s(deadline_ms: float) -> float:
     return time.monotonic() + max(0.0, deadline_ms - ANSWER_MARGIN_MS) / MS_PER_S
--- a/camphorchute/runs/leased_worker.py
+++ b/camphorchute/runs/leased_worker.py
@@ -26,8 +26,10 @@
 __all__ = ["LeasedWorker", "RunListener"]
 
 LEASE_MS = 1000.0
-LOOK_WAIT_MS = 350.0
+LOOK_WAIT_MS = 200.0
+RETRY_FIRST_MS = 5.0
 RETRY_PAUSE_MS = 60.0
+SUSPECT_FAILURES = 3
 NO_ROOM_PAUSE_MS = 40.0
 UNHEALTHY_PAUSE_MS = 500.0
 CLOCK_DRIFT = 0.02
@@ -227,6 +229,7 @@
             self._lost(run, lost)
         else:
             self._note_clock(clock_ms)
+            self._failures = 0
             run.state = RunState.RUNNING
             run.acknowledged_s = time.monotonic()
             self._wanted.set()
@@ -246,15 +249,36 @@
         self._listener.start_refused(self, run, reason.name.lower())
 
     def _lost(self, run: Run, lost: OrderLost) -> None:
+        """Find out what became of a start that had no answer."""
         self._count("runs.start_lost" if lost.sent else "runs.start_not_sent")
-        self._suspect(str(lost))
+        self._note_failure(str(lost))
         if not lost.sent:
             self._drop(run)
             self._listener.start_refused(self, run, "not_sent")
             return
         run.state = RunState.UNKNOWN
+        self._resolve(run)
+
+    def _resolve(self, run: Run) -> None:
+        """Keep a run that the worker lists; bar one that it does not, and place the task anew."""
+        if not run.stopping and self._is_listed(run):
+            self._count("runs.start_found_running")
+            run.state = RunState.RUNNING
+            run.acknowledged_s = time.monotonic()
+        elif run.state is RunState.UNKNOWN:
+            run.stopping = True
+            self._stop(run.task.name, run.number)
         self._wanted.set()
-        self.order_stop(run)
+
+    def _is_listed(self, run: Run) -> bool:
+        try:
+            listing = self._port.renew(self._fence(), self._acknowledged, None, 0.0)
+        except (OrderRefused, OrderLost):
+            self._count("runs.check_failed")
+            return False
+        return any(
+            seen.task == run.task.name and seen.run == run.number for seen in listing.running
+        )
 
     def _stop(self, name: str, number: int) -> None:
         """Stop a run; a run that was not there yet is barred by the stop and has ended."""
@@ -264,7 +288,7 @@
             self._count(f"runs.stop_refused.{refused.reason.name.lower()}")
         except OrderLost as lost:
             self._count("runs.stop_lost")
-            self._suspect(str(lost))
+            self._note_failure(str(lost))
         else:
             run = self.runs.get(name)
             if run is not None and run.number == number and run.state is RunState.UNKNOWN:
@@ -299,7 +323,7 @@
         except OrderLost as lost:
             self._count("runs.look_lost")
             self._suspect(str(lost))
-            gevent.sleep(RETRY_PAUSE_MS / MS_PER_S)
+            gevent.sleep(min(RETRY_PAUSE_MS, RETRY_FIRST_MS * self._failures) / MS_PER_S)
         else:
             self._answers = True
             self._failures = 0
@@ -393,9 +417,15 @@
     def _stop_again(self) -> None:
         """Repeat the stops of runs that go on, since an order to stop may have been lost."""
         for run in self.runs.values():
-            if run.stopping and run.state is RunState.RUNNING:
+            if run.stopping and run.state is not RunState.ORDERED:
                 gevent.spawn(self._stop, run.task.name, run.number)
 
+    def _note_failure(self, detail: str) -> None:
+        """Count an order without an answer; several in a row make the worker suspect."""
+        self._failures += 1
+        if self._failures >= SUSPECT_FAILURES:
+            self._suspect(detail)
+
     def _suspect(self, detail: str) -> None:
         """Place nothing more on the worker until it answers."""
         if self._answers:
