--- a/bench/standins/server.py
+++ b/bench/standins/server.py
@@ -17,6 +17,11 @@
     200: "200 OK",
     400: "400 Bad Request",
     404: "404 Not Found",
+    409: "409 Conflict",
+    410: "410 Gone",
+    412: "412 Precondition Failed",
+    421: "421 Misdirected Request",
+    429: "429 Too Many Requests",
     500: "500 Internal Server Error",
     503: "503 Service Unavailable",
 }
--- a/camphorchute/cli/settings.py
+++ b/camphorchute/cli/settings.py
@@ -100,7 +100,7 @@
         >>> try:
         ...     load_settings({"zone": "north", "zones": "south"}, {"CAMPHORCHUTE_WINDOW_S": "x"})
         ... except ExceptionGroup as group:
-        ...     print(group.exceptions[-2], group.exceptions[-1], sep="; ")
+        ...     print(*[f for f in group.exceptions if f.name in ("window_s", "zone")], sep="; ")
         window_s: 'x' is not a whole number; zone: 'north' is not one of south
     """
     values, sources, faults = {}, {}, []
@@ -165,16 +165,6 @@
 
 
 _RULES = (
-    (
-        ("vm_list_url", "platform"),
-        _needed_by_etcd,
-        "is required: --vm-list-url or CAMPHORCHUTE_VM_LIST_URL",
-    ),
-    (
-        ("operator_token", "platform"),
-        _needed_by_etcd,
-        "is required: --operator-token or CAMPHORCHUTE_OPERATOR_TOKEN",
-    ),
     (("zone", "zones"), lambda zone, zones: zone in zones, "'{0}' is not one of {1}"),
     (
         ("heartbeat_ms", "suspect_ms"),
@@ -211,4 +201,14 @@
         _reachable,
         "{0} cannot be reached by others; give an address of the VM",
     ),
+    (
+        ("vm_list_url", "platform"),
+        _needed_by_etcd,
+        "is required: --vm-list-url or CAMPHORCHUTE_VM_LIST_URL",
+    ),
+    (
+        ("operator_token", "platform"),
+        _needed_by_etcd,
+        "is required: --operator-token or CAMPHORCHUTE_OPERATOR_TOKEN",
+    ),
 )
--- a/camphorchute/platform/kv_store.py
+++ b/camphorchute/platform/kv_store.py
@@ -1,7 +1,6 @@
 """The platform's store behind the interface of :class:`camphorchute.hosting.Store`."""
 
 import base64
-import binascii
 import time
 from collections import Counter
 from collections.abc import Iterator
@@ -201,5 +200,5 @@
     """Return the bytes of a value; text that is no base64 gives bytes that decode to nothing."""
     try:
         return base64.b64decode(text, validate=True)
-    except binascii.Error:
+    except ValueError:
         return b""
--- a/camphorchute/queues/queue_owner.py
+++ b/camphorchute/queues/queue_owner.py
@@ -32,7 +32,9 @@
 
 
 class QueueOwner:
-    """Runs best-effort jobs: hands their tasks to homes and waits for the ends.
+    """Runs jobs that need not outlive this process.
+
+    It hands their tasks to homes and waits for the ends.
 
     Args:
         rooms: the free room of the homes.
