--- /dev/null
+++ b/bench/hosted_fleet.py
@@ -0,0 +1,161 @@
+"""Entry processes on the stand-in of a hosted platform, each on a loopback address."""
+
+import base64
+import os
+import signal
+import subprocess
+import sys
+import time
+from concurrent.futures import Future, ThreadPoolExecutor
+from http.client import HTTPException
+from pathlib import Path
+
+import msgspec
+
+from bench.fleet import HTTP_PORT, LINK_PORT, ROOT, call
+from bench.standins.fleet_site import HOST, PREFIX, FleetSite, job_body
+from camphorchute.contracts.member import Member
+from camphorchute.roster.shared_view import CLAIM_PREFIX, MEMBER_PREFIX
+
+__all__ = ["HostedEntry", "HostedFleet"]
+
+READY_PORT = 9400
+START_TIMEOUT_S = 15.0
+DRAIN_MS = 3000
+DEADLINE_MS = 5000
+CALLERS = 16
+
+
+class HostedEntry:
+    """An entry process.
+
+    Attributes:
+        zone: its availability zone.
+        host: loopback address that stands for its VM.
+        process: the process.
+    """
+
+    __slots__ = ("zone", "host", "process")
+
+    def __init__(self, zone: str, host: str) -> None:
+        self.zone = zone
+        self.host = host
+        self.process: subprocess.Popen | None = None
+
+    @property
+    def http_address(self) -> str:
+        """Where callers reach it."""
+        return f"{self.host}:{HTTP_PORT}"
+
+    @property
+    def ready_address(self) -> str:
+        """Where the balancer asks whether it serves."""
+        return f"{self.host}:{READY_PORT}"
+
+
+class HostedFleet:
+    """The stand-ins, and the entry processes that it starts and ends.
+
+    Args:
+        zones: the availability zones.
+        workers: number of workers in each zone.
+        log_dir: folder for logs.
+        base: second part of the loopback addresses, so that runs do not meet.
+        run_ms: how long every run lasts.
+
+    Attributes:
+        site: the stand-ins.
+        entries: the entry processes.
+    """
+
+    def __init__(
+        self, zones: list[str], workers: int, log_dir: Path, base: int, run_ms: float = 40.0
+    ) -> None:
+        self.site = FleetSite(zones, workers, f"127.{base}.0.1", run_ms)
+        self.site.start()
+        self.entries: list[HostedEntry] = []
+        self._zones = zones
+        self._log_dir = log_dir
+        self._base = base
+        self._run_ms = run_ms
+        self._callers = ThreadPoolExecutor(CALLERS)
+
+    def add_entry(self, zone: str, number: int) -> HostedEntry:
+        """Start an entry process."""
+        host = f"127.{self._base}.{self._zones.index(zone) + 1}.{number}"
+        entry = HostedEntry(zone, host)
+        self.entries.append(entry)
+        self.start_entry(entry)
+        return entry
+
+    def start_entry(self, entry: HostedEntry) -> None:
+        """Start the process of an entry."""
+        settings = {
+            "PLATFORM": "fleet",
+            "ZONE": entry.zone,
+            "ZONES": ",".join(self._zones),
+            "HTTP_ADDRESS": entry.http_address,
+            "READY_ADDRESS": entry.ready_address,
+            "LINK_ADDRESS": f"{entry.host}:{LINK_PORT}",
+            "STORE_URL": f"http://{self.site.store.address}",
+            "DRAIN_MS": str(DRAIN_MS),
+        }
+        environment = {f"CAMPHORCHUTE_{name}": value for name, value in settings.items()}
+        with (self._log_dir / f"entry-{entry.host}.log").open("ab") as log:
+            entry.process = subprocess.Popen(
+                [sys.executable, "-m", "camphorchute", "entry"],
+                cwd=ROOT,
+                env={**os.environ, **environment},
+                stdin=subprocess.DEVNULL,
+                stdout=log,
+                stderr=log,
+            )
+
+    def wait_ready(self) -> None:
+        """Wait until every entry process serves a job."""
+        until_s = time.monotonic() + START_TIMEOUT_S
+        for number, entry in enumerate(self.entries):
+            while not self._serves(entry, f"ready{number:04}"):
+                if time.monotonic() > until_s:
+                    raise RuntimeError(f"{entry.host} does not serve; logs in {self._log_dir}")
+                time.sleep(0.05)
+
+    def submit(self, entry: HostedEntry, job_id: str, tasks: int = 1) -> tuple[int, object]:
+        """Submit a job and return status and body; status 0 where no answer came."""
+        headers = {"Host": HOST, "Camphorchute-Deadline-Ms": str(DEADLINE_MS)}
+        body = job_body(tasks, self._run_ms)
+        try:
+            return call(entry.http_address, "POST", PREFIX + job_id, body, headers)
+        except (OSError, HTTPException) as error:
+            return 0, repr(error)
+
+    def submit_later(self, entry: HostedEntry, job_id: str, tasks: int = 1) -> Future:
+        """Submit a job in the background."""
+        return self._callers.submit(self.submit, entry, job_id, tasks)
+
+    def is_ready(self, entry: HostedEntry) -> bool:
+        """Whether an entry process tells the balancer that it serves."""
+        return call(entry.ready_address, "GET", "/ready")[0] == 200
+
+    def home_of(self, zone: str) -> HostedEntry:
+        """Return the entry process that is the home of a zone's workers."""
+        items = self.site.store.items
+        claim = next(key for key in items if key.startswith(CLAIM_PREFIX + zone))
+        member_id = base64.b64decode(items[claim]["value"]).decode()
+        value = base64.b64decode(items[MEMBER_PREFIX + member_id]["value"])
+        member = msgspec.json.decode(value, type=Member)
+        host = member.link_address.partition(":")[0]
+        return next(entry for entry in self.entries if entry.host == host)
+
+    def close(self) -> None:
+        """End every process."""
+        for entry in self.entries:
+            if entry.process.poll() is None:
+                entry.process.send_signal(signal.SIGCONT)
+                entry.process.kill()
+            entry.process.wait()
+        self._callers.shutdown()
+        self.site.close()
+
+    def _serves(self, entry: HostedEntry, job_id: str) -> bool:
+        return self.submit(entry, job_id)[0] == 200
--- a/bench/standins/fleet_worker.py
+++ b/bench/standins/fleet_worker.py
@@ -72,6 +72,7 @@
     Attributes:
         record: every run that was started.
         fence: the highest fencing token seen.
+        zone: its availability zone.
     """
 
     faults_type = FleetWorkerFaults
@@ -92,7 +93,7 @@
         self.born = round(time.time() * MS_PER_S)
         self._store = store
         self._worker_id = worker_id
-        self._zone = zone
+        self.zone = zone
         self._service = service
         self._run_ms = run_ms
         self._slots = slots
@@ -126,7 +127,7 @@
         entry = {
             "service": self._service,
             "address": self.address,
-            "zone": self._zone,
+            "zone": self.zone,
             "version": "v1",
             "slots": self._slots,
             "state": state,
--- a/camphorchute/contracts/batch_job.py
+++ b/camphorchute/contracts/batch_job.py
@@ -32,13 +32,11 @@
         job_id: the caller's name of it.
         payload: opaque text that each of its tasks is started with.
         steps: its steps, each after those that it waits for.
-        kept: whether the job has to outlive this process once it is acknowledged.
     """
 
     job_id: str
     payload: str
     steps: tuple[BatchStep, ...]
-    kept: bool = False
 
 
 class QueueLimits(msgspec.Struct, frozen=True):
--- a/camphorchute/contracts/codes.py
+++ b/camphorchute/contracts/codes.py
@@ -46,6 +46,7 @@
     NO_SUCH_PAGE = 113
     METHOD_NOT_ALLOWED = 114
     REQUEST_TIMEOUT = 115
+    NOT_OFFERED = 116
 
     OVERLOADED = 201
     DEADLINE_UNREACHABLE = 202
@@ -165,6 +166,14 @@
     (_C.NO_SUCH_PAGE, 404, Fate.NONE, False, "There is no such page.", _CORRECT),
     (_C.METHOD_NOT_ALLOWED, 405, Fate.NONE, False, "The page has no such method.", _CORRECT),
     (_C.REQUEST_TIMEOUT, 408, _UNKNOWN, True, "The request came too slowly.", _SEND_AGAIN),
+    (
+        _C.NOT_OFFERED,
+        503,
+        _NOT_RUN,
+        False,
+        "The job asks for something that this version does not offer.",
+        "Submit it without, or elsewhere.",
+    ),
     (_C.OVERLOADED, 503, _NOT_RUN, True, "The queue is full.", _SEND_AGAIN),
     (
         _C.DEADLINE_UNREACHABLE,
--- a/camphorchute/entry/queue_pages.py
+++ b/camphorchute/entry/queue_pages.py
@@ -5,7 +5,7 @@
 from camphorchute.contracts import Refusal, ResultCode
 from camphorchute.entry.http_server import Request, route
 from camphorchute.entry.problem import JSON_TYPE, Response, json_response
-from camphorchute.hosting import HostingPlatform, Queue
+from camphorchute.hosting import HostingPlatform, NotOffered, Queue
 from camphorchute.queues import JobOutcome, QueueOwner
 from camphorchute.roster import SharedView
 
@@ -51,9 +51,8 @@
             job = self._platform.decode_job(job_id, request.body)
         except ValueError as error:
             raise Refusal(ResultCode.MALFORMED_BODY, str(error)) from error
-        if job.kept:
-            self._count("queues.refused.kept_job")
-            raise Refusal(ResultCode.NOT_READY, "jobs that must be kept are not offered yet")
+        except NotOffered as error:
+            raise Refusal(ResultCode.NOT_OFFERED, str(error)) from error
         watch = request.watch_caller()
         watch.start()
         try:
--- a/camphorchute/hosting/__init__.py
+++ b/camphorchute/hosting/__init__.py
@@ -2,6 +2,7 @@
 
 from camphorchute.hosting.platform import (
     HostingPlatform,
+    NotOffered,
     make_platform,
     register_platform,
 )
@@ -33,6 +34,7 @@
 __all__ = [
     "EndKind",
     "HostingPlatform",
+    "NotOffered",
     "OrderLost",
     "OrderRefused",
     "Queue",
--- a/camphorchute/hosting/platform.py
+++ b/camphorchute/hosting/platform.py
@@ -9,7 +9,11 @@
 from camphorchute.hosting.store import Store
 from camphorchute.hosting.worker_entry import WorkerEntry
 
-__all__ = ["HostingPlatform", "make_platform", "register_platform"]
+__all__ = ["HostingPlatform", "NotOffered", "make_platform", "register_platform"]
+
+
+class NotOffered(Exception):  # noqa: N818
+    """A job is well formed and asks for something that the program does not offer."""
 
 
 class HostingPlatform(ABC):
@@ -43,7 +47,12 @@
 
     @abstractmethod
     def decode_job(self, job_id: str, body: bytes) -> BatchJob:
-        """Return the job in a caller's request or raise `ValueError`."""
+        """Return the job in a caller's request.
+
+        Raises:
+            ValueError: the body is not well formed.
+            NotOffered: the job asks for something that the program does not offer.
+        """
 
     @abstractmethod
     def encode_job_state(self, state: str) -> bytes:
--- a/camphorchute/platform/fleet.py
+++ b/camphorchute/platform/fleet.py
@@ -6,7 +6,7 @@
 
 from camphorchute.contracts.batch_job import MAX_TASKS, BatchJob, BatchStep, QueueLimits
 from camphorchute.contracts.resources import Resources
-from camphorchute.hosting.platform import HostingPlatform, register_platform
+from camphorchute.hosting.platform import HostingPlatform, NotOffered, register_platform
 from camphorchute.hosting.queue_table import Queue, QueueTable
 from camphorchute.hosting.run_port import RunPort
 from camphorchute.hosting.worker_entry import WorkerEntry
@@ -89,7 +89,7 @@
             raise ValueError(str(error)) from error
         _check_job(job)
         steps = tuple(_step(step) for step in job.steps)
-        return BatchJob(job_id, job.spec, steps, not job.best_effort)
+        return BatchJob(job_id, job.spec, steps)
 
     def encode_job_state(self, state: str) -> bytes:
         """Return the body with a job's state."""
@@ -122,6 +122,8 @@
             raise ValueError(f"step {number}: after {step.after} names no earlier step")
         asked = [name for name in NOT_OFFERED if getattr(step, name)]
         if asked:
-            raise ValueError(f"step {number}: {', '.join(asked)} is not offered")
+            raise NotOffered(f"step {number}: {', '.join(asked)}")
     if job.repeat_count:
-        raise ValueError("scheduled jobs are not offered")
+        raise NotOffered("scheduled jobs")
+    if not job.best_effort:
+        raise NotOffered("jobs that must be kept")
--- a/camphorchute/platform/tests/test_fleet.py
+++ b/camphorchute/platform/tests/test_fleet.py
@@ -7,7 +7,7 @@
 
 import camphorchute
 from camphorchute.contracts.resources import Resources
-from camphorchute.hosting import make_platform
+from camphorchute.hosting import NotOffered, make_platform
 
 ENTRY = {
     "service": "flags",
@@ -23,6 +23,7 @@
     "seq": 4,
 }
 STEP = {"count": 4, "cpu": 500, "mem-mb": 256, "estimate-ms": 900}
+JOB = {"spec": "s", "steps": [STEP], "best-effort": True}
 ROUTE = {"name": "r", "host": "h", "prefix": "/p/", "service": "flags"}
 WIRE_NAMES = (
     "run-start",
@@ -100,10 +101,8 @@
 def test_job_is_translated(platform):
     body = encoded({"spec": "s", "steps": [STEP, STEP | {"after": [0]}], "best-effort": True})
     job = platform.decode_job("j", body)
-    assert not job.kept
     assert job.steps[1].after == (0,)
     assert job.steps[0].demand == Resources(500, 256)
-    assert platform.decode_job("j", encoded({"spec": "s", "steps": [STEP]})).kept
 
 
 @pytest.mark.parametrize(
@@ -114,16 +113,28 @@
         ({"steps": [STEP | {"count": 10**9}]}, "count 1000000000"),
         ({"steps": [STEP | {"cpu": -1}]}, "negative"),
         ({"steps": [STEP | {"after": [0]}]}, "after"),
-        ({"steps": [STEP | {"gang": True}]}, "gang"),
-        ({"steps": [STEP | {"long-running": True}]}, "long_running"),
-        ({"repeat-count": 3}, "scheduled"),
         ({"spec": 7}, "spec"),
         ({"steps": 7}, "steps"),
     ],
 )
-def test_job_that_is_not_offered_is_named(platform, fields, named):
+def test_malformed_job_names_its_fault(platform, fields, named):
     with pytest.raises(ValueError, match=named):
-        platform.decode_job("j", encoded({"spec": "s", "steps": [STEP], **fields}))
+        platform.decode_job("j", encoded(JOB, **fields))
+
+
+@pytest.mark.parametrize(
+    ("fields", "named"),
+    [
+        ({"steps": [STEP | {"gang": True}]}, "gang"),
+        ({"steps": [STEP | {"requires": "b", "speculative": True}]}, "requires, speculative"),
+        ({"steps": [STEP, STEP | {"long-running": True}]}, "step 1: long_running"),
+        ({"repeat-count": 3}, "scheduled"),
+        ({"best-effort": False}, "kept"),
+    ],
+)
+def test_job_that_is_not_offered_is_refused_by_name(platform, fields, named):
+    with pytest.raises(NotOffered, match=named):
+        platform.decode_job("j", encoded(JOB, **fields))
 
 
 @given(value=st.binary(max_size=200))
@@ -133,7 +144,7 @@
     for decode in (platform.decode_queues, lambda body: platform.decode_job("j", body)):
         try:
             decode(value)
-        except ValueError:
+        except (ValueError, NotOffered):
             continue
 
 
