Name the worker of a task that changes homes; let the standing home claim first

Found with it: after an outage that ended the leases a group changed hands, and a job was refused. Ruled out: fences (the older home's start came before the next home reached the worker). Change: a home that gives up a group names the worker of each run, and the next home waits until that worker has listed its runs, or until its leases are over; a member that still reports a group claims it before others; a job waits 60 ms where no home is known.

--- a/camphorchute/contracts/run_messages.py
+++ b/camphorchute/contracts/run_messages.py
@@ -41,12 +41,14 @@
         run: number that its next run has at least.
         failures: runs of it that ended by a fault so far.
         may_run: whether an earlier run may still be under way in the group.
+        worker_id: the worker of that run, empty where it is not known.
     """
 
     index: int
     run: int
     failures: int = 0
     may_run: bool = False
+    worker_id: str = ""
 
 
 class StartTasks(msgspec.Struct, tag="start_tasks"):
@@ -93,12 +95,14 @@
         index: number of the task.
         run: number of its last run; one below that of its first run if there was none.
         end: how it ended.
+        worker_id: the worker that it may still run on, empty where there is none.
     """
 
     step: int
     index: int
     run: int
     end: TaskEnd
+    worker_id: str = ""
 
 
 class TasksFinished(msgspec.Struct, tag="tasks_finished"):
--- a/camphorchute/entry/hosted_process.py
+++ b/camphorchute/entry/hosted_process.py
@@ -79,9 +79,17 @@
         ]
         self._lease = MembershipLease(store, self._member, count)
         self._home = GroupHome(self._platform.open_worker, self._peers.send_linked, count)
-        self._claims = Claims(store, self._view, self._lease, self._member, self._home, count)
-        self._beats = Beats(self._peers, self._view, count)
         self._rooms = RoomView()
+        self._claims = Claims(
+            store,
+            self._view,
+            self._lease,
+            self._member,
+            self._home,
+            lambda group: self._rooms.home_of(group) is not None,
+            count,
+        )
+        self._beats = Beats(self._peers, self._view, count)
         self._owner = QueueOwner(self._rooms, self._peers, count)
         self._http = HttpServer(settings.http_address, settings.body_max_bytes, count)
         self._ready_http = HttpServer(settings.ready_address, READY_BODY_BYTES, count)
--- a/camphorchute/queues/job_run.py
+++ b/camphorchute/queues/job_run.py
@@ -36,15 +36,17 @@
         group: the worker group that it was handed to.
         home_id: the home that it was handed to.
         run: number that its next run has at least.
+        worker_id: the worker that it may still run on, empty where it is not known.
     """
 
-    __slots__ = ("state", "group", "home_id", "run")
+    __slots__ = ("state", "group", "home_id", "run", "worker_id")
 
     def __init__(self) -> None:
         self.state = TaskState.WAITING
         self.group = ""
         self.home_id = ""
         self.run = 1
+        self.worker_id = ""
 
 
 class JobRun:
--- a/camphorchute/queues/queue_owner.py
+++ b/camphorchute/queues/queue_owner.py
@@ -28,6 +28,7 @@
 REFUSED_AGAIN_MS = 1000.0
 WAIT_SHARE = 0.8
 USEFUL_FACTOR = 4.0
+HANDOVER_MS = 60.0
 MS_PER_S = 1000.0
 
 
@@ -100,6 +101,7 @@
                     if task.state is TaskState.HANDED and task.home_id == member_id:
                         self._count("queues.home_lost")
                         task.state = TaskState.MAY_RUN
+                        task.worker_id = ""
                         run.changed.set()
 
     @handles(TasksFinished, prompt=True)
@@ -126,18 +128,21 @@
             self._end(run, JobOutcome.FAILED)
         elif result.end is TaskEnd.MAY_RUN:
             task.state = TaskState.MAY_RUN
+            task.worker_id = result.worker_id
         else:
             task.state = TaskState.WAITING
+            task.worker_id = ""
             run.refused = True
 
     def _admit(self, job: BatchJob, queue: Queue, deadline_ms: float) -> JobRun:
         """Return the job with its first tasks handed out, or refuse it."""
         useful_ms = USEFUL_FACTOR * queue.limits.aim_ms(_chain_ms(job))
         run = JobRun(job, queue, _finish_by_s(min(deadline_ms, useful_ms)))
-        for step in job.steps:
-            if not self._rooms.can_ever_run(queue.service, step.demand):
-                self._count("queues.refused.no_worker")
-                raise Refusal(ResultCode.NO_WORKER, f"service {queue.service}", REFUSED_AGAIN_MS)
+        if not self._can_ever_run(job, queue.service):
+            gevent.sleep(HANDOVER_MS / MS_PER_S)
+        if not self._can_ever_run(job, queue.service):
+            self._count("queues.refused.no_worker")
+            raise Refusal(ResultCode.NO_WORKER, f"service {queue.service}", REFUSED_AGAIN_MS)
         first = job.steps[0]
         plan = self._rooms.plan(queue.service, first, first.tasks, queue.limits)
         slack_ms = queue.limits.slack_ms(first.estimate_ms)
@@ -147,6 +152,9 @@
         self._hand_out(run, first_round=True)
         return run
 
+    def _can_ever_run(self, job: BatchJob, service: str) -> bool:
+        return all(self._rooms.can_ever_run(service, step.demand) for step in job.steps)
+
     def _drive(self, run: JobRun) -> None:
         """Hand out tasks as they become ready, until the job has ended."""
         while run.outcome is None:
@@ -267,7 +275,7 @@
 
 
 def _order(index: int, task: TaskProgress) -> TaskOrder:
-    return TaskOrder(index, task.run, 0, task.state is TaskState.MAY_RUN)
+    return TaskOrder(index, task.run, 0, task.state is TaskState.MAY_RUN, task.worker_id)
 
 
 def _chain_ms(job: BatchJob) -> float:
--- a/camphorchute/queues/room_view.py
+++ b/camphorchute/queues/room_view.py
@@ -69,9 +69,11 @@
                 del self._groups[group]
 
     def home_of(self, group: str) -> Member | None:
-        """Return the home of a group, None where none is known."""
+        """Return the home of a group, None where none was heard of lately."""
         heard = self._groups.get(group)
-        return heard.member if heard else None
+        if heard is None or heard.heard_s < _oldest_s():
+            return None
+        return heard.member
 
     def can_ever_run(self, service: str, demand: Resources) -> bool:
         """Whether the service has a group whose workers together hold a task."""
@@ -101,7 +103,7 @@
                 self._take_from(heard.room, step, tasks, limits)
 
     def _of(self, service: str) -> list[_Heard]:
-        oldest_s = time.monotonic() - STALE_MS / MS_PER_S
+        oldest_s = _oldest_s()
         return [
             heard
             for heard in self._groups.values()
@@ -160,6 +162,11 @@
             waiting[limits.priority] = waiting.get(limits.priority, 0.0) + core_ms
 
 
+def _oldest_s() -> float:
+    """Return the time before which a report is too old to go by."""
+    return time.monotonic() - STALE_MS / MS_PER_S
+
+
 def _backlog_core_ms(room: GroupRoom, priority: int) -> float:
     return sum(ms for other, ms in room.waiting_core_ms.items() if other <= priority)
 
--- a/camphorchute/roster/claims.py
+++ b/camphorchute/roster/claims.py
@@ -20,6 +20,7 @@
 TURN_STEP_MS = 200.0
 OTHER_ZONE_DELAY_MS = 1500.0
 RECLAIM_MS = 500.0
+SERVED_DELAY_MS = 2500.0
 MS_PER_S = 1000.0
 
 
@@ -35,6 +36,7 @@
         lease: the lease of this process.
         member: this process.
         home: gives orders to the workers of the groups held.
+        is_served: whether another member says that it is the home of a group right now.
         count: adds to a named counter.
 
     Attributes:
@@ -48,6 +50,7 @@
         "_lease",
         "_member",
         "_home",
+        "_is_served",
         "_count",
         "_held",
         "_vacant_since_s",
@@ -62,6 +65,7 @@
         lease: MembershipLease,
         member: Member,
         home: GroupHome,
+        is_served: Callable[[str], bool],
         count: Callable[..., None],
     ) -> None:
         self.leaving = False
@@ -70,6 +74,7 @@
         self._lease = lease
         self._member = member
         self._home = home
+        self._is_served = is_served
         self._count = count
         self._held: dict[str, int] = {}
         self._vacant_since_s: dict[str, float] = {}
@@ -148,10 +153,17 @@
         return holder is not None and holder.zone != zone and self._member.zone == zone
 
     def _claim_in_turn(self, group: str, revision: int) -> None:
-        """Claim a vacant group when it is this process's turn among the members."""
+        """Claim a vacant group when it is this process's turn among the members.
+
+        A member that still serves the group has lost only its claim, for example in an outage
+        of the store, and goes first.
+        """
         now_s = time.monotonic()
         since_s = self._vacant_since_s.setdefault(group, now_s)
-        if (now_s - since_s) * MS_PER_S < self._delay_ms(group):
+        delay_ms = self._delay_ms(group)
+        if self._is_served(group):
+            delay_ms += SERVED_DELAY_MS
+        if (now_s - since_s) * MS_PER_S < delay_ms:
             return
         last_s = self._claimed_s.get(group, 0.0)
         if (now_s - last_s) * MS_PER_S > RECLAIM_MS:
--- a/camphorchute/roster/tests/test_claims.py
+++ b/camphorchute/roster/tests/test_claims.py
@@ -49,9 +49,16 @@
         self.counts = {}
         self.view = SharedView(platform, self.count)
         self.home = FakeHome()
+        self.is_served = False
         self.lease = MembershipLease(platform.store, self.member, self.count)
         self.claims = Claims(
-            platform.store, self.view, self.lease, self.member, self.home, self.count
+            platform.store,
+            self.view,
+            self.lease,
+            self.member,
+            self.home,
+            lambda group: self.is_served,
+            self.count,
         )
         self.parts = [
             StoreFollower(platform.store, OWN_PREFIX, self.view, self.count),
@@ -154,6 +161,20 @@
     assert until(lambda: GROUP in node.view.claims)
 
 
+def test_member_that_still_serves_a_group_claims_it_first(nodes, site):
+    """After an outage that ended the leases, a group had changed hands and refused jobs."""
+    members = [nodes(number) for number in range(3)]
+    assert until(lambda: one_holder(members))
+    holder = next(node for node in members if node.holds())
+    for node in members:
+        node.is_served = node is not holder
+    for _ in range(4):
+        claimed = holder.home.held[GROUP]
+        site.store.end_leases()
+        assert until(lambda claimed=claimed: holder.home.held.get(GROUP, 0) > claimed)
+        assert [node for node in members if node.holds()] == [holder]
+
+
 def test_fenced_group_is_claimed_anew_while_the_claim_is_ours(nodes):
     node = nodes(1)
     assert until(node.holds)
--- a/camphorchute/runs/group_home.py
+++ b/camphorchute/runs/group_home.py
@@ -111,10 +111,11 @@
             return
         for task in self._waiting.pop(name, []):
             end = TaskEnd.MAY_RUN if task.may_run else TaskEnd.NOT_STARTED
-            self._finish(task, task.next_run - 1, end)
+            self._finish(task, task.next_run - 1, end, task.worker_id)
         for worker in group.workers.values():
             for run in list(worker.runs.values()):
-                self._finish(run.task, run.number, TaskEnd.MAY_RUN)
+                worker_id = worker.entry.worker_id
+                self._finish(run.task, run.number, TaskEnd.MAY_RUN, worker_id)
             worker.close()
         self.changed()
 
@@ -271,15 +272,17 @@
     def _is_known(self, group: _Group, task: WaitingTask) -> bool:
         """Whether no earlier run of a task can be under way on a worker not heard of yet.
 
-        Every worker must have listed its runs under the fence in force. One that service
-        discovery no longer shows may never answer; the home that lost the task has ceased to
-        renew its leases there, so that they are over after a while.
+        Where the earlier home has named the worker, that one must have listed its runs under the
+        fence in force. Else every worker must have done so, and the leases must be over on those
+        that this home does not know: the earlier home has ceased to renew them, as it has lost
+        the task's owner or the group.
         """
-        leases_over = time.monotonic() - task.arrived_s > LEASES_OVER_MS / MS_PER_S
-        return all(
-            worker.synced or (leases_over and worker.unlisted_ms() > 0)
-            for worker in group.workers.values()
-        )
+        worker = group.workers.get(task.worker_id)
+        if worker is not None:
+            return worker.synced
+        if time.monotonic() - task.arrived_s < LEASES_OVER_MS / MS_PER_S:
+            return False
+        return all(worker.synced or worker.unlisted_ms() > 0 for worker in group.workers.values())
 
     def _adopt_waiting(self, group: _Group) -> None:
         """Look for runs of the tasks whose earlier home was lost."""
@@ -347,13 +350,14 @@
             if run is not None:
                 worker.order_stop(run)
 
-    def _finish(self, task: WaitingTask, run: int, end: TaskEnd) -> None:
+    def _finish(self, task: WaitingTask, run: int, end: TaskEnd, worker_id: str = "") -> None:
         """Tell the owner of a task's end and forget the task.
 
         Args:
             task: the task.
             run: number of its last run, one below that of its first run if there was none.
             end: how it ended.
+            worker_id: the worker that it may still run on.
         """
         job_id = task.message.job_id
         tasks = self._jobs.get(job_id)
@@ -363,7 +367,7 @@
                 del self._jobs[job_id]
         if not self._results:
             gevent.spawn_later(FLUSH_MS / MS_PER_S, self._flush)
-        result = TaskResult(task.message.step, task.index, run, end)
+        result = TaskResult(task.message.step, task.index, run, end, worker_id)
         self._results.setdefault((task.owner_id, job_id), []).append(result)
 
     def _flush(self) -> None:
--- a/camphorchute/runs/run.py
+++ b/camphorchute/runs/run.py
@@ -35,6 +35,7 @@
         next_run: number of its next run.
         failures: runs that ended by a fault.
         may_run: whether an earlier run may be under way on a worker not heard of yet.
+        worker_id: the worker of that run, empty where it is not known.
         arrived_s: when it was handed over.
         start_by_s: when it is handed back if it has not started.
         finish_by_s: when nobody waits for it any more.
@@ -52,6 +53,7 @@
         "next_run",
         "failures",
         "may_run",
+        "worker_id",
         "arrived_s",
         "start_by_s",
         "finish_by_s",
@@ -71,6 +73,7 @@
         self.next_run = order.run
         self.failures = order.failures
         self.may_run = order.may_run
+        self.worker_id = order.worker_id
         self.arrived_s = now_s
         self.start_by_s = now_s + message.start_within_ms / 1000
         self.finish_by_s = now_s + message.finish_within_ms / 1000
--- a/camphorchute/runs/tests/home_site.py
+++ b/camphorchute/runs/tests/home_site.py
@@ -9,7 +9,7 @@
 from camphorchute.contracts.batch_job import QueueLimits
 from camphorchute.contracts.member import Member
 from camphorchute.contracts.resources import Resources
-from camphorchute.contracts.run_messages import StartTasks, StopTasks, TaskOrder
+from camphorchute.contracts.run_messages import StartTasks, StopTasks, TaskEnd, TaskOrder
 from camphorchute.hosting import make_platform
 from camphorchute.runs import GroupHome
 
@@ -31,7 +31,7 @@
     return True
 
 
-def start_message(tasks=1, run=1, may_run=False, within_ms=2000.0, finish_ms=4000.0):
+def start_message(tasks=1, run=1, may_run=False, within_ms=2000.0, finish_ms=4000.0, on=""):
     """Return a hand-over of tasks of one job."""
     return StartTasks(
         GROUP,
@@ -44,7 +44,7 @@
         QueueLimits(0, 3, 1.6, 60.0),
         within_ms,
         finish_ms,
-        [TaskOrder(index, run, 0, may_run) for index in range(tasks)],
+        [TaskOrder(index, run, 0, may_run, on) for index in range(tasks)],
     )
 
 
@@ -89,6 +89,16 @@
         """Have a home stop the job."""
         home.stop_tasks(OWNER, StopTasks(JOB))
 
+    def hand_on(self, home):
+        """Hand the tasks that an earlier home gave up to another home."""
+        for result in self.results:
+            may_run = result.end is TaskEnd.MAY_RUN
+            message = start_message(run=result.run + 1, may_run=may_run)
+            message.tasks[0].index = result.index
+            message.tasks[0].worker_id = result.worker_id
+            home.start_tasks(OWNER, message)
+        self.results.clear()
+
     def running(self):
         """Return the runs under way at the workers."""
         return [run for worker in self.site.workers for run in worker.record if not run.ended_s]
--- a/camphorchute/runs/tests/test_group_home.py
+++ b/camphorchute/runs/tests/test_group_home.py
@@ -103,9 +103,8 @@
     first.drop_group(GROUP)
     assert until(lambda: len(site.results) == 3)
     assert set(site.ends().values()) == {TaskEnd.MAY_RUN}
-    site.results.clear()
     second = site.add_home(9)
-    site.hand(second, tasks=3, run=2, may_run=True)
+    site.hand_on(second)
     assert until(lambda: len(site.results) == 3)
     assert set(site.ends().values()) == {TaskEnd.DONE}
     assert len(site.site.starts()) == 3
@@ -151,6 +150,28 @@
     assert len(site.site.starts()) == 1
 
 
+@pytest.mark.parametrize("named", [True, False])
+def test_worker_that_the_next_home_never_knew_blocks_its_tasks(sites, named):
+    """A cut worker had left service discovery before the next home claimed its group."""
+    site = sites(run_ms=900.0)
+    first = site.add_home(7)
+    site.hand(first, tasks=1)
+    assert until(lambda: len(site.running()) == 1)
+    busy_id = next(worker for worker in site.site.workers if worker.record)._worker_id
+    first.drop_group(GROUP)
+    assert until(lambda: site.results)
+    assert site.results[0].worker_id == busy_id
+    second = site.add_home(9)
+    second.drop_group(GROUP)
+    second.take_group(GROUP, "flags", 9)
+    second.set_workers(GROUP, {k: v for k, v in site.entries().items() if k != busy_id})
+    site.results.clear()
+    on = busy_id if named else ""
+    site.hand(second, tasks=1, run=2, may_run=True, on=on)
+    assert until(lambda: site.ends() == {0: TaskEnd.DONE})
+    assert site.site.overlaps() == []
+
+
 def test_stop_without_an_answer_is_repeated(sites):
     site = sites(workers=1, run_ms=3000.0)
     home = site.add_home(7)
