Start a part's loop again when it fails, with a counter and the traceback

Cause: an error in a loop (seen once: the hash of a name) ended its greenlet and left a process without claims. Change: spawn_loop runs each part's loop, counts <part>.loop_failed, logs the traceback and starts it again. Measured: its test, the tests of the parts and of real processes pass.

--- a/camphorchute/entry/hosted_process.py
+++ b/camphorchute/entry/hosted_process.py
@@ -18,6 +18,7 @@
 from camphorchute.entry.queue_pages import QueuePages, ReadyPage
 from camphorchute.hosting import make_platform
 from camphorchute.links import Handlers, Peers
+from camphorchute.loops import spawn_loop
 from camphorchute.queues import QueueOwner, RoomView
 from camphorchute.roster import (
     OWN_PREFIX,
@@ -100,11 +101,12 @@
 
     def start(self) -> None:
         """Start every part and listen."""
+        count = self._metrics.count
         self._peers.start()
         for part in (*self._followers, self._lease, self._home, self._claims, self._beats):
             part.start()
-        self._greenlets.append(gevent.spawn(self._report_room))
-        self._greenlets.append(gevent.spawn(self._log_counters))
+        self._greenlets.append(spawn_loop("entry", self._report_room, count))
+        self._greenlets.append(spawn_loop("entry", self._log_counters, count))
         self._ready_http.start()
         self._http.start()
         log_message(
--- a/camphorchute/roster/beats.py
+++ b/camphorchute/roster/beats.py
@@ -10,6 +10,7 @@
 from camphorchute.contracts.member import Member
 from camphorchute.contracts.run_messages import FetchQueues, MemberBeat, QueuesAre
 from camphorchute.links import Link, LinkLost, Peers, handles
+from camphorchute.loops import spawn_loop
 from camphorchute.roster.shared_view import SharedView
 
 __all__ = ["Beats"]
@@ -48,7 +49,10 @@
 
     def start(self) -> None:
         """Start to beat."""
-        self._greenlets = [gevent.spawn(self._beat), gevent.spawn(self._connect)]
+        self._greenlets = [
+            spawn_loop("roster", self._beat, self._count),
+            spawn_loop("roster", self._connect, self._count),
+        ]
 
     def close(self) -> None:
         """Stop."""
--- a/camphorchute/roster/claims.py
+++ b/camphorchute/roster/claims.py
@@ -9,6 +9,7 @@
 
 from camphorchute.contracts.member import Member
 from camphorchute.hosting import Store, StoreUnavailable, SwapLost, SwapUnknown
+from camphorchute.loops import spawn_loop
 from camphorchute.roster.membership_lease import MembershipLease
 from camphorchute.roster.shared_view import CLAIM_PREFIX, Claim, SharedView
 from camphorchute.runs import GroupHome
@@ -83,7 +84,7 @@
 
     def start(self) -> None:
         """Claim and follow."""
-        self._greenlet = gevent.spawn(self._follow)
+        self._greenlet = spawn_loop("roster", self._follow, self._count)
 
     def close(self) -> None:
         """Give up the claims held, so that others can claim the groups at once."""
--- a/camphorchute/roster/membership_lease.py
+++ b/camphorchute/roster/membership_lease.py
@@ -9,6 +9,7 @@
 
 from camphorchute.contracts.member import Member
 from camphorchute.hosting import Store, StoreRefused, StoreUnavailable, SwapLost, SwapUnknown
+from camphorchute.loops import spawn_loop
 from camphorchute.roster.shared_view import MEMBER_PREFIX
 
 __all__ = ["MembershipLease"]
@@ -42,7 +43,7 @@
 
     def start(self) -> None:
         """Register and keep registered."""
-        self._greenlet = gevent.spawn(self._keep)
+        self._greenlet = spawn_loop("roster", self._keep, self._count)
 
     def close(self) -> None:
         """End the lease, so that others need not wait until it expires."""
--- a/camphorchute/roster/store_follower.py
+++ b/camphorchute/roster/store_follower.py
@@ -7,6 +7,7 @@
 from eliot import log_message
 
 from camphorchute.hosting import Store, StoreRefused, StoreUnavailable
+from camphorchute.loops import spawn_loop
 from camphorchute.roster.shared_view import SharedView
 
 __all__ = ["StoreFollower"]
@@ -60,7 +61,7 @@
 
     def start(self) -> None:
         """Follow the store."""
-        self._greenlet = gevent.spawn(self._follow)
+        self._greenlet = spawn_loop("roster", self._follow, self._count)
 
     def close(self) -> None:
         """Stop following."""
--- a/camphorchute/runs/group_home.py
+++ b/camphorchute/runs/group_home.py
@@ -20,6 +20,7 @@
 )
 from camphorchute.hosting import EndKind, RunPort, WorkerEntry
 from camphorchute.links import handles
+from camphorchute.loops import spawn_loop
 from camphorchute.runs.leased_worker import LeasedWorker
 from camphorchute.runs.placement import rank_worker
 from camphorchute.runs.run import Run, WaitingTask
@@ -78,7 +79,7 @@
 
     def start(self) -> None:
         """Hand back what waits too long, from now on."""
-        self._greenlet = gevent.spawn(self._sweep)
+        self._greenlet = spawn_loop("runs", self._sweep, self._count)
 
     def close(self) -> None:
         """Give up every group."""
--- a/camphorchute/runs/leased_worker.py
+++ b/camphorchute/runs/leased_worker.py
@@ -20,6 +20,7 @@
     RunPort,
     WorkerEntry,
 )
+from camphorchute.loops import spawn_loop
 from camphorchute.runs.run import Run, RunState, WaitingTask
 from camphorchute.runs.worker_speed import WorkerSpeed
 
@@ -135,7 +136,7 @@
 
     def start(self) -> None:
         """Follow the worker."""
-        self._greenlet = gevent.spawn(self._follow)
+        self._greenlet = spawn_loop("runs", self._follow, self._count)
 
     def close(self) -> None:
         """Give no more orders; what runs ends with its lease."""
