--- a/bench/tests/test_hosted_fleet.py
+++ b/bench/tests/test_hosted_fleet.py
@@ -2,6 +2,7 @@
 
 import signal
 import time
+from urllib.request import urlopen
 
 import pytest
 
@@ -170,3 +171,19 @@
     fleet.entries[0].process.send_signal(signal.SIGHUP)
     time.sleep(0.3)
     assert fleet.submit(fleet.entries[0], "hup")[0] == 200
+
+
+def test_job_that_is_refused_can_be_traced_in_log_and_counters(fleets, tmp_path):
+    fleet = fleets(entries=1, workers=1, run_ms=300.0)
+    entry = fleet.entries[0]
+    sent = [fleet.submit_later(entry, f"burst{number}", 4) for number in range(6)]
+    assert 503 in {future.result()[0] for future in sent}
+    host, _, port = entry.ready_address.partition(":")
+    with urlopen(f"http://{host}:{port}/metrics", timeout=5) as reply:
+        counters = dict(line.split() for line in reply.read().decode().splitlines())
+    assert int(counters["queues.refused.overloaded"]) >= 1
+    assert any(name.startswith("queues.job_ms.under_") for name in counters)
+    log = (tmp_path / f"entry-{entry.host}.log").read_text()
+    refused = [line for line in log.splitlines() if "burst" in line and "wait" in line]
+    assert refused
+    assert all("wait_ms" in line or "waited_ms" in line for line in refused)
--- a/camphorchute/entry/hosted_process.py
+++ b/camphorchute/entry/hosted_process.py
@@ -160,7 +160,7 @@
         self._peers.lost = self._peer_lost
         pages = QueuePages(self._platform, self._view, self._owner, self._refuse_not_serving, count)
         self._http.add(pages)
-        self._ready_http.add(ReadyPage(self._is_ready))
+        self._ready_http.add(ReadyPage(self._is_ready, self.counters))
 
     def _peer_lost(self, peer: Member) -> None:
         self._home.owner_lost(peer.member_id)
--- a/camphorchute/entry/queue_pages.py
+++ b/camphorchute/entry/queue_pages.py
@@ -102,14 +102,24 @@
 
 
 class ReadyPage:
-    """Whether the balancer may send requests here.
+    """Whether the balancer may send requests here, and the counters.
 
     Args:
         is_ready: whether this process serves.
+        counters: returns every counter by its name.
     """
 
-    def __init__(self, is_ready: Callable[[], bool]) -> None:
+    def __init__(
+        self, is_ready: Callable[[], bool], counters: Callable[[], dict[str, int]]
+    ) -> None:
         self._is_ready = is_ready
+        self._counters = counters
+
+    @route("GET", "/metrics")
+    def metrics(self, request: Request) -> Response:
+        """Tell the counters, a line each."""
+        lines = [f"{name} {value}\n" for name, value in self._counters().items()]
+        return Response(200, "".join(lines).encode(), [("Content-Type", "text/plain")])
 
     @route("GET", "/ready")
     def ready(self, request: Request) -> Response:
--- a/camphorchute/queues/job_run.py
+++ b/camphorchute/queues/job_run.py
@@ -1,5 +1,7 @@
 """A job under way at the process that answers for it."""
 
+import time
+from collections import Counter
 from enum import Enum
 
 from gevent.event import Event
@@ -55,6 +57,7 @@
     Attributes:
         job: the job.
         queue: the queue that it came in by.
+        started_s: when it came in.
         finish_by_s: when nobody waits for it any more.
         steps: progress of the tasks of each step.
         outcome: how it ended, None while it is under way.
@@ -67,6 +70,7 @@
     __slots__ = (
         "job",
         "queue",
+        "started_s",
         "finish_by_s",
         "steps",
         "outcome",
@@ -80,6 +84,7 @@
     def __init__(self, job: BatchJob, queue: Queue, finish_by_s: float) -> None:
         self.job = job
         self.queue = queue
+        self.started_s = time.monotonic()
         self.finish_by_s = finish_by_s
         self.steps = [[TaskProgress() for _ in range(step.tasks)] for step in job.steps]
         self.outcome: JobOutcome | None = None
@@ -101,6 +106,10 @@
         """Whether every task is done."""
         return all(self.is_step_done(number) for number in range(len(self.steps)))
 
+    def states(self) -> dict[str, int]:
+        """Return the number of tasks in each state."""
+        return dict(Counter(task.state.name.lower() for step in self.steps for task in step))
+
     def open_homes(self) -> set[str]:
         """Return the homes that hold tasks of it."""
         return {
--- a/camphorchute/queues/queue_owner.py
+++ b/camphorchute/queues/queue_owner.py
@@ -16,6 +16,7 @@
     TaskResult,
     TasksFinished,
 )
+from camphorchute.decision_log import log_decision
 from camphorchute.hosting import Queue
 from camphorchute.links import Peers, handles
 from camphorchute.queues.job_run import JobOutcome, JobRun, TaskProgress, TaskState
@@ -100,6 +101,13 @@
                 for task in step:
                     if task.state is TaskState.HANDED and task.home_id == member_id:
                         self._count("queues.home_lost")
+                        log_decision(
+                            "queues",
+                            "task held by a lost home",
+                            job=run.job.job_id,
+                            group=task.group,
+                            home=member_id,
+                        )
                         task.state = TaskState.MAY_RUN
                         task.worker_id = ""
                         run.changed.set()
@@ -142,11 +150,23 @@
             gevent.sleep(HANDOVER_MS / MS_PER_S)
         if not self._can_ever_run(job, queue.service):
             self._count("queues.refused.no_worker")
+            log_decision("queues", "refused, no worker", job=job.job_id, service=queue.service)
             raise Refusal(ResultCode.NO_WORKER, f"service {queue.service}", REFUSED_AGAIN_MS)
         first = job.steps[0]
         plan = self._rooms.plan(queue.service, first, first.tasks, queue.limits)
         slack_ms = queue.limits.slack_ms(first.estimate_ms)
         if plan.wait_ms > WAIT_SHARE * slack_ms:
+            log_decision(
+                "queues",
+                "refused, too long a wait",
+                job=job.job_id,
+                queue=queue.name,
+                wait_ms=round(plan.wait_ms),
+                slack_ms=round(slack_ms),
+                tasks=first.tasks,
+                without_room=plan.without_room,
+                room_age_ms=self._rooms.age_ms(queue.service),
+            )
             raise self._overloaded(f"{plan.wait_ms:.0f} ms to wait", plan.wait_ms)
         self._jobs[job.job_id] = run
         self._hand_out(run, first_round=True)
@@ -261,6 +281,19 @@
             return
         run.outcome = outcome
         self._count(f"queues.ended.{outcome.name.lower()}")
+        took_ms = (time.monotonic() - run.started_s) * MS_PER_S
+        self._count(f"queues.job_ms.under_{1 << max(0, int(took_ms)).bit_length()}")
+        if outcome is not JobOutcome.DONE:
+            log_decision(
+                "queues",
+                "job not done",
+                job=run.job.job_id,
+                queue=run.queue.name,
+                outcome=outcome.value,
+                took_ms=round(took_ms),
+                tasks=run.states(),
+                waiters=run.waiters,
+            )
         if self._jobs.get(run.job.job_id) is run:
             del self._jobs[run.job.job_id]
         if outcome is not JobOutcome.DONE:
--- a/camphorchute/queues/room_view.py
+++ b/camphorchute/queues/room_view.py
@@ -75,6 +75,12 @@
             return None
         return heard.member
 
+    def age_ms(self, service: str) -> int:
+        """Return the age of the oldest report that placement goes by, -1 without any."""
+        now_s = time.monotonic()
+        ages_ms = [(now_s - heard.heard_s) * MS_PER_S for heard in self._of(service)]
+        return round(max(ages_ms, default=-1))
+
     def can_ever_run(self, service: str, demand: Resources) -> bool:
         """Whether the service has a group whose workers together hold a task."""
         return any(heard.room.capacity.holds(demand) for heard in self._of(service))
--- a/camphorchute/runs/group_home.py
+++ b/camphorchute/runs/group_home.py
@@ -18,6 +18,7 @@
     TasksFinished,
     WorkerRoom,
 )
+from camphorchute.decision_log import log_decision
 from camphorchute.hosting import EndKind, RunPort, WorkerEntry
 from camphorchute.links import handles
 from camphorchute.loops import spawn_loop
@@ -178,6 +179,17 @@
         """Tell the owner, or run the task again."""
         task = run.task
         self._count(f"runs.ended.{kind.name.lower()}")
+        if kind is not EndKind.DONE:
+            log_decision(
+                "runs",
+                "run not done",
+                task=task.name,
+                run=run.number,
+                worker=worker.entry.worker_id,
+                how=kind.value,
+                failures=task.failures,
+                ordered_stop=run.stopping,
+            )
         if self._jobs.get(task.message.job_id, {}).get(task.name) is not task:
             return
         if kind is EndKind.DONE:
@@ -395,6 +407,14 @@
         for task in late:
             waiting.remove(task)
             self._count("runs.waited_too_long")
+            log_decision(
+                "runs",
+                "task waited too long",
+                task=task.name,
+                group=group.name,
+                waited_ms=round((now_s - task.arrived_s) * MS_PER_S),
+                waiting=len(waiting),
+            )
             self._finish(task, task.next_run - 1, TaskEnd.NOT_STARTED)
 
     def _stop_late(self, now_s: float) -> None:
