--- a/bench/hosted_fleet.py
+++ b/bench/hosted_fleet.py
@@ -71,7 +71,7 @@
     def __init__(
         self, zones: list[str], workers: int, log_dir: Path, base: int, run_ms: float = 40.0
     ) -> None:
-        self.site = FleetSite(zones, workers, f"127.{base}.0.1", run_ms)
+        self.site = FleetSite(zones, workers, f"127.{base}.0.1:0", run_ms)
         self.site.start()
         self.entries: list[HostedEntry] = []
         self._zones = zones
--- a/bench/standins/command.py
+++ b/bench/standins/command.py
@@ -5,6 +5,7 @@
 
 import click
 
+from bench.standins.fleet_site import HOST, PREFIX, FleetSite
 from bench.standins.platform import Platform
 from bench.standins.server import Standin, wait_forever
 from bench.standins.upstream import Upstream
@@ -82,6 +83,19 @@
     )
 
 
+@main.command()
+@click.option("--address", required=True, help="IP:PORT of the store; workers take free ports.")
+@click.option("--zone", "zones", multiple=True, default=("north",), help="May be repeated.")
+@click.option("--workers", default=2, show_default=True, help="Workers in each zone.")
+@click.option("--run-ms", default=40.0, show_default=True, help="How long every run lasts.")
+def fleet(address: str, zones: Sequence[str], workers: int, run_ms: float) -> None:
+    """Run a hosted platform: the store, its workers and one queue."""
+    site = FleetSite(list(zones), workers, address, run_ms)
+    site.start()
+    click.echo(f"listening {site.store.address}; queue at host {HOST}, path {PREFIX}")
+    wait_forever()
+
+
 def run(standins: Sequence[Standin]) -> None:
     """Serve until the process is ended."""
     for standin in standins:
--- a/bench/standins/fleet_site.py
+++ b/bench/standins/fleet_site.py
@@ -19,7 +19,8 @@
     Args:
         zones: the availability zones.
         workers: number of workers in each zone.
-        host: IP to listen on; ports are taken as they are free.
+        store_address: ``IP:port`` of the store; port 0 and those of the workers are taken as
+            they are free.
         run_ms: how long every run lasts.
 
     Attributes:
@@ -28,9 +29,14 @@
     """
 
     def __init__(
-        self, zones: list[str], workers: int, host: str = "127.0.0.1", run_ms: float = 40.0
+        self,
+        zones: list[str],
+        workers: int,
+        store_address: str = "127.0.0.1:0",
+        run_ms: float = 40.0,
     ) -> None:
-        self.store = FleetStore(f"{host}:0")
+        host = store_address.rpartition(":")[0]
+        self.store = FleetStore(store_address)
         self.store.start()
         self.workers = [
             FleetWorker(f"{host}:0", self.store, f"{zone}-w{n}", zone, SERVICE, run_ms)
