--- a/camphorchute/roster/tests/test_shared_view.py
+++ b/camphorchute/roster/tests/test_shared_view.py
@@ -4,10 +4,10 @@
 import msgspec
 import pytest
 
-import camphorchute.platform  # noqa: F401 - fills the registry of platforms
 from bench.standins.fleet_site import PREFIX, FleetSite
 from camphorchute.contracts.member import Member
 from camphorchute.hosting import StoredValue, make_platform
+from camphorchute.platform import FleetPlatform
 from camphorchute.roster import SharedView, shared_view
 from camphorchute.roster.shared_view import CLAIM_PREFIX, MEMBER_PREFIX
 
@@ -18,7 +18,8 @@
     "state": "ready",
     "capacity": {"cpu": 16_000},
 }
-KEY = "servers/w1"
+KEY = FleetPlatform.worker_prefix + "w1"
+QUEUES_KEY = FleetPlatform.queues_key
 
 
 @pytest.fixture
@@ -45,14 +46,14 @@
 )
 def test_configuration_never_goes_back(view, versions, in_force):
     for version in versions:
-        put(view, "op/config", configuration(version))
+        put(view, QUEUES_KEY, configuration(version))
     assert (view.queues.version if view.queues else None) == in_force
 
 
 def test_configuration_that_cannot_be_read_changes_nothing(view):
-    put(view, "op/config", configuration(3))
-    put(view, "op/config", b"\xff")
-    put(view, "op/config", None)
+    put(view, QUEUES_KEY, configuration(3))
+    put(view, QUEUES_KEY, b"\xff")
+    put(view, QUEUES_KEY, None)
     assert view.queues.version == 3
     assert view.queues.find("h", PREFIX) is not None
 
@@ -110,7 +111,7 @@
 def test_groups_follow_zone_and_service(view):
     for number in range(30):
         entry = ENTRY | {"zone": "north" if number % 2 else "south"}
-        put(view, f"servers/w{number}", json.dumps(entry).encode())
+        put(view, f"{FleetPlatform.worker_prefix}w{number}", json.dumps(entry).encode())
     groups = view.groups()
     assert sum(len(workers) for workers in groups.values()) == 30
     assert {name.split("/")[0] for name in groups} == {"north", "south"}
