Let members follow eight groups, open links as needed, hand back what a full home cannot place

Cause: on the grown sites (42 processes, 24 groups) every process reported its room to every other within a message budget, so a view was 100 to 150 ms old while a task runs 60 ms; half of the starts waited 105 ms at homes that were full already. Processes without groups reported too, each report was encoded once for every link, and beats went over a full mesh.

Ruled out: more reports (processor time grows with the square of the fleet), larger groups (a home on 0.387 of a core cannot carry twice the starts).

Change: a member follows at most eight groups, half of them in its zone, by a rule that every process computes alike; homes report to followers only, encoded once. Tasks that the view has room for carry the wish to be handed back at once when there is none; the owner then tries elsewhere, at most three times. Beats keep a ring of neighbours; other links close after 10 s without use. Members that follow a vacant group claim it first, as the others cannot tell whether it is served.

--- a/camphorchute/contracts/run_messages.py
+++ b/camphorchute/contracts/run_messages.py
@@ -31,6 +31,7 @@
     FAILED = 1
     NOT_STARTED = 2
     MAY_RUN = 3
+    NO_ROOM = 4
 
 
 class TaskOrder(msgspec.Struct, array_like=True):
@@ -66,6 +67,7 @@
         start_within_ms: time after which a task that waits is handed back.
         finish_within_ms: time after which nobody waits for the job any more.
         tasks: the tasks.
+        hand_back_full: whether a task that there is no room for now is handed back at once.
     """
 
     group: str
@@ -79,6 +81,7 @@
     start_within_ms: float
     finish_within_ms: float
     tasks: list[TaskOrder]
+    hand_back_full: bool = False
 
 
 class StopTasks(msgspec.Struct, tag="stop_tasks"):
@@ -143,7 +146,7 @@
 
 
 class RoomReport(msgspec.Struct, tag="room_report"):
-    """A home tells its free room, one way, when it has changed and at intervals."""
+    """A home tells its free room to those who follow its groups, one way."""
 
     groups: list[GroupRoom]
 
@@ -153,11 +156,9 @@
 
     Attributes:
         queues_version: version of the queues that the sender has in force.
-        leaving: whether the sender is about to stop.
     """
 
     queues_version: int
-    leaving: bool = False
 
 
 class FetchQueues(msgspec.Struct, tag="fetch_queues"):
--- a/camphorchute/entry/hosted_process.py
+++ b/camphorchute/entry/hosted_process.py
@@ -11,7 +11,6 @@
 import camphorchute.platform  # noqa: F401 - fills the registry of platforms
 from camphorchute.contracts import Refusal, ResultCode
 from camphorchute.contracts.member import Member
-from camphorchute.contracts.run_messages import RoomReport
 from camphorchute.entry.http_server import HttpServer
 from camphorchute.entry.logs import start_logs
 from camphorchute.entry.metrics import Metrics
@@ -19,7 +18,7 @@
 from camphorchute.hosting import make_platform
 from camphorchute.links import Handlers, Peers
 from camphorchute.loops import spawn_loop
-from camphorchute.queues import QueueOwner, RoomView
+from camphorchute.queues import QueueOwner, RoomReports, RoomView
 from camphorchute.roster import (
     OWN_PREFIX,
     Beats,
@@ -34,9 +33,6 @@
 
 MS_PER_S = 1000.0
 WORKER_GATHER_MS = 400.0
-REPORT_MIN_MS = 20.0
-REPORT_LINK_MS = 3.0
-REPORT_MAX_MS = 500.0
 NOTICED_SHARE = 0.45
 UNREADY_RETRY_MS = 500
 READY_BODY_BYTES = 1024
@@ -92,10 +88,10 @@
             count,
         )
         self._beats = Beats(self._peers, self._view, count)
-        self._owner = QueueOwner(self._rooms, self._peers, count)
+        self._owner = QueueOwner(self._rooms, self._view.home_of, self._peers, count)
+        self._reports = RoomReports(self._home, self._peers, self._view, count)
         self._http = HttpServer(settings.http_address, settings.body_max_bytes, count)
         self._ready_http = HttpServer(settings.ready_address, READY_BODY_BYTES, count)
-        self._room_changed = Event()
         self._greenlets: list[gevent.Greenlet] = []
         self._connect_parts(count)
 
@@ -103,9 +99,9 @@
         """Start every part and listen."""
         count = self._metrics.count
         self._peers.start()
-        for part in (*self._followers, self._lease, self._home, self._claims, self._beats):
+        parts = (self._lease, self._home, self._claims, self._beats, self._reports)
+        for part in (*self._followers, *parts):
             part.start()
-        self._greenlets.append(spawn_loop("entry", self._report_room, count))
         self._greenlets.append(spawn_loop("entry", self._log_counters, count))
         self._ready_http.start()
         self._http.start()
@@ -121,7 +117,6 @@
         log_message(message_type="entry", text="entry: stopping", jobs=self._owner.open_jobs())
         started_s = time.monotonic()
         until_s = started_s + self._settings.drain_ms / MS_PER_S
-        self._beats.leaving = True
         self._claims.close()
         noticed_s = started_s + NOTICED_SHARE * self._settings.drain_ms / MS_PER_S
         gevent.sleep(max(0.0, noticed_s - time.monotonic()))
@@ -130,6 +125,7 @@
             self._metrics.count("entry.requests_cut")
         self._home.close()
         self._lease.close()
+        self._reports.close()
         self._beats.close()
         for follower in self._followers:
             follower.close()
@@ -156,7 +152,6 @@
     def _connect_parts(self, count: object) -> None:
         for part in (self._home, self._beats, self._rooms, self._owner):
             self._handlers.add(part)
-        self._home.changed = self._room_changed.set
         self._peers.lost = self._peer_lost
         pages = QueuePages(self._platform, self._view, self._owner, self._refuse_not_serving, count)
         self._http.add(pages)
@@ -173,22 +168,6 @@
         if self._view.queues is None:
             raise Refusal(ResultCode.NOT_READY, "no configuration is known yet", UNREADY_RETRY_MS)
 
-    def _report_room(self) -> None:
-        """Tell every member the free room here, soon after it has changed.
-
-        The pause grows with the number of links, so that the reports of a process stay within
-        a fixed number of messages a second.
-        """
-        while True:
-            self._room_changed.wait(REPORT_MAX_MS / MS_PER_S)
-            self._room_changed.clear()
-            report = RoomReport(self._home.room())
-            self._peers.send(self._member, report)
-            for link in self._peers.links():
-                link.send(report)
-            pause_ms = max(REPORT_MIN_MS, REPORT_LINK_MS * len(self._peers.links()))
-            gevent.sleep(pause_ms / MS_PER_S)
-
 
 def run(settings: object) -> None:
     """Run an entry process until SIGTERM or SIGINT."""
--- a/camphorchute/links/link.py
+++ b/camphorchute/links/link.py
@@ -13,6 +13,7 @@
 from camphorchute.contracts.errors import Refusal
 from camphorchute.contracts.member import Member
 from camphorchute.contracts.messages import Message, Refused, SlotCount
+from camphorchute.contracts.run_messages import MemberBeat
 from camphorchute.links.codec import (
     FRAME_MAX_BYTES,
     Frame,
@@ -38,6 +39,7 @@
         peer: the process at the other end.
         last_heard_s: monotonic time of the last message from it.
         last_sent_s: monotonic time of the last message to it.
+        last_used_s: monotonic time of the last message either way that was not a beat.
         told_slots: slot counts that the last heartbeat carried.
 
     One greenlet reads, one writes. Requests are numbered and may be outstanding together.
@@ -56,6 +58,7 @@
         "opened_s",
         "last_heard_s",
         "last_sent_s",
+        "last_used_s",
         "told_slots",
         "_socket",
         "_handlers",
@@ -80,6 +83,7 @@
         self.opened_s = time.monotonic()
         self.last_heard_s = self.opened_s
         self.last_sent_s = 0.0
+        self.last_used_s = self.opened_s
         self.told_slots: list[SlotCount] | None = None
         self._socket = socket_
         self._handlers = handlers
@@ -105,6 +109,8 @@
             while self._open:
                 frame = decode_frame(self._socket.recv())
                 self.last_heard_s = time.monotonic()
+                if not isinstance(frame.message, MemberBeat):
+                    self.last_used_s = self.last_heard_s
                 self._receive(frame)
         except (ConnectionClosed, OSError):
             pass
@@ -118,6 +124,10 @@
         """Send one way; return whether the message was queued."""
         return self._put(Frame(FrameKind.ONE_WAY, 0, message))
 
+    def send_encoded(self, data: bytes) -> bool:
+        """Send a one-way frame that was encoded before; return whether it was queued."""
+        return self._open and self._put_bytes(data)
+
     def request(self, message: Message, timeout_ms: float) -> Message:
         """Send a request and return its reply.
 
@@ -170,10 +180,17 @@
     def _put(self, frame: Frame) -> bool:
         if not self._open:
             return False
-        self.last_sent_s = time.monotonic()
         data = encode_frame(frame)
         if len(data) > FRAME_MAX_BYTES:
             return self._put_too_large(frame, len(data))
+        used_s = self.last_used_s
+        queued = self._put_bytes(data)
+        if isinstance(frame.message, MemberBeat):
+            self.last_used_s = used_s
+        return queued
+
+    def _put_bytes(self, data: bytes) -> bool:
+        self.last_sent_s = self.last_used_s = time.monotonic()
         try:
             self._outbox.put_nowait(data)
         except Full:
--- a/camphorchute/links/peers.py
+++ b/camphorchute/links/peers.py
@@ -125,6 +125,21 @@
         except PeerUnreachable:
             return False
 
+    def send_each(self, members: list[Member], message: Message) -> None:
+        """Send the same message one way to several members, encoded once.
+
+        Links that are not open yet are opened in the background.
+        """
+        data = encode_frame(Frame(FrameKind.ONE_WAY, 0, message))
+        for member in members:
+            link = self._links.get(member.member_id)
+            if link is not None:
+                link.send_encoded(data)
+            elif member.member_id == self.member.member_id:
+                self._own_messages.put(message)
+            else:
+                gevent.spawn(self.send, member, message)
+
     def send_linked(self, member_id: str, message: Message) -> bool:
         """Send one way over a link that is open already."""
         link = self._links.get(member_id)
--- a/camphorchute/queues/__init__.py
+++ b/camphorchute/queues/__init__.py
@@ -2,6 +2,7 @@
 
 from camphorchute.queues.job_run import JobOutcome, JobRun, TaskState
 from camphorchute.queues.queue_owner import QueueOwner
+from camphorchute.queues.room_reports import RoomReports
 from camphorchute.queues.room_view import RoomView
 
-__all__ = ["JobOutcome", "JobRun", "QueueOwner", "RoomView", "TaskState"]
+__all__ = ["JobOutcome", "JobRun", "QueueOwner", "RoomReports", "RoomView", "TaskState"]
--- a/camphorchute/queues/job_run.py
+++ b/camphorchute/queues/job_run.py
@@ -62,7 +62,8 @@
         steps: progress of the tasks of each step.
         outcome: how it ended, None while it is under way.
         touched: whether a task of it may have been started.
-        refused: whether a home has handed back a task that it could not start.
+        refused: whether a home has handed back a task that it could not start in time.
+        handed_back: how often homes have handed tasks back at once for want of room.
         changed: set when there is something to do.
         waiters: requests that wait for its end.
     """
@@ -76,6 +77,7 @@
         "outcome",
         "touched",
         "refused",
+        "handed_back",
         "changed",
         "ended",
         "waiters",
@@ -90,6 +92,7 @@
         self.outcome: JobOutcome | None = None
         self.touched = False
         self.refused = False
+        self.handed_back = 0
         self.changed = Event()
         self.ended = Event()
         self.waiters = 0
--- a/camphorchute/queues/queue_owner.py
+++ b/camphorchute/queues/queue_owner.py
@@ -30,6 +30,7 @@
 WAIT_SHARE = 0.8
 USEFUL_FACTOR = 4.0
 HANDOVER_MS = 60.0
+HAND_BACKS_MAX = 3
 MS_PER_S = 1000.0
 
 
@@ -39,15 +40,23 @@
     It hands their tasks to homes and waits for the ends.
 
     Args:
-        rooms: the free room of the homes.
+        rooms: the free room of the homes that this process follows.
+        claimed_home: returns the member that has claimed a group, None where none is known.
         peers: the links to the homes.
         count: adds to a named counter.
     """
 
-    __slots__ = ("_rooms", "_peers", "_count", "_jobs")
+    __slots__ = ("_rooms", "_claimed_home", "_peers", "_count", "_jobs")
 
-    def __init__(self, rooms: RoomView, peers: Peers, count: Callable[..., None]) -> None:
+    def __init__(
+        self,
+        rooms: RoomView,
+        claimed_home: Callable[[str], Member | None],
+        peers: Peers,
+        count: Callable[..., None],
+    ) -> None:
         self._rooms = rooms
+        self._claimed_home = claimed_home
         self._peers = peers
         self._count = count
         self._jobs: dict[str, JobRun] = {}
@@ -120,6 +129,7 @@
             return
         for result in message.results:
             self._take_result(run, peer, result)
+        run.handed_back += any(result.end is TaskEnd.NO_ROOM for result in message.results)
         run.changed.set()
 
     def _take_result(self, run: JobRun, peer: Member, result: TaskResult) -> None:
@@ -140,7 +150,11 @@
         else:
             task.state = TaskState.WAITING
             task.worker_id = ""
-            run.refused = True
+            if result.end is TaskEnd.NO_ROOM:
+                self._count("queues.retry.no_room")
+                self._rooms.mark_full(task.group, run.job.steps[result.step].demand)
+            else:
+                run.refused = True
 
     def _admit(self, job: BatchJob, queue: Queue, deadline_ms: float) -> JobRun:
         """Return the job with its first tasks handed out, or refuse it."""
@@ -218,11 +232,15 @@
         limits = run.queue.limits
         plan = self._rooms.plan(run.queue.service, step, len(indices), limits)
         self._rooms.take(plan, step, limits)
-        for group, tasks in plan.tasks.items():
-            taken, indices = indices[:tasks], indices[tasks:]
-            home = self._rooms.home_of(group)
-            if home is None or not self._send(run, number, group, home, taken, first_round):
-                indices += taken
+        in_time = first_round or run.handed_back > 0
+        hand_back = run.handed_back < HAND_BACKS_MAX
+        for full, tasks_by_group in ((False, plan.placed), (True, plan.waiting)):
+            for group, tasks in tasks_by_group.items():
+                taken, indices = indices[:tasks], indices[tasks:]
+                terms = _HandOver(in_time, hand_back and not full)
+                home = self._rooms.home_of(group)
+                if home is None or not self._send(run, number, group, home, taken, terms):
+                    indices += taken
         return bool(indices)
 
     def _hand_again(self, run: JobRun, number: int) -> bool:
@@ -233,8 +251,8 @@
             if task.state is TaskState.MAY_RUN:
                 lost.setdefault(task.group, []).append(index)
         for group, indices in lost.items():
-            home = self._rooms.home_of(group)
-            if home is None or not self._send(run, number, group, home, indices, False):
+            home = self._rooms.home_of(group) or self._claimed_home(group)
+            if home is None or not self._send(run, number, group, home, indices, _HandOver()):
                 held = True
         return held
 
@@ -245,12 +263,14 @@
         group: str,
         home: Member,
         indices: list[int],
-        first_round: bool,
+        terms: "_HandOver",
     ) -> bool:
         step, limits = run.job.steps[number], run.queue.limits
         tasks = [run.steps[number][index] for index in indices]
-        finish_ms = (run.finish_by_s - time.monotonic()) * MS_PER_S
-        start_ms = limits.slack_ms(step.estimate_ms) if first_round else finish_ms
+        now_s = time.monotonic()
+        finish_ms = (run.finish_by_s - now_s) * MS_PER_S
+        slack_ms = limits.slack_ms(step.estimate_ms) - (now_s - run.started_s) * MS_PER_S
+        start_ms = max(0.0, slack_ms) if terms.in_time else finish_ms
         message = StartTasks(
             group,
             run.job.job_id,
@@ -263,6 +283,7 @@
             min(start_ms, finish_ms),
             finish_ms,
             [_order(index, task) for index, task in zip(indices, tasks, strict=True)],
+            terms.hand_back_full,
         )
         before = [(task.state, task.group, task.home_id) for task in tasks]
         for task in tasks:
@@ -307,6 +328,21 @@
         return Refusal(ResultCode.OVERLOADED, detail, max(REFUSED_AGAIN_MS, retry_after_ms))
 
 
+class _HandOver:
+    """How tasks are handed to a home.
+
+    Attributes:
+        in_time: whether they are to come back if they cannot start within the job's aim.
+        hand_back_full: whether they are to come back at once if there is no room for them.
+    """
+
+    __slots__ = ("in_time", "hand_back_full")
+
+    def __init__(self, in_time: bool = False, hand_back_full: bool = False) -> None:
+        self.in_time = in_time
+        self.hand_back_full = hand_back_full
+
+
 def _order(index: int, task: TaskProgress) -> TaskOrder:
     return TaskOrder(index, task.run, 0, task.state is TaskState.MAY_RUN, task.worker_id)
 
--- a/camphorchute/queues/room_view.py
+++ b/camphorchute/queues/room_view.py
@@ -30,18 +30,25 @@
     """Where the tasks of a step are to go.
 
     Attributes:
-        tasks: number of tasks for each group.
-        without_room: how many of them have to wait.
+        placed: number of tasks with room for each group.
+        waiting: number of tasks that have to wait for each group.
         wait_ms: how long the last of these is expected to wait.
     """
 
-    __slots__ = ("tasks", "without_room", "wait_ms")
+    __slots__ = ("placed", "waiting", "wait_ms")
 
-    def __init__(self, tasks: dict[str, int], without_room: int, wait_ms: float) -> None:
-        self.tasks = tasks
-        self.without_room = without_room
+    def __init__(
+        self, placed: dict[str, int], waiting: dict[str, int], wait_ms: float = 0.0
+    ) -> None:
+        self.placed = placed
+        self.waiting = waiting
         self.wait_ms = wait_ms
 
+    @property
+    def without_room(self) -> int:
+        """How many tasks have to wait."""
+        return sum(self.waiting.values())
+
 
 class RoomView:
     """Plans placement from the reports; what it hands out is taken off until the next report."""
@@ -97,17 +104,28 @@
             chosen[group] = chosen.get(group, 0) + taken
             left -= taken
         if not left or not groups:
-            return RoomPlan(chosen, left, 0.0)
-        wait_ms = self._spread(groups, step, left, limits.priority, chosen)
-        return RoomPlan(chosen, left, wait_ms)
+            return RoomPlan(chosen, {})
+        waiting, wait_ms = self._spread(groups, step, left, limits.priority)
+        return RoomPlan(chosen, waiting, wait_ms)
 
     def take(self, plan: RoomPlan, step: BatchStep, limits: QueueLimits) -> None:
         """Take the planned room off until the homes report again."""
-        for group, tasks in plan.tasks.items():
+        for group in {**plan.placed, **plan.waiting}:
             heard = self._groups.get(group)
             if heard is not None:
+                tasks = plan.placed.get(group, 0) + plan.waiting.get(group, 0)
                 self._take_from(heard.room, step, tasks, limits)
 
+    def mark_full(self, group: str, demand: Resources) -> None:
+        """Take note that a group has no room for a demand until it reports again."""
+        heard = self._groups.get(group)
+        if heard is None:
+            return
+        heard.room.workers[:] = [
+            WorkerRoom(Resources(0), worker.speed) if worker.free.holds(demand) else worker
+            for worker in heard.room.workers
+        ]
+
     def _of(self, service: str) -> list[_Heard]:
         oldest_s = _oldest_s()
         return [
@@ -134,12 +152,16 @@
         step: BatchStep,
         tasks: int,
         priority: int,
-        chosen: dict[str, int],
-    ) -> float:
-        """Add tasks that have to wait to the groups with the least backlog."""
+    ) -> tuple[dict[str, int], float]:
+        """Spread tasks that have to wait over the groups with the least backlog.
+
+        Returns:
+            The number for each group, and how long the last of them is expected to wait in ms.
+        """
         able = [heard for heard in groups if heard.room.capacity.holds(step.demand)]
+        chosen: dict[str, int] = {}
         if not able:
-            return 0.0
+            return chosen, 0.0
         task_core_ms = step.demand.cpu_millicores / 1000 * max(1.0, step.estimate_ms)
         backlog = {heard.room.group: _backlog_core_ms(heard.room, priority) for heard in able}
         cores = {heard.room.group: _cores(heard.room) for heard in able}
@@ -149,7 +171,7 @@
             backlog[group] += task_core_ms
             chosen[group] = chosen.get(group, 0) + 1
             wait_ms = max(wait_ms, backlog[group] / cores[group])
-        return wait_ms
+        return chosen, wait_ms
 
     def _take_from(self, room: GroupRoom, step: BatchStep, tasks: int, limits: QueueLimits) -> None:
         order = sorted(
--- a/camphorchute/roster/__init__.py
+++ b/camphorchute/roster/__init__.py
@@ -2,6 +2,7 @@
 
 from camphorchute.roster.beats import Beats
 from camphorchute.roster.claims import Claims
+from camphorchute.roster.following import followed_groups, followers_of
 from camphorchute.roster.membership_lease import MembershipLease
 from camphorchute.roster.shared_view import OWN_PREFIX, Claim, SharedView
 from camphorchute.roster.store_follower import StoreFollower
@@ -14,4 +15,6 @@
     "MembershipLease",
     "SharedView",
     "StoreFollower",
+    "followed_groups",
+    "followers_of",
 ]
--- a/camphorchute/roster/beats.py
+++ b/camphorchute/roster/beats.py
@@ -1,4 +1,4 @@
-"""Heartbeats to the other members, and what they bring along."""
+"""Heartbeats on every link, and what they bring along."""
 
 import random
 import time
@@ -19,32 +19,33 @@
 BEAT_CHECK_MS = 125.0
 SUSPECT_MS = 750.0
 CONNECT_MS = 500.0
+RING_REACH = 2
+UNUSED_MS = 10_000.0
 FETCH_TIMEOUT_MS = 500.0
 MS_PER_S = 1000.0
 
 
 class Beats:
-    """Keeps a link to each member, closes silent ones, and passes configurations on.
+    """Keeps links to its neighbours, closes silent links, and passes configurations on.
+
+    The members form a ring in the order of their ids; neighbours are at most two places apart.
+    Other links are opened by who needs them and closed when they have not been used for a while,
+    so that the number of beats does not grow with the square of the fleet.
 
     Args:
         peers: the links.
         view: the shared state.
         count: adds to a named counter.
 
-    Attributes:
-        leaving: whether this process is about to stop.
-        leaving_members: members that have said so of themselves.
     """
 
-    __slots__ = ("leaving", "leaving_members", "_peers", "_view", "_count", "_told", "_greenlets")
+    __slots__ = ("_peers", "_view", "_count", "_told", "_greenlets")
 
     def __init__(self, peers: Peers, view: SharedView, count: Callable[..., None]) -> None:
-        self.leaving = False
-        self.leaving_members: set[str] = set()
         self._peers = peers
         self._view = view
         self._count = count
-        self._told: dict[str, tuple[int, bool]] = {}
+        self._told: dict[str, int] = {}
         self._greenlets: list[gevent.Greenlet] = []
 
     def start(self) -> None:
@@ -60,9 +61,7 @@
 
     @handles(MemberBeat, prompt=True)
     def hear(self, peer: Member, message: MemberBeat) -> None:
-        """Take note of a beat; ask for a configuration that is newer than the one in force."""
-        if message.leaving:
-            self.leaving_members.add(peer.member_id)
+        """Ask for a configuration that is newer than the one in force."""
         if message.queues_version > self._version():
             gevent.spawn(self._fetch, peer)
 
@@ -86,12 +85,17 @@
 
     def _beat(self) -> None:
         while True:
-            message = MemberBeat(self._version(), self.leaving)
+            message = MemberBeat(self._version())
+            neighbours = {member.member_id for member in self._neighbours(RING_REACH)}
             now_s = time.monotonic()
             for link in self._peers.links():
+                unused_ms = (now_s - link.last_used_s) * MS_PER_S
                 if (now_s - link.last_heard_s) * MS_PER_S > SUSPECT_MS:
                     self._count("roster.link_silent")
                     link.close()
+                elif unused_ms > UNUSED_MS and link.peer.member_id not in neighbours:
+                    self._count("roster.link_unused")
+                    link.close()
                 elif self._is_due(link, now_s):
                     link.send(message)
             gevent.sleep(BEAT_CHECK_MS / MS_PER_S)
@@ -99,18 +103,28 @@
     def _is_due(self, link: Link, now_s: float) -> bool:
         """Whether a beat says anything that other messages have not said by being sent."""
         told = self._told.get(link.peer.member_id)
-        news = (self._version(), self.leaving)
-        if told == news and (now_s - link.last_sent_s) * MS_PER_S < BEAT_MS:
+        version = self._version()
+        if told == version and (now_s - link.last_sent_s) * MS_PER_S < BEAT_MS:
             return False
-        self._told[link.peer.member_id] = news
+        self._told[link.peer.member_id] = version
         return True
 
+    def _neighbours(self, reach: int) -> list[Member]:
+        """Return the members up to a number of places before and after this one in the ring."""
+        ring = sorted(self._view.members.values(), key=lambda member: member.member_id)
+        own_id = self._peers.member.member_id
+        place = next((n for n, member in enumerate(ring) if member.member_id == own_id), None)
+        if place is None:
+            return ring[: 2 * reach]
+        steps = [step for step in range(-reach, reach + 1) if step]
+        found = {(place + step) % len(ring) for step in steps} - {place}
+        return [ring[number] for number in sorted(found)]
+
     def _connect(self) -> None:
-        """Open a link to each member that there is none to; the lower id opens first."""
+        """Open a link to each neighbour that there is none to; the lower id opens it."""
         while True:
             own_id = self._peers.member.member_id
-            later = [m for m in self._view.members.values() if own_id < m.member_id]
-            for member in later:
-                if not self._peers.is_linked(member.member_id):
+            for member in self._neighbours(RING_REACH):
+                if own_id < member.member_id and not self._peers.is_linked(member.member_id):
                     gevent.spawn(self._peers.send, member, MemberBeat(self._version()))
             gevent.sleep(random.uniform(0.5, 1.0) * CONNECT_MS / MS_PER_S)
--- a/camphorchute/roster/claims.py
+++ b/camphorchute/roster/claims.py
@@ -10,6 +10,7 @@
 from camphorchute.contracts.member import Member
 from camphorchute.hosting import Store, StoreUnavailable, SwapLost, SwapUnknown
 from camphorchute.loops import spawn_loop
+from camphorchute.roster.following import followers_of
 from camphorchute.roster.membership_lease import MembershipLease
 from camphorchute.roster.shared_view import CLAIM_PREFIX, Claim, SharedView
 from camphorchute.runs import GroupHome
@@ -54,6 +55,7 @@
         "_is_served",
         "_count",
         "_held",
+        "_seen_held",
         "_vacant_since_s",
         "_claimed_s",
         "_greenlet",
@@ -78,6 +80,7 @@
         self._is_served = is_served
         self._count = count
         self._held: dict[str, int] = {}
+        self._seen_held: set[str] = set()
         self._vacant_since_s: dict[str, float] = {}
         self._claimed_s: dict[str, float] = {}
         self._greenlet: gevent.Greenlet | None = None
@@ -121,6 +124,8 @@
     def _check(self, group: str) -> None:
         claim = self._view.claims.get(group)
         held = self._held.get(group)
+        if claim is not None:
+            self._seen_held.add(group)
         if held is not None:
             self._check_held(group, claim, held)
         elif claim is not None and claim.member_id == self._member.member_id:
@@ -157,12 +162,14 @@
         """Claim a vacant group when it is this process's turn among the members.
 
         A member that still serves the group has lost only its claim, for example in an outage
-        of the store, and goes first.
+        of the store, and goes first. Members that do not follow the group cannot tell, and wait
+        as if it was served.
         """
         now_s = time.monotonic()
         since_s = self._vacant_since_s.setdefault(group, now_s)
         delay_ms = self._delay_ms(group)
-        if self._is_served(group):
+        unknown = group in self._seen_held and not self._is_follower(group)
+        if unknown or self._is_served(group):
             delay_ms += SERVED_DELAY_MS
         if (now_s - since_s) * MS_PER_S < delay_ms:
             return
@@ -179,12 +186,23 @@
         return OTHER_ZONE_DELAY_MS + self._turn(group, others) * TURN_STEP_MS
 
     def _turn(self, group: str, members: list[Member]) -> int:
+        """Return the place of this process among members; those that follow the group go first."""
+        followers = {member.member_id for member in self._followers(group)}
         ranked = sorted(
             {member.member_id for member in members} | {self._member.member_id},
-            key=lambda member_id: xxhash.xxh32_intdigest(f"{group} {member_id}".encode()),
+            key=lambda member_id: (
+                member_id not in followers,
+                xxhash.xxh32_intdigest(f"{group} {member_id}".encode()),
+            ),
         )
         return ranked.index(self._member.member_id)
 
+    def _followers(self, group: str) -> list[Member]:
+        return followers_of(group, self._view.members.values(), self._view.group_names())
+
+    def _is_follower(self, group: str) -> bool:
+        return self._member.member_id in {member.member_id for member in self._followers(group)}
+
     def _claim(self, group: str, revision: int) -> None:
         lease_id = self._lease.lease_id
         if self.leaving or not lease_id:
--- a/camphorchute/roster/shared_view.py
+++ b/camphorchute/roster/shared_view.py
@@ -136,6 +136,15 @@
                 groups.setdefault(group, {})[entry.worker_id] = entry
         return groups
 
+    def home_of(self, group: str) -> Member | None:
+        """Return the member that has claimed a group, None where none is known."""
+        claim = self.claims.get(group)
+        return None if claim is None else self.members.get(claim.member_id)
+
+    def group_names(self) -> list[str]:
+        """Return the names of all groups that have workers or a home."""
+        return sorted({*self.groups(), *self.claims})
+
     def _apply_worker(self, key: str, value: bytes | None) -> None:
         worker_id = key.removeprefix(self._platform.worker_prefix)
         entry = None if value is None else self._platform.decode_worker(key, value)
--- a/camphorchute/runs/group_home.py
+++ b/camphorchute/runs/group_home.py
@@ -167,6 +167,8 @@
                 self._take_task(group, task)
         if group is not None:
             self._place(group)
+            if message.hand_back_full:
+                self._hand_back_unplaced(group, message)
 
     @handles(StopTasks, prompt=True)
     def stop_tasks(self, peer: Member, message: StopTasks) -> None:
@@ -401,6 +403,14 @@
                     self._place(group)
             self._stop_late(now_s)
 
+    def _hand_back_unplaced(self, group: _Group, message: StartTasks) -> None:
+        """Hand the new tasks of a message that there is no room for back to their owner."""
+        waiting = self._waiting[group.name]
+        for task in [task for task in waiting if task.message is message and not task.may_run]:
+            waiting.remove(task)
+            self._count("runs.handed_back_full")
+            self._finish(task, task.next_run - 1, TaskEnd.NO_ROOM)
+
     def _hand_back_late(self, group: _Group, now_s: float) -> None:
         waiting = self._waiting[group.name]
         late = [task for task in waiting if now_s >= min(task.start_by_s, task.finish_by_s)]
