--- a/bench/standins/fleet_store.py
+++ b/bench/standins/fleet_store.py
@@ -45,8 +45,10 @@
     Attributes:
         items: the items in force, by key.
         calls: number of calls by path.
+        lists_every_condition: whether a change that is not made names every key of its conditions.
     """
 
+    lists_every_condition = False
     faults_type = FleetStoreFaults
 
     def __init__(self, address: str) -> None:
@@ -81,6 +83,10 @@
     def put(self, key: str, value: bytes, lease: int = 0) -> int:
         """Write a key as the platform itself does; return the revision."""
         self._revision += 1
+        self._put(key, value, lease)
+        return self._revision
+
+    def _put(self, key: str, value: bytes, lease: int) -> None:
         known = self.items.get(key)
         item = {
             "key": key,
@@ -91,12 +97,14 @@
         }
         self.items[key] = item
         self._record(item)
-        return self._revision
 
     def remove(self, key: str) -> None:
         """Remove a key."""
+        self._revision += 1
+        self._remove(key)
+
+    def _remove(self, key: str) -> None:
         if self.items.pop(key, None) is not None:
-            self._revision += 1
             self._record({"key": key, "revision": self._revision, "removed": True})
 
     def drop_history(self) -> None:
@@ -178,21 +186,28 @@
             if self.items.get(row["key"], {}).get("revision", 0) != row["revision"]
         ]
         if failed:
-            return Reply({"items": failed}, 412)
+            return Reply(
+                {"items": self._named(body) if self.lists_every_condition else failed}, 412
+            )
         if any(put.get("lease") and put["lease"] not in self._leases for put in puts):
             return Reply({"error": "no such lease"}, 404)
+        self._revision += 1
         for put in puts:
             lease = put.get("lease", 0)
-            self.put(put["key"], base64.b64decode(put["value"]), lease)
+            self._put(put["key"], base64.b64decode(put["value"]), lease)
             if lease:
                 self._leases[lease].keys.add(put["key"])
         for key in removed:
-            self.remove(key)
+            self._remove(key)
         if self.faults.lose_answers:
             self.faults.lose_answers -= 1
             raise ConnectionDropped
         return Reply({"revision": self._revision})
 
+    def _named(self, body: dict) -> list[dict]:
+        keys = [row["key"] for row in body["if-revision"]]
+        return [self.items.get(key, {"key": key, "revision": 0}) for key in keys]
+
     def _grant(self, request: Request) -> Reply:
         self._revision += 1
         lease_id, ttl_ms = self._revision, int(request.json()["ttl-ms"])
--- a/bench/standins/fleet_worker.py
+++ b/bench/standins/fleet_worker.py
@@ -85,6 +85,7 @@
     Attributes:
         record: every run that was started.
         fence: the highest fencing token seen.
+        calls: number of calls by path.
         zone: its availability zone.
     """
 
@@ -103,6 +104,7 @@
         super().__init__(address)
         self.record: list[RunRecord] = []
         self.fence = 0
+        self.calls: dict[str, int] = {}
         self.born = round(time.time() * MS_PER_S)
         self._store = store
         self._worker_id = worker_id
@@ -135,6 +137,11 @@
             self._ticker.kill()
         super().close()
 
+    def before(self, request: Request) -> None:
+        """Count the call and let the faults act."""
+        self.calls[request.path] = self.calls.get(request.path, 0) + 1
+        super().before(request)
+
     def register(self, state: str) -> None:
         """Write the entry in service discovery."""
         entry = {
--- a/camphorchute/entry/hosted_process.py
+++ b/camphorchute/entry/hosted_process.py
@@ -13,6 +13,7 @@
 from camphorchute.contracts.member import Member
 from camphorchute.entry.http_server import HttpServer
 from camphorchute.entry.logs import start_logs
+from camphorchute.entry.loop_lag import LoopLag
 from camphorchute.entry.metrics import Metrics
 from camphorchute.entry.queue_pages import QueuePages, ReadyPage
 from camphorchute.hosting import make_platform
@@ -93,6 +94,7 @@
         self._beats = Beats(self._peers, self._view, count)
         self._owner = QueueOwner(self._rooms, self._view.home_of, self._peers, count)
         self._reports = RoomReports(self._home, self._peers, self._view, count)
+        self._lag = LoopLag(count)
         self._writer = JobWriter(store, self._write_pause_ms, count)
         self._shard_claims = ShardClaims(store, self._view, self._lease, self._member, count)
         tools = ShardTools(
@@ -109,7 +111,7 @@
         count = self._metrics.count
         self._peers.start()
         roster = (*self._followers, self._lease, self._home, self._claims, self._beats)
-        jobs = (self._reports, self._writer, self._shard_claims, self._keeper)
+        jobs = (self._lag, self._reports, self._writer, self._shard_claims, self._keeper)
         for part in (*roster, *jobs):
             part.start()
         self._greenlets.append(spawn_loop("entry", self._log_counters, count))
@@ -139,6 +141,7 @@
         self._home.close()
         self._lease.close()
         self._reports.close()
+        self._lag.close()
         self._beats.close()
         for follower in self._followers:
             follower.close()
@@ -165,6 +168,7 @@
     def _connect_parts(self, count: object) -> None:
         for part in (self._home, self._beats, self._rooms, self._owner, self._keeper):
             self._handlers.add(part)
+        self._claims.is_fit = self._shard_claims.is_fit = lambda: not self._lag.is_behind
         self._home.may_forget = self._keeper.may_forget_ends
         self._peers.lost = self._peer_lost
         pages = QueuePages(
@@ -183,7 +187,8 @@
         return MS_PER_S * max(1, len(self._view.members)) / writes_per_s
 
     def _is_ready(self) -> bool:
-        return self._view.queues is not None and not self.stopping.is_set()
+        serves = self._view.queues is not None and not self.stopping.is_set()
+        return serves and not self._lag.is_behind
 
     def _refuse_not_serving(self) -> None:
         if self._view.queues is None:
--- /dev/null
+++ b/camphorchute/entry/tests/test_loop_lag.py
@@ -0,0 +1,54 @@
+import time
+
+import gevent
+import pytest
+
+from camphorchute.entry import loop_lag as module
+from camphorchute.entry.loop_lag import LoopLag
+
+
+@pytest.mark.parametrize(
+    ("samples", "behind"),
+    [
+        ([0.0] * 50, False),
+        ([60.0] * 50, False),
+        ([200.0] * 50, True),
+        ([9000.0], False),
+        ([9000.0, 0.0, 0.0], False),
+        ([700.0] * 4, True),
+    ],
+)
+def test_loop_that_is_late_for_long_is_behind(samples, behind):
+    lag = LoopLag(lambda name: None)
+    for sample_ms in samples:
+        lag.take_sample(sample_ms)
+    assert lag.is_behind is behind
+
+
+def test_loop_stays_behind_for_some_seconds(monkeypatch):
+    lag = LoopLag(lambda name: None)
+    for _ in range(10):
+        lag.take_sample(500.0)
+    for _ in range(50):
+        lag.take_sample(0.0)
+    assert lag.is_behind
+    monkeypatch.setattr(module, "BEHIND_MIN_MS", 0.0)
+    lag.take_sample(0.0)
+    assert not lag.is_behind
+
+
+def keep_busy(seconds):
+    end_s = time.monotonic() + seconds
+    while time.monotonic() < end_s:
+        pass
+
+
+def test_late_timers_are_measured():
+    lag = LoopLag(lambda name: None)
+    lag.start()
+    gevent.sleep(0.01)
+    for _ in range(8):
+        keep_busy(0.25)
+        gevent.sleep(0.001)
+    lag.close()
+    assert lag.value_ms > 50.0
--- a/camphorchute/hosting/__init__.py
+++ b/camphorchute/hosting/__init__.py
@@ -19,6 +19,7 @@
     RunSeen,
 )
 from camphorchute.hosting.store import (
+    SILENT_MS,
     Change,
     Store,
     StoredListing,
@@ -34,6 +35,7 @@
 from camphorchute.hosting.worker_entry import WorkerEntry
 
 __all__ = [
+    "SILENT_MS",
     "Change",
     "EndKind",
     "HostingPlatform",
--- a/camphorchute/hosting/store.py
+++ b/camphorchute/hosting/store.py
@@ -17,6 +17,8 @@
     "register_store",
 ]
 
+SILENT_MS = 3000.0
+
 
 class StoredValue:
     """A key with its value at one revision.
@@ -200,11 +202,17 @@
 
     @abstractmethod
     def watch(
-        self, prefix: str, from_revision: int, timeout_s: float, gather_ms: float = 0.0
+        self,
+        prefix: str,
+        from_revision: int,
+        timeout_s: float,
+        gather_ms: float = 0.0,
+        silent_ms: float = SILENT_MS,
     ) -> Iterator[StoredValue]:
         """Yield every write under a prefix from a revision on, in order.
 
-        Where each delivery is a call, writes of ``gather_ms`` are delivered together.
+        Where each delivery is a call, writes of ``gather_ms`` are delivered together, and a
+        connection is given up after ``silent_ms`` without an answer.
 
         The iteration ends after ``timeout_s``. A deleted key comes with the value ``None``.
 
--- a/camphorchute/keeping/keeper.py
+++ b/camphorchute/keeping/keeper.py
@@ -30,6 +30,7 @@
 REFUSED_AGAIN_MS = 1000.0
 CANCEL_TRIES_MS = 2500.0
 CANCEL_AGAIN_MS = 100.0
+RECORD_MAX_BYTES = 256 * 1024
 MS_PER_S = 1000.0
 
 
@@ -81,12 +82,15 @@
             Refusal: the job was not accepted, or it is not known whether it was.
         """
         key = job_key(job.job_id)
+        value = KeptJob.of(job, queue).encode()
+        if len(value) > RECORD_MAX_BYTES:
+            detail = f"job {job.job_id}: {len(value)} bytes to store, at most {RECORD_MAX_BYTES}"
+            raise Refusal(ResultCode.BODY_TOO_LARGE, detail)
         refusal = self._reason_to_refuse(job, queue)
         try:
             if refusal is not None:
                 self._refuse_unless_stored(key, refusal)
             else:
-                value = KeptJob.of(job, queue).encode()
                 revision = self._tools.writer.write(key, value, 0)
                 self._tell_keeper(job.job_id, revision, value)
                 self._tools.count("keeping.accepted")
--- a/camphorchute/keeping/shard.py
+++ b/camphorchute/keeping/shard.py
@@ -30,6 +30,7 @@
 SAVE_GATHER_MS = 150.0
 RETAIN_MS = 150_000.0
 GATHER_MS = 1000.0
+SILENT_MS = 10_000.0
 SWEEP_MS = 2000.0
 MS_PER_S = 1000.0
 
@@ -107,7 +108,7 @@
         self._closed = False
         self._is_finding = False
         self._follower = StoreFollower(
-            tools.store, shard_prefix(number), self, tools.count, GATHER_MS
+            tools.store, shard_prefix(number), self, tools.count, GATHER_MS, SILENT_MS
         )
         self._greenlets: list[gevent.Greenlet] = []
 
--- a/camphorchute/keeping/shard_claims.py
+++ b/camphorchute/keeping/shard_claims.py
@@ -21,6 +21,8 @@
 TURN_STEP_MS = 200.0
 RECLAIM_MS = 500.0
 MOVE_AFTER_MS = 3000.0
+MOVE_AGAIN_MS = 30_000.0
+UNFIT_DELAY_MS = 2000.0
 MS_PER_S = 1000.0
 
 
@@ -42,6 +44,7 @@
         taken: called with the shard, the term, the lease that it is bound to, and whether the last
             keeper has stopped.
         lost: called with a shard that this process keeps no more.
+        is_fit: whether this process can act in time; one that cannot hands its shards over.
     """
 
     def __init__(
@@ -54,6 +57,7 @@
     ) -> None:
         self.taken: Callable[[int, int, int, bool], None] = lambda *claim: None
         self.lost: Callable[[int], None] = lambda shard: None
+        self.is_fit: Callable[[], bool] = lambda: True
         self._store = store
         self._view = view
         self._lease = lease
@@ -65,6 +69,7 @@
         self._vacant_since_s: dict[int, float] = {}
         self._guest_since_s: dict[int, float] = {}
         self._claimed_s: dict[int, float] = {}
+        self._released_s: dict[int, float] = {}
         self._settled_s = time.monotonic()
         self._greenlet: gevent.Greenlet | None = None
 
@@ -115,19 +120,28 @@
         elif current.mod_revision > self._held[shard]:
             self._lose(shard)
             self._take(shard, current.mod_revision, False)
-        elif self._order(shard)[0] == self._member.member_id:
+        elif self._should_release(shard):
+            self._released_s[shard] = time.monotonic()
+            self._release(shard)
+
+    def _should_release(self, shard: int) -> bool:
+        """Whether a shard is better kept elsewhere; it is not handed over again and again."""
+        now_s = time.monotonic()
+        since_s = self._guest_since_s.setdefault(shard, now_s)
+        if self.is_fit() and self._order(shard)[0] == self._member.member_id:
             self._guest_since_s.pop(shard, None)
-        else:
-            now_s = time.monotonic()
-            since_s = self._guest_since_s.setdefault(shard, now_s)
-            if (now_s - since_s) * MS_PER_S > MOVE_AFTER_MS:
-                self._release(shard)
+            return False
+        if (now_s - self._released_s.get(shard, -MOVE_AGAIN_MS)) * MS_PER_S < MOVE_AGAIN_MS:
+            return False
+        return not self.is_fit() or (now_s - since_s) * MS_PER_S > MOVE_AFTER_MS
 
     def _claim_in_turn(self, shard: int, current: StoredValue | None) -> None:
         """Claim a shard without a keeper when it is this process's turn among the members."""
         now_s = time.monotonic()
         since_s = self._vacant_since_s.setdefault(shard, now_s)
         delay_ms = self._order(shard).index(self._member.member_id) * TURN_STEP_MS
+        if not self.is_fit():
+            delay_ms += UNFIT_DELAY_MS
         if (now_s - since_s) * MS_PER_S >= delay_ms:
             self._claim(shard, current)
 
--- a/camphorchute/keeping/tests/test_job_writer.py
+++ b/camphorchute/keeping/tests/test_job_writer.py
@@ -1,46 +1,9 @@
 import gevent
 import pytest
 
-from camphorchute.hosting import StoredValue, StoreUnavailable, SwapAllLost, SwapLost, SwapUnknown
+from camphorchute.hosting import StoredValue, StoreUnavailable, SwapLost, SwapUnknown
 from camphorchute.keeping import JobWriter
-
-
-class FakeStore:
-    """Keys with revisions; a call takes a moment, and fails as a test says."""
-
-    changes_max = 32
-
-    def __init__(self):
-        self.items = {}
-        self.batches = []
-        self.fail_with = []
-        self.lose_answer = False
-        self.reads_fail = False
-        self.revision = 0
-
-    def swap_all(self, changes):
-        gevent.sleep(0.01)
-        self.batches.append([change.key for change in changes])
-        if self.fail_with:
-            raise self.fail_with.pop(0)
-        lost = {
-            change.key: self.items.get(change.key)
-            for change in changes
-            if getattr(self.items.get(change.key), "mod_revision", 0) != change.expected_revision
-        }
-        if lost:
-            raise SwapAllLost(lost)
-        self.revision += 1
-        for change in changes:
-            self.items[change.key] = StoredValue(change.key, change.value, self.revision)
-        if self.lose_answer:
-            raise SwapUnknown("lost")
-        return self.revision
-
-    def get(self, key):
-        if self.reads_fail:
-            raise StoreUnavailable("down")
-        return self.items.get(key)
+from camphorchute.keeping.tests.fakes import FakeStore
 
 
 @pytest.fixture
--- a/camphorchute/platform/etcd_store.py
+++ b/camphorchute/platform/etcd_store.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from camphorchute.hosting.store import (
+    SILENT_MS,
     Change,
     Store,
     StoredListing,
@@ -145,7 +146,12 @@
         self._ask("revoke_lease", "/v3/lease/revoke", request, etcd.Message)
 
     def watch(
-        self, prefix: str, from_revision: int, timeout_s: float, gather_ms: float = 0.0
+        self,
+        prefix: str,
+        from_revision: int,
+        timeout_s: float,
+        gather_ms: float = 0.0,
+        silent_ms: float = SILENT_MS,
     ) -> Iterator[StoredValue]:
         """Yield every write under a prefix from a revision on, in order."""
         key = prefix.encode()
--- a/camphorchute/platform/kv_store.py
+++ b/camphorchute/platform/kv_store.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from camphorchute.hosting.store import (
+    SILENT_MS,
     Change,
     Store,
     StoredListing,
@@ -28,7 +29,6 @@
 
 CALL_TIMEOUT_MS = 1000.0
 CONNECT_TIMEOUT_MS = 700.0
-WATCH_WAIT_MS = 3000
 WATCH_GRACE_MS = 500.0
 MS_PER_S = 1000
 WATCHES = 4
@@ -158,24 +158,29 @@
         self._send("revoke_lease", "DELETE", f"/kv-lease-end/{lease_id}")
 
     def watch(
-        self, prefix: str, from_revision: int, timeout_s: float, gather_ms: float = 0.0
+        self,
+        prefix: str,
+        from_revision: int,
+        timeout_s: float,
+        gather_ms: float = 0.0,
+        silent_ms: float = SILENT_MS,
     ) -> Iterator[StoredValue]:
         """Yield every write under a prefix from a revision on, in order."""
         end_s = time.monotonic() + timeout_s
         after = from_revision - 1
         while time.monotonic() < end_s:
-            query = urlencode({"prefix": prefix, "after": after, "wait-ms": WATCH_WAIT_MS})
-            changes = self._decode(self._poll(query), wire.WatchEvents)
+            query = urlencode({"prefix": prefix, "after": after, "wait-ms": int(silent_ms)})
+            changes = self._decode(self._poll(query, silent_ms), wire.WatchEvents)
             for item in changes.events:
                 yield _stored(item)
             after = changes.store_revision
             gevent.sleep(gather_ms / MS_PER_S)
 
-    def _poll(self, query: str) -> HttpAnswer:
+    def _poll(self, query: str, silent_ms: float) -> HttpAnswer:
         self.calls["watch"] += 1
         try:
             answer = self._watch_channel.exchange(
-                "GET", "/kv-watch?" + query, b"", WATCH_WAIT_MS + WATCH_GRACE_MS
+                "GET", "/kv-watch?" + query, b"", silent_ms + WATCH_GRACE_MS
             )
         except (NotSent, AnswerLost) as error:
             raise self._failed("watch", "lost", error) from error
--- a/camphorchute/platform/tests/test_etcd_store.py
+++ b/camphorchute/platform/tests/test_etcd_store.py
@@ -6,8 +6,10 @@
 from bench.standins import keyspace
 from bench.standins.platform import Platform
 from camphorchute.hosting import (
+    Change,
     StoreRefused,
     StoreUnavailable,
+    SwapAllLost,
     SwapLost,
     SwapUnknown,
     make_store,
@@ -258,3 +260,13 @@
     (accepted,) = platform._server.connections
     for sock in (idle, accepted):
         assert sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY)
+
+
+def test_swap_all_writes_every_key_or_none(store):
+    first = store.swap_all([Change("/a", b"1", 0), Change("/b", b"2", 0)])
+    second = store.swap_all([Change("/a", b"3", first), Change("/b", None, first)])
+    assert (store.get("/a").value, store.get("/b")) == (b"3", None)
+    with pytest.raises(SwapAllLost) as lost:
+        store.swap_all([Change("/a", b"4", first), Change("/c", b"5", 0)])
+    assert {key: value.mod_revision for key, value in lost.value.currents.items()} == {"/a": second}
+    assert store.get("/c") is None
--- a/camphorchute/platform/tests/test_kv_store.py
+++ b/camphorchute/platform/tests/test_kv_store.py
@@ -4,7 +4,15 @@
 import pytest
 
 from bench.standins.fleet_store import FleetStore
-from camphorchute.hosting import StoreRefused, StoreUnavailable, SwapLost, SwapUnknown, make_store
+from camphorchute.hosting import (
+    Change,
+    StoreRefused,
+    StoreUnavailable,
+    SwapAllLost,
+    SwapLost,
+    SwapUnknown,
+    make_store,
+)
 from camphorchute.platform import kv_store
 
 KEY = "camphorchute/a"
@@ -38,6 +46,38 @@
     assert store.get(KEY) is None
 
 
+def test_swap_all_writes_every_key_or_none(store):
+    first = store.swap_all([Change("a", b"1", 0), Change("b", b"2", 0)])
+    assert store.get("a").mod_revision == store.get("b").mod_revision == first
+    second = store.swap_all([Change("a", b"3", first), Change("b", None, first)])
+    assert (store.get("a").value, store.get("b")) == (b"3", None)
+    with pytest.raises(SwapAllLost) as lost:
+        store.swap_all([Change("a", b"4", first), Change("c", b"5", 0)])
+    assert lost.value.currents["a"].mod_revision == second
+    assert store.get("c") is None
+
+
+@pytest.mark.parametrize("lists_all", [True, False])
+def test_keys_that_were_as_expected_do_not_count_as_lost(store, standin, lists_all, monkeypatch):
+    """A store that lists only the keys that failed had made the others look removed."""
+    kept = store.swap_all([Change("a", b"1", 0), Change("b", b"1", 0), Change("c", b"1", 0)])
+    store.swap("b", b"2", kept)
+    if lists_all:
+        monkeypatch.setattr(standin, "lists_every_condition", True)
+    with pytest.raises(SwapAllLost) as lost:
+        store.swap_all([Change(key, b"3", kept) for key in "abc"] + [Change("new", b"3", 0)])
+    assert list(lost.value.currents) == ["b"]
+
+
+def test_swap_all_without_an_answer_is_unknown(store, standin):
+    standin.faults.lose_answers = 1
+    with pytest.raises(SwapUnknown):
+        store.swap_all([Change("a", b"1", 0)])
+    standin.faults.busy = True
+    with pytest.raises(StoreUnavailable):
+        store.swap_all([Change("b", b"1", 0)])
+
+
 def test_swap_on_a_key_that_exists_names_what_is_there(store):
     store.swap(KEY, b"1", 0)
     with pytest.raises(SwapLost) as lost:
@@ -122,12 +162,11 @@
         next(store.watch("x/", start, 5.0))
 
 
-def test_watch_on_a_silent_connection_ends(store, standin, monkeypatch):
-    monkeypatch.setattr(kv_store, "WATCH_WAIT_MS", 100)
+def test_watch_on_a_silent_connection_ends(store, standin):
     standin.faults.hang = True
     began_s = time.monotonic()
     with pytest.raises(StoreUnavailable):
-        next(store.watch("x/", 1, 5.0))
+        next(store.watch("x/", 1, 5.0, silent_ms=100.0))
     assert time.monotonic() - began_s < 2.0
 
 
--- a/camphorchute/roster/claims.py
+++ b/camphorchute/roster/claims.py
@@ -23,6 +23,8 @@
 OTHER_ZONE_DELAY_MS = 1500.0
 RECLAIM_MS = 500.0
 SERVED_DELAY_MS = 2500.0
+UNFIT_DELAY_MS = 2000.0
+RELEASE_AGAIN_MS = 10_000.0
 MS_PER_S = 1000.0
 
 
@@ -43,10 +45,13 @@
 
     Attributes:
         leaving: whether this process claims nothing any more.
+        is_fit: whether this process can give orders in time; one that cannot gives its groups up
+            and claims others last.
     """
 
     __slots__ = (
         "leaving",
+        "is_fit",
         "_store",
         "_view",
         "_lease",
@@ -58,6 +63,7 @@
         "_seen_held",
         "_vacant_since_s",
         "_claimed_s",
+        "_shed_s",
         "_greenlet",
     )
 
@@ -72,6 +78,7 @@
         count: Callable[..., None],
     ) -> None:
         self.leaving = False
+        self.is_fit: Callable[[], bool] = lambda: True
         self._store = store
         self._view = view
         self._lease = lease
@@ -83,6 +90,7 @@
         self._seen_held: set[str] = set()
         self._vacant_since_s: dict[str, float] = {}
         self._claimed_s: dict[str, float] = {}
+        self._shed_s = 0.0
         self._greenlet: gevent.Greenlet | None = None
 
     def start(self) -> None:
@@ -114,6 +122,8 @@
             self._view.changed.wait(CHECK_MS / MS_PER_S)
             self._view.changed.clear()
             self._view.drop_gone()
+            if not self.is_fit():
+                self._shed()
             groups = self._view.groups()
             for group in [name for name in self._held if name not in groups]:
                 self._give_up(group)
@@ -121,6 +131,16 @@
                 self._check(group)
                 self._home.set_workers(group, workers)
 
+    def _shed(self) -> None:
+        """Give every group up, so that a process that is not behind can take it."""
+        now_s = time.monotonic()
+        if not self._held or (now_s - self._shed_s) * MS_PER_S < RELEASE_AGAIN_MS:
+            return
+        self._shed_s = now_s
+        self._count("roster.groups_shed", len(self._held))
+        for group, revision in list(self._held.items()):
+            self._release(group, revision)
+
     def _check(self, group: str) -> None:
         claim = self._view.claims.get(group)
         held = self._held.get(group)
@@ -171,6 +191,8 @@
         unknown = group in self._seen_held and not self._is_follower(group)
         if unknown or self._is_served(group):
             delay_ms += SERVED_DELAY_MS
+        if not self.is_fit():
+            delay_ms += UNFIT_DELAY_MS
         if (now_s - since_s) * MS_PER_S < delay_ms:
             return
         last_s = self._claimed_s.get(group, 0.0)
--- a/camphorchute/roster/store_follower.py
+++ b/camphorchute/roster/store_follower.py
@@ -6,7 +6,7 @@
 import gevent
 from eliot import log_message
 
-from camphorchute.hosting import Store, StoreRefused, StoreUnavailable
+from camphorchute.hosting import SILENT_MS, Store, StoreRefused, StoreUnavailable
 from camphorchute.loops import spawn_loop
 from camphorchute.roster.shared_view import SharedView
 
@@ -27,6 +27,7 @@
         view: takes in what is read.
         count: adds to a named counter.
         gather_ms: for how long changes may be gathered before they are delivered together.
+        silent_ms: how long a watch may be without an answer.
     """
 
     __slots__ = (
@@ -35,6 +36,7 @@
         "_view",
         "_count",
         "_gather_ms",
+        "_silent_ms",
         "_revision",
         "_greenlet",
         "_reachable",
@@ -48,12 +50,14 @@
         view: SharedView,
         count: Callable[..., None],
         gather_ms: float = 0.0,
+        silent_ms: float = SILENT_MS,
     ) -> None:
         self._store = store
         self._prefix = prefix
         self._view = view
         self._count = count
         self._gather_ms = gather_ms
+        self._silent_ms = silent_ms
         self._revision = 0
         self._greenlet: gevent.Greenlet | None = None
         self._reachable = True
@@ -88,7 +92,11 @@
 
     def _watch(self) -> None:
         changes = self._store.watch(
-            self._prefix, self._revision + 1, WATCH_LIFETIME_S, self._gather_ms
+            self._prefix,
+            self._revision + 1,
+            WATCH_LIFETIME_S,
+            self._gather_ms,
+            self._silent_ms,
         )
         for change in changes:
             self._revision = max(self._revision, change.mod_revision)
--- a/camphorchute/roster/tests/test_claims.py
+++ b/camphorchute/roster/tests/test_claims.py
@@ -191,6 +191,26 @@
     assert until(lambda: not outsider.holds())
 
 
+def test_process_that_is_behind_gives_its_groups_to_another(nodes):
+    """A home on a machine that ran six times slower had kept its groups for 7 s."""
+    members = [nodes(number) for number in range(2)]
+    assert until(lambda: one_holder(members))
+    first = next(node for node in members if node.holds())
+    second = next(node for node in members if node is not first)
+    first.claims.is_fit = lambda: False
+    assert until(second.holds, 2.0)
+    assert not first.holds()
+    assert second.home.held[GROUP] > first.home.taken[-1]
+
+
+def test_group_has_a_home_even_if_every_process_is_behind(nodes):
+    node = nodes(1)
+    assert until(node.holds)
+    node.claims.is_fit = lambda: False
+    assert until(lambda: not node.holds(), 2.0)
+    assert until(node.holds)
+
+
 def test_claim_whose_answer_is_lost_is_recognised(nodes, site):
     gevent.sleep(0)
     node = nodes(1)
--- a/camphorchute/runs/group_home.py
+++ b/camphorchute/runs/group_home.py
@@ -194,7 +194,7 @@
                 self._stop_task(task)
 
     @handles(AskKeptTasks, prompt=True)
-    def find_tasks(self, peer: Member, message: AskKeptTasks) -> KeptTasksAre:
+    def tell_kept_tasks(self, peer: Member, message: AskKeptTasks) -> KeptTasksAre:
         """Tell a new keeper what is known of its shard, and obey no earlier one from now on."""
         known = self._terms.get(message.shard, 0)
         self._terms[message.shard] = max(known, message.term)
--- a/camphorchute/runs/leased_worker.py
+++ b/camphorchute/runs/leased_worker.py
@@ -465,6 +465,7 @@
             if (now_s - since_s) * MS_PER_S > ORPHAN_END_MS and self.may_forget():
                 self._count("runs.end_forgotten")
                 self.settle(end.task, end.run)
+                self._wanted.set()
 
     def _stop_again(self) -> None:
         """Repeat the stops of runs that go on, since an order to stop may have been lost."""
--- a/camphorchute/runs/tests/home_site.py
+++ b/camphorchute/runs/tests/home_site.py
@@ -32,7 +32,7 @@
 
 
 def start_message(
-    tasks=1, run=1, may_run=False, within_ms=2000.0, finish_ms=4000.0, on="", back=False
+    tasks=1, run=1, may_run=False, within_ms=2000.0, finish_ms=4000.0, on="", back=False, term=None
 ):
     """Return a hand-over of tasks of one job."""
     return StartTasks(
@@ -48,6 +48,7 @@
         finish_ms,
         [TaskOrder(index, run, 0, may_run, on) for index in range(tasks)],
         back,
+        term,
     )
 
 
