Move runs with their workers; read websockets without gevent's selector; never call a run unstarted

Reads now block in gevent's own socket. Runs go back to their owners with the worker and its group, claims are given back, and a kept task whose lease ran out is asked for everywhere before it runs again.

--- a/camphorchute/contracts/run_messages.py
+++ b/camphorchute/contracts/run_messages.py
@@ -121,6 +121,7 @@
         run: number of its last run; one below that of its first run if there was none.
         end: how it ended.
         worker_id: the worker that it may still run on, empty where there is none.
+        group: the group that this worker belongs to now, empty where it has not changed.
     """
 
     step: int
@@ -128,6 +129,7 @@
     run: int
     end: TaskEnd
     worker_id: str = ""
+    group: str = ""
 
 
 class TasksFinished(msgspec.Struct, tag="tasks_finished"):
--- a/camphorchute/entry/hosted_process.py
+++ b/camphorchute/entry/hosted_process.py
@@ -166,7 +166,14 @@
             log_message(message_type="entry", text="entry: counters", counters=self.counters())
 
     def _connect_parts(self, count: object) -> None:
-        for part in (self._home, self._beats, self._rooms, self._owner, self._keeper):
+        for part in (
+            self._home,
+            self._home.kept,
+            self._beats,
+            self._rooms,
+            self._owner,
+            self._keeper,
+        ):
             self._handlers.add(part)
         self._claims.is_fit = self._shard_claims.is_fit = lambda: not self._lag.is_behind
         self._home.may_forget = self._keeper.may_forget_ends
--- a/camphorchute/keeping/shard.py
+++ b/camphorchute/keeping/shard.py
@@ -275,7 +275,7 @@
         for run, task in asked:
             if task.state is TaskState.UNKNOWN and not self._closed:
                 task.state = TaskState.WAITING
-                run.changed.set()
+            run.changed.set()
         return bool(asked)
 
     def _ask_every_home(self) -> None:
--- a/camphorchute/keeping/tests/test_shard.py
+++ b/camphorchute/keeping/tests/test_shard.py
@@ -271,6 +271,19 @@
     assert until(lambda: site.stored().done == [[0]])
 
 
+def test_job_goes_on_when_a_task_is_found_to_be_done(site):
+    """The next step of a job had not been started when another home told of the last end."""
+    site.put(record())
+    site.take()
+    assert until(lambda: settled(site))
+    task = site.run().steps[0][0]
+    site.peers.answer = KeptTasksAre(WORKERS, [found(0, TaskEnd.DONE)])
+    site.run().note_not_found(task)
+    site.run().changed.clear()
+    assert until(lambda: task.state is TaskState.DONE)
+    assert until(site.run().changed.is_set)
+
+
 def test_record_that_cannot_be_read_is_passed_over(site):
     site.store.put(KEY, b"{}")
     shard = site.take()
--- a/camphorchute/links/peers.py
+++ b/camphorchute/links/peers.py
@@ -23,11 +23,14 @@
 )
 from camphorchute.links.handlers import Handlers
 from camphorchute.links.link import Link, LinkLost
+from camphorchute.links.socket_reader import use_blocking_reads
 
 __all__ = ["Peers", "PeerUnreachable", "CONNECT_TIMEOUT_MS"]
 
 CONNECT_TIMEOUT_MS = 1000.0
 
+use_blocking_reads()
+
 
 class Peers:
     """All links of a process.
--- a/camphorchute/links/tests/test_peers.py
+++ b/camphorchute/links/tests/test_peers.py
@@ -1,9 +1,11 @@
+import gc
+import os
 import socket
 import time
 
 import gevent
 import pytest
-from gevent import socket as gevent_socket
+from gevent.selectors import GeventSelector
 from websockets.sync.client import connect
 
 from camphorchute.contracts import Refusal, ResultCode
@@ -278,20 +280,27 @@
         wait_until(lambda process=process: ("a", "all") in process.told)
 
 
-def read_to_the_end(sock):
-    sock.recv(1)
-    sock.close()
+def watched_closed_descriptors():
+    """Return the closed descriptors that a selector of gevent still watches."""
+    found = [thing for thing in gc.get_objects() if isinstance(thing, GeventSelector)]
+    watched = {fd for one in found for fd in one._active_watchers or ()}
+    return {fd for fd in watched if not os.path.exists(f"/proc/self/fd/{fd}")}
 
 
-def test_closed_server_leaves_no_watcher_on_a_closed_socket(start):
+@pytest.mark.parametrize("what", ["link", "server"])
+def test_nothing_that_is_closed_stays_watched(start, what):
     """The event loop had aborted the process at a later use of the same file descriptor."""
-    process = start("a")
-    gevent.sleep(0.01)
-    process.peers.close()
-    gevent.sleep(0.01)
-    pairs = [gevent_socket.socketpair() for _ in range(20)]
-    readers = [gevent.spawn(read_to_the_end, reader) for reader, _ in pairs]
-    gevent.sleep(0.01)
-    for _, writer in pairs:
-        writer.close()
-    assert len(gevent.joinall(readers, timeout=1.0)) == len(pairs)
+    gc.collect()
+    gc.disable()
+    try:
+        first, second = start("a"), start("b")
+        first.request(second)
+        if what == "link":
+            for link in first.peers.links():
+                link.close()
+        else:
+            first.peers.close()
+        gevent.sleep(0.1)
+        assert watched_closed_descriptors() == set()
+    finally:
+        gc.enable()
--- a/camphorchute/queues/queue_owner.py
+++ b/camphorchute/queues/queue_owner.py
@@ -19,7 +19,7 @@
 from camphorchute.decision_log import log_decision
 from camphorchute.hosting import Queue
 from camphorchute.links import Peers, handles
-from camphorchute.queues.job_run import JobOutcome, JobRun, TaskState
+from camphorchute.queues.job_run import JobOutcome, JobRun, TaskProgress, TaskState
 from camphorchute.queues.room_view import RoomView
 
 __all__ = ["QueueOwner"]
@@ -145,19 +145,24 @@
         run = self._jobs.get(message.job_id)
         if run is None:
             return
-        for result in message.results:
-            self._take_result(run, peer, result)
+        has_news = [self._take_result(run, peer, result) for result in message.results]
         run.handed_back += any(result.end is TaskEnd.NO_ROOM for result in message.results)
-        run.changed.set()
+        if any(has_news):
+            run.changed.set()
+        else:
+            gevent.spawn_later(RETRY_MS / MS_PER_S, run.changed.set)
 
-    def _take_result(self, run: JobRun, peer: Member, result: TaskResult) -> None:
+    def _take_result(self, run: JobRun, peer: Member, result: TaskResult) -> bool:
+        """Take a result in; return whether it says anything that was not known before."""
         task = run.find_task(result.step, result.index)
         if task is None:
             self._count("queues.unknown_task")
-            return
+            return False
         if task.state is TaskState.DONE or task.home_id != peer.member_id:
-            return
+            return False
         task.run = max(task.run, result.run + 1)
+        if result.end is TaskEnd.MAY_RUN:
+            return _take_may_run(task, result)
         if result.end is TaskEnd.DONE:
             run.note_done(task, result)
         elif result.end is TaskEnd.FAILED:
@@ -167,17 +172,18 @@
         elif result.end is TaskEnd.NOT_FOUND:
             self._count("queues.retry.not_found")
             run.note_not_found(task)
-        elif result.end is TaskEnd.MAY_RUN:
-            task.state = TaskState.MAY_RUN
-            task.worker_id = result.worker_id
         else:
-            task.state = TaskState.WAITING
-            task.worker_id = ""
-            if result.end is TaskEnd.NO_ROOM:
-                self._count("queues.retry.no_room")
-                self._rooms.mark_full(task.group, run.job.steps[result.step].demand)
-            else:
-                run.refused = True
+            self._take_not_started(run, task, result)
+        return True
+
+    def _take_not_started(self, run: JobRun, task: TaskProgress, result: TaskResult) -> None:
+        task.state = TaskState.WAITING
+        task.worker_id = ""
+        if result.end is TaskEnd.NO_ROOM:
+            self._count("queues.retry.no_room")
+            self._rooms.mark_full(task.group, run.job.steps[result.step].demand)
+        else:
+            run.refused = True
 
     def _admit(self, job: BatchJob, queue: Queue, deadline_ms: float) -> JobRun:
         """Return the job with its first tasks handed out, or refuse it."""
@@ -362,5 +368,13 @@
         self.has_room = has_room
 
 
+def _take_may_run(task: TaskProgress, result: TaskResult) -> bool:
+    """Take note where a task may run; return whether that is news."""
+    task.state = TaskState.MAY_RUN
+    task.worker_id = result.worker_id or task.worker_id
+    task.group = result.group or task.group
+    return bool(result.worker_id or result.group)
+
+
 def _finish_by_s(deadline_ms: float) -> float:
     return time.monotonic() + max(0.0, deadline_ms - ANSWER_MARGIN_MS) / MS_PER_S
--- a/camphorchute/queues/tests/test_queue_owner.py
+++ b/camphorchute/queues/tests/test_queue_owner.py
@@ -210,3 +210,29 @@
     site.submit(1)
     assert until(lambda: site.outcome is not None)
     assert site.outcome.code is ResultCode.NO_WORKER
+
+
+def test_task_that_may_run_follows_its_worker_to_another_group():
+    site = Site(h0=1)
+    site.submit(1)
+    site.starts()
+    site.claimed["north/flags/h1"] = member("h1")
+    results = [TaskResult(0, 0, 1, TaskEnd.MAY_RUN, "w1", "north/flags/h1")]
+    site.owner.tasks_finished(member("h0"), TasksFinished("job1", results))
+    assert until(lambda: site.peers.sent)
+    home, message = site.peers.sent[-1]
+    assert (home, message.group, message.tasks[0].worker_id) == ("h1", "north/flags/h1", "w1")
+
+
+def test_home_that_knows_nothing_of_a_task_is_not_asked_without_a_pause():
+    """A stale claim had made an owner send 134,000 messages in half a minute."""
+    site = Site(h0=1)
+    site.submit(1)
+    site.claimed["north/flags/h0"] = member("h0")
+    for _ in range(5):
+        site.end("h0", TaskEnd.MAY_RUN, 0)
+    site.starts()
+    site.end("h0", TaskEnd.MAY_RUN, 0)
+    gevent.sleep(0.02)
+    assert site.peers.sent == []
+    assert until(lambda: site.peers.sent, 0.5)
--- a/camphorchute/roster/claims.py
+++ b/camphorchute/roster/claims.py
@@ -125,11 +125,13 @@
             if not self.is_fit():
                 self._shed()
             groups = self._view.groups()
+            group_of = {worker: name for name, workers in groups.items() for worker in workers}
             for group in [name for name in self._held if name not in groups]:
-                self._give_up(group)
+                self._home.set_workers(group, {}, group_of)
+                self._release(group, self._held[group])
             for group, workers in groups.items():
                 self._check(group)
-                self._home.set_workers(group, workers)
+                self._home.set_workers(group, workers, group_of)
 
     def _shed(self) -> None:
         """Give every group up, so that a process that is not behind can take it."""
--- a/camphorchute/roster/tests/test_claims.py
+++ b/camphorchute/roster/tests/test_claims.py
@@ -3,6 +3,7 @@
 
 import camphorchute.platform  # noqa: F401 - fills the registry of platforms
 from bench.standins.fleet_site import SERVICE, FleetSite
+from bench.standins.fleet_worker import FleetWorker
 from camphorchute.contracts.member import Member
 from camphorchute.hosting import make_platform
 from camphorchute.roster import (
@@ -35,7 +36,7 @@
     def drop_group(self, name):
         self.held.pop(name, None)
 
-    def set_workers(self, name, entries):
+    def set_workers(self, name, entries, group_of=None):
         self.workers[name] = sorted(entries)
 
 
@@ -211,6 +212,22 @@
     assert until(node.holds)
 
 
+def test_claim_of_a_group_that_is_no_more_is_given_back(nodes, site):
+    """Owners had sent tasks without a pause to the process that a stale claim named."""
+    node = nodes(1)
+    assert until(node.holds)
+    for number in range(2, 16):
+        FleetWorker("127.0.0.1:0", site.store, f"north-w{number}", "north", SERVICE).register(
+            "ready"
+        )
+    assert until(lambda: f"north/{SERVICE}/1" in node.home.held)
+    for number in range(2, 16):
+        site.store.remove(f"servers/north-w{number}")
+    assert until(lambda: f"north/{SERVICE}/1" not in node.home.held, 8.0)
+    assert until(lambda: f"camphorchute/homes/north/{SERVICE}/1" not in site.store.items, 2.0)
+    assert node.holds()
+
+
 def test_claim_whose_answer_is_lost_is_recognised(nodes, site):
     gevent.sleep(0)
     node = nodes(1)
--- a/camphorchute/runs/group_home.py
+++ b/camphorchute/runs/group_home.py
@@ -7,12 +7,10 @@
 
 import gevent
 
-from camphorchute.contracts.kept_messages import AskKeptTasks, EndsSaved, FoundTask, KeptTasksAre
 from camphorchute.contracts.member import Member
 from camphorchute.contracts.resources import Resources
 from camphorchute.contracts.run_messages import (
     GroupRoom,
-    KeeperTerm,
     StartTasks,
     StopTasks,
     TaskEnd,
@@ -24,9 +22,10 @@
 from camphorchute.hosting import EndKind, RunPort, WorkerEntry
 from camphorchute.links import handles
 from camphorchute.loops import spawn_loop
+from camphorchute.runs.kept_tasks import KeptTasks
 from camphorchute.runs.leased_worker import LeasedWorker
 from camphorchute.runs.placement import rank_worker
-from camphorchute.runs.run import Run, WaitingTask, job_of, shard_of
+from camphorchute.runs.run import Run, WaitingTask
 
 __all__ = ["GroupHome"]
 
@@ -61,6 +60,7 @@
         fenced_groups: groups with a worker that obeys a newer home.
         changed: called when the free room has changed.
         may_forget: whether ends that nobody asks for may be forgotten after a while.
+        kept: what the home does for the keepers of jobs that are kept.
     """
 
     def __init__(
@@ -72,12 +72,12 @@
         self.fenced_groups: set[str] = set()
         self.changed: Callable[[], None] = lambda: None
         self.may_forget: Callable[[], bool] = lambda: True
-        self._terms: dict[int, int] = {}
         self._open_worker = open_worker
         self._tell = tell
         self._count = count
         self._groups: dict[str, _Group] = {}
         self._waiting: dict[str, list[WaitingTask]] = defaultdict(list)
+        self.kept = KeptTasks(self._workers, lambda group: self._waiting[group], count)
         self._jobs: dict[str, dict[str, WaitingTask]] = defaultdict(dict)
         self._results: dict[tuple[str, str], list[TaskResult]] = {}
         self._arrivals = 0
@@ -117,8 +117,7 @@
         if group is None:
             return
         for task in self._waiting.pop(name, []):
-            end = TaskEnd.MAY_RUN if task.may_run else TaskEnd.NOT_STARTED
-            self._finish(task, task.next_run - 1, end, task.worker_id)
+            self._return_waiting(task)
         for worker in group.workers.values():
             for run in list(worker.runs.values()):
                 worker_id = worker.entry.worker_id
@@ -126,8 +125,16 @@
             worker.close()
         self.changed()
 
-    def set_workers(self, name: str, entries: dict[str, WorkerEntry]) -> None:
-        """Say which workers a group has now."""
+    def set_workers(
+        self, name: str, entries: dict[str, WorkerEntry], group_of: dict[str, str] | None = None
+    ) -> None:
+        """Say which workers a group has now.
+
+        Args:
+            name: the group.
+            entries: its workers.
+            group_of: the groups of all workers, to tell those that moved from those that left.
+        """
         group = self._groups.get(name)
         if group is None:
             return
@@ -136,6 +143,9 @@
             if entry is not None and entry.is_same_life(worker.entry):
                 worker.see_entry(entry)
                 continue
+            if entry is None and worker_id in (group_of or {}):
+                self._move_worker(group, worker, group_of[worker_id])
+                continue
             worker.miss_entry()
             if entry is not None or worker.synced or worker.unlisted_ms() > UNSEEN_KEEP_MS:
                 self._drop_worker(group, worker)
@@ -166,7 +176,7 @@
     @handles(StartTasks, prompt=True)
     def start_tasks(self, peer: Member, message: StartTasks) -> None:
         """Take in tasks and place those that there is room for."""
-        if self._is_outdated(message.term):
+        if self.kept.is_outdated(message.term):
             return
         group = self._groups.get(message.group)
         now_s = time.monotonic()
@@ -175,8 +185,7 @@
             task = WaitingTask(peer.member_id, message, order, now_s, self._arrivals)
             if group is None:
                 self._count("runs.not_home")
-                end = TaskEnd.MAY_RUN if order.may_run else TaskEnd.NOT_STARTED
-                self._finish(task, order.run - 1, end)
+                self._finish(task, order.run - 1, _end_at_no_home(task))
             else:
                 self._take_task(group, task)
         if group is not None:
@@ -187,36 +196,12 @@
     @handles(StopTasks, prompt=True)
     def stop_tasks(self, peer: Member, message: StopTasks) -> None:
         """Drop the tasks of a job and stop those that run."""
-        if self._is_outdated(message.term):
+        if self.kept.is_outdated(message.term):
             return
         for task in list(self._jobs.get(message.job_id, {}).values()):
             if task.owner_id == peer.member_id or task.is_kept:
                 self._stop_task(task)
 
-    @handles(AskKeptTasks, prompt=True)
-    def tell_kept_tasks(self, peer: Member, message: AskKeptTasks) -> KeptTasksAre:
-        """Tell a new keeper what is known of its shard, and obey no earlier one from now on."""
-        known = self._terms.get(message.shard, 0)
-        self._terms[message.shard] = max(known, message.term)
-        found = KeptTasksAre([], [])
-        for group in self._groups.values():
-            found.workers += [
-                worker_id
-                for worker_id, worker in group.workers.items()
-                if worker.synced or worker.is_gone()
-            ]
-            found.tasks += self._known_tasks(group, message.shard)
-        return found
-
-    @handles(EndsSaved, prompt=True)
-    def ends_saved(self, peer: Member, message: EndsSaved) -> None:
-        """Let the workers forget ends that the store has."""
-        for group in self._groups.values():
-            for worker in group.workers.values():
-                settled = [worker.settle(end.task, end.run) for end in message.ends]
-                if any(settled):
-                    worker.look_soon()
-
     def run_ended(self, worker: LeasedWorker, run: Run, kind: EndKind) -> None:
         """Tell the owner, or run the task again."""
         task = run.task
@@ -239,6 +224,8 @@
             self._finish(task, run.number, TaskEnd.DONE, worker_id)
         elif task.is_kept and kind is EndKind.FAILED:
             self._finish(task, run.number, TaskEnd.FAILED, worker_id)
+        elif task.is_kept and kind is EndKind.LEASE_EXPIRED and not task.orphaned:
+            self._finish(task, run.number, TaskEnd.NOT_FOUND)
         elif task.stopped or task.orphaned:
             self._finish(task, run.number, TaskEnd.NOT_STARTED)
         elif kind is EndKind.FAILED and task.failures + 1 >= task.message.limits.max_attempts:
@@ -269,6 +256,9 @@
             if group.workers.get(worker.entry.worker_id) is worker:
                 self.fenced_groups.add(group.name)
 
+    def _workers(self) -> dict[str, list[LeasedWorker]]:
+        return {group.name: list(group.workers.values()) for group in self._groups.values()}
+
     def _add_worker(self, group: _Group, entry: WorkerEntry) -> None:
         port = self._open_worker(entry)
         worker = LeasedWorker(entry, port, lambda: group.fence, self, self._count)
@@ -276,18 +266,39 @@
         group.workers[entry.worker_id] = worker
         worker.start()
 
+    def _move_worker(self, group: _Group, worker: LeasedWorker, name: str) -> None:
+        """Leave a worker to the home of the group that it belongs to now, with its runs."""
+        del group.workers[worker.entry.worker_id]
+        worker.close()
+        self._count("runs.worker_moved")
+        for run in list(worker.runs.values()):
+            worker_id = worker.entry.worker_id
+            self._finish(run.task, run.number, TaskEnd.MAY_RUN, worker_id, name)
+
     def _drop_worker(self, group: _Group, worker: LeasedWorker) -> None:
         """Forget a worker that is gone; its runs may go on until their leases are over."""
         del group.workers[worker.entry.worker_id]
         worker.close()
         if worker.runs:
             wait_s = max(0.0, worker.quiet_at_s - time.monotonic())
-            gevent.spawn_later(wait_s, self._end_runs, worker)
+            gevent.spawn_later(wait_s, self._end_runs, group.name, worker)
 
-    def _end_runs(self, worker: LeasedWorker) -> None:
+    def _end_runs(self, name: str, worker: LeasedWorker) -> None:
+        """End the runs of a worker that was gone until its leases were over.
+
+        Where it has come back, or another home may have it now, its runs may go on.
+        """
+        group = self._groups.get(name)
+        worker_id = worker.entry.worker_id
         for run in list(worker.runs.values()):
             del worker.runs[run.task.name]
-            self.run_ended(worker, run, EndKind.LEASE_EXPIRED)
+            if group is None:
+                self._finish(run.task, run.number, TaskEnd.MAY_RUN, worker_id)
+            elif worker_id in group.workers and not run.task.is_kept:
+                run.task.may_run, run.task.worker_id = True, worker_id
+                self._wait_again(run.task)
+            else:
+                self.run_ended(worker, run, EndKind.LEASE_EXPIRED)
 
     def _take_task(self, group: _Group, task: WaitingTask) -> None:
         tasks = self._jobs[task.message.job_id]
@@ -322,7 +333,7 @@
         if not task.may_run or not self._is_known(group, task):
             return False
         for worker in group.workers.values():
-            for end, _ in list(worker.orphan_ends.get(task.name, {}).values()):
+            for end in worker.ends.of_task(task.name):
                 if end.kind is EndKind.DONE or task.is_kept:
                     worker.adopt(task, end.run, end.kind)
                     return True
@@ -353,11 +364,16 @@
     def _wait_again(self, task: WaitingTask) -> None:
         group = self._groups.get(task.message.group)
         if group is None:
-            self._finish(task, task.next_run - 1, TaskEnd.NOT_STARTED)
+            self._return_waiting(task)
             return
         insort(self._waiting[group.name], task, key=lambda waiting: waiting.order)
         gevent.spawn(self._place, group)
 
+    def _return_waiting(self, task: WaitingTask) -> None:
+        """Hand a task that waits back to its owner; an earlier run of it may be under way."""
+        end = TaskEnd.MAY_RUN if task.may_run else TaskEnd.NOT_STARTED
+        self._finish(task, task.next_run - 1, end, task.worker_id)
+
     def _place(self, group: _Group) -> None:
         """Start the waiting tasks that there is room for, the most urgent first."""
         waiting = self._waiting[group.name]
@@ -406,33 +422,13 @@
             ),
         )
 
-    def _is_outdated(self, term: KeeperTerm | None) -> bool:
-        """Whether an order is of a keeper that another has followed."""
-        if term is None or term.number >= self._terms.get(term.shard, 0):
-            return False
-        self._count("runs.refused.outdated_keeper")
-        return True
-
-    def _known_tasks(self, group: _Group, shard: int) -> list[FoundTask]:
-        """Return the tasks of a shard that may run in a group or have ends that are not saved."""
-        waiting = [task for task in self._waiting[group.name] if task.is_kept]
-        found = [FoundTask(task.name, group.name, task.next_run, "") for task in waiting]
-        for worker_id, worker in group.workers.items():
-            numbers = {name: run.number for name, run in worker.runs.items()}
-            numbers |= {name: number for name, (number, _) in worker.orphans.items()}
-            found += [FoundTask(name, group.name, n, worker_id) for name, n in numbers.items()]
-            for end in worker.unsettled_ends():
-                how = TaskEnd.DONE if end.kind is EndKind.DONE else TaskEnd.FAILED
-                found.append(FoundTask(end.task, group.name, end.run, worker_id, how))
-        return [row for row in found if shard_of(job_of(row.task)) == shard]
-
     def _orphan(self, task: WaitingTask) -> None:
         """Let the run of a kept task go on without its owner; one that waits is forgotten."""
         task.orphaned = True
         waiting = self._waiting.get(task.message.group, [])
         if task in waiting:
             waiting.remove(task)
-            self._finish(task, task.next_run - 1, TaskEnd.NOT_STARTED)
+            self._return_waiting(task)
 
     def _stop_task(self, task: WaitingTask) -> None:
         task.stopped = True
@@ -442,14 +438,16 @@
         waiting = self._waiting[group.name]
         if task in waiting:
             waiting.remove(task)
-            self._finish(task, task.next_run - 1, TaskEnd.NOT_STARTED)
+            self._return_waiting(task)
             return
         for worker in group.workers.values():
             run = worker.runs.get(task.name)
             if run is not None:
                 worker.order_stop(run)
 
-    def _finish(self, task: WaitingTask, run: int, end: TaskEnd, worker_id: str = "") -> None:
+    def _finish(
+        self, task: WaitingTask, run: int, end: TaskEnd, worker_id: str = "", group: str = ""
+    ) -> None:
         """Tell the owner of a task's end and forget the task.
 
         Args:
@@ -457,6 +455,7 @@
             run: number of its last run, one below that of its first run if there was none.
             end: how it ended.
             worker_id: the worker that it may still run on.
+            group: the group of that worker where it has changed.
         """
         job_id = task.message.job_id
         tasks = self._jobs.get(job_id)
@@ -466,7 +465,7 @@
                 del self._jobs[job_id]
         if not self._results:
             gevent.spawn_later(FLUSH_MS / MS_PER_S, self._flush)
-        result = TaskResult(task.message.step, task.index, run, end, worker_id)
+        result = TaskResult(task.message.step, task.index, run, end, worker_id, group)
         self._results.setdefault((task.owner_id, job_id), []).append(result)
 
     def _flush(self) -> None:
@@ -509,7 +508,7 @@
                 waited_ms=round((now_s - task.arrived_s) * MS_PER_S),
                 waiting=len(waiting),
             )
-            self._finish(task, task.next_run - 1, TaskEnd.NOT_STARTED)
+            self._return_waiting(task)
 
     def _stop_late(self, now_s: float) -> None:
         for tasks in list(self._jobs.values()):
@@ -532,3 +531,10 @@
             if worker.synced and not worker.entry.draining:
                 capacity = capacity.plus(worker.entry.capacity)
         return GroupRoom(group.name, group.service, capacity, waiting, rooms)
+
+
+def _end_at_no_home(task: WaitingTask) -> TaskEnd:
+    """Return how a task ends that was handed to a process that is not the home of its group."""
+    if not task.may_run:
+        return TaskEnd.NOT_STARTED
+    return TaskEnd.NOT_FOUND if task.is_kept else TaskEnd.MAY_RUN
--- a/camphorchute/runs/leased_worker.py
+++ b/camphorchute/runs/leased_worker.py
@@ -22,6 +22,7 @@
 )
 from camphorchute.loops import spawn_loop
 from camphorchute.runs.run import Run, RunState, WaitingTask
+from camphorchute.runs.unsettled_ends import UnsettledEnds
 from camphorchute.runs.worker_speed import WorkerSpeed
 
 __all__ = ["LeasedWorker", "RunListener"]
@@ -39,7 +40,6 @@
 ORPHAN_END_MS = 10_000.0
 IDLE_LOOK_S = 1.0
 UNSETTLED_LOOK_MS = 15.0
-LASTING_ENDS = (EndKind.DONE, EndKind.FAILED)
 MS_PER_S = 1000.0
 
 
@@ -76,8 +76,7 @@
     Attributes:
         runs: the runs ordered here that have not ended, by task.
         orphans: number and time of discovery of runs of an earlier home, by task.
-        orphan_ends: ends that no task here stands for or that are not saved yet, by task and run,
-            with the time at which they were listed.
+        ends: ends that the worker may not forget yet.
         may_forget: whether ends that nobody has asked for may be acknowledged after a while.
         speed: how fast the worker is.
         synced: whether it has been asked for its runs under the fence in force.
@@ -87,7 +86,7 @@
         "entry",
         "runs",
         "orphans",
-        "orphan_ends",
+        "ends",
         "may_forget",
         "speed",
         "synced",
@@ -96,8 +95,6 @@
         "_fence",
         "_listener",
         "_count",
-        "_seen",
-        "_unsettled",
         "_clock_ms",
         "_clock_read_s",
         "_answers",
@@ -121,7 +118,7 @@
         self.entry = entry
         self.runs: dict[str, Run] = {}
         self.orphans: dict[str, tuple[int, float]] = {}
-        self.orphan_ends: dict[str, dict[int, tuple[RunEnd, float]]] = {}
+        self.ends = UnsettledEnds()
         self.speed = WorkerSpeed()
         self.synced = False
         self.free = entry.capacity
@@ -130,8 +127,6 @@
         self._fence = fence
         self._listener = listener
         self._count = count
-        self._seen = 0
-        self._unsettled: dict[int, str] = {}
         self.may_forget: Callable[[], bool] = lambda: True
         self._clock_ms = 0.0
         self._clock_read_s = 0.0
@@ -224,28 +219,12 @@
         self._count("runs.adopted")
         self.orphans.pop(task.name, None)
         if not task.is_kept:
-            for run_number in list(self.orphan_ends.get(task.name, {})):
-                self.settle(task.name, run_number)
+            self.ends.settle_task(task.name)
         self.free = self.free.minus(task.message.demand)
         self.runs[task.name] = run
         if end is not None:
             self._end(run, end)
 
-    def settle(self, task: str, run: int) -> bool:
-        """Let the worker forget an end; return whether there was such an end."""
-        ends = self.orphan_ends.get(task, {})
-        if run not in ends:
-            return False
-        end, _ = ends.pop(run)
-        if not ends:
-            del self.orphan_ends[task]
-        self._unsettled.pop(end.number, None)
-        return True
-
-    def unsettled_ends(self) -> list[RunEnd]:
-        """Return the ends that the worker may not forget yet."""
-        return [end for ends in self.orphan_ends.values() for end, _ in ends.values()]
-
     def order_stop(self, run: Run) -> None:
         """Stop a run."""
         if not run.stopping:
@@ -307,7 +286,7 @@
 
     def _is_listed(self, run: Run) -> bool:
         try:
-            listing = self._port.renew(self._fence(), self._acknowledged(), None, 0.0)
+            listing = self._port.renew(self._fence(), self.ends.acknowledged(), None, 0.0)
         except (OrderRefused, OrderLost):
             self._count("runs.check_failed")
             return False
@@ -348,8 +327,8 @@
         A worker does not wait for the next end while it lists ends that it may not forget yet.
         """
         if not self.runs and not self.orphans:
-            self._wanted.wait(IDLE_LOOK_S if self._unsettled else None)
-        elif self._unsettled:
+            self._wanted.wait(IDLE_LOOK_S if self.ends else None)
+        elif self.ends:
             self._wanted.wait(UNSETTLED_LOOK_MS / MS_PER_S)
 
     def _look(self) -> None:
@@ -360,9 +339,9 @@
         lease_until_ms = self._lease_until_ms() if busy else None
         if busy:
             self._extend_quiet()
-        wait_ms = LOOK_WAIT_MS if busy and not self._unsettled else 0.0
+        wait_ms = LOOK_WAIT_MS if busy and not self.ends else 0.0
         try:
-            listing = self._port.renew(fence, self._acknowledged(), lease_until_ms, wait_ms)
+            listing = self._port.renew(fence, self.ends.acknowledged(), lease_until_ms, wait_ms)
         except OrderRefused as refused:
             self._look_refused(refused.reason)
         except OrderLost as lost:
@@ -392,8 +371,7 @@
 
     def _take_in(self, listing: RunListing, sent_s: float) -> None:
         for end in listing.ended:
-            if end.number > self._seen:
-                self._seen = end.number
+            if self.ends.see(end):
                 self._take_end(end)
         listed = {seen.task: seen.run for seen in listing.running}
         for name, number in listed.items():
@@ -413,16 +391,11 @@
         is_own = run is not None and run.number == end.run
         if not is_own:
             self.orphans.pop(end.task, None)
-        if end.kind in LASTING_ENDS and (run is None or (is_own and run.task.is_kept)):
-            self._unsettled[end.number] = end.task
-            self.orphan_ends.setdefault(end.task, {})[end.run] = (end, time.monotonic())
+        if run is None or (is_own and run.task.is_kept):
+            self.ends.keep(end)
         if is_own:
             self._end(run, end.kind)
 
-    def _acknowledged(self) -> int:
-        """Return the number up to which the worker may forget its ends."""
-        return min(self._unsettled, default=self._seen + 1) - 1
-
     def _end(self, run: Run, kind: EndKind) -> None:
         if kind is EndKind.DONE:
             seen_ms = (time.monotonic() - run.ordered_s) * MS_PER_S
@@ -460,11 +433,10 @@
                 self.orphans[name] = (number, now_s)
                 self._count("runs.orphan_stopped")
                 gevent.spawn(self._stop, name, number)
-        for end in self.unsettled_ends():
-            _, since_s = self.orphan_ends[end.task][end.run]
-            if (now_s - since_s) * MS_PER_S > ORPHAN_END_MS and self.may_forget():
+        for end in self.ends.older_than(ORPHAN_END_MS):
+            if self.may_forget():
                 self._count("runs.end_forgotten")
-                self.settle(end.task, end.run)
+                self.ends.settle(end.task, end.run)
                 self._wanted.set()
 
     def _stop_again(self) -> None:
--- a/camphorchute/runs/tests/test_group_home.py
+++ b/camphorchute/runs/tests/test_group_home.py
@@ -1,8 +1,8 @@
 import gevent
 import pytest
 
-from camphorchute.contracts.run_messages import TaskEnd
-from camphorchute.runs.tests.home_site import GROUP, OWNER, HomeSite, until
+from camphorchute.contracts.run_messages import KeeperTerm, StopTasks, TaskEnd
+from camphorchute.runs.tests.home_site import GROUP, OWNER, HomeSite, start_message, until
 
 
 @pytest.fixture
@@ -237,3 +237,60 @@
     site.hand(first, tasks=1)
     assert until(lambda: first.fenced_groups == {GROUP})
     assert site.site.starts() == []
+
+
+def test_worker_that_moves_to_another_group_takes_its_runs_along(sites):
+    """Its runs had been taken for ended after a lease, and were run again beside themselves."""
+    site = sites(workers=1, run_ms=700.0)
+    first = site.add_home(7)
+    site.hand(first, tasks=2)
+    assert until(lambda: len(site.running()) == 2)
+    entries = site.entries()
+    first.set_workers(GROUP, {}, dict.fromkeys(entries, "north/flags/1"))
+    assert until(lambda: len(site.results) == 2)
+    assert {(r.end, r.worker_id, r.group) for r in site.results} == {
+        (TaskEnd.MAY_RUN, "north-w0", "north/flags/1")
+    }
+    second = site.add_home(9)
+    site.hand_on(second)
+    assert until(lambda: len(site.results) == 2)
+    assert set(site.ends().values()) == {TaskEnd.DONE}
+    assert len(site.site.starts()) == 2
+
+
+@pytest.mark.parametrize(
+    ("may_run", "term", "end"),
+    [
+        (False, None, TaskEnd.NOT_STARTED),
+        (True, None, TaskEnd.MAY_RUN),
+        (True, KeeperTerm(1, 1), TaskEnd.NOT_FOUND),
+    ],
+)
+def test_tasks_handed_to_a_process_without_the_group(sites, may_run, term, end):
+    site = sites()
+    home = site.add_home(7)
+    home.drop_group(GROUP)
+    site.hand(home, tasks=1, may_run=may_run, term=term)
+    assert until(lambda: site.results)
+    assert [result.end for result in site.results] == [end]
+
+
+@pytest.mark.parametrize(
+    ("may_run", "end"), [(True, TaskEnd.MAY_RUN), (False, TaskEnd.NOT_STARTED)]
+)
+@pytest.mark.parametrize("how", ["late", "stopped", "group given up"])
+def test_task_that_may_run_is_never_handed_back_as_not_started(sites, how, may_run, end):
+    """A job had been refused as not run at its deadline, while a run of a lost home went on."""
+    site = sites(workers=1, run_ms=2000.0)
+    home = site.add_home(7)
+    site.hand(home, tasks=2)
+    assert until(lambda: len(site.running()) == 2)
+    within_ms = 60.0 if how == "late" else 4000.0
+    message = start_message(may_run=may_run, within_ms=within_ms)
+    message.job_id = "other"
+    home.start_tasks(OWNER, message)
+    if how == "stopped":
+        home.stop_tasks(OWNER, StopTasks("other"))
+    elif how == "group given up":
+        home.drop_group(GROUP)
+    assert until(lambda: end in [result.end for result in site.results])
--- a/camphorchute/runs/tests/test_kept_tasks.py
+++ b/camphorchute/runs/tests/test_kept_tasks.py
@@ -33,7 +33,7 @@
 
 
 def ask(home, term=LATER):
-    return home.tell_kept_tasks(OWNER, AskKeptTasks(term.shard, term.number))
+    return home.kept.tell(OWNER, AskKeptTasks(term.shard, term.number))
 
 
 def rows(home):
@@ -46,7 +46,7 @@
     assert until(lambda: len(site.results) == 2)
     gevent.sleep(0.2)
     assert not any(run.acknowledged for run in record(site))
-    home.ends_saved(OWNER, EndsSaved([SavedEnd(f"{JOB}.0.0.{n}", 1) for n in range(2)]))
+    home.kept.ends_saved(OWNER, EndsSaved([SavedEnd(f"{JOB}.0.0.{n}", 1) for n in range(2)]))
     assert until(lambda: all(run.acknowledged for run in record(site)), 1.0)
 
 
@@ -92,7 +92,7 @@
     assert ask(home, KeeperTerm((SHARD + 1) % 32, 9)).tasks == []
     assert until(lambda: len(site.results) == 3)
     assert rows(home) == [(name, 1, TaskEnd.DONE) for name in names]
-    home.ends_saved(OWNER, EndsSaved([SavedEnd(name, 1) for name in names]))
+    home.kept.ends_saved(OWNER, EndsSaved([SavedEnd(name, 1) for name in names]))
     assert rows(home) == []
 
 
