--- a/camphorchute/keeping/kept_run.py
+++ b/camphorchute/keeping/kept_run.py
@@ -117,6 +117,10 @@
         self.settled = True
         self.changed.set()
 
+    def is_stored(self) -> bool:
+        """Whether the store has all that the record says."""
+        return not self.unsaved and not self.is_saving
+
     def start_within_ms(self, step: BatchStep, now_s: float, in_time: bool) -> float:
         """Return how long a task may wait at a home that other homes may have room for."""
         return WAIT_AT_HOME_MS
@@ -127,7 +131,7 @@
 
     def verdict(self, now_s: float) -> JobOutcome | None:
         """Return how the job has ended in the store."""
-        if self.record.state is KeptState.OPEN or self.unsaved or self.is_saving:
+        if self.record.state is KeptState.OPEN or not self.is_stored():
             return None
         return _OUTCOMES[self.record.state]
 
--- a/camphorchute/keeping/shard.py
+++ b/camphorchute/keeping/shard.py
@@ -319,7 +319,7 @@
         task.run = max(task.run, row.run + 1)
         result = TaskResult(int(step), int(index), row.run, row.end, row.worker_id)
         if task.state is TaskState.DONE:
-            if row.end is not None:
+            if row.end is not None and run.is_stored():
                 self._tell_saved([UnsavedEnd(home.member_id, row.task, row.run)])
             return
         if row.end is TaskEnd.DONE:
--- a/camphorchute/keeping/tests/test_shard.py
+++ b/camphorchute/keeping/tests/test_shard.py
@@ -271,6 +271,21 @@
     assert until(lambda: site.stored().done == [[0]])
 
 
+def test_end_that_is_told_twice_is_not_saved_before_the_store_has_it(site):
+    """A keeper that asked a home again had it acknowledge an end that was not stored yet."""
+    site.put(record())
+    site.take()
+    assert until(lambda: settled(site))
+    site.store.fail_with = [StoreUnavailable("down")] * 3
+    site.peers.answer = KeptTasksAre(["w1"], [found(0, TaskEnd.DONE)])
+    site.run().note_not_found(site.run().steps[0][0])
+    gevent.sleep(0.35)
+    assert site.counts["keeping.retry.find_tasks"] >= 2
+    assert site.saved() == []
+    assert until(lambda: f"{JOB_ID}.0.0.0" in site.saved(), 3.0)
+    assert site.stored().done == [[0]]
+
+
 def test_job_goes_on_when_a_task_is_found_to_be_done(site):
     """The next step of a job had not been started when another home told of the last end."""
     site.put(record())
