Acknowledge the ends that an earlier home left at once, unless their job is kept

Cause: after a takeover a home held every end that it had no task for, as it may be one of a kept job, for up to 10 s.

Change: the home asks the store once whether it has the job; where it has not, the end is acknowledged.

--- a/camphorchute/entry/hosted_process.py
+++ b/camphorchute/entry/hosted_process.py
@@ -177,6 +177,7 @@
             self._handlers.add(part)
         self._claims.is_fit = self._shard_claims.is_fit = lambda: not self._lag.is_behind
         self._home.may_forget = self._keeper.may_forget_ends
+        self._home.is_kept = self._keeper.is_kept
         self._peers.lost = self._peer_lost
         pages = QueuePages(
             self._platform, self._view, self._owner, self._keeper, self._refuse_not_serving, count
--- a/camphorchute/keeping/keeper.py
+++ b/camphorchute/keeping/keeper.py
@@ -75,6 +75,14 @@
         """Whether no keeper will ask for ends that it has not asked for yet."""
         return self._claims.settled_ms() > FORGET_AFTER_MS
 
+    def is_kept(self, job_id: str) -> bool:
+        """Whether the store has a job; true where it cannot tell."""
+        try:
+            return self._tools.store.get(job_key(job_id)) is not None
+        except StoreUnavailable:
+            self._tools.count("keeping.retry.is_kept")
+            return True
+
     def submit(self, job: BatchJob, queue: Queue) -> None:
         """Store a job, or find that it is stored already.
 
--- a/camphorchute/runs/group_home.py
+++ b/camphorchute/runs/group_home.py
@@ -60,6 +60,7 @@
         fenced_groups: groups with a worker that obeys a newer home.
         changed: called when the free room has changed.
         may_forget: whether ends that nobody asks for may be forgotten after a while.
+        is_kept: whether a job may be one that is kept, by its id.
         kept: what the home does for the keepers of jobs that are kept.
     """
 
@@ -72,6 +73,7 @@
         self.fenced_groups: set[str] = set()
         self.changed: Callable[[], None] = lambda: None
         self.may_forget: Callable[[], bool] = lambda: True
+        self.is_kept: Callable[[str], bool] = lambda job_id: True
         self._open_worker = open_worker
         self._tell = tell
         self._count = count
@@ -263,6 +265,7 @@
         port = self._open_worker(entry)
         worker = LeasedWorker(entry, port, lambda: group.fence, self, self._count)
         worker.may_forget = lambda: self.may_forget()
+        worker.is_kept = lambda job_id: self.is_kept(job_id)
         group.workers[entry.worker_id] = worker
         worker.start()
 
--- a/camphorchute/runs/leased_worker.py
+++ b/camphorchute/runs/leased_worker.py
@@ -21,7 +21,7 @@
     WorkerEntry,
 )
 from camphorchute.loops import spawn_loop
-from camphorchute.runs.run import Run, RunState, WaitingTask
+from camphorchute.runs.run import Run, RunState, WaitingTask, job_of
 from camphorchute.runs.unsettled_ends import UnsettledEnds
 from camphorchute.runs.worker_speed import WorkerSpeed
 
@@ -78,6 +78,8 @@
         orphans: number and time of discovery of runs of an earlier home, by task.
         ends: ends that the worker may not forget yet.
         may_forget: whether ends that nobody has asked for may be acknowledged after a while.
+        is_kept: whether a job may be one that is kept, by its id; its ends are acknowledged at once
+            where it is not.
         speed: how fast the worker is.
         synced: whether it has been asked for its runs under the fence in force.
     """
@@ -88,6 +90,7 @@
         "orphans",
         "ends",
         "may_forget",
+        "is_kept",
         "speed",
         "synced",
         "free",
@@ -128,6 +131,7 @@
         self._listener = listener
         self._count = count
         self.may_forget: Callable[[], bool] = lambda: True
+        self.is_kept: Callable[[str], bool] = lambda job_id: True
         self._clock_ms = 0.0
         self._clock_read_s = 0.0
         self._answers = False
@@ -393,9 +397,19 @@
             self.orphans.pop(end.task, None)
         if run is None or (is_own and run.task.is_kept):
             self.ends.keep(end)
+        if run is None:
+            gevent.spawn(self._forget_unless_kept, end)
         if is_own:
             self._end(run, end.kind)
 
+    def _forget_unless_kept(self, end: RunEnd) -> None:
+        """Acknowledge the end of a task that no task here stands for, if its job is not kept.
+
+        A worker that lists an end answers each call at once, which costs calls.
+        """
+        if not self.is_kept(job_of(end.task)) and self.ends.settle(end.task, end.run):
+            self._wanted.set()
+
     def _end(self, run: Run, kind: EndKind) -> None:
         if kind is EndKind.DONE:
             seen_ms = (time.monotonic() - run.ordered_s) * MS_PER_S
--- a/camphorchute/runs/tests/test_kept_tasks.py
+++ b/camphorchute/runs/tests/test_kept_tasks.py
@@ -138,3 +138,17 @@
     assert until(lambda: site.results)
     gevent.sleep(1.0)
     assert all(run.acknowledged for run in record(site)) is may_forget
+
+
+@pytest.mark.parametrize("is_kept", [True, False])
+def test_end_left_by_an_earlier_home_is_acknowledged_at_once_unless_kept(sites, is_kept):
+    """After a takeover the home had called its workers 60 times a second each for 10 s."""
+    site, first = sites(run_ms=150.0)
+    site.hand(first, tasks=1)
+    assert until(lambda: len(record(site)) == 1)
+    first.close()
+    second = site.add_home(9)
+    second.is_kept = lambda job_id: is_kept
+    assert until(lambda: record(site)[0].how == "done")
+    gevent.sleep(0.3)
+    assert record(site)[0].acknowledged is not is_kept
