Adopt the run of a worker that came back into service discovery instead of starting it again

A zone cut healed at 38.6 s; a worker's entry came back after its home had dropped it. The home followed the worker anew and renewed its leases, and at the end of the old leases put the task among those that wait, where one that may run is started again as soon as its worker has listed its runs.

Change: the run is looked for on the worker first and adopted. The test fails without the change.

--- a/camphorchute/runs/group_home.py
+++ b/camphorchute/runs/group_home.py
@@ -299,7 +299,8 @@
                 self._finish(run.task, run.number, TaskEnd.MAY_RUN, worker_id)
             elif worker_id in group.workers and not run.task.is_kept:
                 run.task.may_run, run.task.worker_id = True, worker_id
-                self._wait_again(run.task)
+                if not self._adopt(group, run.task):
+                    self._wait_again(run.task)
             else:
                 self.run_ended(worker, run, EndKind.LEASE_EXPIRED)
 
--- a/camphorchute/runs/tests/test_group_home.py
+++ b/camphorchute/runs/tests/test_group_home.py
@@ -294,3 +294,19 @@
     elif how == "group given up":
         home.drop_group(GROUP)
     assert until(lambda: end in [result.end for result in site.results])
+
+
+def test_run_of_a_worker_that_came_back_is_adopted_and_not_started_beside_itself(sites):
+    """After a cut zone had healed, a run was started again while its worker was renewed."""
+    site = sites(workers=2, run_ms=1900.0)
+    home = site.add_home(7)
+    assert until(lambda: all(worker.fence == 7 for worker in site.site.workers))
+    site.hand(home, tasks=1)
+    assert until(lambda: len(site.running()) == 1)
+    entries = site.entries()
+    home.set_workers(GROUP, {})
+    gevent.sleep(0.7)
+    home.set_workers(GROUP, entries)
+    assert until(lambda: site.results)
+    assert site.ends() == {0: TaskEnd.DONE}
+    assert site.site.overlaps() == []
