Rule out an earlier run on its named worker before a task starts again

Cause: a worker that changes groups is polled by the schedulers of both for a moment. The next scheduler took its list of runs from before the change as proof that a returned task was not active, although the first scheduler, whose fencing token may be the higher one, had started it after that list. The same holds for a start command that arrives after the list. Ruled out: the fencing token alone, since the two groups have claims of their own, and the lease, which the second scheduler renews. Change: the named worker must omit the run from a list requested after the report and then acknowledge a stop command for it, which bars a late start. Without a named worker the wait covers the time for which another scheduler keeps an orphan.

--- a/camphorchute/runs/group_scheduler.py
+++ b/camphorchute/runs/group_scheduler.py
@@ -23,6 +23,7 @@
 from camphorchute.links import handles
 from camphorchute.loops import spawn_loop
 from camphorchute.runs.durable_tasks import DurableTasks
+from camphorchute.runs.earlier_run import EarlierRun
 from camphorchute.runs.leased_worker import LeasedWorker
 from camphorchute.runs.placement import rank_worker
 from camphorchute.runs.run import PendingTask, Run
@@ -32,7 +33,7 @@
 SWEEP_INTERVAL_MS = 20.0
 RESULT_BATCH_DELAY_MS = 1.0
 UNSYNCED_WORKER_KEEP_MS = 10_000.0
-UNKNOWN_LEASES_EXPIRY_MS = 1200.0
+UNKNOWN_LEASES_EXPIRY_MS = 1900.0  # a lease and the time for which orphans are kept
 MS_PER_S = 1000.0
 
 
@@ -369,18 +370,26 @@
     def _are_earlier_runs_known(self, group: _Group, task: PendingTask) -> bool:
         """Whether no earlier run of a task can be active on a worker that was not polled yet.
 
-        If the earlier scheduler named the worker and it is in the group, it must have listed its
-        runs under the fencing token in force. Otherwise every listed worker must have done so, and
-        the leases on workers unknown to this scheduler must have expired: the earlier scheduler no
-        longer renews them, because it has lost the task's owner or the group.
+        If the earlier scheduler named the worker and it is in the group, that worker must have
+        ruled the run out: a list of runs from before the report may be older than the start.
+        Otherwise every listed worker must have listed its runs, and the leases on workers unknown
+        to this scheduler must have expired: the earlier scheduler no longer renews them, because it
+        has lost the task's owner or the group, and another one stops runs that nobody asks for.
         """
         worker = group.workers.get(task.worker_id)
         if worker is not None:
-            return worker.synced
+            return self._is_earlier_run_ruled_out(worker, task)
         if time.monotonic() - task.arrived_s < UNKNOWN_LEASES_EXPIRY_MS / MS_PER_S:
             return False
         return all(worker.synced or worker.unlisted_ms() > 0 for worker in group.workers.values())
 
+    def _is_earlier_run_ruled_out(self, worker: LeasedWorker, task: PendingTask) -> bool:
+        """Return whether a worker has ruled out the last run of a task; ask it the first time."""
+        if task.earlier_run is None or task.earlier_run.worker is not worker:
+            task.earlier_run = EarlierRun(task.name, task.next_run - 1, worker)
+            worker.rule_out(task.earlier_run)
+        return task.earlier_run.is_ruled_out
+
     def _adopt_pending(self, group: _Group) -> None:
         """Adopt earlier runs of pending tasks that may already be running."""
         backlog = self._backlogs[group.name]
--- a/camphorchute/runs/leased_worker.py
+++ b/camphorchute/runs/leased_worker.py
@@ -21,6 +21,7 @@
     WorkerEntry,
 )
 from camphorchute.loops import spawn_loop
+from camphorchute.runs.earlier_run import EarlierRun
 from camphorchute.runs.run import PendingTask, Run, RunState, job_of
 from camphorchute.runs.unacknowledged_completions import UnacknowledgedCompletions
 from camphorchute.runs.worker_speed import WorkerSpeed
@@ -118,6 +119,7 @@
         "lease_expiry_s",
         "_failures",
         "_unlisted_since_s",
+        "_earlier_runs",
         "_poll_requested",
         "_greenlet",
         "_closed",
@@ -151,6 +153,7 @@
         self._paused_until_s = 0.0
         self._failures = 0
         self._unlisted_since_s = 0.0
+        self._earlier_runs: list[EarlierRun] = []
         self._poll_requested = Event()
         self._greenlet: gevent.Greenlet | None = None
         self._closed = False
@@ -184,6 +187,11 @@
         """Poll the worker even if it is idle, to send the latest acknowledgement."""
         self._poll_requested.set()
 
+    def rule_out(self, earlier_run: EarlierRun) -> None:
+        """Find out whether an earlier run is active here, and bar its start if it is not."""
+        self._earlier_runs.append(earlier_run)
+        self._poll_requested.set()
+
     def mark_unlisted(self) -> None:
         """Record that service discovery no longer lists the worker."""
         if not self._unlisted_since_s:
@@ -396,8 +404,28 @@
             self._failures = 0
             self._update_worker_clock(listing.clock_ms)
             self._apply_listing(listing, sent_s)
-            if fence == self._current_fence() and not self.synced:
+            if fence == self._current_fence():
                 self.synced = True
+                self._check_earlier_runs(listing, sent_s)
+            self._listener.worker_changed(self)
+
+    def _check_earlier_runs(self, listing: RunListing, sent_s: float) -> None:
+        """Bar the earlier runs reported before a poll was sent that its list does not contain."""
+        listed = {listed_run.task for listed_run in listing.running}
+        covered = [run for run in self._earlier_runs if run.reported_s < sent_s]
+        self._earlier_runs = [run for run in self._earlier_runs if run not in covered]
+        for earlier_run in covered:
+            if earlier_run.task not in listed:
+                gevent.spawn(self._bar_earlier_run, earlier_run)
+
+    def _bar_earlier_run(self, earlier_run: EarlierRun) -> None:
+        try:
+            self._client.stop_run(earlier_run.task, earlier_run.number, self._current_fence())
+        except (CommandRefused, CommandUnanswered):
+            self._count("runs.retry.bar_earlier_run")
+            self.rule_out(earlier_run)
+        else:
+            earlier_run.is_ruled_out = True
             self._listener.worker_changed(self)
 
     def _handle_poll_refusal(self, reason: RefusalReason) -> None:
--- a/camphorchute/runs/run.py
+++ b/camphorchute/runs/run.py
@@ -5,6 +5,7 @@
 import xxhash
 
 from camphorchute.contracts.run_messages import StartTasks, TaskToStart
+from camphorchute.runs.earlier_run import EarlierRun
 
 __all__ = ["SHARD_COUNT", "PendingTask", "Run", "RunState", "job_of", "shard_of", "task_name"]
 
@@ -78,6 +79,7 @@
         failures: number of runs that failed.
         may_run: whether an earlier run may be active on a worker that was not polled yet.
         worker_id: the worker of that run, empty if it is not known.
+        earlier_run: what that worker has said of the run, None before it is asked.
         arrived_s: time of its arrival.
         start_by_s: time at which it is returned to its owner if it has not started.
         finish_by_s: time after which no caller waits for it; it is stopped then.
@@ -97,6 +99,7 @@
         "failures",
         "may_run",
         "worker_id",
+        "earlier_run",
         "arrived_s",
         "start_by_s",
         "finish_by_s",
@@ -118,6 +121,7 @@
         self.failures = command.failures
         self.may_run = command.may_run
         self.worker_id = command.worker_id
+        self.earlier_run: EarlierRun | None = None
         self.arrived_s = now_s
         self.start_by_s = now_s + message.start_within_ms / 1000
         self.finish_by_s = now_s + message.finish_within_ms / 1000
--- a/camphorchute/runs/tests/test_group_scheduler.py
+++ b/camphorchute/runs/tests/test_group_scheduler.py
@@ -4,6 +4,7 @@
 from camphorchute.contracts.run_messages import ShardTerm, StopTasks, TaskResultKind
 from camphorchute.runs.tests.scheduler_site import (
     GROUP,
+    JOB_ID,
     OWNER,
     SchedulerSite,
     start_message,
@@ -335,3 +336,33 @@
     assert wait_until(lambda: site.results)
     assert site.outcomes() == {0: TaskResultKind.DONE}
     assert site.fleet.overlapping_tasks() == []
+
+
+def test_run_started_after_the_next_scheduler_listed_the_worker_is_adopted(open_site):
+    """A worker changed groups; its next scheduler trusted a list from before the run's start."""
+    site = open_site(workers=2, run_ms=900.0)
+    second = site.add_scheduler(8)
+    assert wait_until(lambda: all(worker.fence == 8 for worker in site.fleet.workers))
+    moved = site.fleet.workers[0]
+    first = site.add_scheduler(9, [moved._worker_id])
+    site.dispatch_tasks(first, tasks=1)
+    assert wait_until(lambda: len(site.active_runs()) == 1)
+    first.set_workers(GROUP, {}, {moved._worker_id: "north/flags/1"})
+    assert wait_until(lambda: site.results)
+    site.redispatch_returned(second)
+    assert wait_until(lambda: second.superseded_groups == {GROUP})
+    second.acquire_group(GROUP, "flags", 10)
+    assert wait_until(lambda: site.outcomes() == {0: TaskResultKind.DONE})
+    assert site.fleet.overlapping_tasks() == []
+    assert len(site.fleet.started_tasks()) == 1
+
+
+def test_start_that_arrives_after_its_worker_changed_groups_is_rejected(open_site):
+    """The next scheduler saw no run on the worker and started the task on another one."""
+    site = open_site(workers=2, run_ms=900.0)
+    second = site.add_scheduler(9)
+    assert wait_until(lambda: all(worker.fence == 9 for worker in site.fleet.workers))
+    moved = site.fleet.workers[0]
+    site.dispatch_tasks(second, tasks=1, run=2, may_run=True, worker_id=moved._worker_id)
+    assert wait_until(lambda: len(site.active_runs()) == 1)
+    assert moved._highest_run_numbers.get(f"{JOB_ID}.0.0.0", 0) >= 1
