--- a/camphorchute/cli/settings_table.py
+++ b/camphorchute/cli/settings_table.py
@@ -9,6 +9,8 @@
 from typing import Any
 from urllib.parse import urlsplit
 
+from camphorchute.policies import POLICY_REGISTRIES, PolicyRegistry
+
 __all__ = ["ENVIRONMENT_PREFIX", "SETTINGS", "SettingInfo", "settings_markdown"]
 
 ENVIRONMENT_PREFIX = "CAMPHORCHUTE_"
@@ -82,6 +84,14 @@
     return parse
 
 
+def _policy_parser(registry: PolicyRegistry) -> Callable[[str], str]:
+    def parse(value: str) -> str:
+        registry.find(value)
+        return value
+
+    return parse
+
+
 class SettingInfo:
     """Definition of one setting.
 
@@ -128,6 +138,15 @@
 _DAY_S = 86_400
 _HOUR_MS = 3_600_000
 
+_POLICIES = (
+    ("admission", "useful", "Until when a job must be able to start to be accepted"),
+    ("task_order", "started-first", "Order in which pending tasks start"),
+    ("worker_choice", "own-zone-first", "Workers that are chosen first"),
+    ("overdue", "spread", "Runs that are stopped as overdue and started elsewhere"),
+    ("ejection", "outlier", "Workers that are given no tasks for a while"),
+    ("readiness", "can-place", "When this process reports itself ready"),
+)
+
 SETTINGS = (
     SettingInfo("zone", None, _parse_name, "Availability zone of this process."),
     SettingInfo(
@@ -247,6 +266,16 @@
         _integer_parser(1, 1_000_000),
         "Writes a second that the platform's store takes from all processes together.",
     ),
+    *(
+        SettingInfo(
+            f"{name}_policy",
+            default,
+            _policy_parser(POLICY_REGISTRIES[name]),
+            f"{description}: {', '.join(POLICY_REGISTRIES[name].names())}; "
+            "only with platform fleet.",
+        )
+        for name, default, description in _POLICIES
+    ),
     SettingInfo(
         "log_file", "-", _parse_text, "File that logs are appended to; - is standard error."
     ),
--- a/camphorchute/cluster/cluster_view.py
+++ b/camphorchute/cluster/cluster_view.py
@@ -147,6 +147,10 @@
                 self._count("roster.worker_gone")
                 self.changed.set()
 
+    def has_workers(self, service: str) -> bool:
+        """Return whether a worker of a service is listed."""
+        return any(entry.service == service for entry in self.workers.values())
+
     def groups(self) -> dict[str, dict[str, WorkerEntry]]:
         """Return the workers of each worker group, by group name and worker id."""
         entries_by_service: dict[tuple[str, str], list[WorkerEntry]] = {}
--- a/camphorchute/contracts/run_messages.py
+++ b/camphorchute/contracts/run_messages.py
@@ -92,6 +92,10 @@
         hand_back_full: whether tasks that do not fit into the free capacity are returned
             immediately instead of waiting.
         term: term of the shard owner if the job is durable, otherwise None.
+        in_time_within_ms: time within which the tasks must start for their job to meet its target
+            time; negative if it cannot any more.
+        has_job_started: whether other tasks of the job were started or are dispatched to free
+            capacity.
     """
 
     group: str
@@ -107,6 +111,8 @@
     tasks: list[TaskToStart]
     hand_back_full: bool = False
     term: ShardTerm | None = None
+    in_time_within_ms: float = 0.0
+    has_job_started: bool = False
 
 
 class StopTasks(msgspec.Struct, tag="stop_tasks"):
@@ -168,8 +174,12 @@
         group: name of the worker group.
         service: the service that the workers belong to.
         capacity: total resources of all workers, free or not.
-        waiting_core_ms: work of the pending tasks in core-milliseconds, by priority of their queue.
+        waiting_core_ms: work of the pending tasks that can still be in time in core-milliseconds,
+            by priority of their queue.
         workers: the free capacity of each worker.
+        oldest_wait_ms: for how long the oldest of the pending tasks that can still be in time has
+            waited, by priority of their queue.
+        late_wait_ms: expected time until a task starts that is late already, in milliseconds.
     """
 
     group: str
@@ -177,6 +187,8 @@
     capacity: Resources
     waiting_core_ms: dict[int, float]
     workers: list[WorkerFreeCapacity]
+    oldest_wait_ms: dict[int, float] = {}
+    late_wait_ms: float = 0.0
 
 
 class RoomReport(msgspec.Struct, tag="room_report"):
--- a/camphorchute/entry/hosted_process.py
+++ b/camphorchute/entry/hosted_process.py
@@ -29,6 +29,8 @@
 from camphorchute.hosting import make_platform
 from camphorchute.links import Handlers, Peers
 from camphorchute.loops import spawn_loop
+from camphorchute.policies import POLICY_REGISTRIES, DecisionPolicies
+from camphorchute.policies.readiness import ServingState
 from camphorchute.queues import FreeCapacityReports, FreeCapacityView, QueueOwner
 from camphorchute.runs import GroupScheduler
 
@@ -82,10 +84,13 @@
             ),
         ]
         self._lease = MembershipLease(store, self._member, count)
+        self._policies = DecisionPolicies(
+            **{name: getattr(settings, f"{name}_policy") for name in POLICY_REGISTRIES}
+        )
         self._scheduler = GroupScheduler(
-            self._platform.open_worker_client, self._peers.send_if_linked, count
+            self._platform.open_worker_client, self._peers.send_if_linked, count, self._policies
         )
-        self._capacity_view = FreeCapacityView()
+        self._capacity_view = FreeCapacityView(settings.zone, self._policies.worker_choice)
         self._claims = GroupClaims(
             store,
             self._view,
@@ -96,7 +101,15 @@
             count,
         )
         self._heartbeats = Heartbeats(self._peers, self._view, count)
-        self._owner = QueueOwner(self._capacity_view, self._view.scheduler_of, self._peers, count)
+        self._owner = QueueOwner(
+            self._capacity_view,
+            self._view.scheduler_of,
+            self._peers,
+            count,
+            self._policies.admission,
+        )
+        self._owner.has_workers = self._view.has_workers
+        self._created_s = time.monotonic()
         self._capacity_reports = FreeCapacityReports(
             self._scheduler, self._peers, self._view, count
         )
@@ -230,8 +243,13 @@
         return MS_PER_S * max(1, len(self._view.members)) / writes_per_s
 
     def _is_ready(self) -> bool:
-        is_serving = self._view.queues is not None and not self.stopping.is_set()
-        return is_serving and not self._loop_lag.is_behind
+        state = ServingState(
+            self._view.queues is not None,
+            self._capacity_view.has_reports(),
+            (time.monotonic() - self._created_s) * MS_PER_S,
+        )
+        is_able = not self.stopping.is_set() and not self._loop_lag.is_behind
+        return is_able and self._policies.readiness(state)
 
     def _refuse_not_serving(self) -> None:
         if self._view.queues is None:
--- a/camphorchute/jobs/admission.py
+++ b/camphorchute/jobs/admission.py
@@ -5,8 +5,8 @@
 
 from camphorchute.contracts import JobSpec, Refusal, ResultCode
 from camphorchute.jobs.pools import pool_for_job
+from camphorchute.policies.run_times import RunTimes
 from camphorchute.services.definition import ServiceDefinition, Worker
-from camphorchute.workers.run_times import RunTimes
 
 __all__ = ["Admission"]
 
--- /dev/null
+++ b/camphorchute/policies/overdue.py
@@ -0,0 +1,119 @@
+"""Overdue policies: when a run has taken so long that its task is started elsewhere."""
+
+from collections.abc import Callable
+
+from camphorchute.policies.registry import PolicyRegistry
+
+__all__ = ["OVERDUE_POLICIES", "RunAge", "RunTimeSpread", "is_overdue_by_spread"]
+
+AVERAGING_WEIGHT = 0.05
+PRIOR_RATIO, PRIOR_DEVIATION = 1.0, 0.35
+RATIO_MAX = 4.0  # a hung or slow worker must not widen the spread that is to detect it
+DEVIATIONS_ALLOWED = 6.0
+FACTOR_MIN, FACTOR_MAX = 3.0, 6.0
+SIBLING_FACTOR = 2.0  # tasks of one job differ less than the estimates of different jobs
+DISPATCH_ALLOWANCE_MS = 60.0
+RESTARTS_MAX = 1
+
+
+class RunTimeSpread:
+    """Mean and mean deviation of the ratio of measured to expected run time.
+
+    Both are exponential averages, so figures of long ago are forgotten.
+
+    Attributes:
+        mean: mean of the ratio.
+        deviation: mean absolute deviation from the mean.
+
+    Examples:
+        >>> spread = RunTimeSpread()
+        >>> for _ in range(200):
+        ...     spread.record_ratio(1.2)
+        >>> round(spread.mean, 2), round(spread.deviation, 2)
+        (1.2, 0.0)
+    """
+
+    __slots__ = ("mean", "deviation")
+
+    def __init__(self) -> None:
+        self.mean = PRIOR_RATIO
+        self.deviation = PRIOR_DEVIATION
+
+    def record_ratio(self, ratio: float) -> None:
+        """Record the ratio of one run that was done.
+
+        Args:
+            ratio: measured run time divided by the expected one.
+        """
+        bounded = min(RATIO_MAX, max(0.0, ratio))
+        self.deviation += AVERAGING_WEIGHT * (abs(bounded - self.mean) - self.deviation)
+        self.mean += AVERAGING_WEIGHT * (bounded - self.mean)
+
+
+class RunAge:
+    """Age of an active run, with what is known about its run time.
+
+    Attributes:
+        elapsed_ms: time since its start command was sent.
+        expected_ms: expected run time on its worker, by the estimate of its caller.
+        spread: spread of the run times of its queue's tasks.
+        sibling_ratio: mean ratio of measured to expected run time of the tasks of the same job
+            that are done, 0 if none is.
+        restarts: how often the task was stopped as overdue.
+    """
+
+    __slots__ = ("elapsed_ms", "expected_ms", "spread", "sibling_ratio", "restarts")
+
+    def __init__(
+        self,
+        elapsed_ms: float,
+        expected_ms: float,
+        spread: RunTimeSpread,
+        sibling_ratio: float = 0.0,
+        restarts: int = 0,
+    ) -> None:
+        self.elapsed_ms = elapsed_ms
+        self.expected_ms = expected_ms
+        self.spread = spread
+        self.sibling_ratio = sibling_ratio
+        self.restarts = restarts
+
+
+OverduePolicy = Callable[[RunAge], bool]
+OVERDUE_POLICIES: PolicyRegistry[OverduePolicy] = PolicyRegistry("overdue run")
+
+
+@OVERDUE_POLICIES.register("spread")
+def is_overdue_by_spread(age: RunAge) -> bool:
+    """Return whether a run takes longer than nearly all runs, given the other tasks of its job.
+
+    A task that was overdue before is not stopped again: its estimate is at fault, not a worker.
+
+    Examples:
+        >>> spread = RunTimeSpread()
+        >>> is_overdue_by_spread(RunAge(200.0, 60.0, spread))
+        False
+        >>> is_overdue_by_spread(RunAge(200.0, 60.0, spread, sibling_ratio=1.1))
+        True
+        >>> is_overdue_by_spread(RunAge(200.0, 60.0, spread, sibling_ratio=1.1, restarts=1))
+        False
+    """
+    if age.restarts >= RESTARTS_MAX:
+        return False
+    if age.sibling_ratio > 0:
+        factor = SIBLING_FACTOR * max(1.0, age.sibling_ratio)
+    else:
+        factor = age.spread.mean + DEVIATIONS_ALLOWED * age.spread.deviation
+        factor = min(FACTOR_MAX, max(FACTOR_MIN, factor))
+    return age.elapsed_ms > factor * age.expected_ms + DISPATCH_ALLOWANCE_MS
+
+
+@OVERDUE_POLICIES.register("never")
+def is_never_overdue(age: RunAge) -> bool:
+    """Return False: runs end only at the deadline of their job.
+
+    Examples:
+        >>> is_never_overdue(RunAge(1e9, 1.0, RunTimeSpread()))
+        False
+    """
+    return False
--- a/camphorchute/workers/tests/test_failures.py
+++ b/camphorchute/policies/tests/test_failures.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from camphorchute.workers.failures import FailureTracker, may_eject
+from camphorchute.policies.failures import FailureTracker, may_eject
 
 
 def make_tracker(failed, ok, jobs=9, ejected=False):
--- a/camphorchute/queues/free_capacity_view.py
+++ b/camphorchute/queues/free_capacity_view.py
@@ -2,12 +2,20 @@
 
 import time
 
+from gevent.event import Event
+
 from camphorchute.contracts.batch_job import BatchStep, QueueLimits
 from camphorchute.contracts.member import Member
 from camphorchute.contracts.resources import Resources
 from camphorchute.contracts.run_messages import GroupFreeCapacity, RoomReport, WorkerFreeCapacity
 from camphorchute.links import handles
-from camphorchute.runs import rank_worker
+from camphorchute.policies.worker_choice import (
+    WorkerCandidate,
+    WorkerChoicePolicy,
+    rank_own_zone_first,
+)
+from camphorchute.queues.group_wait import GroupWait
+from camphorchute.runs.worker_groups import zone_of_group
 
 __all__ = ["PlacementPlan", "FreeCapacityView"]
 
@@ -62,11 +70,23 @@
     """Plans the placement of tasks from free-capacity reports.
 
     Capacity that was reserved for tasks is subtracted until the next report of the group.
+
+    Args:
+        zone: availability zone of this process.
+        worker_choice: returns the rank of a worker for a task.
+
+    Attributes:
+        report_received: event that is set when a report arrives; cleared by who waits for it.
     """
 
-    __slots__ = ("_reports",)
+    __slots__ = ("report_received", "_zone", "_worker_choice", "_reports")
 
-    def __init__(self) -> None:
+    def __init__(
+        self, zone: str = "", worker_choice: WorkerChoicePolicy = rank_own_zone_first
+    ) -> None:
+        self.report_received = Event()
+        self._zone = zone
+        self._worker_choice = worker_choice
         self._reports: dict[str, _ReceivedReport] = {}
 
     @handles(RoomReport, nonblocking=True)
@@ -79,6 +99,7 @@
                 del self._reports[group]
         for free_capacity in report.groups:
             self._reports[free_capacity.group] = _ReceivedReport(peer, free_capacity, now_s)
+        self.report_received.set()
 
     def forget_member(self, member_id: str) -> None:
         """Remove all reports of a member.
@@ -105,6 +126,15 @@
         ]
         return round(max(ages_ms, default=-1))
 
+    def has_reports(self) -> bool:
+        """Return whether a scheduler of any group has reported recently."""
+        oldest_s = _oldest_valid_s()
+        return any(received.received_s >= oldest_s for received in self._reports.values())
+
+    def has_scheduler(self, service: str) -> bool:
+        """Return whether a scheduler has reported workers of a service recently."""
+        return bool(self._fresh_reports(service))
+
     def can_ever_run(self, service: str, demand: Resources) -> bool:
         """Return whether the total capacity of some group of a service suffices for a demand.
 
@@ -135,7 +165,7 @@
             remaining -= count
         if not remaining or not reports:
             return PlacementPlan(chosen, {})
-        pending, wait_ms = self._spread_pending(reports, step, remaining, limits.priority)
+        pending, wait_ms = self._spread_pending(reports, step, remaining, limits)
         return PlacementPlan(chosen, pending, wait_ms)
 
     def reserve(self, plan: PlacementPlan, step: BatchStep, limits: QueueLimits) -> None:
@@ -190,48 +220,40 @@
             for worker in received.free_capacity.workers
             if worker.free.can_hold(step.demand)
         ]
-        eligible.sort(
-            key=lambda candidate: rank_worker(candidate[1].speed, step.estimate_ms, limits)
-        )
+        eligible.sort(key=lambda row: self._rank(row[0], row[1].speed, step, limits))
         return eligible
 
+    def _rank(self, group: str, speed: float, step: BatchStep, limits: QueueLimits) -> tuple:
+        candidate = WorkerCandidate(speed, zone_of_group(group) == self._zone)
+        return self._worker_choice(candidate, step.estimate_ms, limits)
+
     def _spread_pending(
-        self,
-        reports: list[_ReceivedReport],
-        step: BatchStep,
-        tasks: int,
-        priority: int,
+        self, reports: list[_ReceivedReport], step: BatchStep, tasks: int, limits: QueueLimits
     ) -> tuple[dict[str, int], float]:
-        """Spread tasks that have to wait over the groups with the least backlog per core.
+        """Spread tasks that have to wait over the groups with the shortest expected waits.
 
         Returns:
             The number of tasks by group, and the expected waiting time of the last one in
             milliseconds.
         """
-        eligible = [
-            received
+        waits = {
+            received.free_capacity.group: GroupWait(
+                received.free_capacity,
+                step,
+                limits,
+                zone_of_group(received.free_capacity.group) == self._zone,
+            )
             for received in reports
             if received.free_capacity.capacity.can_hold(step.demand)
-        ]
+        }
         chosen: dict[str, int] = {}
-        if not eligible:
+        if not waits:
             return chosen, 0.0
-        task_core_ms = step.demand.cpu_millicores / 1000 * max(1.0, step.estimate_ms)
-        backlog = {
-            received.free_capacity.group: _backlog_core_ms(received.free_capacity, priority)
-            for received in eligible
-        }
-        core_counts = {
-            received.free_capacity.group: _core_count(received.free_capacity)
-            for received in eligible
-        }
-        wait_ms = 0.0
         for _ in range(tasks):
-            group = min(backlog, key=lambda name: backlog[name] / core_counts[name])
-            backlog[group] += task_core_ms
+            group = min(waits, key=lambda name: waits[name].cost_ms())
+            waits[group].add_task()
             chosen[group] = chosen.get(group, 0) + 1
-            wait_ms = max(wait_ms, backlog[group] / core_counts[group])
-        return chosen, wait_ms
+        return chosen, max(waits[group].expected_ms() for group in chosen)
 
     def _reserve_in_group(
         self, free_capacity: GroupFreeCapacity, step: BatchStep, tasks: int, limits: QueueLimits
@@ -239,8 +261,8 @@
         """Subtract tasks from the free workers of a group, and add the others to its backlog."""
         ranked = sorted(
             range(len(free_capacity.workers)),
-            key=lambda index: rank_worker(
-                free_capacity.workers[index].speed, step.estimate_ms, limits
+            key=lambda index: self._rank(
+                free_capacity.group, free_capacity.workers[index].speed, step, limits
             ),
         )
         for worker_number in ranked:
@@ -258,13 +280,3 @@
 def _oldest_valid_s() -> float:
     """Return the monotonic time before which a report is too old for placement."""
     return time.monotonic() - REPORT_STALE_MS / MS_PER_S
-
-
-def _backlog_core_ms(free_capacity: GroupFreeCapacity, priority: int) -> float:
-    """Return the pending work of a group at a priority and at more urgent ones."""
-    return sum(ms for other, ms in free_capacity.waiting_core_ms.items() if other <= priority)
-
-
-def _core_count(free_capacity: GroupFreeCapacity) -> float:
-    """Return the number of cores of a group, at least 1."""
-    return max(1.0, free_capacity.capacity.cpu_millicores / 1000)
--- a/camphorchute/queues/job_run.py
+++ b/camphorchute/queues/job_run.py
@@ -1,5 +1,6 @@
 """Progress of a job at the process that owns it."""
 
+import math
 import time
 from collections import Counter
 from enum import Enum
@@ -9,9 +10,11 @@
 from camphorchute.contracts.batch_job import BatchJob, BatchStep
 from camphorchute.contracts.run_messages import ShardTerm, TaskResult
 from camphorchute.hosting import Queue
+from camphorchute.policies.admission import useful_time_ms
 
 __all__ = ["JobOutcome", "JobRun", "TaskProgress", "TaskState"]
 
+FINISH_STARTED_FACTOR = 4 / 3  # estimates are off by as much, and the work done would be lost
 MS_PER_S = 1000.0
 
 
@@ -71,6 +74,7 @@
         job: the job.
         queue: the queue that the job was submitted to.
         finish_by_s: monotonic time at which the job expires.
+        start_limit_ms: time from now within which the first tasks must start.
 
     Attributes:
         job: the job.
@@ -78,11 +82,14 @@
         step_limits: the limits of the queue for one step, with its share of the added time.
         started_s: monotonic time at which the job was submitted.
         finish_by_s: monotonic time after which nobody waits for the job any more.
+        useful_by_s: monotonic time after which a job that has not started is given up.
+        worth_finishing_by_s: monotonic time after which no further task of a started job is
+            started.
+        start_by_s: monotonic time by which the first tasks must start.
         steps: progress of the tasks, by step.
         outcome: outcome of the job, None while it is under way.
         was_dispatched_with_capacity: whether a task was dispatched to a scheduler with free
             capacity for it, and so may have started.
-        has_missed_start: whether a scheduler returned a task that it could not start in time.
         capacity_returns: how often schedulers immediately returned tasks for lack of capacity.
         changed: event that is set when the job may have to be acted on.
         ended: event that is set when the outcome is known.
@@ -95,26 +102,42 @@
         "step_limits",
         "started_s",
         "finish_by_s",
+        "useful_by_s",
+        "worth_finishing_by_s",
+        "start_by_s",
         "steps",
         "outcome",
         "was_dispatched_with_capacity",
-        "has_missed_start",
         "capacity_returns",
         "changed",
         "ended",
         "waiting_requests",
     )
 
-    def __init__(self, job: BatchJob, queue: Queue, finish_by_s: float) -> None:
+    def __init__(
+        self,
+        job: BatchJob,
+        queue: Queue,
+        finish_by_s: float,
+        start_limit_ms: float = math.inf,
+    ) -> None:
         self.job = job
         self.queue = queue
         self.step_limits = queue.limits.limits_for_step(job)
         self.started_s = time.monotonic()
         self.finish_by_s = finish_by_s
+        self.start_by_s = self.started_s + start_limit_ms / MS_PER_S
+        useful_ms = useful_time_ms(
+            queue.limits.target_time_ms(job.longest_chain_ms()),
+            (finish_by_s - self.started_s) * MS_PER_S,
+        )
+        self.useful_by_s = self.started_s + useful_ms / MS_PER_S
+        self.worth_finishing_by_s = min(
+            finish_by_s, self.started_s + FINISH_STARTED_FACTOR * useful_ms / MS_PER_S
+        )
         self.steps = [[TaskProgress() for _ in range(step.tasks)] for step in job.steps]
         self.outcome: JobOutcome | None = None
         self.was_dispatched_with_capacity = False
-        self.has_missed_start = False
         self.capacity_returns = 0
         self.changed = Event()
         self.ended = Event()
@@ -131,15 +154,24 @@
         Args:
             step: the step of the task.
             now_s: monotonic time at which the task is dispatched.
-            must_start_in_time: whether the task must start early enough for the job to meet its
-                aimed time.
+            must_start_in_time: whether the limit for a job that has not started applies.
+        """
+        latest_s = self.worth_finishing_by_s
+        if must_start_in_time:
+            latest_s = min(self.useful_by_s - step.estimate_ms / MS_PER_S, self.start_by_s)
+        return max(0.0, (latest_s - now_s) * MS_PER_S)
+
+    def in_time_within_ms(self, step: BatchStep, now_s: float) -> float:
+        """Return how much later a task may start for the job to meet its target time.
+
+        The result is in milliseconds, and negative if the job cannot meet it any more.
+
+        Args:
+            step: the step of the task.
+            now_s: monotonic time at which the task is dispatched.
         """
-        finish_ms = (self.finish_by_s - now_s) * MS_PER_S
-        if not must_start_in_time:
-            return finish_ms
         waited_ms = (now_s - self.started_s) * MS_PER_S
-        slack_ms = self.queue.limits.slack_ms(step.estimate_ms) - waited_ms
-        return min(max(0.0, slack_ms), finish_ms)
+        return self.queue.limits.slack_ms(self.job.longest_chain_ms()) - waited_ms
 
     def may_dispatch(self) -> bool:
         """Return whether tasks may be dispatched to schedulers now."""
@@ -153,9 +185,19 @@
         """
         if self.is_done():
             return JobOutcome.DONE
-        if self.has_missed_start and not self.any_may_have_started():
-            return JobOutcome.NOT_RUN
-        return JobOutcome.LOST if now_s >= self.finish_by_s else None
+        is_over = now_s >= self.finish_by_s
+        if is_over or (now_s >= self._latest_start_s() and self._has_waiting_tasks()):
+            return JobOutcome.LOST if self.any_may_have_started() else JobOutcome.NOT_RUN
+        return None
+
+    def _latest_start_s(self) -> float:
+        """Return the monotonic time after which no task can start in time for the caller."""
+        if self.any_may_have_started():
+            return self.worth_finishing_by_s
+        return min(self.useful_by_s, self.start_by_s)
+
+    def _has_waiting_tasks(self) -> bool:
+        return any(task.state is TaskState.WAITING for step in self.steps for task in step)
 
     def record_done(self, task: "TaskProgress", result: TaskResult) -> None:
         """Record that a task is done."""
@@ -173,6 +215,13 @@
         """Return how many runs of a task failed before its present scheduler received it."""
         return 0
 
+    def has_started_tasks(self) -> bool:
+        """Return whether a task has probably started, so that work would be lost with the job."""
+        states = {task.state for step in self.steps for task in step}
+        has_run = any(task.run > 1 for step in self.steps for task in step)
+        is_placed = self.was_dispatched_with_capacity and TaskState.HANDED in states
+        return has_run or is_placed or TaskState.DONE in states
+
     def any_may_have_started(self) -> bool:
         """Return whether any task has started or may still start; pending tasks do not count."""
         if any(task.run > 1 for step in self.steps for task in step):
--- a/camphorchute/queues/queue_owner.py
+++ b/camphorchute/queues/queue_owner.py
@@ -19,6 +19,12 @@
 from camphorchute.decision_log import log_decision
 from camphorchute.hosting import Queue
 from camphorchute.links import Peers, handles
+from camphorchute.policies.admission import (
+    AdmissionPolicy,
+    JobTimes,
+    is_admitted,
+    start_while_useful,
+)
 from camphorchute.queues.free_capacity_view import FreeCapacityView
 from camphorchute.queues.job_run import JobOutcome, JobRun, TaskProgress, TaskState
 
@@ -27,9 +33,8 @@
 ANSWER_MARGIN_MS = 60.0
 RETRY_INTERVAL_MS = 50.0
 REFUSAL_RETRY_AFTER_MS = 1000.0
-WAIT_SHARE_OF_SLACK_MAX = 0.8
-USEFUL_TIME_FACTOR = 4.0
 GROUP_HANDOVER_MS = 60.0
+NO_SCHEDULER_WAIT_MAX_MS = 1000.0
 CAPACITY_RETURNS_MAX = 3
 POLL_INTERVAL_MAX_S = 60.0
 MS_PER_S = 1000.0
@@ -46,9 +51,21 @@
         claim_holder: returns the member that holds the claim on a group, None if there is none.
         peers: the links to the schedulers.
         count: adds to a named counter.
+        start_limit_ms: returns the time within which a job must start.
+
+    Attributes:
+        has_workers: returns whether service discovery lists workers of a service.
     """
 
-    __slots__ = ("_capacity_view", "_claim_holder", "_peers", "_count", "_jobs")
+    __slots__ = (
+        "has_workers",
+        "_capacity_view",
+        "_claim_holder",
+        "_peers",
+        "_count",
+        "_start_limit_ms",
+        "_jobs",
+    )
 
     def __init__(
         self,
@@ -56,7 +73,10 @@
         claim_holder: Callable[[str], Member | None],
         peers: Peers,
         count: Callable[..., None],
+        start_limit_ms: AdmissionPolicy = start_while_useful,
     ) -> None:
+        self.has_workers: Callable[[str], bool] = lambda service: False
+        self._start_limit_ms = start_limit_ms
         self._capacity_view = capacity_view
         self._claim_holder = claim_holder
         self._peers = peers
@@ -196,38 +216,34 @@
         if result.end is TaskResultKind.NO_ROOM:
             self._count("queues.retry.no_room")
             self._capacity_view.mark_group_full(task.group, run.job.steps[result.step].demand)
-        else:
-            run.has_missed_start = True
 
     def _admit_job(self, job: BatchJob, queue: Queue, deadline_ms: float) -> JobRun:
         """Accept a job and dispatch its first tasks.
 
-        The job expires at its caller's deadline or after USEFUL_TIME_FACTOR times its aimed time,
-        whichever is earlier. If no group can ever run it, that is checked once more after
-        GROUP_HANDOVER_MS, since a group may be between two schedulers.
-
         Raises:
             Refusal: no worker group can ever run the job, or its first tasks would wait too long.
         """
-        useful_time_ms = USEFUL_TIME_FACTOR * queue.limits.target_time_ms(job.longest_chain_ms())
-        run = JobRun(job, queue, _finish_by_s(min(deadline_ms, useful_time_ms)))
-        if not self._can_ever_run(job, queue.service):
-            gevent.sleep(GROUP_HANDOVER_MS / MS_PER_S)
+        work_ms = job.longest_chain_ms()
+        limits = queue.limits
+        start_limit_ms = self._start_limit_ms(
+            JobTimes(work_ms, limits.target_time_ms(work_ms), deadline_ms)
+        )
+        run = JobRun(job, queue, _finish_by_s(deadline_ms), start_limit_ms)
+        self._wait_for_group(job, queue.service, start_limit_ms)
         if not self._can_ever_run(job, queue.service):
             self._count("queues.refused.no_worker")
             log_decision("queues", "refused, no worker", job=job.job_id, service=queue.service)
             raise Refusal(ResultCode.NO_WORKER, f"service {queue.service}", REFUSAL_RETRY_AFTER_MS)
         first = job.steps[0]
         plan = self._capacity_view.plan(queue.service, first, first.tasks, run.step_limits)
-        slack_ms = queue.limits.slack_ms(first.estimate_ms)
-        if plan.wait_ms > WAIT_SHARE_OF_SLACK_MAX * slack_ms:
+        if not is_admitted(plan.wait_ms, start_limit_ms):
             log_decision(
                 "queues",
                 "refused, too long a wait",
                 job=job.job_id,
                 queue=queue.name,
                 wait_ms=round(plan.wait_ms),
-                slack_ms=round(slack_ms),
+                limit_ms=round(start_limit_ms),
                 tasks=first.tasks,
                 without_room=plan.pending_count,
                 room_age_ms=self._capacity_view.report_age_ms(queue.service),
@@ -237,6 +253,27 @@
         self._dispatch_ready_tasks(run, is_first_dispatch=True)
         return run
 
+    def _wait_for_group(self, job: BatchJob, service: str, start_limit_ms: float) -> None:
+        """Wait until a group can run a job, while one may be between two schedulers.
+
+        Where workers are listed and no scheduler is known, as after the start of all processes,
+        a scheduler will report soon, and the job waits as long as it may.
+
+        Args:
+            job: the job.
+            service: service of its queue.
+            start_limit_ms: time within which the job must start.
+        """
+        is_start = not self._capacity_view.has_scheduler(service) and self.has_workers(service)
+        wait_ms = min(NO_SCHEDULER_WAIT_MAX_MS, start_limit_ms) if is_start else GROUP_HANDOVER_MS
+        wait_until_s = time.monotonic() + wait_ms / MS_PER_S
+        while not self._can_ever_run(job, service):
+            remaining_s = wait_until_s - time.monotonic()
+            if remaining_s <= 0:
+                return
+            self._capacity_view.report_received.clear()
+            self._capacity_view.report_received.wait(remaining_s)
+
     def _can_ever_run(self, job: BatchJob, service: str) -> bool:
         """Return whether each step has a group with enough total capacity for one of its tasks."""
         return all(self._capacity_view.can_ever_run(service, step.demand) for step in job.steps)
@@ -278,13 +315,13 @@
         limits = run.step_limits
         plan = self._capacity_view.plan(run.queue.service, step, len(indices), limits)
         self._capacity_view.reserve(plan, step, limits)
-        must_start_in_time = (is_first_dispatch or run.capacity_returns > 0) and not step.after
+        has_started = bool(plan.placed) or run.has_started_tasks()
         may_return = run.capacity_returns < CAPACITY_RETURNS_MAX
         for is_pending, tasks_by_group in ((False, plan.placed), (True, plan.pending)):
             for group, tasks in tasks_by_group.items():
                 chosen, indices = indices[:tasks], indices[tasks:]
                 options = _DispatchOptions(
-                    must_start_in_time, may_return and not is_pending, not is_pending
+                    not has_started, may_return and not is_pending, not is_pending
                 )
                 scheduler = self._capacity_view.scheduler_of(group)
                 if scheduler is None or not self._send_start_command(
@@ -348,6 +385,8 @@
             [self._make_task_to_start(run, step_number, index) for index in indices],
             options.return_if_full,
             run.term,
+            run.in_time_within_ms(step, now_s),
+            not options.must_start_in_time,
         )
         states_before = [(task.state, task.group, task.scheduler_id) for task in tasks]
         for task in tasks:
@@ -410,8 +449,8 @@
     """How tasks are dispatched to a scheduler.
 
     Attributes:
-        must_start_in_time: whether the scheduler returns tasks that it cannot start early enough
-            for the job to meet its aimed time.
+        must_start_in_time: whether no task of the job has started, so that the scheduler returns
+            those that it cannot start within the limit of the job.
         return_if_full: whether the scheduler immediately returns tasks that it has no free
             capacity for.
         has_capacity: whether the group had free capacity for the tasks when they were planned.
--- a/camphorchute/runs/__init__.py
+++ b/camphorchute/runs/__init__.py
@@ -2,10 +2,8 @@
 
 from camphorchute.runs.group_scheduler import GroupScheduler
 from camphorchute.runs.leased_worker import LeasedWorker
-from camphorchute.runs.placement import rank_worker
 from camphorchute.runs.run import SHARD_COUNT, PendingTask, Run, RunState, job_of, shard_of
 from camphorchute.runs.worker_groups import group_count, group_of
-from camphorchute.runs.worker_speed import WorkerSpeed
 
 __all__ = [
     "SHARD_COUNT",
@@ -14,10 +12,8 @@
     "PendingTask",
     "Run",
     "RunState",
-    "WorkerSpeed",
     "group_count",
     "group_of",
     "job_of",
-    "rank_worker",
     "shard_of",
 ]
--- a/camphorchute/runs/durable_tasks.py
+++ b/camphorchute/runs/durable_tasks.py
@@ -13,7 +13,8 @@
 from camphorchute.hosting import RunOutcome
 from camphorchute.links import handles
 from camphorchute.runs.leased_worker import LeasedWorker
-from camphorchute.runs.run import PendingTask, job_of, shard_of
+from camphorchute.runs.run import job_of, shard_of
+from camphorchute.runs.worker_group import WorkerGroup
 
 __all__ = ["DurableTasks"]
 
@@ -22,21 +23,18 @@
     """Reports tasks to shard owners and accepts commands of the latest owner of each shard only.
 
     Args:
-        workers: returns the workers of each group of the scheduler, by name of the group.
-        backlog: returns the pending tasks of a group.
+        groups: returns the groups of the scheduler.
         count: adds to a named counter.
     """
 
-    __slots__ = ("_workers", "_backlog", "_count", "_latest_terms")
+    __slots__ = ("_groups", "_count", "_latest_terms")
 
     def __init__(
         self,
-        workers: Callable[[], dict[str, Iterable[LeasedWorker]]],
-        backlog: Callable[[str], list[PendingTask]],
+        groups: Callable[[], Iterable[WorkerGroup]],
         count: Callable[..., None],
     ) -> None:
-        self._workers = workers
-        self._backlog = backlog
+        self._groups = groups
         self._count = count
         self._latest_terms: dict[int, int] = {}
 
@@ -57,11 +55,13 @@
         latest_term = self._latest_terms.get(message.shard, 0)
         self._latest_terms[message.shard] = max(latest_term, message.term)
         report = KeptTasksAre([], [])
-        for group, workers in self._workers().items():
-            pending = [task for task in self._backlog(group) if task.is_durable]
-            report.tasks += [ReportedTask(task.name, group, task.next_run, "") for task in pending]
-            for worker in workers:
-                report.tasks += _tasks_of_worker(worker, group)
+        for group in self._groups():
+            pending = [task for task in group.backlog if task.is_durable]
+            report.tasks += [
+                ReportedTask(task.name, group.name, task.next_run, "") for task in pending
+            ]
+            for worker in group.workers.values():
+                report.tasks += _tasks_of_worker(worker, group.name)
                 if worker.synced or worker.is_expired():
                     report.workers.append(worker.entry.worker_id)
         report.tasks = [row for row in report.tasks if shard_of(job_of(row.task)) == message.shard]
@@ -70,8 +70,8 @@
     @handles(EndsSaved, nonblocking=True)
     def acknowledge_saved(self, peer: Member, message: EndsSaved) -> None:
         """Acknowledge to the workers the completions that the shard owner has saved."""
-        for workers in self._workers().values():
-            for worker in workers:
+        for group in self._groups():
+            for worker in group.workers.values():
                 acknowledged = [
                     worker.completions.acknowledge(saved.task, saved.run) for saved in message.ends
                 ]
--- a/camphorchute/runs/group_scheduler.py
+++ b/camphorchute/runs/group_scheduler.py
@@ -1,7 +1,6 @@
 """Scheduler of worker groups: the one process that places and starts their tasks."""
 
 import time
-from bisect import insort
 from collections import defaultdict
 from collections.abc import Callable
 
@@ -16,46 +15,27 @@
     TaskResult,
     TaskResultKind,
     TasksFinished,
-    WorkerFreeCapacity,
 )
 from camphorchute.decision_log import log_decision
 from camphorchute.hosting import RunOutcome, WorkerClient, WorkerEntry
 from camphorchute.links import handles
 from camphorchute.loops import spawn_loop
+from camphorchute.policies import DecisionPolicies
 from camphorchute.runs.durable_tasks import DurableTasks
-from camphorchute.runs.earlier_run import EarlierRun
+from camphorchute.runs.job_tasks import JobTasks
 from camphorchute.runs.leased_worker import LeasedWorker
-from camphorchute.runs.placement import rank_worker
+from camphorchute.runs.result_batches import ResultBatches
 from camphorchute.runs.run import PendingTask, Run
+from camphorchute.runs.run_supervisor import RunSupervisor
+from camphorchute.runs.worker_group import WorkerGroup
 
 __all__ = ["GroupScheduler"]
 
 SWEEP_INTERVAL_MS = 20.0
-RESULT_BATCH_DELAY_MS = 1.0
 UNSYNCED_WORKER_KEEP_MS = 10_000.0
-UNKNOWN_LEASES_EXPIRY_MS = 1900.0  # a lease and the time for which orphans are kept
 MS_PER_S = 1000.0
 
 
-class _Group:
-    """A worker group that this process schedules.
-
-    Attributes:
-        name: name of the group.
-        service: the service that its workers belong to.
-        fence: fencing token of the group's claim.
-        workers: its workers by id.
-    """
-
-    __slots__ = ("name", "service", "fence", "workers")
-
-    def __init__(self, name: str, service: str, fence: int) -> None:
-        self.name = name
-        self.service = service
-        self.fence = fence
-        self.workers: dict[str, LeasedWorker] = {}
-
-
 class GroupScheduler:
     """Places the tasks that owners dispatch to it on the workers of its groups.
 
@@ -63,6 +43,7 @@
         open_worker_client: returns a client of a worker.
         notify: sends a one-way message to an owner; returns whether it could be sent.
         count: adds to a named counter.
+        policies: the policies to decide by; the default ones if None.
 
     Attributes:
         superseded_groups: groups with a worker that has seen a higher fencing token.
@@ -78,19 +59,20 @@
         open_worker_client: Callable[[WorkerEntry], WorkerClient],
         notify: Callable[[str, TasksFinished], bool],
         count: Callable[..., None],
+        policies: DecisionPolicies | None = None,
     ) -> None:
         self.superseded_groups: set[str] = set()
         self.on_capacity_changed: Callable[[], None] = lambda: None
         self.may_discard_completions: Callable[[], bool] = lambda: True
         self.is_durable_job: Callable[[str], bool] = lambda job_id: True
         self._open_worker_client = open_worker_client
-        self._notify = notify
         self._count = count
-        self._groups: dict[str, _Group] = {}
-        self._backlogs: dict[str, list[PendingTask]] = defaultdict(list)
-        self.durable_tasks = DurableTasks(self._workers, lambda group: self._backlogs[group], count)
-        self._tasks_by_job: dict[str, dict[str, PendingTask]] = defaultdict(dict)
-        self._unsent_results: dict[tuple[str, str], list[TaskResult]] = {}
+        self._policies = policies or DecisionPolicies()
+        self._supervisor = RunSupervisor(self._policies, count)
+        self._results = ResultBatches(notify, lambda: self.on_capacity_changed(), count)
+        self._groups: dict[str, WorkerGroup] = {}
+        self.durable_tasks = DurableTasks(self._groups.values, count)
+        self._jobs: dict[str, JobTasks] = defaultdict(JobTasks)
         self._arrival_count = 0
         self._greenlet: gevent.Greenlet | None = None
 
@@ -102,7 +84,7 @@
         """Release every group and send the pending results."""
         for name in list(self._groups):
             self.release_group(name)
-        self._send_results()
+        self._results.send()
         if self._greenlet is not None:
             self._greenlet.kill(block=False)
 
@@ -121,7 +103,7 @@
         self.superseded_groups.discard(name)
         group = self._groups.get(name)
         if group is None:
-            self._groups[name] = _Group(name, service, fence)
+            self._groups[name] = WorkerGroup(name, service, fence, self._policies)
             return
         group.fence = fence
         for worker in group.workers.values():
@@ -133,7 +115,7 @@
         group = self._groups.pop(name, None)
         if group is None:
             return
-        for task in self._backlogs.pop(name, []):
+        for task in list(group.backlog):
             self._return_task(task)
         for worker in group.workers.values():
             for run in list(worker.runs.values()):
@@ -177,15 +159,15 @@
     def free_capacity_report(self) -> list[GroupFreeCapacity]:
         """Return the free capacity and the backlog of each group."""
         now_s = time.monotonic()
-        return [self._free_capacity_of(group, now_s) for group in self._groups.values()]
+        return [group.free_capacity(now_s) for group in self._groups.values()]
 
     def drop_owner(self, owner_id: str) -> None:
         """Stop the tasks of an owner to which no link is left.
 
         Runs of durable jobs continue: another process will adopt them.
         """
-        for tasks in list(self._tasks_by_job.values()):
-            for task in list(tasks.values()):
+        for job in list(self._jobs.values()):
+            for task in list(job.by_name.values()):
                 if task.owner_id != owner_id:
                     continue
                 self._count("runs.owner_lost")
@@ -219,7 +201,7 @@
         """Return the pending tasks of a job to its owner and stop its active runs."""
         if self.durable_tasks.is_superseded(message.term):
             return
-        for task in list(self._tasks_by_job.get(message.job_id, {}).values()):
+        for task in self._tasks_of(message.job_id):
             if task.owner_id == peer.member_id or task.is_durable:
                 self._stop_task(task)
 
@@ -227,6 +209,7 @@
         """Report the result to the owner, or requeue the task."""
         task = run.task
         self._count(f"runs.ended.{outcome.name.lower()}")
+        self._supervisor.record_end(worker, run, outcome, self._workers_beside(worker))
         if outcome is not RunOutcome.DONE:
             log_decision(
                 "runs",
@@ -238,7 +221,7 @@
                 failures=task.failures,
                 ordered_stop=run.stop_requested,
             )
-        if self._tasks_by_job.get(task.message.job_id, {}).get(task.name) is not task:
+        if not self._is_open(task):
             return
         worker_id = worker.entry.worker_id
         if outcome is RunOutcome.DONE:
@@ -261,7 +244,7 @@
         """Requeue a task that a worker has not started."""
         if run.task.cancelled:
             self._finish_task(run.task, run.number, TaskResultKind.NOT_STARTED)
-        elif self._tasks_by_job.get(run.task.message.job_id, {}).get(run.task.name) is run.task:
+        elif self._is_open(run.task):
             self._requeue(run.task)
 
     def worker_changed(self, worker: LeasedWorker) -> None:
@@ -277,10 +260,24 @@
             if group.workers.get(worker.entry.worker_id) is worker:
                 self.superseded_groups.add(group.name)
 
-    def _workers(self) -> dict[str, list[LeasedWorker]]:
-        return {group.name: list(group.workers.values()) for group in self._groups.values()}
+    def _workers_beside(self, worker: LeasedWorker) -> list[LeasedWorker]:
+        """Return the workers of the group of a worker."""
+        worker_id = worker.entry.worker_id
+        for group in self._groups.values():
+            if group.workers.get(worker_id) is worker:
+                return list(group.workers.values())
+        return [worker]
+
+    def _tasks_of(self, job_id: str) -> list[PendingTask]:
+        """Return the tasks of a job that have not ended here."""
+        return list(self._jobs[job_id].by_name.values()) if job_id in self._jobs else []
+
+    def _is_open(self, task: PendingTask) -> bool:
+        """Return whether a task has not ended here."""
+        job = self._jobs.get(task.message.job_id)
+        return job is not None and job.by_name.get(task.name) is task
 
-    def _add_worker(self, group: _Group, entry: WorkerEntry) -> None:
+    def _add_worker(self, group: WorkerGroup, entry: WorkerEntry) -> None:
         client = self._open_worker_client(entry)
         worker = LeasedWorker(entry, client, lambda: group.fence, self, self._count)
         worker.may_discard_completions = lambda: self.may_discard_completions()
@@ -288,7 +285,7 @@
         group.workers[entry.worker_id] = worker
         worker.start()
 
-    def _release_worker(self, group: _Group, worker: LeasedWorker, new_group: str) -> None:
+    def _release_worker(self, group: WorkerGroup, worker: LeasedWorker, new_group: str) -> None:
         """Leave a worker and its runs to the scheduler of the group that it moved to."""
         del group.workers[worker.entry.worker_id]
         worker.close()
@@ -297,7 +294,7 @@
             worker_id = worker.entry.worker_id
             self._finish_task(run.task, run.number, TaskResultKind.MAY_RUN, worker_id, new_group)
 
-    def _remove_worker(self, group: _Group, worker: LeasedWorker) -> None:
+    def _remove_worker(self, group: WorkerGroup, worker: LeasedWorker) -> None:
         """Remove a worker that left; its runs may continue until their leases expire."""
         del group.workers[worker.entry.worker_id]
         worker.close()
@@ -322,14 +319,14 @@
                 self._finish_task(run.task, run.number, TaskResultKind.MAY_RUN, worker_id)
             elif worker_id in group.workers and not run.task.is_durable:
                 run.task.may_run, run.task.worker_id = True, worker_id
-                if not self._adopt_run(group, run.task):
+                if not group.adopt_run(run.task):
                     self._requeue(run.task)
             else:
                 self.run_ended(worker, run, RunOutcome.LEASE_EXPIRED)
 
-    def _accept_task(self, group: _Group, task: PendingTask) -> None:
-        tasks = self._tasks_by_job[task.message.job_id]
-        known_task = tasks.get(task.name)
+    def _accept_task(self, group: WorkerGroup, task: PendingTask) -> None:
+        job = self._jobs[task.message.job_id]
+        known_task = job.by_name.get(task.name)
         if known_task is not None:
             self._count("runs.owner_changed")
             known_task.owner_id = task.owner_id
@@ -337,64 +334,17 @@
             known_task.cancelled = known_task.orphaned = False
             known_task.finish_by_s = task.finish_by_s
             return
-        tasks[task.name] = task
-        if not self._adopt_run(group, task):
-            insort(self._backlogs[group.name], task, key=lambda pending: pending.sort_key)
+        job.by_name[task.name] = task
+        job.has_started |= task.message.has_job_started
+        task.job_tasks = job
+        if not group.adopt_run(task):
+            group.backlog.add(task)
 
-    def _adopt_run(self, group: _Group, task: PendingTask) -> bool:
-        """Adopt a run of a task that an earlier scheduler started; return whether there was one.
-
-        An active run takes precedence over every completion: the task may have been started again
-        after a completion that its earlier scheduler had not acknowledged yet. A completion is
-        adopted only once the earlier runs are known, and unless the task is durable only if it is
-        a success.
-        """
-        orphaned_runs = [
-            (worker.orphans[task.name][0], worker)
-            for worker in group.workers.values()
-            if task.name in worker.orphans
-        ]
-        if orphaned_runs:
-            number, worker = max(orphaned_runs, key=lambda pair: pair[0])
-            worker.adopt_run(task, number)
-            return True
-        if not task.may_run or not self._are_earlier_runs_known(group, task):
-            return False
-        for worker in group.workers.values():
-            for completion in worker.completions.completions_of(task.name):
-                if completion.outcome is RunOutcome.DONE or task.is_durable:
-                    worker.adopt_run(task, completion.run, completion.outcome)
-                    return True
-        return False
-
-    def _are_earlier_runs_known(self, group: _Group, task: PendingTask) -> bool:
-        """Whether no earlier run of a task can be active on a worker that was not polled yet.
-
-        If the earlier scheduler named the worker and it is in the group, that worker must have
-        ruled the run out: a list of runs from before the report may be older than the start.
-        Otherwise every listed worker must have listed its runs, and the leases on workers unknown
-        to this scheduler must have expired: the earlier scheduler no longer renews them, because it
-        has lost the task's owner or the group, and another one stops runs that nobody asks for.
-        """
-        worker = group.workers.get(task.worker_id)
-        if worker is not None:
-            return self._is_earlier_run_ruled_out(worker, task)
-        if time.monotonic() - task.arrived_s < UNKNOWN_LEASES_EXPIRY_MS / MS_PER_S:
-            return False
-        return all(worker.synced or worker.unlisted_ms() > 0 for worker in group.workers.values())
-
-    def _is_earlier_run_ruled_out(self, worker: LeasedWorker, task: PendingTask) -> bool:
-        """Return whether a worker has ruled out the last run of a task; ask it the first time."""
-        if task.earlier_run is None or task.earlier_run.worker is not worker:
-            task.earlier_run = EarlierRun(task.name, task.next_run - 1, worker)
-            worker.rule_out(task.earlier_run)
-        return task.earlier_run.is_ruled_out
-
-    def _adopt_pending(self, group: _Group) -> None:
+    def _adopt_pending(self, group: WorkerGroup) -> None:
         """Adopt earlier runs of pending tasks that may already be running."""
-        backlog = self._backlogs[group.name]
+        backlog = group.backlog
         for task in [task for task in backlog if task.may_run]:
-            if self._adopt_run(group, task):
+            if group.adopt_run(task):
                 backlog.remove(task)
 
     def _requeue(self, task: PendingTask) -> None:
@@ -402,7 +352,7 @@
         if group is None:
             self._return_task(task)
             return
-        insort(self._backlogs[group.name], task, key=lambda pending: pending.sort_key)
+        group.backlog.add(task)
         gevent.spawn(self._place_pending, group)
 
     def _return_task(self, task: PendingTask) -> None:
@@ -410,22 +360,23 @@
         outcome = TaskResultKind.MAY_RUN if task.may_run else TaskResultKind.NOT_STARTED
         self._finish_task(task, task.next_run - 1, outcome, task.worker_id)
 
-    def _place_pending(self, group: _Group) -> None:
+    def _place_pending(self, group: WorkerGroup) -> None:
         """Start the pending tasks that fit into the free capacity, the most urgent first."""
-        backlog = self._backlogs[group.name]
+        backlog = group.backlog
         now_s = time.monotonic()
+        backlog.sort(now_s)
         remaining: list[PendingTask] = []
         unplaced_demand: Resources | None = None
         for task in backlog:
             demand = task.message.demand
-            has_unknown_run = task.may_run and not self._are_earlier_runs_known(group, task)
+            has_unknown_run = task.may_run and not group.are_earlier_runs_known(task)
             if task.is_durable and task.may_run and not has_unknown_run:
                 self._adopt_or_return(group, task)
                 continue
             if has_unknown_run or (unplaced_demand and demand.can_hold(unplaced_demand)):
                 remaining.append(task)
                 continue
-            worker = self._choose_worker(group, task, now_s)
+            worker = group.choose_worker(task, now_s)
             if worker is None:
                 unplaced_demand = (
                     demand
@@ -434,40 +385,28 @@
                 )
                 remaining.append(task)
             else:
+                self._supervisor.record_start()
+                task.job_tasks.has_started = True
                 worker.start_task(task)
         if len(remaining) < len(backlog):
-            backlog[:] = remaining
+            backlog.replace(remaining)
             self.on_capacity_changed()
 
-    def _adopt_or_return(self, group: _Group, task: PendingTask) -> None:
+    def _adopt_or_return(self, group: WorkerGroup, task: PendingTask) -> None:
         """Adopt an earlier run of a durable task, or report to its owner that none was found.
 
         The run's worker may have moved to another group and hold the completion there.
         """
-        if not self._adopt_run(group, task):
+        if not group.adopt_run(task):
             self._count("runs.not_found")
             self._finish_task(task, task.next_run - 1, TaskResultKind.NOT_FOUND)
 
-    def _choose_worker(self, group: _Group, task: PendingTask, now_s: float) -> LeasedWorker | None:
-        candidates = [worker for worker in group.workers.values() if worker.can_start(task, now_s)]
-        if not candidates:
-            return None
-        message = task.message
-        return min(
-            candidates,
-            key=lambda worker: (
-                worker.entry.worker_id == task.avoided_worker_id,
-                rank_worker(worker.speed.value, message.estimate_ms, message.limits),
-                worker.free_capacity.cpu_millicores,
-            ),
-        )
-
     def _orphan_task(self, task: PendingTask) -> None:
         """Let the run of a durable task continue without its owner; return it if it is pending."""
         task.orphaned = True
-        backlog = self._backlogs.get(task.message.group, [])
-        if task in backlog:
-            backlog.remove(task)
+        group = self._groups.get(task.message.group)
+        if group is not None and task in group.backlog:
+            group.backlog.remove(task)
             self._return_task(task)
 
     def _stop_task(self, task: PendingTask) -> None:
@@ -475,9 +414,8 @@
         group = self._groups.get(task.message.group)
         if group is None:
             return
-        backlog = self._backlogs[group.name]
-        if task in backlog:
-            backlog.remove(task)
+        if task in group.backlog:
+            group.backlog.remove(task)
             self._return_task(task)
             return
         for worker in group.workers.values():
@@ -503,23 +441,12 @@
             group: the group that this worker moved to, empty if it did not move.
         """
         job_id = task.message.job_id
-        tasks = self._tasks_by_job.get(job_id)
-        if tasks is not None and tasks.get(task.name) is task:
-            del tasks[task.name]
-            if not tasks:
-                del self._tasks_by_job[job_id]
-        if not self._unsent_results:
-            gevent.spawn_later(RESULT_BATCH_DELAY_MS / MS_PER_S, self._send_results)
+        if self._is_open(task):
+            del self._jobs[job_id].by_name[task.name]
+            if not self._jobs[job_id].by_name:
+                del self._jobs[job_id]
         result = TaskResult(task.message.step, task.index, run, outcome, worker_id, group)
-        self._unsent_results.setdefault((task.owner_id, job_id), []).append(result)
-
-    def _send_results(self) -> None:
-        batches, self._unsent_results = self._unsent_results, {}
-        for (owner_id, job_id), results in batches.items():
-            if not self._notify(owner_id, TasksFinished(job_id, results)):
-                self._count("runs.result_undelivered")
-        if batches:
-            self.on_capacity_changed()
+        self._results.add(task.owner_id, job_id, result)
 
     def _sweep_loop(self) -> None:
         while True:
@@ -527,23 +454,22 @@
             now_s = time.monotonic()
             for group in list(self._groups.values()):
                 self._return_expired(group, now_s)
-                if self._backlogs[group.name]:
+                self._supervisor.stop_overdue_runs(group.workers.values(), now_s)
+                if group.backlog:
                     self._place_pending(group)
             self._stop_expired(now_s)
 
-    def _return_unplaced(self, group: _Group, message: StartTasks) -> None:
+    def _return_unplaced(self, group: WorkerGroup, message: StartTasks) -> None:
         """Return the new tasks of a message that could not be placed to their owner."""
-        backlog = self._backlogs[group.name]
-        for task in [task for task in backlog if task.message is message and not task.may_run]:
-            backlog.remove(task)
+        for task in group.backlog.dispatched_by(message):
+            group.backlog.remove(task)
             self._count("runs.handed_back_full")
             self._finish_task(task, task.next_run - 1, TaskResultKind.NO_ROOM)
 
-    def _return_expired(self, group: _Group, now_s: float) -> None:
-        backlog = self._backlogs[group.name]
-        expired = [task for task in backlog if now_s >= min(task.start_by_s, task.finish_by_s)]
-        for task in expired:
-            backlog.remove(task)
+    def _return_expired(self, group: WorkerGroup, now_s: float) -> None:
+        for task in group.backlog.expired(now_s):
+            group.backlog.remove(task)
+            group.backlog.last_missed_s = now_s
             self._count("runs.waited_too_long")
             log_decision(
                 "runs",
@@ -551,34 +477,17 @@
                 task=task.name,
                 group=group.name,
                 waited_ms=round((now_s - task.arrived_s) * MS_PER_S),
-                waiting=len(backlog),
+                waiting=len(group.backlog),
             )
             self._return_task(task)
 
     def _stop_expired(self, now_s: float) -> None:
-        for tasks in list(self._tasks_by_job.values()):
-            for task in list(tasks.values()):
+        for job in list(self._jobs.values()):
+            for task in list(job.by_name.values()):
                 if now_s >= task.finish_by_s and not task.cancelled:
                     self._count("runs.past_deadline")
                     self._stop_task(task)
 
-    def _free_capacity_of(self, group: _Group, now_s: float) -> GroupFreeCapacity:
-        pending_core_ms: dict[int, float] = {}
-        for task in self._backlogs[group.name]:
-            message = task.message
-            cores = message.demand.cpu_millicores / 1000
-            priority = message.limits.priority
-            pending_core_ms[priority] = (
-                pending_core_ms.get(priority, 0.0) + cores * message.estimate_ms
-            )
-        workers, capacity = [], Resources(0)
-        for worker in group.workers.values():
-            speed = round(worker.speed.value, 3)
-            workers.append(WorkerFreeCapacity(worker.usable_capacity(now_s), speed))
-            if worker.synced and not worker.entry.is_draining:
-                capacity = capacity.plus(worker.entry.capacity)
-        return GroupFreeCapacity(group.name, group.service, capacity, pending_core_ms, workers)
-
 
 def _outcome_without_group(task: PendingTask) -> TaskResultKind:
     """Return the outcome of a task dispatched to a process that does not schedule its group."""
--- a/camphorchute/runs/leased_worker.py
+++ b/camphorchute/runs/leased_worker.py
@@ -1,5 +1,6 @@
 """Scheduling on one worker: its leases, runs, acknowledgements and free capacity."""
 
+import random
 import time
 from collections.abc import Callable
 from typing import Protocol
@@ -21,10 +22,10 @@
     WorkerEntry,
 )
 from camphorchute.loops import spawn_loop
+from camphorchute.policies import FailureTracker, WorkerSpeed
 from camphorchute.runs.earlier_run import EarlierRun
 from camphorchute.runs.run import PendingTask, Run, RunState, job_of
 from camphorchute.runs.unacknowledged_completions import UnacknowledgedCompletions
-from camphorchute.runs.worker_speed import WorkerSpeed
 
 __all__ = ["LeasedWorker", "RunListener"]
 
@@ -92,6 +93,7 @@
         is_durable_job: returns whether the job with an id may be durable; completions of other
             jobs without a task here are acknowledged immediately.
         speed: speed of the worker, learned from its runs.
+        failures: recent outcomes of its runs, and whether it is ejected.
         synced: whether the worker has listed its runs under the fencing token in force.
         free_capacity: capacity of the worker that no run in :attr:`runs` uses.
         lease_expiry_s: time of the monotonic clock in seconds by which every lease granted so far
@@ -106,6 +108,7 @@
         "may_discard_completions",
         "is_durable_job",
         "speed",
+        "failures",
         "synced",
         "free_capacity",
         "_client",
@@ -138,6 +141,7 @@
         self.orphans: dict[str, tuple[int, float]] = {}
         self.completions = UnacknowledgedCompletions()
         self.speed = WorkerSpeed()
+        self.failures = FailureTracker(random.Random())
         self.synced = False
         self.free_capacity = entry.capacity
         self.lease_expiry_s = 0.0
@@ -158,6 +162,11 @@
         self._greenlet: gevent.Greenlet | None = None
         self._closed = False
 
+    @property
+    def is_responsive(self) -> bool:
+        """Whether the worker has answered its latest polls."""
+        return self._is_responsive
+
     def start(self) -> None:
         """Start to poll the worker."""
         self._greenlet = spawn_loop("runs", self._poll_loop, self._count)
@@ -209,15 +218,7 @@
             task: the task.
             now_s: time of the monotonic clock in seconds.
         """
-        return (
-            self.synced
-            and self._is_responsive
-            and not self._closed
-            and not self.orphans
-            and not self.entry.is_draining
-            and now_s >= self._paused_until_s
-            and self.free_capacity.can_hold(task.message.demand)
-        )
+        return not self._closed and self.usable_capacity(now_s).can_hold(task.message.demand)
 
     def usable_capacity(self, now_s: float) -> Resources:
         """Return the free capacity that tasks may be placed on, empty if none may.
@@ -225,10 +226,19 @@
         Args:
             now_s: time of the monotonic clock in seconds.
         """
-        usable = (
-            self.synced and self._is_responsive and not self.orphans and not self.entry.is_draining
+        is_usable = (
+            self.synced
+            and self._is_responsive
+            and not self.orphans
+            and not self.entry.is_draining
+            and now_s >= self._paused_until_s
+            and (not self.failures.ejected or self._may_be_probed(now_s))
         )
-        return self.free_capacity if usable and now_s >= self._paused_until_s else Resources(0)
+        return self.free_capacity if is_usable else Resources(0)
+
+    def _may_be_probed(self, now_s: float) -> bool:
+        """Whether one task may show if the worker, which is ejected, completes tasks again."""
+        return not self.runs and now_s * MS_PER_S >= self.failures.probe_at_ms
 
     def start_task(self, task: PendingTask) -> None:
         """Reserve capacity for a new run of a task and send its start command."""
@@ -250,6 +260,7 @@
         run = Run(task, number, time.monotonic())
         run.state = RunState.RUNNING
         run.start_acknowledged_s = run.start_sent_s
+        run.was_adopted = True
         task.started = True
         task.next_run = max(task.next_run, number + 1)
         self._count("runs.adopted")
@@ -480,9 +491,6 @@
             self._poll_requested.set()
 
     def _end_run(self, run: Run, outcome: RunOutcome) -> None:
-        if outcome is RunOutcome.DONE:
-            run_time_ms = (time.monotonic() - run.start_sent_s) * MS_PER_S
-            self.speed.record_run(run.task.message.estimate_ms, run_time_ms)
         self._remove_run(run)
         self._listener.run_ended(self, run, outcome)
 
--- a/camphorchute/runs/run.py
+++ b/camphorchute/runs/run.py
@@ -1,12 +1,18 @@
 """Tasks that were dispatched to a scheduler, and their runs on workers."""
 
+from __future__ import annotations
+
 from enum import Enum
+from typing import TYPE_CHECKING
 
 import xxhash
 
 from camphorchute.contracts.run_messages import StartTasks, TaskToStart
 from camphorchute.runs.earlier_run import EarlierRun
 
+if TYPE_CHECKING:
+    from camphorchute.runs.job_tasks import JobTasks
+
 __all__ = ["SHARD_COUNT", "PendingTask", "Run", "RunState", "job_of", "shard_of", "task_name"]
 
 SHARD_COUNT = 32
@@ -81,6 +87,7 @@
         worker_id: the worker of that run, empty if it is not known.
         earlier_run: what that worker has said of the run, None before it is asked.
         arrived_s: time of its arrival.
+        in_time_until_s: time until which it must start for its job to meet the target time.
         start_by_s: time at which it is returned to its owner if it has not started.
         finish_by_s: time after which no caller waits for it; it is stopped then.
         cancelled: whether it was stopped and must not be started again.
@@ -88,6 +95,8 @@
         arrival_number: number of its arrival.
         avoided_worker_id: the worker of its last run that did not succeed, empty if none.
         orphaned: whether the link to its owner was lost.
+        overdue_stops: how often a run of it was stopped as overdue.
+        job_tasks: the tasks of its job here, set when it is accepted.
     """
 
     __slots__ = (
@@ -101,6 +110,7 @@
         "worker_id",
         "earlier_run",
         "arrived_s",
+        "in_time_until_s",
         "start_by_s",
         "finish_by_s",
         "cancelled",
@@ -108,6 +118,8 @@
         "arrival_number",
         "avoided_worker_id",
         "orphaned",
+        "overdue_stops",
+        "job_tasks",
     )
 
     def __init__(
@@ -123,6 +135,7 @@
         self.worker_id = command.worker_id
         self.earlier_run: EarlierRun | None = None
         self.arrived_s = now_s
+        self.in_time_until_s = now_s + message.in_time_within_ms / 1000
         self.start_by_s = now_s + message.start_within_ms / 1000
         self.finish_by_s = now_s + message.finish_within_ms / 1000
         self.cancelled = False
@@ -130,17 +143,14 @@
         self.arrival_number = arrival
         self.avoided_worker_id = ""
         self.orphaned = False
+        self.overdue_stops = 0
+        self.job_tasks: JobTasks | None = None
 
     @property
     def is_durable(self) -> bool:
         """Whether its job is durable: completions are saved before the worker may drop them."""
         return self.message.term is not None
 
-    @property
-    def sort_key(self) -> tuple[int, int]:
-        """Key by which pending tasks are sorted: priority of the queue, then arrival."""
-        return (self.message.limits.priority, self.arrival_number)
-
 
 class Run:
     """A run of a task on a worker.
@@ -153,6 +163,7 @@
         start_acknowledged_s: when the worker was known to have acknowledged that command, in
             seconds of the monotonic clock; 0 before.
         stop_requested: whether a stop was requested.
+        was_adopted: whether an earlier scheduler started it, so that its start time is not known.
     """
 
     __slots__ = (
@@ -162,6 +173,7 @@
         "start_sent_s",
         "start_acknowledged_s",
         "stop_requested",
+        "was_adopted",
     )
 
     def __init__(self, task: PendingTask, number: int, start_sent_s: float) -> None:
@@ -171,3 +183,4 @@
         self.start_sent_s = start_sent_s
         self.start_acknowledged_s = 0.0
         self.stop_requested = False
+        self.was_adopted = False
--- /dev/null
+++ b/camphorchute/runs/worker_group.py
@@ -0,0 +1,140 @@
+"""Worker group: the workers that one scheduler starts tasks on, with their backlog."""
+
+import time
+
+from camphorchute.contracts.resources import Resources
+from camphorchute.contracts.run_messages import GroupFreeCapacity, WorkerFreeCapacity
+from camphorchute.hosting import RunOutcome
+from camphorchute.policies import DecisionPolicies
+from camphorchute.policies.worker_choice import WorkerCandidate
+from camphorchute.runs.backlog import Backlog
+from camphorchute.runs.earlier_run import EarlierRun
+from camphorchute.runs.leased_worker import LeasedWorker
+from camphorchute.runs.run import PendingTask
+
+__all__ = ["WorkerGroup"]
+
+UNKNOWN_LEASES_EXPIRY_MS = 1900.0  # a lease and the time for which orphans are kept
+MS_PER_S = 1000.0
+
+
+class WorkerGroup:
+    """A worker group that this process schedules.
+
+    Args:
+        name: name of the group.
+        service: the service that its workers belong to.
+        fence: fencing token of the group's claim.
+        policies: the policies for the order of tasks and the choice of workers.
+
+    Attributes:
+        name: name of the group.
+        service: the service that its workers belong to.
+        fence: fencing token of the group's claim.
+        workers: its workers by id.
+        backlog: its pending tasks.
+    """
+
+    __slots__ = ("name", "service", "fence", "workers", "backlog", "_policies")
+
+    def __init__(self, name: str, service: str, fence: int, policies: DecisionPolicies) -> None:
+        self.name = name
+        self.service = service
+        self.fence = fence
+        self.workers: dict[str, LeasedWorker] = {}
+        self.backlog = Backlog(policies.task_order)
+        self._policies = policies
+
+    def adopt_run(self, task: PendingTask) -> bool:
+        """Adopt a run of a task that an earlier scheduler started; return whether there was one.
+
+        An active run takes precedence over every completion: the task may have been started again
+        after a completion that its earlier scheduler had not acknowledged yet. A completion is
+        adopted only once the earlier runs are known, and unless the task is durable only if it is
+        a success.
+        """
+        orphaned_runs = [
+            (worker.orphans[task.name][0], worker)
+            for worker in self.workers.values()
+            if task.name in worker.orphans
+        ]
+        if orphaned_runs:
+            number, worker = max(orphaned_runs, key=lambda pair: pair[0])
+            worker.adopt_run(task, number)
+            return True
+        if not task.may_run or not self.are_earlier_runs_known(task):
+            return False
+        for worker in self.workers.values():
+            for completion in worker.completions.completions_of(task.name):
+                if completion.outcome is RunOutcome.DONE or task.is_durable:
+                    worker.adopt_run(task, completion.run, completion.outcome)
+                    return True
+        return False
+
+    def are_earlier_runs_known(self, task: PendingTask) -> bool:
+        """Whether no earlier run of a task can be active on a worker that was not polled yet.
+
+        If the earlier scheduler named the worker and it is in the group, that worker must have
+        ruled the run out: a list of runs from before the report may be older than the start.
+        Otherwise every listed worker must have listed its runs, and the leases on workers unknown
+        to this scheduler must have expired: the earlier scheduler no longer renews them, because it
+        has lost the task's owner or the group, and another one stops runs that nobody asks for.
+        """
+        worker = self.workers.get(task.worker_id)
+        if worker is not None:
+            return _is_earlier_run_ruled_out(worker, task)
+        if time.monotonic() - task.arrived_s < UNKNOWN_LEASES_EXPIRY_MS / MS_PER_S:
+            return False
+        return all(worker.synced or worker.unlisted_ms() > 0 for worker in self.workers.values())
+
+    def choose_worker(self, task: PendingTask, now_s: float) -> LeasedWorker | None:
+        """Return the worker that a task should start on now, None if no worker has capacity.
+
+        Args:
+            task: the task.
+            now_s: time of the monotonic clock in seconds.
+        """
+        candidates = [worker for worker in self.workers.values() if worker.can_start(task, now_s)]
+        if not candidates:
+            return None
+        message = task.message
+        return min(
+            candidates,
+            key=lambda worker: (
+                worker.entry.worker_id == task.avoided_worker_id,
+                self._policies.worker_choice(
+                    WorkerCandidate(worker.speed.value), message.estimate_ms, message.limits
+                ),
+                worker.free_capacity.cpu_millicores,
+            ),
+        )
+
+    def free_capacity(self, now_s: float) -> GroupFreeCapacity:
+        """Return the free capacity and the backlog of the group.
+
+        Args:
+            now_s: time of the monotonic clock in seconds.
+        """
+        workers, capacity = [], Resources(0)
+        for worker in self.workers.values():
+            speed = round(worker.speed.value, 3)
+            workers.append(WorkerFreeCapacity(worker.usable_capacity(now_s), speed))
+            if worker.synced and not worker.entry.is_draining:
+                capacity = capacity.plus(worker.entry.capacity)
+        return GroupFreeCapacity(
+            self.name,
+            self.service,
+            capacity,
+            self.backlog.work_core_ms(now_s),
+            workers,
+            self.backlog.oldest_wait_ms(now_s),
+            self.backlog.late_wait_ms(now_s, capacity.cpu_millicores / 1000),
+        )
+
+
+def _is_earlier_run_ruled_out(worker: LeasedWorker, task: PendingTask) -> bool:
+    """Return whether a worker has ruled out the last run of a task; ask it the first time."""
+    if task.earlier_run is None or task.earlier_run.worker is not worker:
+        task.earlier_run = EarlierRun(task.name, task.next_run - 1, worker)
+        worker.rule_out(task.earlier_run)
+    return task.earlier_run.is_ruled_out
--- a/camphorchute/workers/context.py
+++ b/camphorchute/workers/context.py
@@ -5,8 +5,8 @@
 from collections.abc import Callable
 
 from camphorchute.contracts.messages import Message
+from camphorchute.policies.run_times import RunTimes
 from camphorchute.workers.fence import StartFence
-from camphorchute.workers.run_times import RunTimes
 from camphorchute.workers.timing import SchedulerTiming
 
 __all__ = ["Metrics", "SchedulerContext", "Send", "no_metrics"]
--- a/camphorchute/workers/http_upstream.py
+++ b/camphorchute/workers/http_upstream.py
@@ -7,6 +7,7 @@
 import msgspec
 from gevent.event import Event
 
+from camphorchute.policies.retry_budget import RetryBudget
 from camphorchute.services.definition import ServiceDefinition
 from camphorchute.workers.back_end import (
     REFUSED_NO_SLOT,
@@ -23,7 +24,6 @@
     register_back_end,
 )
 from camphorchute.workers.http_channel import AnswerLost, HttpAnswer, HttpChannel, NotSent
-from camphorchute.workers.retry_budget import RetryBudget
 
 __all__ = ["HttpUpstream", "UpstreamAnswer", "UpstreamRequest"]
 
--- a/camphorchute/workers/service_pool.py
+++ b/camphorchute/workers/service_pool.py
@@ -3,10 +3,10 @@
 from collections.abc import Iterable
 
 from camphorchute.contracts.messages import Grant, SlotCount
+from camphorchute.policies.failures import may_eject
 from camphorchute.services.definition import ServiceDefinition
 from camphorchute.workers.context import SchedulerContext
 from camphorchute.workers.demand import DemandQueue
-from camphorchute.workers.failures import may_eject
 from camphorchute.workers.fence import OpenAttempt
 from camphorchute.workers.placement import policy_by_name
 from camphorchute.workers.pool_limits import PoolLimits
--- a/camphorchute/workers/slots.py
+++ b/camphorchute/workers/slots.py
@@ -3,8 +3,8 @@
 import random
 
 from camphorchute.contracts import InvariantBroken, TaskSpec
+from camphorchute.policies.failures import FailureTracker
 from camphorchute.services.definition import Upstream, Worker
-from camphorchute.workers.failures import FailureTracker
 
 __all__ = ["WorkerSlots"]
 
--- a/camphorchute/workers/tests/test_placement.py
+++ b/camphorchute/workers/tests/test_placement.py
@@ -2,9 +2,9 @@
 
 import pytest
 
+from camphorchute.policies.run_times import RunTimes
 from camphorchute.services.definition import Worker
 from camphorchute.workers.placement import policy_by_name
-from camphorchute.workers.run_times import RunTimes
 from camphorchute.workers.slots import WorkerSlots
 
 
