--- a/camphorchute/cluster/claims.py
+++ b/camphorchute/cluster/claims.py
@@ -24,6 +24,7 @@
 RECLAIM_INTERVAL_MS = 500.0
 STILL_SERVED_DELAY_MS = 2500.0
 OVERLOADED_DELAY_MS = 2000.0
+HOLDER_SILENT_DELAY_MS = 700.0  # a lost link is opened again within about 500 ms
 RELEASE_ALL_INTERVAL_MS = 10_000.0
 MS_PER_S = 1000.0
 
@@ -48,11 +49,14 @@
         is_closed: whether this process acquires no more claims.
         can_act_in_time: returns whether this process can send commands in time. A process that
             cannot releases its groups and claims others last.
+        is_isolated: returns whether this process has lost most of its links, so that a silent
+            holder of a claim proves nothing.
     """
 
     __slots__ = (
         "is_closed",
         "can_act_in_time",
+        "is_isolated",
         "_store",
         "_view",
         "_lease",
@@ -62,6 +66,7 @@
         "_count",
         "_held_revisions",
         "_groups_seen_claimed",
+        "_groups_seen_served",
         "_vacant_since_s",
         "_claim_attempted_s",
         "_released_all_s",
@@ -80,6 +85,7 @@
     ) -> None:
         self.is_closed = False
         self.can_act_in_time: Callable[[], bool] = lambda: True
+        self.is_isolated: Callable[[], bool] = lambda: True
         self._store = store
         self._view = view
         self._lease = lease
@@ -89,6 +95,7 @@
         self._count = count
         self._held_revisions: dict[str, int] = {}
         self._groups_seen_claimed: set[str] = set()
+        self._groups_seen_served: dict[str, str] = {}
         self._vacant_since_s: dict[str, float] = {}
         self._claim_attempted_s: dict[str, float] = {}
         self._released_all_s = 0.0
@@ -158,6 +165,8 @@
         held_revision = self._held_revisions.get(group)
         if claim is not None:
             self._groups_seen_claimed.add(group)
+            if self._is_served(group):
+                self._groups_seen_served[group] = claim.member_id
         if held_revision is not None:
             self._check_held_claim(group, claim, held_revision)
         elif claim is not None and claim.member_id == self._member.member_id:
@@ -167,6 +176,7 @@
             claim is None
             or self._is_holder_gone(claim)
             or self._should_move_to_own_zone(group, claim)
+            or self._is_holder_silent(group, claim)
         ):
             self._claim_after_delay(group, 0 if claim is None else claim.revision)
         else:
@@ -198,6 +208,22 @@
         zone = zone_of_group(group)
         return holder is not None and holder.zone != zone and self._member.zone == zone
 
+    def _is_holder_silent(self, group: str, claim: Claim) -> bool:
+        """Return whether the holder of a claim stopped serving its group, as this process sees it.
+
+        That holds if the holder has served the group before and its link is lost, while this
+        process, which follows the group in the same zone, still has most of its other links. The
+        lease of a partitioned or dead holder lasts for seconds; taking over earlier is safe, since
+        workers reject its fencing token.
+        """
+        return (
+            self._groups_seen_served.get(group) == claim.member_id
+            and not self._is_served(group)
+            and self._member.zone == zone_of_group(group)
+            and self._is_group_follower(group)
+            and not self.is_isolated()
+        )
+
     def _claim_after_delay(self, group: str, revision: int) -> None:
         """Claim a vacant group once it has been vacant for the delay of this process.
 
@@ -214,6 +240,9 @@
         )
         if is_service_unknown or self._is_served(group):
             delay_ms += STILL_SERVED_DELAY_MS
+        claim = self._view.claims.get(group)
+        if claim is not None and self._is_holder_silent(group, claim):
+            delay_ms += HOLDER_SILENT_DELAY_MS
         if not self.can_act_in_time():
             delay_ms += OVERLOADED_DELAY_MS
         if (now_s - vacant_since_s) * MS_PER_S < delay_ms:
--- a/camphorchute/cluster/heartbeats.py
+++ b/camphorchute/cluster/heartbeats.py
@@ -72,6 +72,12 @@
         """Return the queue configuration in force, empty if none is known."""
         return QueuesAre(self._view.queues.encoded if self._view.queues else b"")
 
+    def is_isolated(self) -> bool:
+        """Return whether this process has links to fewer than half of its neighbours."""
+        neighbours = self._ring_neighbours(RING_DISTANCE_MAX)
+        linked = sum(self._peers.is_linked(member.member_id) for member in neighbours)
+        return linked < len(neighbours) / 2
+
     def _fetch_queues(self, peer: Member) -> None:
         """Fetch the queue configuration of a member and apply it if it is newer."""
         try:
--- a/camphorchute/cluster/tests/test_claims.py
+++ b/camphorchute/cluster/tests/test_claims.py
@@ -192,6 +192,24 @@
     assert wait_until(lambda: not outsider.holds())
 
 
+@pytest.mark.parametrize("is_isolated", [True, False])
+def test_group_of_a_silent_holder_is_claimed_before_its_lease_ends(
+    make_process, monkeypatch, is_isolated
+):
+    """Workers of a partitioned VM's group were out of use for five seconds."""
+    processes = [make_process(number) for number in range(2)]
+    assert wait_until(lambda: has_one_holder(processes))
+    first = next(process for process in processes if process.holds())
+    second = next(process for process in processes if process is not first)
+    second.is_served = True
+    gevent.sleep(0.3)
+    monkeypatch.setattr(lease_module, "LEASE_TTL_S", 30)
+    second.claims.is_isolated = lambda: is_isolated
+    second.is_served = False
+    assert wait_until(second.holds, 1.6) != is_isolated
+    assert wait_until(lambda: not first.holds(), 0.5) != is_isolated
+
+
 def test_overloaded_process_releases_its_groups_to_another(make_process):
     """A scheduler on a VM that ran six times slower had kept its groups for 7 s."""
     processes = [make_process(number) for number in range(2)]
--- a/camphorchute/entry/hosted_process.py
+++ b/camphorchute/entry/hosted_process.py
@@ -108,7 +108,7 @@
             count,
             self._policies.admission,
         )
-        self._owner.has_workers = self._view.has_workers
+        self._owner.admission.has_workers = self._view.has_workers
         self._created_s = time.monotonic()
         self._capacity_reports = FreeCapacityReports(
             self._scheduler, self._peers, self._view, count
@@ -218,6 +218,7 @@
         )
         self._scheduler.may_discard_completions = self._shard_owner.may_discard_completions
         self._scheduler.is_durable_job = self._shard_owner.is_durable
+        self._claims.is_isolated = self._heartbeats.is_isolated
         self._peers.on_link_closed = self._handle_lost_peer
         endpoints = QueueEndpoints(
             self._platform,
--- a/camphorchute/policies/failures.py
+++ b/camphorchute/policies/failures.py
@@ -3,7 +3,7 @@
 import random
 from collections import deque
 
-__all__ = ["FailureTracker", "may_eject"]
+__all__ = ["FailureTracker", "is_ejected_share_reached", "may_eject"]
 
 WINDOW_OUTCOMES = 16
 MIN_OUTCOMES = 6
@@ -103,8 +103,7 @@
     """
     if not tracker.failing:
         return False
-    ejected = sum(other.ejected for other in others)
-    if ejected and ejected + 1 > (len(others) + 1) * EJECTED_SHARE_MAX:
+    if is_ejected_share_reached(others):
         return False
     healthy_share = tracker.failed_share * HEALTHY_SHARE_RATIO
     return any(
@@ -112,3 +111,13 @@
         for other in others
         if not other.ejected
     )
+
+
+def is_ejected_share_reached(others: list[FailureTracker]) -> bool:
+    """Return whether no further worker may be ejected beside those that are.
+
+    Args:
+        others: outcomes of the other workers of the service.
+    """
+    ejected = sum(other.ejected for other in others)
+    return bool(ejected) and ejected + 1 > (len(others) + 1) * EJECTED_SHARE_MAX
--- a/camphorchute/policies/task_order.py
+++ b/camphorchute/policies/task_order.py
@@ -38,11 +38,11 @@
 
 
 @TASK_ORDER_POLICIES.register("started-first")
-def order_started_first(urgency: TaskUrgency) -> tuple[bool, int, bool, int]:
+def order_started_first(urgency: TaskUrgency) -> tuple[int, bool, bool, int]:
     """Return a sort key by priority, with tasks of started jobs first and of late jobs last.
 
-    The work already done for a started job is lost unless its last task is done too. A late job
-    that has not started fills the capacity that is left.
+    The work already done for a started job is lost unless its last task is done too. An answer of
+    a job that is late already is worth less than that of one that would become late.
 
     Examples:
         >>> late, late_started = TaskUrgency(0, 1, -5.0), TaskUrgency(0, 2, -5.0, True)
@@ -51,24 +51,8 @@
         >>> [urgency.arrival_number for urgency in ordered]
         [2, 3, 1]
     """
-    is_filler = urgency.in_time_for_ms < 0 and not urgency.has_job_started
-    return (is_filler, urgency.priority, not urgency.has_job_started, urgency.arrival_number)
-
-
-@TASK_ORDER_POLICIES.register("in-time-first")
-def order_in_time_first(urgency: TaskUrgency) -> tuple[bool, int, int]:
-    """Return a sort key that puts tasks of jobs that can still be in time first, then by priority.
-
-    Late jobs fill the capacity that is left, since an answer of one that is late already is worth
-    less than that of one that would become late.
-
-    Examples:
-        >>> late = TaskUrgency(0, 1, -5.0)
-        >>> in_time = TaskUrgency(2, 9, 40.0)
-        >>> order_in_time_first(in_time) < order_in_time_first(late)
-        True
-    """
-    return (urgency.in_time_for_ms < 0, urgency.priority, urgency.arrival_number)
+    is_late = urgency.in_time_for_ms < 0
+    return (urgency.priority, not urgency.has_job_started, is_late, urgency.arrival_number)
 
 
 @TASK_ORDER_POLICIES.register("priority")
--- /dev/null
+++ b/camphorchute/queues/job_admission.py
@@ -0,0 +1,126 @@
+"""Job admission: accepts a job or refuses it at once, with the time after which to retry."""
+
+import time
+from collections.abc import Callable
+
+from gevent.event import Event
+
+from camphorchute.contracts import Refusal, ResultCode
+from camphorchute.contracts.batch_job import BatchJob
+from camphorchute.decision_log import log_decision
+from camphorchute.hosting import Queue
+from camphorchute.policies.admission import AdmissionPolicy, JobTimes, is_admitted
+from camphorchute.queues.free_capacity_view import FreeCapacityView
+from camphorchute.queues.job_run import JobRun
+
+__all__ = ["JobAdmission", "finish_by_s"]
+
+ANSWER_MARGIN_MS = 60.0
+REFUSAL_RETRY_AFTER_MS = 1000.0
+GROUP_HANDOVER_MS = 60.0
+NO_SCHEDULER_WAIT_MAX_MS = 1000.0
+MS_PER_S = 1000.0
+
+
+class JobAdmission:
+    """Decides on jobs that callers submit.
+
+    Args:
+        capacity_view: the free capacity of the groups that this process follows.
+        start_limit_ms: returns the time within which a job must start.
+        count: adds to a named counter.
+
+    Attributes:
+        has_workers: returns whether service discovery lists workers of a service.
+    """
+
+    __slots__ = ("has_workers", "_capacity_view", "_start_limit_ms", "_count")
+
+    def __init__(
+        self,
+        capacity_view: FreeCapacityView,
+        start_limit_ms: AdmissionPolicy,
+        count: Callable[..., None],
+    ) -> None:
+        self.has_workers: Callable[[str], bool] = lambda service: False
+        self._capacity_view = capacity_view
+        self._start_limit_ms = start_limit_ms
+        self._count = count
+
+    def admit(self, job: BatchJob, queue: Queue, deadline_ms: float, caller_gone: Event) -> JobRun:
+        """Accept a job, after a wait if no scheduler is known yet.
+
+        Args:
+            job: the job.
+            queue: the queue that it was submitted to.
+            deadline_ms: how long its caller waits.
+            caller_gone: event that is set when the caller has closed its connection.
+
+        Raises:
+            Refusal: no worker group can ever run the job, its first tasks would wait too long, or
+                the caller has gone.
+        """
+        work_ms = job.longest_chain_ms()
+        limits = queue.limits
+        start_limit_ms = self._start_limit_ms(
+            JobTimes(work_ms, limits.target_time_ms(work_ms), deadline_ms)
+        )
+        run = JobRun(job, queue, finish_by_s(deadline_ms), start_limit_ms)
+        self._wait_for_group(job, queue.service, start_limit_ms)
+        if not self._can_ever_run(job, queue.service):
+            self._count("queues.refused.no_worker")
+            log_decision("queues", "refused, no worker", job=job.job_id, service=queue.service)
+            raise Refusal(ResultCode.NO_WORKER, f"service {queue.service}", REFUSAL_RETRY_AFTER_MS)
+        if caller_gone.is_set():
+            raise self.make_overload_refusal("caller has gone", REFUSAL_RETRY_AFTER_MS)
+        first = job.steps[0]
+        plan = self._capacity_view.plan(queue.service, first, first.tasks, run.step_limits)
+        if not is_admitted(plan.wait_ms, start_limit_ms):
+            log_decision(
+                "queues",
+                "refused, too long a wait",
+                job=job.job_id,
+                queue=queue.name,
+                wait_ms=round(plan.wait_ms),
+                limit_ms=round(start_limit_ms),
+                tasks=first.tasks,
+                without_room=plan.pending_count,
+                room_age_ms=self._capacity_view.report_age_ms(queue.service),
+            )
+            raise self.make_overload_refusal(f"{plan.wait_ms:.0f} ms to wait", plan.wait_ms)
+        return run
+
+    def make_overload_refusal(self, detail: str, retry_after_ms: float) -> Refusal:
+        """Return the refusal of a job for which there is no capacity in time."""
+        self._count("queues.refused.overloaded")
+        return Refusal(ResultCode.OVERLOADED, detail, max(REFUSAL_RETRY_AFTER_MS, retry_after_ms))
+
+    def _wait_for_group(self, job: BatchJob, service: str, start_limit_ms: float) -> None:
+        """Wait until a group can run a job, while one may be between two schedulers.
+
+        Where workers are listed and no scheduler is known, as after the start of all processes,
+        a scheduler will report soon, and the job waits as long as it may.
+
+        Args:
+            job: the job.
+            service: service of its queue.
+            start_limit_ms: time within which the job must start.
+        """
+        is_start = not self._capacity_view.has_scheduler(service) and self.has_workers(service)
+        wait_ms = min(NO_SCHEDULER_WAIT_MAX_MS, start_limit_ms) if is_start else GROUP_HANDOVER_MS
+        wait_until_s = time.monotonic() + wait_ms / MS_PER_S
+        while not self._can_ever_run(job, service):
+            remaining_s = wait_until_s - time.monotonic()
+            if remaining_s <= 0:
+                return
+            self._capacity_view.report_received.clear()
+            self._capacity_view.report_received.wait(remaining_s)
+
+    def _can_ever_run(self, job: BatchJob, service: str) -> bool:
+        """Return whether each step has a group with enough total capacity for one of its tasks."""
+        return all(self._capacity_view.can_ever_run(service, step.demand) for step in job.steps)
+
+
+def finish_by_s(deadline_ms: float) -> float:
+    """Return the monotonic time by which a job must end for its caller to be answered in time."""
+    return time.monotonic() + max(0.0, deadline_ms - ANSWER_MARGIN_MS) / MS_PER_S
--- a/camphorchute/queues/job_run.py
+++ b/camphorchute/queues/job_run.py
@@ -82,10 +82,10 @@
         step_limits: the limits of the queue for one step, with its share of the added time.
         started_s: monotonic time at which the job was submitted.
         finish_by_s: monotonic time after which nobody waits for the job any more.
-        useful_by_s: monotonic time after which a job that has not started is given up.
         worth_finishing_by_s: monotonic time after which no further task of a started job is
             started.
-        start_by_s: monotonic time by which the first tasks must start.
+        start_limit_ms: time from then within which the first tasks must start; infinite for a job
+            that no caller waits for.
         steps: progress of the tasks, by step.
         outcome: outcome of the job, None while it is under way.
         was_dispatched_with_capacity: whether a task was dispatched to a scheduler with free
@@ -102,9 +102,8 @@
         "step_limits",
         "started_s",
         "finish_by_s",
-        "useful_by_s",
         "worth_finishing_by_s",
-        "start_by_s",
+        "start_limit_ms",
         "steps",
         "outcome",
         "was_dispatched_with_capacity",
@@ -126,12 +125,11 @@
         self.step_limits = queue.limits.limits_for_step(job)
         self.started_s = time.monotonic()
         self.finish_by_s = finish_by_s
-        self.start_by_s = self.started_s + start_limit_ms / MS_PER_S
+        self.start_limit_ms = start_limit_ms
         useful_ms = useful_time_ms(
             queue.limits.target_time_ms(job.longest_chain_ms()),
             (finish_by_s - self.started_s) * MS_PER_S,
         )
-        self.useful_by_s = self.started_s + useful_ms / MS_PER_S
         self.worth_finishing_by_s = min(
             finish_by_s, self.started_s + FINISH_STARTED_FACTOR * useful_ms / MS_PER_S
         )
@@ -158,7 +156,7 @@
         """
         latest_s = self.worth_finishing_by_s
         if must_start_in_time:
-            latest_s = min(self.useful_by_s - step.estimate_ms / MS_PER_S, self.start_by_s)
+            latest_s = self.started_s + self.start_limit_ms / MS_PER_S
         return max(0.0, (latest_s - now_s) * MS_PER_S)
 
     def in_time_within_ms(self, step: BatchStep, now_s: float) -> float:
@@ -194,7 +192,7 @@
         """Return the monotonic time after which no task can start in time for the caller."""
         if self.any_may_have_started():
             return self.worth_finishing_by_s
-        return min(self.useful_by_s, self.start_by_s)
+        return self.started_s + self.start_limit_ms / MS_PER_S
 
     def _has_waiting_tasks(self) -> bool:
         return any(task.state is TaskState.WAITING for step in self.steps for task in step)
--- a/camphorchute/queues/tests/test_queue_owner.py
+++ b/camphorchute/queues/tests/test_queue_owner.py
@@ -58,7 +58,7 @@
         self.claim_holders = {}
         self.owner = QueueOwner(self.capacity_view, self.claim_holders.get, self.peers, self.count)
         if start_limit_ms is not None:
-            self.owner._start_limit_ms = lambda times: start_limit_ms
+            self.owner.admission._start_limit_ms = lambda times: start_limit_ms
         self.outcome = None
         self.caller_gone = Event()
         for scheduler, free_workers in workers.items():
@@ -182,7 +182,7 @@
 def test_job_waits_for_the_first_scheduler_after_a_start_of_all_processes(is_listed):
     """Jobs were refused as without a worker, a few milliseconds before a scheduler reported."""
     site = Site()
-    site.owner.has_workers = lambda service: is_listed
+    site.owner.admission.has_workers = lambda service: is_listed
     site.submit(1)
     gevent.sleep(0.2)
     site.report("h0", 1)
@@ -264,3 +264,26 @@
     gevent.sleep(0.02)
     assert site.peers.sent == []
     assert wait_until(lambda: site.peers.sent, 0.5)
+
+
+def test_second_submission_during_the_wait_for_a_scheduler_joins_the_first():
+    """Both submissions of a job would have been accepted, and its tasks dispatched twice."""
+    site = Site()
+    site.owner.admission.has_workers = lambda service: True
+    site.submit(2)
+    site.submit(2)
+    site.report("h0", 1)
+    gevent.sleep(0.05)
+    assert [command[:2] for command in site.take_start_commands()] == [("h0", [0, 1])]
+    assert site.owner.open_job_count() == 1
+
+
+def test_job_whose_caller_leaves_during_the_wait_for_a_scheduler_is_not_dispatched():
+    site = Site()
+    site.owner.admission.has_workers = lambda service: True
+    site.submit(1)
+    site.caller_gone.set()
+    site.report("h0", 1)
+    gevent.sleep(0.05)
+    assert site.take_start_commands() == []
+    assert isinstance(site.outcome, Refusal)
--- /dev/null
+++ b/camphorchute/runs/group_membership.py
@@ -0,0 +1,125 @@
+"""Group membership: adds and removes the workers of a group as service discovery lists them."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable
+from typing import TYPE_CHECKING
+
+import gevent
+
+from camphorchute.contracts.run_messages import TaskResultKind
+from camphorchute.hosting import RunOutcome, WorkerEntry
+from camphorchute.runs.leased_worker import LeasedWorker
+from camphorchute.runs.run import Run
+from camphorchute.runs.worker_group import WorkerGroup
+
+if TYPE_CHECKING:
+    from camphorchute.runs.group_scheduler import GroupScheduler
+
+__all__ = ["GroupMembership"]
+
+UNSYNCED_WORKER_KEEP_MS = 10_000.0
+LISTING_LAG_MS = 700.0  # a member may see a worker listed again this much later than another
+MS_PER_S = 1000.0
+
+
+class GroupMembership:
+    """Workers of the groups of one scheduler, and what becomes of their runs when they leave.
+
+    Args:
+        scheduler: the scheduler, which learns what became of the runs.
+        open_worker: returns a started worker of a group for its entry.
+        count: adds to a named counter.
+    """
+
+    __slots__ = ("_scheduler", "_open_worker", "_count", "_group_by_worker")
+
+    def __init__(
+        self,
+        scheduler: GroupScheduler,
+        open_worker: Callable[[WorkerGroup, WorkerEntry], LeasedWorker],
+        count: Callable[..., None],
+    ) -> None:
+        self._scheduler = scheduler
+        self._open_worker = open_worker
+        self._count = count
+        self._group_by_worker: dict[str, str] = {}
+
+    def set_workers(
+        self,
+        group: WorkerGroup,
+        entries: dict[str, WorkerEntry],
+        group_by_worker: dict[str, str] | None,
+    ) -> None:
+        """Set the workers of a group.
+
+        Args:
+            group: the group.
+            entries: entries of its workers in service discovery, by worker id.
+            group_by_worker: the groups of all workers, by worker id, to distinguish workers that
+                moved to another group from those that left.
+        """
+        self._group_by_worker = group_by_worker or {}
+        for worker_id, worker in list(group.workers.items()):
+            entry = entries.get(worker_id)
+            if entry is not None and entry.is_same_incarnation(worker.entry):
+                worker.update_entry(entry)
+                continue
+            if entry is None and worker_id in self._group_by_worker:
+                self._release_worker(group, worker)
+                continue
+            worker.mark_unlisted()
+            if entry is not None or worker.synced or worker.unlisted_ms() > UNSYNCED_WORKER_KEEP_MS:
+                self._remove_worker(group, worker)
+        for worker_id, entry in entries.items():
+            if worker_id not in group.workers:
+                group.workers[worker_id] = self._open_worker(group, entry)
+
+    def _release_worker(self, group: WorkerGroup, worker: LeasedWorker) -> None:
+        """Leave a worker and its runs to the scheduler of the group that it moved to."""
+        del group.workers[worker.entry.worker_id]
+        worker.close()
+        self._count("runs.worker_moved")
+        for run in list(worker.runs.values()):
+            self._report_moved_run(worker, run)
+
+    def _remove_worker(self, group: WorkerGroup, worker: LeasedWorker) -> None:
+        """Remove a worker that left; its runs may continue until their leases expire."""
+        del group.workers[worker.entry.worker_id]
+        worker.close()
+        if worker.runs:
+            wait_s = worker.leases.expiry_s - time.monotonic() + LISTING_LAG_MS / MS_PER_S
+            gevent.spawn_later(max(0.0, wait_s), self._end_runs, group.name, worker)
+
+    def _end_runs(self, group_name: str, worker: LeasedWorker) -> None:
+        """End the runs of a removed worker whose leases have expired.
+
+        If the worker came back, or another scheduler may have it now, its runs may still be active.
+
+        Args:
+            group_name: the group that the worker belonged to.
+            worker: the removed worker.
+        """
+        group = self._scheduler.group(group_name)
+        worker_id = worker.entry.worker_id
+        for run in list(worker.runs.values()):
+            del worker.runs[run.task.name]
+            if group is None:
+                self._scheduler.finish_task(run.task, run.number, TaskResultKind.MAY_RUN, worker_id)
+            elif worker_id in group.workers and not run.task.is_durable:
+                run.task.may_run, run.task.worker_id = True, worker_id
+                if not group.adopt_run(run.task):
+                    self._scheduler.requeue(run.task)
+            elif worker_id in self._group_by_worker and worker_id not in group.workers:
+                self._report_moved_run(worker, run)
+            else:
+                self._scheduler.run_ended(worker, run, RunOutcome.LEASE_EXPIRED)
+
+    def _report_moved_run(self, worker: LeasedWorker, run: Run) -> None:
+        """Report a run that may be active on a worker of another group now."""
+        worker_id = worker.entry.worker_id
+        new_group = self._group_by_worker[worker_id]
+        self._scheduler.finish_task(
+            run.task, run.number, TaskResultKind.MAY_RUN, worker_id, new_group
+        )
--- a/camphorchute/runs/group_scheduler.py
+++ b/camphorchute/runs/group_scheduler.py
@@ -22,6 +22,7 @@
 from camphorchute.loops import spawn_loop
 from camphorchute.policies import DecisionPolicies
 from camphorchute.runs.durable_tasks import DurableTasks
+from camphorchute.runs.group_membership import GroupMembership
 from camphorchute.runs.job_tasks import JobTasks
 from camphorchute.runs.leased_worker import LeasedWorker
 from camphorchute.runs.result_batches import ResultBatches
@@ -32,7 +33,6 @@
 __all__ = ["GroupScheduler"]
 
 SWEEP_INTERVAL_MS = 20.0
-UNSYNCED_WORKER_KEEP_MS = 10_000.0
 MS_PER_S = 1000.0
 
 
@@ -74,6 +74,7 @@
         self.durable_tasks = DurableTasks(self._groups.values, count)
         self._jobs: dict[str, JobTasks] = defaultdict(JobTasks)
         self._arrival_count = 0
+        self._membership = GroupMembership(self, self._open_worker, count)
         self._greenlet: gevent.Greenlet | None = None
 
     def start(self) -> None:
@@ -88,6 +89,10 @@
         if self._greenlet is not None:
             self._greenlet.kill(block=False)
 
+    def group(self, name: str) -> WorkerGroup | None:
+        """Return a group that this process schedules, None for any other."""
+        return self._groups.get(name)
+
     def groups(self) -> list[str]:
         """Return the names of the groups that this process schedules."""
         return list(self._groups)
@@ -120,7 +125,7 @@
         for worker in group.workers.values():
             for run in list(worker.runs.values()):
                 worker_id = worker.entry.worker_id
-                self._finish_task(run.task, run.number, TaskResultKind.MAY_RUN, worker_id)
+                self.finish_task(run.task, run.number, TaskResultKind.MAY_RUN, worker_id)
             worker.close()
         self.on_capacity_changed()
 
@@ -139,22 +144,8 @@
                 moved to another group from those that left.
         """
         group = self._groups.get(name)
-        if group is None:
-            return
-        for worker_id, worker in list(group.workers.items()):
-            entry = entries.get(worker_id)
-            if entry is not None and entry.is_same_incarnation(worker.entry):
-                worker.update_entry(entry)
-                continue
-            if entry is None and worker_id in (group_by_worker or {}):
-                self._release_worker(group, worker, group_by_worker[worker_id])
-                continue
-            worker.mark_unlisted()
-            if entry is not None or worker.synced or worker.unlisted_ms() > UNSYNCED_WORKER_KEEP_MS:
-                self._remove_worker(group, worker)
-        for worker_id, entry in entries.items():
-            if worker_id not in group.workers:
-                self._add_worker(group, entry)
+        if group is not None:
+            self._membership.set_workers(group, entries, group_by_worker)
 
     def free_capacity_report(self) -> list[GroupFreeCapacity]:
         """Return the free capacity and the backlog of each group."""
@@ -188,7 +179,7 @@
             task = PendingTask(peer.member_id, message, command, now_s, self._arrival_count)
             if group is None:
                 self._count("runs.not_home")
-                self._finish_task(task, command.run - 1, _outcome_without_group(task))
+                self.finish_task(task, command.run - 1, _outcome_without_group(task))
             else:
                 self._accept_task(group, task)
         if group is not None:
@@ -225,27 +216,27 @@
             return
         worker_id = worker.entry.worker_id
         if outcome is RunOutcome.DONE:
-            self._finish_task(task, run.number, TaskResultKind.DONE, worker_id)
+            self.finish_task(task, run.number, TaskResultKind.DONE, worker_id)
         elif task.is_durable and outcome is RunOutcome.FAILED:
-            self._finish_task(task, run.number, TaskResultKind.FAILED, worker_id)
+            self.finish_task(task, run.number, TaskResultKind.FAILED, worker_id)
         elif task.is_durable and outcome is RunOutcome.LEASE_EXPIRED and not task.orphaned:
-            self._finish_task(task, run.number, TaskResultKind.NOT_FOUND)
+            self.finish_task(task, run.number, TaskResultKind.NOT_FOUND)
         elif task.cancelled or task.orphaned:
-            self._finish_task(task, run.number, TaskResultKind.NOT_STARTED)
+            self.finish_task(task, run.number, TaskResultKind.NOT_STARTED)
         elif outcome is RunOutcome.FAILED and task.failures + 1 >= task.message.limits.max_attempts:
-            self._finish_task(task, run.number, TaskResultKind.FAILED)
+            self.finish_task(task, run.number, TaskResultKind.FAILED)
         else:
             task.failures += outcome is RunOutcome.FAILED
             task.avoided_worker_id = worker_id
             task.start_by_s = task.finish_by_s
-            self._requeue(task)
+            self.requeue(task)
 
     def start_refused(self, worker: LeasedWorker, run: Run, reason: str) -> None:
         """Requeue a task that a worker has not started."""
         if run.task.cancelled:
-            self._finish_task(run.task, run.number, TaskResultKind.NOT_STARTED)
+            self.finish_task(run.task, run.number, TaskResultKind.NOT_STARTED)
         elif self._is_open(run.task):
-            self._requeue(run.task)
+            self.requeue(run.task)
 
     def worker_changed(self, worker: LeasedWorker) -> None:
         """Adopt and place tasks after a poll of a worker."""
@@ -277,52 +268,13 @@
         job = self._jobs.get(task.message.job_id)
         return job is not None and job.by_name.get(task.name) is task
 
-    def _add_worker(self, group: WorkerGroup, entry: WorkerEntry) -> None:
+    def _open_worker(self, group: WorkerGroup, entry: WorkerEntry) -> LeasedWorker:
         client = self._open_worker_client(entry)
         worker = LeasedWorker(entry, client, lambda: group.fence, self, self._count)
         worker.may_discard_completions = lambda: self.may_discard_completions()
         worker.is_durable_job = lambda job_id: self.is_durable_job(job_id)
-        group.workers[entry.worker_id] = worker
         worker.start()
-
-    def _release_worker(self, group: WorkerGroup, worker: LeasedWorker, new_group: str) -> None:
-        """Leave a worker and its runs to the scheduler of the group that it moved to."""
-        del group.workers[worker.entry.worker_id]
-        worker.close()
-        self._count("runs.worker_moved")
-        for run in list(worker.runs.values()):
-            worker_id = worker.entry.worker_id
-            self._finish_task(run.task, run.number, TaskResultKind.MAY_RUN, worker_id, new_group)
-
-    def _remove_worker(self, group: WorkerGroup, worker: LeasedWorker) -> None:
-        """Remove a worker that left; its runs may continue until their leases expire."""
-        del group.workers[worker.entry.worker_id]
-        worker.close()
-        if worker.runs:
-            wait_s = max(0.0, worker.lease_expiry_s - time.monotonic())
-            gevent.spawn_later(wait_s, self._end_runs, group.name, worker)
-
-    def _end_runs(self, group_name: str, worker: LeasedWorker) -> None:
-        """End the runs of a removed worker whose leases have expired.
-
-        If the worker came back, or another scheduler may have it now, its runs may still be active.
-
-        Args:
-            group_name: the group that the worker belonged to.
-            worker: the removed worker.
-        """
-        group = self._groups.get(group_name)
-        worker_id = worker.entry.worker_id
-        for run in list(worker.runs.values()):
-            del worker.runs[run.task.name]
-            if group is None:
-                self._finish_task(run.task, run.number, TaskResultKind.MAY_RUN, worker_id)
-            elif worker_id in group.workers and not run.task.is_durable:
-                run.task.may_run, run.task.worker_id = True, worker_id
-                if not group.adopt_run(run.task):
-                    self._requeue(run.task)
-            else:
-                self.run_ended(worker, run, RunOutcome.LEASE_EXPIRED)
+        return worker
 
     def _accept_task(self, group: WorkerGroup, task: PendingTask) -> None:
         job = self._jobs[task.message.job_id]
@@ -347,7 +299,8 @@
             if group.adopt_run(task):
                 backlog.remove(task)
 
-    def _requeue(self, task: PendingTask) -> None:
+    def requeue(self, task: PendingTask) -> None:
+        """Put a task back into the backlog of its group, or return it if the group is gone."""
         group = self._groups.get(task.message.group)
         if group is None:
             self._return_task(task)
@@ -358,7 +311,7 @@
     def _return_task(self, task: PendingTask) -> None:
         """Return a pending task to its owner, with whether an earlier run may be active."""
         outcome = TaskResultKind.MAY_RUN if task.may_run else TaskResultKind.NOT_STARTED
-        self._finish_task(task, task.next_run - 1, outcome, task.worker_id)
+        self.finish_task(task, task.next_run - 1, outcome, task.worker_id)
 
     def _place_pending(self, group: WorkerGroup) -> None:
         """Start the pending tasks that fit into the free capacity, the most urgent first."""
@@ -399,7 +352,7 @@
         """
         if not group.adopt_run(task):
             self._count("runs.not_found")
-            self._finish_task(task, task.next_run - 1, TaskResultKind.NOT_FOUND)
+            self.finish_task(task, task.next_run - 1, TaskResultKind.NOT_FOUND)
 
     def _orphan_task(self, task: PendingTask) -> None:
         """Let the run of a durable task continue without its owner; return it if it is pending."""
@@ -423,7 +376,7 @@
             if run is not None:
                 worker.stop_run(run)
 
-    def _finish_task(
+    def finish_task(
         self,
         task: PendingTask,
         run: int,
@@ -464,7 +417,7 @@
         for task in group.backlog.dispatched_by(message):
             group.backlog.remove(task)
             self._count("runs.handed_back_full")
-            self._finish_task(task, task.next_run - 1, TaskResultKind.NO_ROOM)
+            self.finish_task(task, task.next_run - 1, TaskResultKind.NO_ROOM)
 
     def _return_expired(self, group: WorkerGroup, now_s: float) -> None:
         for task in group.backlog.expired(now_s):
--- a/camphorchute/runs/leased_worker.py
+++ b/camphorchute/runs/leased_worker.py
@@ -3,7 +3,6 @@
 import random
 import time
 from collections.abc import Callable
-from typing import Protocol
 
 import gevent
 from eliot import log_message
@@ -17,7 +16,6 @@
     RunCompletion,
     RunListing,
     RunOutcome,
-    StartCommand,
     WorkerClient,
     WorkerEntry,
 )
@@ -25,19 +23,15 @@
 from camphorchute.policies import FailureTracker, WorkerSpeed
 from camphorchute.runs.earlier_run import EarlierRun
 from camphorchute.runs.run import PendingTask, Run, RunState, job_of
+from camphorchute.runs.run_commands import RunCommands
+from camphorchute.runs.run_listener import RunListener
 from camphorchute.runs.unacknowledged_completions import UnacknowledgedCompletions
+from camphorchute.runs.worker_health import RETRY_PAUSE_MS, WorkerHealth
+from camphorchute.runs.worker_leases import LONGEST_LEASE_MS, WorkerLeases
 
-__all__ = ["LeasedWorker", "RunListener"]
+__all__ = ["LeasedWorker"]
 
-LEASE_MS = 1000.0
 POLL_WAIT_MS = 200.0
-RETRY_PAUSE_STEP_MS = 5.0
-RETRY_PAUSE_MS = 60.0
-UNRESPONSIVE_AFTER_FAILURES = 3
-NO_CAPACITY_PAUSE_MS = 40.0
-UNHEALTHY_PAUSE_MS = 500.0
-CLOCK_DRIFT_RATIO = 0.02
-LEASE_MARGIN_MS = 80.0
 ORPHAN_GRACE_MS = 600.0
 COMPLETION_RETENTION_MS = 10_000.0
 IDLE_POLL_INTERVAL_S = 1.0
@@ -45,28 +39,6 @@
 MS_PER_S = 1000.0
 
 
-class RunListener(Protocol):
-    """Callbacks for events on the runs of a worker."""
-
-    def run_ended(self, worker: "LeasedWorker", run: Run, outcome: RunOutcome) -> None:
-        """Handle the end of a run, which is no longer in ``worker.runs``."""
-
-    def start_refused(self, worker: "LeasedWorker", run: Run, reason: str) -> None:
-        """Handle a start that did not happen.
-
-        Args:
-            worker: the worker.
-            run: the run, which is no longer in ``worker.runs``.
-            reason: name of the refusal in lower case, or ``not_sent``.
-        """
-
-    def worker_changed(self, worker: "LeasedWorker") -> None:
-        """Handle a poll that may have changed the free capacity or the known runs."""
-
-    def fence_superseded(self, worker: "LeasedWorker") -> None:
-        """Handle a refusal because the worker has seen a higher fencing token."""
-
-
 class LeasedWorker:
     """Polls one incarnation of a worker and sends it commands.
 
@@ -96,8 +68,8 @@
         failures: recent outcomes of its runs, and whether it is ejected.
         synced: whether the worker has listed its runs under the fencing token in force.
         free_capacity: capacity of the worker that no run in :attr:`runs` uses.
-        lease_expiry_s: time of the monotonic clock in seconds by which every lease granted so far
-            has expired.
+        leases: the leases granted to its runs.
+        health: whether the worker answers.
     """
 
     __slots__ = (
@@ -111,16 +83,13 @@
         "failures",
         "synced",
         "free_capacity",
+        "leases",
+        "health",
         "_client",
         "_current_fence",
         "_listener",
         "_count",
-        "_worker_clock_ms",
-        "_worker_clock_read_s",
-        "_is_responsive",
-        "_paused_until_s",
-        "lease_expiry_s",
-        "_failures",
+        "_commands",
         "_unlisted_since_s",
         "_earlier_runs",
         "_poll_requested",
@@ -144,29 +113,21 @@
         self.failures = FailureTracker(random.Random())
         self.synced = False
         self.free_capacity = entry.capacity
-        self.lease_expiry_s = 0.0
+        self.leases = WorkerLeases()
+        self.health = WorkerHealth(entry.worker_id, count)
         self._client = client
         self._current_fence = current_fence
         self._listener = listener
         self._count = count
         self.may_discard_completions: Callable[[], bool] = lambda: True
         self.is_durable_job: Callable[[str], bool] = lambda job_id: True
-        self._worker_clock_ms = 0.0
-        self._worker_clock_read_s = 0.0
-        self._is_responsive = False
-        self._paused_until_s = 0.0
-        self._failures = 0
+        self._commands = RunCommands(self, client, current_fence, listener, count)
         self._unlisted_since_s = 0.0
         self._earlier_runs: list[EarlierRun] = []
         self._poll_requested = Event()
         self._greenlet: gevent.Greenlet | None = None
         self._closed = False
 
-    @property
-    def is_responsive(self) -> bool:
-        """Whether the worker has answered its latest polls."""
-        return self._is_responsive
-
     def start(self) -> None:
         """Start to poll the worker."""
         self._greenlet = spawn_loop("runs", self._poll_loop, self._count)
@@ -190,7 +151,7 @@
 
     def is_expired(self) -> bool:
         """Whether the worker has been unlisted for longer than a lease can last."""
-        return self.unlisted_ms() > LEASE_MS * (1 + CLOCK_DRIFT_RATIO) + LEASE_MARGIN_MS
+        return self.unlisted_ms() > LONGEST_LEASE_MS
 
     def request_poll(self) -> None:
         """Poll the worker even if it is idle, to send the latest acknowledgement."""
@@ -228,10 +189,10 @@
         """
         is_usable = (
             self.synced
-            and self._is_responsive
+            and self.health.is_responsive
             and not self.orphans
             and not self.entry.is_draining
-            and now_s >= self._paused_until_s
+            and not self.health.is_paused(now_s)
             and (not self.failures.ejected or self._may_be_probed(now_s))
         )
         return self.free_capacity if is_usable else Resources(0)
@@ -247,7 +208,7 @@
         task.started = True
         self.runs[task.name] = run
         self.free_capacity = self.free_capacity.minus(task.message.demand)
-        gevent.spawn(self._send_start, run)
+        gevent.spawn(self._commands.send_start, run)
 
     def adopt_run(self, task: PendingTask, number: int, outcome: RunOutcome | None = None) -> None:
         """Continue a run that an earlier scheduler started.
@@ -276,102 +237,11 @@
         """Send a stop command for a run, unless one was requested before."""
         if not run.stop_requested:
             run.stop_requested = True
-            gevent.spawn(self._send_stop, run.task.name, run.number)
-
-    def _send_start(self, run: Run) -> None:
-        task = run.task
-        command = StartCommand(task.name, run.number, task.message.payload, task.message.demand)
-        self._extend_lease_expiry()
-        try:
-            clock_ms = self._client.start_run(
-                command, self._current_fence(), self._lease_until_ms()
-            )
-        except CommandRefused as refused:
-            self._handle_start_refusal(run, refused.reason)
-        except CommandUnanswered as unanswered:
-            self._handle_unanswered_start(run, unanswered)
-        else:
-            self._update_worker_clock(clock_ms)
-            self._failures = 0
-            run.state = RunState.RUNNING
-            run.start_acknowledged_s = time.monotonic()
-            self._poll_requested.set()
-
-    def _handle_start_refusal(self, run: Run, reason: RefusalReason) -> None:
-        self._count(f"runs.start_refused.{reason.name.lower()}")
-        self._remove_run(run)
-        pause_ms = NO_CAPACITY_PAUSE_MS if reason is RefusalReason.NO_ROOM else RETRY_PAUSE_MS
-        if reason is RefusalReason.UNHEALTHY:
-            pause_ms = UNHEALTHY_PAUSE_MS
-        if reason is RefusalReason.OLD_RUN:
-            run.task.next_run += run.number
-        else:
-            self._paused_until_s = time.monotonic() + pause_ms / MS_PER_S
-        if reason is RefusalReason.FENCED:
-            self._listener.fence_superseded(self)
-        self._listener.start_refused(self, run, reason.name.lower())
-
-    def _handle_unanswered_start(self, run: Run, unanswered: CommandUnanswered) -> None:
-        """Determine whether a start command without an answer was carried out."""
-        self._count("runs.start_lost" if unanswered.sent else "runs.start_not_sent")
-        self._count_failure(str(unanswered))
-        if not unanswered.sent:
-            self._remove_run(run)
-            self._listener.start_refused(self, run, "not_sent")
-            return
-        run.state = RunState.UNKNOWN
-        self._resolve_lost_start(run)
-
-    def _resolve_lost_start(self, run: Run) -> None:
-        """Keep a run that the worker lists; stop one that it does not list.
-
-        The stop also bars a start command that arrives later, so that the task can be placed again.
-        """
-        if not run.stop_requested and self._is_listed(run):
-            self._count("runs.start_found_running")
-            run.state = RunState.RUNNING
-            run.start_acknowledged_s = time.monotonic()
-        elif run.state is RunState.UNKNOWN:
-            run.stop_requested = True
-            self._send_stop(run.task.name, run.number)
-        self._poll_requested.set()
-
-    def _is_listed(self, run: Run) -> bool:
-        try:
-            listing = self._client.renew_and_list(
-                self._current_fence(), self.completions.acknowledged_number(), None, 0.0
-            )
-        except (CommandRefused, CommandUnanswered):
-            self._count("runs.check_failed")
-            return False
-        return any(
-            listed_run.task == run.task.name and listed_run.run == run.number
-            for listed_run in listing.running
-        )
-
-    def _send_stop(self, name: str, number: int) -> None:
-        """Send a stop command; it also bars a run that has not arrived at the worker yet.
-
-        A run in state ``UNKNOWN`` counts as started after that: the next poll ends it if the worker
-        does not list it.
-        """
-        try:
-            self._client.stop_run(name, number, self._current_fence())
-        except CommandRefused as refused:
-            self._count(f"runs.stop_refused.{refused.reason.name.lower()}")
-        except CommandUnanswered as unanswered:
-            self._count("runs.stop_lost")
-            self._count_failure(str(unanswered))
-        else:
-            run = self.runs.get(name)
-            if run is not None and run.number == number and run.state is RunState.UNKNOWN:
-                run.state = RunState.RUNNING
-                run.start_acknowledged_s = time.monotonic()
-        self._poll_requested.set()
+            gevent.spawn(self._commands.send_stop, run.task.name, run.number)
 
     def _poll_loop(self) -> None:
         while not self._closed:
-            if self.synced and self._is_responsive:
+            if self.synced and self.health.is_responsive:
                 self._wait_for_poll()
             self._poll_requested.clear()
             if not self._closed:
@@ -395,10 +265,12 @@
         """Renew the leases and apply the runs and completions that the worker lists."""
         fence = self._current_fence()
         sent_s = time.monotonic()
-        renews_leases = bool(self.runs or self.orphans) and self._is_responsive and self.synced
-        lease_until_ms = self._lease_until_ms() if renews_leases else None
+        renews_leases = (
+            bool(self.runs or self.orphans) and self.health.is_responsive and self.synced
+        )
+        lease_until_ms = self.leases.until_ms() if renews_leases else None
         if renews_leases:
-            self._extend_lease_expiry()
+            self.leases.extend()
         wait_ms = POLL_WAIT_MS if renews_leases and not self.completions else 0.0
         try:
             listing = self._client.renew_and_list(
@@ -408,12 +280,12 @@
             self._handle_poll_refusal(refused.reason)
         except CommandUnanswered as unanswered:
             self._count("runs.look_lost")
-            self._mark_unresponsive(str(unanswered))
-            gevent.sleep(min(RETRY_PAUSE_MS, RETRY_PAUSE_STEP_MS * self._failures) / MS_PER_S)
+            self.health.mark_unresponsive(str(unanswered))
+            self._poll_requested.set()
+            gevent.sleep(self.health.retry_pause_ms() / MS_PER_S)
         else:
-            self._is_responsive = True
-            self._failures = 0
-            self._update_worker_clock(listing.clock_ms)
+            self.health.record_poll_answer()
+            self.leases.read_clock(listing.clock_ms)
             self._apply_listing(listing, sent_s)
             if fence == self._current_fence():
                 self.synced = True
@@ -427,17 +299,7 @@
         self._earlier_runs = [run for run in self._earlier_runs if run not in covered]
         for earlier_run in covered:
             if earlier_run.task not in listed:
-                gevent.spawn(self._bar_earlier_run, earlier_run)
-
-    def _bar_earlier_run(self, earlier_run: EarlierRun) -> None:
-        try:
-            self._client.stop_run(earlier_run.task, earlier_run.number, self._current_fence())
-        except (CommandRefused, CommandUnanswered):
-            self._count("runs.retry.bar_earlier_run")
-            self.rule_out(earlier_run)
-        else:
-            earlier_run.is_ruled_out = True
-            self._listener.worker_changed(self)
+                gevent.spawn(self._commands.bar_earlier_run, earlier_run)
 
     def _handle_poll_refusal(self, reason: RefusalReason) -> None:
         self._count(f"runs.look_refused.{reason.name.lower()}")
@@ -448,7 +310,8 @@
         if reason is RefusalReason.FENCED:
             self._listener.fence_superseded(self)
         else:
-            self._mark_unresponsive(reason.value)
+            self.health.mark_unresponsive(reason.value)
+            self._poll_requested.set()
         gevent.sleep(RETRY_PAUSE_MS / MS_PER_S)
 
     def _apply_listing(self, listing: RunListing, sent_s: float) -> None:
@@ -491,10 +354,11 @@
             self._poll_requested.set()
 
     def _end_run(self, run: Run, outcome: RunOutcome) -> None:
-        self._remove_run(run)
+        self.remove_run(run)
         self._listener.run_ended(self, run, outcome)
 
-    def _remove_run(self, run: Run) -> None:
+    def remove_run(self, run: Run) -> None:
+        """Forget a run and release the capacity reserved for it."""
         if self.runs.pop(run.task.name, None) is not None:
             self.free_capacity = self.free_capacity.plus(run.task.message.demand)
 
@@ -504,7 +368,7 @@
 
     def _expire_unresponsive(self) -> None:
         """End the runs of a worker that stayed unresponsive until every lease expired."""
-        if self._is_responsive or time.monotonic() < self.lease_expiry_s:
+        if self.health.is_responsive or time.monotonic() < self.leases.expiry_s:
             return
         if self.runs:
             self._count("runs.lease_over_unheard", len(self.runs))
@@ -523,7 +387,7 @@
             if (now_s - since_s) * MS_PER_S > ORPHAN_GRACE_MS:
                 self.orphans[name] = (number, now_s)
                 self._count("runs.orphan_stopped")
-                gevent.spawn(self._send_stop, name, number)
+                gevent.spawn(self._commands.send_stop, name, number)
         for completion in self.completions.older_than(COMPLETION_RETENTION_MS):
             if self.may_discard_completions():
                 self._count("runs.end_forgotten")
@@ -534,36 +398,4 @@
         """Repeat the stop commands of active runs, since an earlier one may have been lost."""
         for run in self.runs.values():
             if run.stop_requested and run.state is not RunState.ORDERED:
-                gevent.spawn(self._send_stop, run.task.name, run.number)
-
-    def _count_failure(self, detail: str) -> None:
-        """Count a command without an answer; several in a row mark the worker unresponsive."""
-        self._failures += 1
-        if self._failures >= UNRESPONSIVE_AFTER_FAILURES:
-            self._mark_unresponsive(detail)
-
-    def _mark_unresponsive(self, detail: str) -> None:
-        """Place nothing more on the worker until it answers a poll."""
-        if self._is_responsive:
-            self._count("runs.worker_suspected")
-            log_message(
-                message_type="runs",
-                text="runs: worker does not answer",
-                worker=self.entry.worker_id,
-                detail=detail,
-            )
-        self._is_responsive = False
-        self._failures += 1
-        self._poll_requested.set()
-
-    def _update_worker_clock(self, clock_ms: float) -> None:
-        self._worker_clock_ms = clock_ms
-        self._worker_clock_read_s = time.monotonic()
-
-    def _lease_until_ms(self) -> float:
-        since_ms = (time.monotonic() - self._worker_clock_read_s) * MS_PER_S
-        return self._worker_clock_ms + since_ms + LEASE_MS
-
-    def _extend_lease_expiry(self) -> None:
-        lease_ms = LEASE_MS * (1 + CLOCK_DRIFT_RATIO) + LEASE_MARGIN_MS
-        self.lease_expiry_s = max(self.lease_expiry_s, time.monotonic() + lease_ms / MS_PER_S)
+                gevent.spawn(self._commands.send_stop, run.task.name, run.number)
--- /dev/null
+++ b/camphorchute/runs/run_commands.py
@@ -0,0 +1,159 @@
+"""Start and stop commands for the runs of one worker."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable
+from typing import TYPE_CHECKING
+
+from camphorchute.hosting import (
+    CommandRefused,
+    CommandUnanswered,
+    RefusalReason,
+    StartCommand,
+    WorkerClient,
+)
+from camphorchute.runs.earlier_run import EarlierRun
+from camphorchute.runs.run import Run, RunState
+from camphorchute.runs.run_listener import RunListener
+from camphorchute.runs.worker_health import RETRY_PAUSE_MS
+
+if TYPE_CHECKING:
+    from camphorchute.runs.leased_worker import LeasedWorker
+
+__all__ = ["RunCommands"]
+
+NO_CAPACITY_PAUSE_MS = 40.0
+UNHEALTHY_PAUSE_MS = 500.0
+
+
+class RunCommands:
+    """Sends the commands for the runs of one worker, each from a greenlet of its own.
+
+    Args:
+        worker: the worker, whose runs and health follow from the answers.
+        client: sends commands to the worker.
+        current_fence: returns the fencing token in force.
+        listener: receives the events on the worker's runs.
+        count: adds to a named counter.
+    """
+
+    __slots__ = ("_worker", "_client", "_current_fence", "_listener", "_count")
+
+    def __init__(
+        self,
+        worker: LeasedWorker,
+        client: WorkerClient,
+        current_fence: Callable[[], int],
+        listener: RunListener,
+        count: Callable[..., None],
+    ) -> None:
+        self._worker = worker
+        self._client = client
+        self._current_fence = current_fence
+        self._listener = listener
+        self._count = count
+
+    def send_start(self, run: Run) -> None:
+        """Send the start command of a run and record the answer."""
+        task = run.task
+        command = StartCommand(task.name, run.number, task.message.payload, task.message.demand)
+        self._worker.leases.extend()
+        try:
+            clock_ms = self._client.start_run(
+                command, self._current_fence(), self._worker.leases.until_ms()
+            )
+        except CommandRefused as refused:
+            self._handle_start_refusal(run, refused.reason)
+        except CommandUnanswered as unanswered:
+            self._handle_unanswered_start(run, unanswered)
+        else:
+            self._worker.leases.read_clock(clock_ms)
+            self._worker.health.record_command_answer()
+            run.state = RunState.RUNNING
+            run.start_acknowledged_s = time.monotonic()
+            self._worker.request_poll()
+
+    def _handle_start_refusal(self, run: Run, reason: RefusalReason) -> None:
+        self._count(f"runs.start_refused.{reason.name.lower()}")
+        self._worker.remove_run(run)
+        pause_ms = NO_CAPACITY_PAUSE_MS if reason is RefusalReason.NO_ROOM else RETRY_PAUSE_MS
+        if reason is RefusalReason.UNHEALTHY:
+            pause_ms = UNHEALTHY_PAUSE_MS
+        if reason is RefusalReason.OLD_RUN:
+            run.task.next_run += run.number
+        else:
+            self._worker.health.pause(pause_ms)
+        if reason is RefusalReason.FENCED:
+            self._listener.fence_superseded(self._worker)
+        self._listener.start_refused(self._worker, run, reason.name.lower())
+
+    def _handle_unanswered_start(self, run: Run, unanswered: CommandUnanswered) -> None:
+        """Determine whether a start command without an answer was carried out."""
+        self._count("runs.start_lost" if unanswered.sent else "runs.start_not_sent")
+        self._worker.health.record_failure(str(unanswered))
+        self._worker.request_poll()
+        if not unanswered.sent:
+            self._worker.remove_run(run)
+            self._listener.start_refused(self._worker, run, "not_sent")
+            return
+        run.state = RunState.UNKNOWN
+        self._resolve_lost_start(run)
+
+    def _resolve_lost_start(self, run: Run) -> None:
+        """Keep a run that the worker lists; stop one that it does not list.
+
+        The stop also bars a start command that arrives later, so that the task can be placed again.
+        """
+        if not run.stop_requested and self._is_listed(run):
+            self._count("runs.start_found_running")
+            run.state = RunState.RUNNING
+            run.start_acknowledged_s = time.monotonic()
+        elif run.state is RunState.UNKNOWN:
+            run.stop_requested = True
+            self.send_stop(run.task.name, run.number)
+        self._worker.request_poll()
+
+    def _is_listed(self, run: Run) -> bool:
+        try:
+            listing = self._client.renew_and_list(
+                self._current_fence(), self._worker.completions.acknowledged_number(), None, 0.0
+            )
+        except (CommandRefused, CommandUnanswered):
+            self._count("runs.check_failed")
+            return False
+        return any(
+            listed_run.task == run.task.name and listed_run.run == run.number
+            for listed_run in listing.running
+        )
+
+    def send_stop(self, name: str, number: int) -> None:
+        """Send a stop command; it also bars a run that has not arrived at the worker yet.
+
+        A run in state ``UNKNOWN`` counts as started after that: the next poll ends it if the worker
+        does not list it.
+        """
+        try:
+            self._client.stop_run(name, number, self._current_fence())
+        except CommandRefused as refused:
+            self._count(f"runs.stop_refused.{refused.reason.name.lower()}")
+        except CommandUnanswered as unanswered:
+            self._count("runs.stop_lost")
+            self._worker.health.record_failure(str(unanswered))
+        else:
+            run = self._worker.runs.get(name)
+            if run is not None and run.number == number and run.state is RunState.UNKNOWN:
+                run.state = RunState.RUNNING
+                run.start_acknowledged_s = time.monotonic()
+        self._worker.request_poll()
+
+    def bar_earlier_run(self, earlier_run: EarlierRun) -> None:
+        """Send a stop command for a run that the worker does not list, to rule it out."""
+        try:
+            self._client.stop_run(earlier_run.task, earlier_run.number, self._current_fence())
+        except (CommandRefused, CommandUnanswered):
+            self._count("runs.retry.bar_earlier_run")
+            self._worker.rule_out(earlier_run)
+        else:
+            earlier_run.is_ruled_out = True
+            self._listener.worker_changed(self._worker)
--- /dev/null
+++ b/camphorchute/runs/run_listener.py
@@ -0,0 +1,35 @@
+"""Callbacks for events on the runs of a worker."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Protocol
+
+from camphorchute.hosting import RunOutcome
+
+if TYPE_CHECKING:
+    from camphorchute.runs.leased_worker import LeasedWorker
+    from camphorchute.runs.run import Run
+
+__all__ = ["RunListener"]
+
+
+class RunListener(Protocol):
+    """Callbacks for events on the runs of a worker."""
+
+    def run_ended(self, worker: LeasedWorker, run: Run, outcome: RunOutcome) -> None:
+        """Handle the end of a run, which is no longer in ``worker.runs``."""
+
+    def start_refused(self, worker: LeasedWorker, run: Run, reason: str) -> None:
+        """Handle a start that did not happen.
+
+        Args:
+            worker: the worker.
+            run: the run, which is no longer in ``worker.runs``.
+            reason: name of the refusal in lower case, or ``not_sent``.
+        """
+
+    def worker_changed(self, worker: LeasedWorker) -> None:
+        """Handle a poll that may have changed the free capacity or the known runs."""
+
+    def fence_superseded(self, worker: LeasedWorker) -> None:
+        """Handle a refusal because the worker has seen a higher fencing token."""
--- a/camphorchute/runs/run_supervisor.py
+++ b/camphorchute/runs/run_supervisor.py
@@ -72,7 +72,7 @@
         """
         all_workers = list(workers)
         for worker in all_workers:
-            if not worker.is_responsive:
+            if not worker.health.is_responsive:
                 continue
             for run in list(worker.runs.values()):
                 if self._is_overdue(worker, run, now_s) and self._budget.take_retry():
@@ -111,10 +111,16 @@
         )
         run.task.overdue_stops += 1
         worker.stop_run(run)
-        self._record_outcome(worker, run, False, workers)
+        worker.speed.record_run(run.task.message.estimate_ms, elapsed_ms)
+        self._record_outcome(worker, run, False, workers, is_overdue=True)
 
     def _record_outcome(
-        self, worker: LeasedWorker, run: Run, ok: bool, workers: Iterable[LeasedWorker]
+        self,
+        worker: LeasedWorker,
+        run: Run,
+        ok: bool,
+        workers: Iterable[LeasedWorker],
+        is_overdue: bool = False,
     ) -> None:
         """Record an outcome as evidence for or against a worker, and act on it."""
         tracker = worker.failures
@@ -126,7 +132,9 @@
                 self._log_ejection(worker, "worker is in use again")
             else:
                 tracker.eject(now_ms)
-        elif not ok and self._policies.ejection(tracker, _other_trackers(worker, workers)):
+        elif not ok and self._policies.ejection(
+            tracker, _other_trackers(worker, workers), is_overdue
+        ):
             tracker.eject(now_ms)
             self._count("runs.worker_ejected")
             self._log_ejection(worker, "worker is ejected")
--- a/camphorchute/runs/tests/test_group_scheduler.py
+++ b/camphorchute/runs/tests/test_group_scheduler.py
@@ -366,3 +366,22 @@
     site.dispatch_tasks(second, tasks=1, run=2, may_run=True, worker_id=moved._worker_id)
     assert wait_until(lambda: len(site.active_runs()) == 1)
     assert moved._highest_run_numbers.get(f"{JOB_ID}.0.0.0", 0) >= 1
+
+
+def test_run_of_a_removed_worker_that_is_listed_in_another_group_may_be_active(open_site):
+    """After a zone partition ended, its lease was renewed by the scheduler of the other group."""
+    site = open_site(workers=2, run_ms=2500.0)
+    first = site.add_scheduler(7)
+    site.dispatch_tasks(first, tasks=1)
+    assert wait_until(lambda: len(site.active_runs()) == 1)
+    moved_id = next(worker for worker in site.fleet.workers if worker.runs)._worker_id
+    others = {key: entry for key, entry in site.entries().items() if key != moved_id}
+    first.set_workers(GROUP, others)
+    first.set_workers(GROUP, others, {moved_id: "north/flags/1"})
+    second = site.add_scheduler(9, [moved_id])
+    assert wait_until(lambda: site.results, 3.0)
+    assert [(result.end, result.group) for result in site.results] == [
+        (TaskResultKind.MAY_RUN, "north/flags/1")
+    ]
+    assert len(site.fleet.started_tasks()) == 1
+    assert second.groups() == [GROUP]
