Suspend a group whose workers reject its fencing token

Change: once most workers of a group have rejected the token, its tasks go back to their owners as possibly active, and it is not reported until its claim is acquired again. A job with tasks at a lost scheduler ends when they cannot be done in time, not at its caller's deadline. Tests: both fail on the code before.

--- a/Makefile
+++ b/Makefile
@@ -19,6 +19,7 @@
 
 bench: $(VENV)/.ready
 	$(BIN)/python -m bench.measure
+	$(BIN)/python -m bench.patterns
 
 soak: $(VENV)/.ready
 	$(BIN)/python -m bench.soak --seed $(or $(SEED),1) --duration-s $(or $(DURATION_S),30)
--- a/camphorchute/queues/job_run.py
+++ b/camphorchute/queues/job_run.py
@@ -187,7 +187,7 @@
         if self.is_done():
             return JobOutcome.DONE
         is_over = now_s >= self.finish_by_s
-        if is_over or (now_s >= self._latest_start_s() and self._has_waiting_tasks()):
+        if is_over or (now_s >= self._latest_start_s() and self._has_tasks_to_start()):
             return JobOutcome.LOST if self.any_may_have_started() else JobOutcome.NOT_RUN
         return None
 
@@ -197,8 +197,10 @@
             return self.worth_finishing_by_s
         return self.started_s + self.start_limit_ms / MS_PER_S
 
-    def _has_waiting_tasks(self) -> bool:
-        return any(task.state is TaskState.WAITING for step in self.steps for task in step)
+    def _has_tasks_to_start(self) -> bool:
+        """Return whether a task is not at a scheduler that will start it or report its end."""
+        states = {task.state for step in self.steps for task in step}
+        return bool(states & {TaskState.WAITING, TaskState.MAY_RUN})
 
     def record_done(self, task: "TaskProgress", result: TaskResult) -> None:
         """Record that a task is done."""
--- a/camphorchute/queues/tests/test_queue_owner.py
+++ b/camphorchute/queues/tests/test_queue_owner.py
@@ -287,3 +287,13 @@
     gevent.sleep(0.05)
     assert site.take_start_commands() == []
     assert isinstance(site.outcome, Refusal)
+
+
+def test_job_whose_lost_tasks_cannot_be_done_in_time_ends_before_its_deadline():
+    """Callers waited for their whole deadline after a zone was partitioned."""
+    site = Site(h0=1)
+    site.submit(1)
+    (run,) = site.owner._jobs.values()
+    run.worth_finishing_by_s = run.started_s + 0.1
+    site.owner.mark_scheduler_lost("h0")
+    assert wait_until(lambda: site.outcome is JobOutcome.LOST, 0.5)
--- a/camphorchute/runs/group_scheduler.py
+++ b/camphorchute/runs/group_scheduler.py
@@ -111,6 +111,7 @@
             self._groups[name] = WorkerGroup(name, service, fence, self._policies)
             return
         group.fence = fence
+        group.rejecting_worker_ids.clear()
         for worker in group.workers.values():
             worker.refresh_fence()
 
@@ -246,10 +247,26 @@
                 self._place_pending(group)
 
     def fence_superseded(self, worker: LeasedWorker) -> None:
-        """Mark the worker's group so that its claim is checked."""
-        for group in self._groups.values():
+        """Mark the worker's group so that its claim is checked.
+
+        Once most of the workers have rejected the fencing token, another process schedules the
+        group, perhaps unknown to this one while it cannot reach the store. The group is then
+        suspended until its claim is acquired again.
+        """
+        for group in list(self._groups.values()):
             if group.workers.get(worker.entry.worker_id) is worker:
                 self.superseded_groups.add(group.name)
+                group.rejecting_worker_ids.add(worker.entry.worker_id)
+                if 2 * len(group.rejecting_worker_ids) > len(group.workers):
+                    gevent.spawn(self._suspend_group, group)
+
+    def _suspend_group(self, group: WorkerGroup) -> None:
+        """Return the tasks of a group that another process schedules, and report it no more."""
+        if self._groups.get(group.name) is group:
+            self._count("runs.group_suspended")
+            log_decision("runs", "group is suspended", group=group.name, fence=group.fence)
+            self.release_group(group.name)
+            self.superseded_groups.add(group.name)
 
     def _workers_beside(self, worker: LeasedWorker) -> list[LeasedWorker]:
         """Return the workers of the group of a worker."""
--- a/camphorchute/runs/tests/test_group_scheduler.py
+++ b/camphorchute/runs/tests/test_group_scheduler.py
@@ -263,6 +263,23 @@
     assert site.fleet.started_tasks() == []
 
 
+def test_scheduler_whose_workers_reject_its_token_returns_its_tasks(open_site):
+    """Without the store it went on to report the group, and never learned how its runs ended."""
+    site = open_site(run_ms=700.0)
+    first = site.add_scheduler(7)
+    site.dispatch_tasks(first, tasks=3)
+    assert wait_until(lambda: len(site.active_runs()) == 3)
+    second = site.add_scheduler(9)
+    assert wait_until(lambda: len(site.results) == 3, 1.0)
+    assert {result.end for result in site.results} == {TaskResultKind.MAY_RUN}
+    assert first.free_capacity_report() == []
+    assert first.superseded_groups == {GROUP}
+    site.redispatch_returned(second)
+    assert wait_until(lambda: len(site.results) == 3)
+    assert set(site.outcomes().values()) == {TaskResultKind.DONE}
+    assert len(site.fleet.started_tasks()) == 3
+
+
 def test_runs_of_a_worker_that_moves_to_another_group_are_adopted_there(open_site):
     """Its runs were assumed to have ended with their leases, and a second run overlapped each."""
     site = open_site(workers=1, run_ms=700.0)
--- a/camphorchute/runs/worker_group.py
+++ b/camphorchute/runs/worker_group.py
@@ -33,9 +33,18 @@
         fence: fencing token of the group's claim.
         workers: its workers by id.
         backlog: its pending tasks.
+        rejecting_worker_ids: ids of the workers that have rejected the fencing token.
     """
 
-    __slots__ = ("name", "service", "fence", "workers", "backlog", "_policies")
+    __slots__ = (
+        "name",
+        "service",
+        "fence",
+        "workers",
+        "backlog",
+        "rejecting_worker_ids",
+        "_policies",
+    )
 
     def __init__(self, name: str, service: str, fence: int, policies: DecisionPolicies) -> None:
         self.name = name
@@ -43,6 +52,7 @@
         self.fence = fence
         self.workers: dict[str, LeasedWorker] = {}
         self.backlog = Backlog(policies.task_order)
+        self.rejecting_worker_ids: set[str] = set()
         self._policies = policies
 
     def adopt_run(self, task: PendingTask) -> bool:
