Divide the scheduler further; keep refusals apart from late jobs in a test of the log

test_refused_job_appears_in_log_and_counters took every line with the word wait for a refusal; late jobs and jobs that were not done have such lines too. It now looks for the two lines of a refusal and asks of them what it asked before.

--- a/bench/tests/test_hosted_fleet.py
+++ b/bench/tests/test_hosted_fleet.py
@@ -190,6 +190,11 @@
     assert int(counters["queues.refused.overloaded"]) >= 1
     assert any(name.startswith("queues.job_ms.under_") for name in counters)
     log = (tmp_path / f"entry-{entry.host}.log").read_text()
-    refusal_lines = [line for line in log.splitlines() if "burst" in line and "wait" in line]
+    refusals = ("queues: refused, too long a wait", "runs: task waited too long")
+    refusal_lines = [
+        line
+        for line in log.splitlines()
+        if "burst" in line and any(text in line for text in refusals)
+    ]
     assert refusal_lines
     assert all("wait_ms" in line or "waited_ms" in line for line in refusal_lines)
--- a/camphorchute/runs/group_scheduler.py
+++ b/camphorchute/runs/group_scheduler.py
@@ -1,13 +1,11 @@
 """Scheduler of worker groups: the one process that places and starts their tasks."""
 
 import time
-from collections import defaultdict
 from collections.abc import Callable
 
 import gevent
 
 from camphorchute.contracts.member import Member
-from camphorchute.contracts.resources import Resources
 from camphorchute.contracts.run_messages import (
     GroupFreeCapacity,
     StartTasks,
@@ -23,8 +21,8 @@
 from camphorchute.policies import DecisionPolicies
 from camphorchute.runs.durable_tasks import DurableTasks
 from camphorchute.runs.group_membership import GroupMembership
-from camphorchute.runs.job_tasks import JobTasks
 from camphorchute.runs.leased_worker import LeasedWorker
+from camphorchute.runs.open_tasks import OpenTasks
 from camphorchute.runs.result_batches import ResultBatches
 from camphorchute.runs.run import PendingTask, Run
 from camphorchute.runs.run_supervisor import RunSupervisor
@@ -72,7 +70,7 @@
         self._results = ResultBatches(notify, lambda: self.on_capacity_changed(), count)
         self._groups: dict[str, WorkerGroup] = {}
         self.durable_tasks = DurableTasks(self._groups.values, count)
-        self._jobs: dict[str, JobTasks] = defaultdict(JobTasks)
+        self._open_tasks = OpenTasks()
         self._arrival_count = 0
         self._membership = GroupMembership(self, self._open_worker, count)
         self._greenlet: gevent.Greenlet | None = None
@@ -158,15 +156,14 @@
 
         Runs of durable jobs continue: another process will adopt them.
         """
-        for job in list(self._jobs.values()):
-            for task in list(job.by_name.values()):
-                if task.owner_id != owner_id:
-                    continue
-                self._count("runs.owner_lost")
-                if task.is_durable:
-                    self._orphan_task(task)
-                else:
-                    self._stop_task(task)
+        for task in self._open_tasks.all():
+            if task.owner_id != owner_id:
+                continue
+            self._count("runs.owner_lost")
+            if task.is_durable:
+                self._orphan_task(task)
+            else:
+                self._stop_task(task)
 
     @handles(StartTasks, nonblocking=True)
     def start_tasks(self, peer: Member, message: StartTasks) -> None:
@@ -180,7 +177,7 @@
             task = PendingTask(peer.member_id, message, command, now_s, self._arrival_count)
             if group is None:
                 self._count("runs.not_home")
-                self.finish_task(task, command.run - 1, _outcome_without_group(task))
+                self.finish_task(task, command.run - 1, task.outcome_without_group())
             else:
                 self._accept_task(group, task)
         if group is not None:
@@ -193,7 +190,7 @@
         """Return the pending tasks of a job to its owner and stop its active runs."""
         if self.durable_tasks.is_superseded(message.term):
             return
-        for task in self._tasks_of(message.job_id):
+        for task in self._open_tasks.of_job(message.job_id):
             if task.owner_id == peer.member_id or task.is_durable:
                 self._stop_task(task)
 
@@ -213,7 +210,7 @@
                 failures=task.failures,
                 ordered_stop=run.stop_requested,
             )
-        if not self._is_open(task):
+        if task not in self._open_tasks:
             return
         worker_id = worker.entry.worker_id
         if outcome is RunOutcome.DONE:
@@ -236,14 +233,14 @@
         """Requeue a task that a worker has not started."""
         if run.task.cancelled:
             self.finish_task(run.task, run.number, TaskResultKind.NOT_STARTED)
-        elif self._is_open(run.task):
+        elif run.task in self._open_tasks:
             self.requeue(run.task)
 
     def worker_changed(self, worker: LeasedWorker) -> None:
         """Adopt and place tasks after a poll of a worker."""
         for group in list(self._groups.values()):
             if group.workers.get(worker.entry.worker_id) is worker:
-                self._adopt_pending(group)
+                group.adopt_pending()
                 self._place_pending(group)
 
     def fence_superseded(self, worker: LeasedWorker) -> None:
@@ -276,15 +273,6 @@
                 return list(group.workers.values())
         return [worker]
 
-    def _tasks_of(self, job_id: str) -> list[PendingTask]:
-        """Return the tasks of a job that have not ended here."""
-        return list(self._jobs[job_id].by_name.values()) if job_id in self._jobs else []
-
-    def _is_open(self, task: PendingTask) -> bool:
-        """Return whether a task has not ended here."""
-        job = self._jobs.get(task.message.job_id)
-        return job is not None and job.by_name.get(task.name) is task
-
     def _open_worker(self, group: WorkerGroup, entry: WorkerEntry) -> LeasedWorker:
         client = self._open_worker_client(entry)
         worker = LeasedWorker(entry, client, lambda: group.fence, self, self._count)
@@ -294,8 +282,7 @@
         return worker
 
     def _accept_task(self, group: WorkerGroup, task: PendingTask) -> None:
-        job = self._jobs[task.message.job_id]
-        known_task = job.by_name.get(task.name)
+        known_task = self._open_tasks.find_same(task)
         if known_task is not None:
             self._count("runs.owner_changed")
             known_task.owner_id = task.owner_id
@@ -303,19 +290,10 @@
             known_task.cancelled = known_task.orphaned = False
             known_task.finish_by_s = task.finish_by_s
             return
-        job.by_name[task.name] = task
-        job.has_started |= task.message.has_job_started
-        task.job_tasks = job
+        self._open_tasks.add(task)
         if not group.adopt_run(task):
             group.backlog.add(task)
 
-    def _adopt_pending(self, group: WorkerGroup) -> None:
-        """Adopt earlier runs of pending tasks that may already be running."""
-        backlog = group.backlog
-        for task in [task for task in backlog if task.may_run]:
-            if group.adopt_run(task):
-                backlog.remove(task)
-
     def requeue(self, task: PendingTask) -> None:
         """Put a task back into the backlog of its group, or return it if the group is gone."""
         group = self._groups.get(task.message.group)
@@ -331,45 +309,15 @@
         self.finish_task(task, task.next_run - 1, outcome, task.worker_id)
 
     def _place_pending(self, group: WorkerGroup) -> None:
-        """Start the pending tasks that fit into the free capacity, the most urgent first."""
-        backlog = group.backlog
-        now_s = time.monotonic()
-        backlog.sort(now_s)
-        remaining: list[PendingTask] = []
-        unplaced_demand: Resources | None = None
-        for task in backlog:
-            demand = task.message.demand
-            has_unknown_run = task.may_run and not group.are_earlier_runs_known(task)
-            if task.is_durable and task.may_run and not has_unknown_run:
-                self._adopt_or_return(group, task)
-                continue
-            if has_unknown_run or (unplaced_demand and demand.can_hold(unplaced_demand)):
-                remaining.append(task)
-                continue
-            worker = group.choose_worker(task, now_s)
-            if worker is None:
-                unplaced_demand = (
-                    demand
-                    if unplaced_demand is None or unplaced_demand.can_hold(demand)
-                    else unplaced_demand
-                )
-                remaining.append(task)
-            else:
-                self._supervisor.record_start()
-                task.job_tasks.has_started = True
-                worker.start_task(task)
-        if len(remaining) < len(backlog):
-            backlog.replace(remaining)
-            self.on_capacity_changed()
-
-    def _adopt_or_return(self, group: WorkerGroup, task: PendingTask) -> None:
-        """Adopt an earlier run of a durable task, or report to its owner that none was found.
-
-        The run's worker may have moved to another group and hold the completion there.
-        """
-        if not group.adopt_run(task):
+        """Start the pending tasks that fit into the free capacity."""
+        placement = group.place_pending(time.monotonic())
+        for _ in placement.started:
+            self._supervisor.record_start()
+        for task in placement.not_found:
             self._count("runs.not_found")
             self.finish_task(task, task.next_run - 1, TaskResultKind.NOT_FOUND)
+        if placement.has_changed:
+            self.on_capacity_changed()
 
     def _orphan_task(self, task: PendingTask) -> None:
         """Let the run of a durable task continue without its owner; return it if it is pending."""
@@ -411,10 +359,7 @@
             group: the group that this worker moved to, empty if it did not move.
         """
         job_id = task.message.job_id
-        if self._is_open(task):
-            del self._jobs[job_id].by_name[task.name]
-            if not self._jobs[job_id].by_name:
-                del self._jobs[job_id]
+        self._open_tasks.discard(task)
         result = TaskResult(task.message.step, task.index, run, outcome, worker_id, group)
         self._results.add(task.owner_id, job_id, result)
 
@@ -452,15 +397,7 @@
             self._return_task(task)
 
     def _stop_expired(self, now_s: float) -> None:
-        for job in list(self._jobs.values()):
-            for task in list(job.by_name.values()):
-                if now_s >= task.finish_by_s and not task.cancelled:
-                    self._count("runs.past_deadline")
-                    self._stop_task(task)
-
-
-def _outcome_without_group(task: PendingTask) -> TaskResultKind:
-    """Return the outcome of a task dispatched to a process that does not schedule its group."""
-    if not task.may_run:
-        return TaskResultKind.NOT_STARTED
-    return TaskResultKind.NOT_FOUND if task.is_durable else TaskResultKind.MAY_RUN
+        for task in self._open_tasks.all():
+            if now_s >= task.finish_by_s and not task.cancelled:
+                self._count("runs.past_deadline")
+                self._stop_task(task)
--- a/camphorchute/runs/run.py
+++ b/camphorchute/runs/run.py
@@ -7,7 +7,7 @@
 
 import xxhash
 
-from camphorchute.contracts.run_messages import StartTasks, TaskToStart
+from camphorchute.contracts.run_messages import StartTasks, TaskResultKind, TaskToStart
 from camphorchute.runs.earlier_run import EarlierRun
 
 if TYPE_CHECKING:
@@ -151,6 +151,12 @@
         """Whether its job is durable: completions are saved before the worker may drop them."""
         return self.message.term is not None
 
+    def outcome_without_group(self) -> TaskResultKind:
+        """Return its outcome at a process that does not schedule its group."""
+        if not self.may_run:
+            return TaskResultKind.NOT_STARTED
+        return TaskResultKind.NOT_FOUND if self.is_durable else TaskResultKind.MAY_RUN
+
 
 class Run:
     """A run of a task on a worker.
--- a/camphorchute/runs/worker_group.py
+++ b/camphorchute/runs/worker_group.py
@@ -18,6 +18,23 @@
 MS_PER_S = 1000.0
 
 
+class Placement:
+    """What became of the pending tasks of a group.
+
+    Attributes:
+        started: tasks that were started.
+        not_found: durable tasks whose earlier run no worker has.
+        has_changed: whether a task left the backlog.
+    """
+
+    __slots__ = ("started", "not_found", "has_changed")
+
+    def __init__(self) -> None:
+        self.started: list[PendingTask] = []
+        self.not_found: list[PendingTask] = []
+        self.has_changed = False
+
+
 class WorkerGroup:
     """A worker group that this process schedules.
 
@@ -97,6 +114,48 @@
             return False
         return all(worker.synced or worker.unlisted_ms() > 0 for worker in self.workers.values())
 
+    def adopt_pending(self) -> None:
+        """Adopt earlier runs of pending tasks that may already be running."""
+        for task in [task for task in self.backlog if task.may_run]:
+            if self.adopt_run(task):
+                self.backlog.remove(task)
+
+    def place_pending(self, now_s: float) -> Placement:
+        """Start the pending tasks that fit into the free capacity, the most urgent first.
+
+        A durable task with an earlier run is not started here: the run's worker may have moved to
+        another group and hold the completion there.
+
+        Args:
+            now_s: time of the monotonic clock in seconds.
+        """
+        self.backlog.sort(now_s)
+        placement = Placement()
+        remaining: list[PendingTask] = []
+        smallest_unplaced: Resources | None = None
+        for task in self.backlog:
+            demand = task.message.demand
+            has_unknown_run = task.may_run and not self.are_earlier_runs_known(task)
+            if task.is_durable and task.may_run and not has_unknown_run:
+                if not self.adopt_run(task):
+                    placement.not_found.append(task)
+                continue
+            if has_unknown_run or (smallest_unplaced and demand.can_hold(smallest_unplaced)):
+                remaining.append(task)
+                continue
+            worker = self.choose_worker(task, now_s)
+            if worker is not None:
+                placement.started.append(task)
+                task.job_tasks.has_started = True
+                worker.start_task(task)
+                continue
+            remaining.append(task)
+            if smallest_unplaced is None or smallest_unplaced.can_hold(demand):
+                smallest_unplaced = demand
+        placement.has_changed = len(remaining) < len(self.backlog)
+        self.backlog.replace(remaining)
+        return placement
+
     def choose_worker(self, task: PendingTask, now_s: float) -> LeasedWorker | None:
         """Return the worker that a task should start on now, None if no worker has capacity.
 
