--- a/camphorchute/cli/main.py
+++ b/camphorchute/cli/main.py
@@ -8,7 +8,6 @@
 
 monkey.patch_all()
 
-import importlib  # noqa: E402
 import os  # noqa: E402
 from collections.abc import Callable  # noqa: E402
 
@@ -16,35 +15,21 @@
 import msgspec  # noqa: E402
 
 from camphorchute import __version__  # noqa: E402
+from camphorchute.cli.drain import drain  # noqa: E402
 from camphorchute.cli.exit_codes import ExitCode  # noqa: E402
+from camphorchute.cli.formatting import table_text  # noqa: E402
+from camphorchute.cli.job import job  # noqa: E402
+from camphorchute.cli.service import service  # noqa: E402
 from camphorchute.cli.settings import Settings, load_settings  # noqa: E402
 from camphorchute.cli.settings_table import SETTINGS, settings_markdown  # noqa: E402
+from camphorchute.contracts.codes import codes_markdown  # noqa: E402
 
 __all__ = ["main"]
 
 ETCD_PLATFORM = "etcd"
-CLIENT_COMMANDS = ("drain", "job", "service")
 
 
-class LazyGroup(click.Group):
-    """A group whose client commands are imported when they are used.
-
-    An entry process needs none of them, and starts sooner without.
-    """
-
-    def list_commands(self, ctx: click.Context) -> list[str]:
-        """Return the names of all commands, sorted."""
-        return sorted([*super().list_commands(ctx), *CLIENT_COMMANDS])
-
-    def get_command(self, ctx: click.Context, cmd_name: str) -> click.Command | None:
-        """Return a command by name, None if there is no such command."""
-        if cmd_name in CLIENT_COMMANDS:
-            module = importlib.import_module(f"camphorchute.cli.{cmd_name}")
-            return getattr(module, cmd_name)
-        return super().get_command(ctx, cmd_name)
-
-
-@click.group(cls=LazyGroup)
+@click.group()
 @click.version_option(__version__)
 def main() -> None:
     """Dispatcher for sub-second tasks that reports the outcome of every task.
@@ -98,8 +83,6 @@
     if markdown:
         click.echo(settings_markdown(), nl=False)
         return
-    from camphorchute.cli.formatting import table_text
-
     rows = _load_or_exit(flags).rows()
     if as_json:
         settings = {name: {"value": value, "source": source} for name, value, source in rows}
@@ -111,6 +94,9 @@
 @main.command()
 def codes() -> None:
     """Print the table of result codes as Markdown."""
-    from camphorchute.contracts.codes import codes_markdown
-
     click.echo(codes_markdown(), nl=False)
+
+
+main.add_command(service)
+main.add_command(drain)
+main.add_command(job)
--- a/camphorchute/cluster/tests/test_claims.py
+++ b/camphorchute/cluster/tests/test_claims.py
@@ -1,7 +1,7 @@
 import gevent
 import pytest
 
-import camphorchute.platform.fleet_platform  # noqa: F401 - fills the registry of platforms
+import camphorchute.platform  # noqa: F401 - fills the registry of platforms
 from bench.standins.fleet_site import SERVICE_NAME, FleetSite
 from bench.standins.fleet_worker import FleetWorker
 from camphorchute.cluster import (
--- a/camphorchute/cluster/tests/test_cluster_view.py
+++ b/camphorchute/cluster/tests/test_cluster_view.py
@@ -9,7 +9,7 @@
 from camphorchute.cluster.cluster_view import CLAIM_PREFIX, MEMBER_PREFIX
 from camphorchute.contracts.member import Member
 from camphorchute.hosting import StoredValue, make_platform
-from camphorchute.platform.fleet_platform import FleetPlatform
+from camphorchute.platform import FleetPlatform
 
 WORKER_ENTRY = {
     "service": "flags",
--- a/camphorchute/durable_jobs/tests/test_shard_claims.py
+++ b/camphorchute/durable_jobs/tests/test_shard_claims.py
@@ -1,7 +1,7 @@
 import gevent
 import pytest
 
-import camphorchute.platform.fleet_platform  # noqa: F401 - fills the registry of platforms
+import camphorchute.platform  # noqa: F401 - fills the registry of platforms
 from bench.standins.fleet_site import FleetSite
 from camphorchute.cluster import OWN_PREFIX, ClusterView, MembershipLease, StoreFollower
 from camphorchute.cluster import membership_lease as lease_module
--- a/camphorchute/entry/daemon.py
+++ b/camphorchute/entry/daemon.py
@@ -27,8 +27,7 @@
 from camphorchute.entry.zone_list import ZonesDiffer, ensure_zone_list
 from camphorchute.jobs import Admission, Dispatcher, JobOwner, Recovery, Router
 from camphorchute.links import Handlers, Peers
-from camphorchute.platform.etcd_store import EtcdStore
-from camphorchute.platform.vm_list import VmList, VmState
+from camphorchute.platform import EtcdStore, VmList, VmState
 from camphorchute.services import Catalogue, Distribution, Planner
 from camphorchute.workers import SchedulerTiming, TaskScheduler
 from camphorchute.zones import (
--- a/camphorchute/entry/hosted_process.py
+++ b/camphorchute/entry/hosted_process.py
@@ -8,7 +8,7 @@
 from eliot import log_message
 from gevent.event import Event
 
-import camphorchute.platform.fleet_platform  # noqa: F401 - fills the registry of platforms
+import camphorchute.platform  # noqa: F401 - fills the registry of platforms
 from camphorchute.cluster import (
     OWN_PREFIX,
     ClusterView,
--- a/camphorchute/platform/__init__.py
+++ b/camphorchute/platform/__init__.py
@@ -1,5 +1,7 @@
-"""Adapters that implement the interfaces of :mod:`camphorchute.hosting` for actual platforms.
+"""Adapters that implement the interfaces of :mod:`camphorchute.hosting` for actual platforms."""
 
-A program imports the module of the platform that it runs on. The others are not loaded, so that a
-process starts sooner.
-"""
+from camphorchute.platform.etcd_store import EtcdStore
+from camphorchute.platform.fleet_platform import FleetPlatform
+from camphorchute.platform.vm_list import VmList, VmState
+
+__all__ = ["EtcdStore", "FleetPlatform", "VmList", "VmState"]
--- a/camphorchute/platform/fenced_worker.py
+++ b/camphorchute/platform/fenced_worker.py
@@ -15,7 +15,7 @@
 )
 from camphorchute.hosting.worker_entry import WorkerEntry
 from camphorchute.platform import fleet_messages as messages
-from camphorchute.transport.http_channel import AnswerLost, HttpAnswer, HttpChannel, NotSent
+from camphorchute.workers.http_channel import AnswerLost, HttpAnswer, HttpChannel, NotSent
 
 __all__ = ["FencedWorker"]
 
--- a/camphorchute/platform/kv_store.py
+++ b/camphorchute/platform/kv_store.py
@@ -23,7 +23,7 @@
     register_store,
 )
 from camphorchute.platform import fleet_messages as messages
-from camphorchute.transport.http_channel import AnswerLost, HttpAnswer, HttpChannel, NotSent
+from camphorchute.workers.http_channel import AnswerLost, HttpAnswer, HttpChannel, NotSent
 
 __all__ = ["KvStore"]
 
--- a/camphorchute/platform/tests/test_vm_list.py
+++ b/camphorchute/platform/tests/test_vm_list.py
@@ -1,8 +1,8 @@
 import pytest
 
 from bench.standins.platform import Platform
+from camphorchute.platform import VmList, VmState
 from camphorchute.platform.json_client import JsonClient
-from camphorchute.platform.vm_list import VmList, VmState
 
 VM = "127.0.1.1"
 
--- a/camphorchute/runs/tests/scheduler_site.py
+++ b/camphorchute/runs/tests/scheduler_site.py
@@ -4,7 +4,7 @@
 
 import gevent
 
-import camphorchute.platform.fleet_platform  # noqa: F401 - fills the registry of platforms
+import camphorchute.platform  # noqa: F401 - fills the registry of platforms
 from bench.standins.fleet_site import SERVICE_NAME, FleetSite
 from camphorchute.contracts.batch_job import QueueLimits
 from camphorchute.contracts.member import Member
--- a/camphorchute/workers/http_upstream.py
+++ b/camphorchute/workers/http_upstream.py
@@ -9,7 +9,6 @@
 
 from camphorchute.policies.retry_budget import RetryBudget
 from camphorchute.services.definition import ServiceDefinition
-from camphorchute.transport.http_channel import AnswerLost, HttpAnswer, HttpChannel, NotSent
 from camphorchute.workers.back_end import (
     REFUSED_NO_SLOT,
     REFUSED_UNREACHABLE,
@@ -24,6 +23,7 @@
     StartReport,
     register_back_end,
 )
+from camphorchute.workers.http_channel import AnswerLost, HttpAnswer, HttpChannel, NotSent
 
 __all__ = ["HttpUpstream", "UpstreamAnswer", "UpstreamRequest"]
 
--- a/camphorchute/workers/http_worker.py
+++ b/camphorchute/workers/http_worker.py
@@ -4,7 +4,6 @@
 
 import msgspec
 
-from camphorchute.transport.http_channel import AnswerLost, HttpAnswer, HttpChannel, NotSent
 from camphorchute.workers.back_end import (
     REFUSED_UNREACHABLE,
     AnswerPage,
@@ -17,6 +16,7 @@
     StartReport,
     register_back_end,
 )
+from camphorchute.workers.http_channel import AnswerLost, HttpAnswer, HttpChannel, NotSent
 
 __all__ = ["HttpWorker"]
 
--- a/camphorchute/transport/tests/test_http_channel.py
+++ b/camphorchute/workers/tests/test_http_channel.py
@@ -4,7 +4,7 @@
 import pytest
 from gevent.server import StreamServer
 
-from camphorchute.transport.http_channel import AnswerLost, HttpChannel, NotSent
+from camphorchute.workers.http_channel import AnswerLost, HttpChannel, NotSent
 
 OK = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
 
--- a/camphorchute/workers/tests/test_http_upstream.py
+++ b/camphorchute/workers/tests/test_http_upstream.py
@@ -5,8 +5,8 @@
 
 from bench.standins.upstream import Upstream
 from camphorchute.services.definition import Limits, ServiceDefinition
-from camphorchute.transport.http_channel import HttpChannel
 from camphorchute.workers.back_end import Attempt
+from camphorchute.workers.http_channel import HttpChannel
 from camphorchute.workers.http_upstream import HttpUpstream, UpstreamAnswer
 
 
--- a/camphorchute/workers/tests/test_http_worker.py
+++ b/camphorchute/workers/tests/test_http_worker.py
@@ -10,8 +10,8 @@
 from camphorchute.contracts import TaskSpec
 from camphorchute.contracts.messages import DispatchedTask, HandOff, TasksEnded
 from camphorchute.services.definition import ServiceDefinition, Worker
-from camphorchute.transport.http_channel import HttpChannel
 from camphorchute.workers.back_end import BackEndError
+from camphorchute.workers.http_channel import HttpChannel
 from camphorchute.workers.http_worker import HttpWorker
 from camphorchute.workers.task_scheduler import TaskScheduler
 
