--- a/camphorchute/cli/tests/test_settings.py
+++ b/camphorchute/cli/tests/test_settings.py
@@ -69,6 +69,8 @@
     ({"store_url": "http://127.0.0.1:1,http://x:2"}, ["store_url"]),
     ({"operator_token": "short"}, ["operator_token"]),
     ({"operator_token": ""}, ["operator_token"]),
+    ({"overdue_policy": "sometimes"}, ["overdue_policy"]),
+    ({"admission_policy": "", "readiness_policy": "Can-Place"}, None),
     ({"heartbeat_ms": "1250"}, ["heartbeat_ms"]),
     ({"heartbeat_ms": "-5", "window_s": "1.5", "drain_ms": "x"}, None),
     ({"answer_retention_s": "601"}, ["answer_retention_s"]),
@@ -96,3 +98,11 @@
 def test_settings_page_matches_the_table():
     page = Path(__file__).parents[3] / "docs" / "settings.md"
     assert page.read_text() == settings_markdown()
+
+
+def test_unknown_policy_is_an_error_that_lists_the_known_ones():
+    with pytest.raises(ExceptionGroup) as raised:
+        load_settings({**VALID_SETTINGS, "task_order_policy": "random"}, {})
+    (error,) = raised.value.exceptions
+    assert "'random' is not known as task order policy; known are" in str(error)
+    assert "started-first" in str(error)
--- a/camphorchute/runs/group_scheduler.py
+++ b/camphorchute/runs/group_scheduler.py
@@ -136,11 +136,7 @@
     ) -> None:
         """Set the workers of a group; does nothing if this process does not schedule it.
 
-        Args:
-            name: the group.
-            entries: entries of its workers in service discovery, by worker id.
-            group_by_worker: the groups of all workers, by worker id, to distinguish workers that
-                moved to another group from those that left.
+        The arguments are those of :meth:`GroupMembership.set_workers`, with the group's name.
         """
         group = self._groups.get(name)
         if group is not None:
@@ -238,10 +234,10 @@
 
     def worker_changed(self, worker: LeasedWorker) -> None:
         """Adopt and place tasks after a poll of a worker."""
-        for group in list(self._groups.values()):
-            if group.workers.get(worker.entry.worker_id) is worker:
-                group.adopt_pending()
-                self._place_pending(group)
+        group = self._group_with(worker)
+        if group is not None:
+            group.adopt_pending()
+            self._place_pending(group)
 
     def fence_superseded(self, worker: LeasedWorker) -> None:
         """Mark the worker's group so that its claim is checked.
@@ -250,28 +246,31 @@
         group, perhaps unknown to this one while it cannot reach the store. The group is then
         suspended until its claim is acquired again.
         """
-        for group in list(self._groups.values()):
-            if group.workers.get(worker.entry.worker_id) is worker:
-                self.superseded_groups.add(group.name)
-                group.rejecting_worker_ids.add(worker.entry.worker_id)
-                if 2 * len(group.rejecting_worker_ids) > len(group.workers):
-                    gevent.spawn(self._suspend_group, group)
+        group = self._group_with(worker)
+        if group is not None:
+            self.superseded_groups.add(group.name)
+            group.rejecting_worker_ids.add(worker.entry.worker_id)
+            if 2 * len(group.rejecting_worker_ids) > len(group.workers):
+                gevent.spawn(self._suspend_group, group)
 
     def _suspend_group(self, group: WorkerGroup) -> None:
         """Return the tasks of a group that another process schedules, and report it no more."""
-        if self._groups.get(group.name) is group:
-            self._count("runs.group_suspended")
-            log_decision("runs", "group is suspended", group=group.name, fence=group.fence)
-            self.release_group(group.name)
-            self.superseded_groups.add(group.name)
+        if self._groups.get(group.name) is not group:
+            return
+        self._count("runs.group_suspended")
+        log_decision("runs", "group is suspended", group=group.name, fence=group.fence)
+        self.release_group(group.name)
+        self.superseded_groups.add(group.name)
 
     def _workers_beside(self, worker: LeasedWorker) -> list[LeasedWorker]:
         """Return the workers of the group of a worker."""
-        worker_id = worker.entry.worker_id
-        for group in self._groups.values():
-            if group.workers.get(worker_id) is worker:
-                return list(group.workers.values())
-        return [worker]
+        group = self._group_with(worker)
+        return [worker] if group is None else list(group.workers.values())
+
+    def _group_with(self, worker: LeasedWorker) -> WorkerGroup | None:
+        """Return the group that a worker belongs to, None if it was removed."""
+        groups = self._groups.values()
+        return next((group for group in groups if worker in group.workers.values()), None)
 
     def _open_worker(self, group: WorkerGroup, entry: WorkerEntry) -> LeasedWorker:
         client = self._open_worker_client(entry)
@@ -299,9 +298,9 @@
         group = self._groups.get(task.message.group)
         if group is None:
             self._return_task(task)
-            return
-        group.backlog.add(task)
-        gevent.spawn(self._place_pending, group)
+        else:
+            group.backlog.add(task)
+            gevent.spawn(self._place_pending, group)
 
     def _return_task(self, task: PendingTask) -> None:
         """Return a pending task to its owner, with whether an earlier run may be active."""
@@ -358,10 +357,9 @@
             worker_id: the worker that it may still run on.
             group: the group that this worker moved to, empty if it did not move.
         """
-        job_id = task.message.job_id
         self._open_tasks.discard(task)
         result = TaskResult(task.message.step, task.index, run, outcome, worker_id, group)
-        self._results.add(task.owner_id, job_id, result)
+        self._results.add(task.owner_id, task.message.job_id, result)
 
     def _sweep_loop(self) -> None:
         while True:
--- a/camphorchute/runs/leased_worker.py
+++ b/camphorchute/runs/leased_worker.py
@@ -44,8 +44,7 @@
 
     One greenlet polls the worker, which renews the leases and lists active runs and completions;
     each command is sent by a greenlet of its own. Leases are renewed only while the worker is
-    responsive, so that :attr:`lease_expiry_s` bounds how long a run can continue after the last
-    answer.
+    responsive, so that :attr:`leases` bounds how long a run can continue after the last answer.
 
     Args:
         entry: the worker's entry in service discovery.
@@ -150,7 +149,7 @@
         return (time.monotonic() - self._unlisted_since_s) * MS_PER_S
 
     def is_expired(self) -> bool:
-        """Whether the worker has been unlisted for longer than a lease can last."""
+        """Whether it was unlisted for longer than a lease can last."""
         return self.unlisted_ms() > LONGEST_LEASE_MS
 
     def request_poll(self) -> None:
@@ -158,7 +157,7 @@
         self._poll_requested.set()
 
     def rule_out(self, earlier_run: EarlierRun) -> None:
-        """Find out whether an earlier run is active here, and bar its start if it is not."""
+        """Find out whether an earlier run is active here; bar its start if not."""
         self._earlier_runs.append(earlier_run)
         self._poll_requested.set()
 
@@ -326,8 +325,8 @@
         for name in [name for name in self.orphans if name not in listed]:
             del self.orphans[name]
         for name, run in list(self.runs.items()):
-            start_acknowledged = run.state is RunState.RUNNING and run.start_acknowledged_s < sent_s
-            if start_acknowledged and listed.get(name) != run.number:
+            is_acknowledged = run.state is RunState.RUNNING and run.start_acknowledged_s < sent_s
+            if is_acknowledged and listed.get(name) != run.number:
                 self._count("runs.vanished")
                 self._end_run(run, RunOutcome.LEASE_EXPIRED)
 
