--- a/camphorchute/runs/group_scheduler.py
+++ b/camphorchute/runs/group_scheduler.py
@@ -269,8 +269,7 @@
 
     def _group_with(self, worker: LeasedWorker) -> WorkerGroup | None:
         """Return the group that a worker belongs to, None if it was removed."""
-        groups = self._groups.values()
-        return next((group for group in groups if worker in group.workers.values()), None)
+        return next((g for g in self._groups.values() if worker in g.workers.values()), None)
 
     def _open_worker(self, group: WorkerGroup, entry: WorkerEntry) -> LeasedWorker:
         client = self._open_worker_client(entry)
