Take a stop command refused as outdated as proof that the run cannot start

A worker that has ended the run, or a later one, may refuse the stop command that rules the run out. The command was then repeated for as long as the job lasted.

--- a/camphorchute/runs/run_commands.py
+++ b/camphorchute/runs/run_commands.py
@@ -148,12 +148,20 @@
         self._worker.request_poll()
 
     def bar_earlier_run(self, earlier_run: EarlierRun) -> None:
-        """Send a stop command for a run that the worker does not list, to rule it out."""
+        """Send a stop command for a run that the worker does not list, to rule it out.
+
+        A worker that refuses the command as outdated has ended that run or a later one already.
+        """
         try:
             self._client.stop_run(earlier_run.task, earlier_run.number, self._current_fence())
-        except (CommandRefused, CommandUnanswered):
-            self._count("runs.retry.bar_earlier_run")
-            self._worker.rule_out(earlier_run)
+        except CommandRefused as refused:
+            earlier_run.is_ruled_out = refused.reason is RefusalReason.OLD_RUN
+        except CommandUnanswered:
+            earlier_run.is_ruled_out = False
         else:
             earlier_run.is_ruled_out = True
+        if earlier_run.is_ruled_out:
             self._listener.worker_changed(self._worker)
+        else:
+            self._count("runs.retry.bar_earlier_run")
+            self._worker.rule_out(earlier_run)
