--- a/bench/loss_causes.py
+++ b/bench/loss_causes.py
@@ -45,7 +45,7 @@
     return line.get("text") == "queues: refused, no worker"
 
 
-@register_cause("refused at the door")
+@register_cause("refused on arrival")
 def _was_refused(line: Line) -> bool:
     return line.get("text") == "queues: refused, too long a wait"
 
--- a/bench/tests/test_loss_causes.py
+++ b/bench/tests/test_loss_causes.py
@@ -9,7 +9,7 @@
     ("text", "cause"),
     [
         ('  4.1 vm-1 {"text": "queues: refused, no worker", "job": "j"}', "no scheduler known"),
-        ('{"text": "queues: refused, too long a wait", "job": "j"}', "refused at the door"),
+        ('{"text": "queues: refused, too long a wait", "job": "j"}', "refused on arrival"),
         ("{" + NOT_DONE + '"not run", "waiters": 1}', "returned after waiting"),
         ("{" + NOT_DONE + '"some tasks may have run", "waiters": 0}', "caller gone"),
         (
