Report the capacity of a worker as soon as it can be used

Cause: after a takeover or the start of all processes a scheduler reported when a task left its backlog or after 500 ms, not when its workers had answered. The test fails on the code before.

--- a/camphorchute/runs/group_scheduler.py
+++ b/camphorchute/runs/group_scheduler.py
@@ -134,10 +134,7 @@
         entries: dict[str, WorkerEntry],
         group_by_worker: dict[str, str] | None = None,
     ) -> None:
-        """Set the workers of a group; does nothing if this process does not schedule it.
-
-        The arguments are those of :meth:`GroupMembership.set_workers`, with the group's name.
-        """
+        """Set the workers of a group as :meth:`GroupMembership.set_workers`, if it is held here."""
         group = self._groups.get(name)
         if group is not None:
             self._membership.set_workers(group, entries, group_by_worker)
@@ -232,8 +229,10 @@
         elif run.task in self._open_tasks:
             self.requeue(run.task)
 
-    def worker_changed(self, worker: LeasedWorker) -> None:
-        """Adopt and place tasks after a poll of a worker."""
+    def worker_changed(self, worker: LeasedWorker, is_usable_now: bool = False) -> None:
+        """Adopt and place tasks after a poll of a worker, and have new capacity reported."""
+        if is_usable_now:
+            self.on_capacity_changed()
         group = self._group_with(worker)
         if group is not None:
             group.adopt_pending()
--- a/camphorchute/runs/leased_worker.py
+++ b/camphorchute/runs/leased_worker.py
@@ -255,7 +255,7 @@
         A worker that lists unacknowledged completions answers a poll immediately instead of
         waiting for the next completion, so polls need a pause here.
         """
-        if not self.runs and not self.orphans:
+        if not (self.runs or self.orphans):
             self._poll_requested.wait(IDLE_POLL_INTERVAL_S if self.completions else None)
         elif self.completions:
             self._poll_requested.wait(UNACKNOWLEDGED_POLL_INTERVAL_MS / MS_PER_S)
@@ -286,10 +286,11 @@
             self.health.record_poll_answer()
             self.leases.read_clock(listing.clock_ms)
             self._apply_listing(listing, sent_s)
-            if fence == self._current_fence():
-                self.synced = True
+            is_fence_in_force = fence == self._current_fence()
+            if is_fence_in_force:
                 self._check_earlier_runs(listing, sent_s)
-            self._listener.worker_changed(self)
+            was_synced, self.synced = self.synced, self.synced or is_fence_in_force
+            self._listener.worker_changed(self, is_usable_now=self.synced and not was_synced)
 
     def _check_earlier_runs(self, listing: RunListing, sent_s: float) -> None:
         """Bar the earlier runs reported before a poll was sent that its list does not contain."""
@@ -322,8 +323,7 @@
             known_run = self.runs.get(name)
             if known_run is None and name not in self.orphans:
                 self.orphans[name] = (number, time.monotonic())
-        for name in [name for name in self.orphans if name not in listed]:
-            del self.orphans[name]
+        self.orphans = {name: row for name, row in self.orphans.items() if name in listed}
         for name, run in list(self.runs.items()):
             is_acknowledged = run.state is RunState.RUNNING and run.start_acknowledged_s < sent_s
             if is_acknowledged and listed.get(name) != run.number:
--- a/camphorchute/runs/run_listener.py
+++ b/camphorchute/runs/run_listener.py
@@ -28,8 +28,13 @@
             reason: name of the refusal in lower case, or ``not_sent``.
         """
 
-    def worker_changed(self, worker: LeasedWorker) -> None:
-        """Handle a poll that may have changed the free capacity or the known runs."""
+    def worker_changed(self, worker: LeasedWorker, is_usable_now: bool = False) -> None:
+        """Handle a poll that may have changed the free capacity or the known runs.
+
+        Args:
+            worker: the worker.
+            is_usable_now: whether this was its first list under the fencing token in force.
+        """
 
     def fence_superseded(self, worker: LeasedWorker) -> None:
         """Handle a refusal because the worker has seen a higher fencing token."""
--- a/camphorchute/runs/tests/test_group_scheduler.py
+++ b/camphorchute/runs/tests/test_group_scheduler.py
@@ -56,6 +56,21 @@
     )
 
 
+def test_capacity_is_reported_as_soon_as_a_worker_can_be_used(open_site):
+    """After a restart of all processes, jobs were refused until the next report, 0.5 s later."""
+    site = open_site()
+    reported = []
+    scheduler = site.add_scheduler(7)
+    scheduler.on_capacity_changed = lambda: reported.append(
+        sum(
+            worker.free.cpu_millicores
+            for group in scheduler.free_capacity_report()
+            for worker in group.workers
+        )
+    )
+    assert wait_until(lambda: 56_000 in reported, 0.4)
+
+
 def test_task_that_cannot_be_placed_in_time_is_returned_as_not_started(open_site):
     site = open_site(workers=1, run_ms=500.0)
     scheduler = site.add_scheduler(7)
