--- a/camphorchute/cluster/claims.py
+++ b/camphorchute/cluster/claims.py
@@ -14,7 +14,7 @@
 from camphorchute.hosting import Store, StoreUnavailable, SwapConflict, SwapUnknown
 from camphorchute.loops import spawn_loop
 from camphorchute.runs import GroupScheduler
-from camphorchute.runs.worker_groups import GROUP_SEPARATOR, zone_of_group
+from camphorchute.runs.group_names import GROUP_SEPARATOR, zone_of_group
 
 __all__ = ["GroupClaims"]
 
--- a/camphorchute/cluster/group_followers.py
+++ b/camphorchute/cluster/group_followers.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterable
 
 from camphorchute.contracts.member import Member
-from camphorchute.runs.worker_groups import zone_of_group
+from camphorchute.runs.group_names import zone_of_group
 
 __all__ = ["FOLLOWED_GROUPS_MAX", "followed_groups", "followers_of"]
 
--- a/camphorchute/queues/free_capacity_view.py
+++ b/camphorchute/queues/free_capacity_view.py
@@ -15,7 +15,7 @@
     rank_own_zone_first,
 )
 from camphorchute.queues.group_wait import GroupWait
-from camphorchute.runs.worker_groups import zone_of_group
+from camphorchute.runs.group_names import zone_of_group
 
 __all__ = ["PlacementPlan", "FreeCapacityView"]
 
--- a/camphorchute/runs/__init__.py
+++ b/camphorchute/runs/__init__.py
@@ -1,9 +1,9 @@
 """Runs of tasks on workers, fenced by the scheduler of the worker group and bound to leases."""
 
+from camphorchute.runs.group_names import group_count, group_of
 from camphorchute.runs.group_scheduler import GroupScheduler
 from camphorchute.runs.leased_worker import LeasedWorker
 from camphorchute.runs.run import SHARD_COUNT, PendingTask, Run, RunState, job_of, shard_of
-from camphorchute.runs.worker_groups import group_count, group_of
 
 __all__ = [
     "SHARD_COUNT",
--- a/camphorchute/runs/worker_groups.py
+++ b/camphorchute/runs/group_names.py
@@ -1,4 +1,4 @@
-"""Worker groups: subsets of the workers of a service and zone, each with one scheduler."""
+"""Names of worker groups: subsets of the workers of a service and zone, each with one scheduler."""
 
 import xxhash
 
