--- a/bench/patterns/tests/test_total_restart.py
+++ b/bench/patterns/tests/test_total_restart.py
@@ -6,7 +6,7 @@
 
 PATTERN = "total restart"
 UNSERVED_RATIO_MAX = 0.5
-IN_TIME_LOSS_MAX = 0.05
+IN_TIME_LOSS_MAX = 0.03
 
 
 @pytest.mark.parametrize(("seed", "changed"), [(1, ()), (2, ("admission",)), (3, ("admission",))])
