--- a/camphorchute/platform/tests/test_fenced_worker.py
+++ b/camphorchute/platform/tests/test_fenced_worker.py
@@ -154,3 +154,14 @@
     with pytest.raises(CommandRefused) as refused:
         client.renew_and_list(7, 0, None, 0.0)
     assert refused.value.reason is RefusalReason.OTHER_INCARNATION
+
+
+@pytest.mark.parametrize("command", ["start", "stop"])
+def test_answer_of_another_incarnation_tells_nothing_about_this_one(worker, client, command):
+    """A worker that restarted under its id started a run; the old incarnation was thought to."""
+    worker.reply = Reply({"clock-ms": 5, "born": INCARNATION + 1})
+    with pytest.raises(CommandUnanswered):
+        if command == "start":
+            client.start_run(make_start_command(), 7, 486_000.0)
+        else:
+            client.stop_run("j.0.0.1", 2, 7)
--- /dev/null
+++ b/camphorchute/runs/tests/model_workers.py
@@ -0,0 +1,310 @@
+"""Model of workers in memory, whose commands and answers a test can hold back or replace."""
+
+import time
+
+import gevent
+from gevent.event import Event
+
+from camphorchute.contracts.resources import Resources
+from camphorchute.hosting import (
+    CommandRefused,
+    CommandUnanswered,
+    ListedRun,
+    RefusalReason,
+    RunCompletion,
+    RunListing,
+    RunOutcome,
+    WorkerClient,
+    WorkerEntry,
+)
+from camphorchute.runs import GroupScheduler
+from camphorchute.runs.tests.scheduler_site import GROUP, OWNER, start_message
+
+__all__ = ["Held", "ModelSite", "ModelWorker"]
+
+LEASE_S = 1.0
+STOP_S = 0.05
+SLOT_MILLICORES = 14_000
+SERVICE = GROUP.split("/")[1]
+
+
+class Held:
+    """A command that a test lets pass in two stages: to the worker, and back as an answer.
+
+    Attributes:
+        sent: set when the command has been sent.
+        executes: set by the test to let the worker execute it.
+        answers: set by the test to let the answer pass.
+        error: raised instead of executing the command, None to execute it.
+    """
+
+    def __init__(self, error=None):
+        self.sent, self.executes, self.answers = Event(), Event(), Event()
+        self.error = error
+
+    def release(self):
+        """Let the command and its answer pass."""
+        self.executes.set()
+        self.answers.set()
+
+
+class ModelRun:
+    """A run with the time at which it ends, which later commands may change."""
+
+    def __init__(self, task, number, duration_s, lease_s):
+        self.task, self.number = task, number
+        self.started_s = time.monotonic()
+        self.done_s = self.started_s + duration_s
+        self.lease_s = self.started_s + lease_s
+        self.stopped_s = self.crashed_s = float("inf")
+        self.is_listed_ended = False
+
+    def end_s(self):
+        """Return when the run ends, as far as known now."""
+        return min(self.done_s, self.lease_s, self.stopped_s, self.crashed_s)
+
+    def is_active(self):
+        """Return whether the run is active now."""
+        return self.end_s() > time.monotonic()
+
+    def outcome(self):
+        """Return how the run ended."""
+        if self.end_s() == self.done_s:
+            return RunOutcome.DONE
+        return RunOutcome.STOPPED if self.end_s() == self.stopped_s else RunOutcome.LEASE_EXPIRED
+
+
+class ModelWorker:
+    """A worker with two slots.
+
+    Attributes:
+        incarnation: rises with each restart.
+        runs: every run of every incarnation.
+        held: commands to hold back, by kind (``start``, ``stop``, ``list``), in order.
+        is_silent: whether no command is executed or answered.
+    """
+
+    def __init__(self, worker_id, run_s):
+        self.worker_id, self.run_s = worker_id, run_s
+        self.incarnation, self.is_silent = 1, False
+        self.runs, self.held = [], {"start": [], "stop": [], "list": []}
+        self._forget()
+
+    def _forget(self):
+        self.fence, self.barred, self.completions = 0, {}, []
+        self.present_runs = []
+
+    def entry(self):
+        """Return its entry in service discovery."""
+        address = f"{self.worker_id}:{self.incarnation}"
+        capacity = Resources(2 * SLOT_MILLICORES, 65_536)
+        return WorkerEntry(
+            self.worker_id, self.incarnation, address, SERVICE, "north", capacity, ()
+        )
+
+    def restart(self):
+        """Crash and start again under the same id."""
+        for run in self.active():
+            run.crashed_s = time.monotonic()
+        self.incarnation += 1
+        self._forget()
+
+    def active(self):
+        """Return the active runs of this incarnation."""
+        return [run for run in self.present_runs if run.is_active()]
+
+    def start(self, task, number, lease_s=LEASE_S):
+        """Start a run, as on a command of any scheduler."""
+        run = ModelRun(task, number, self.run_s, lease_s)
+        self.runs.append(run)
+        self.present_runs.append(run)
+
+    def check_fence(self, fence):
+        """Refuse a lower fencing token than the highest, which is recorded."""
+        if fence < self.fence:
+            raise CommandRefused(RefusalReason.FENCED)
+        self.fence = fence
+
+    def highest_number(self, task):
+        """Return the highest number of a run that ended or was stopped here."""
+        ended = [
+            run.number for run in self.present_runs if run.task == task and not run.is_active()
+        ]
+        return max([self.barred.get(task, 0), *ended])
+
+
+class ModelClient(WorkerClient):
+    """Client of one incarnation of a model worker."""
+
+    def __init__(self, worker, entry, is_silent):
+        self._worker, self._incarnation = worker, entry.incarnation
+        self._is_silent = is_silent
+
+    def start_run(self, command, fencing_token, lease_until_ms):
+        """Start a run under a new lease."""
+        return self._pass("start", lambda: self._start(command, fencing_token))
+
+    def stop_run(self, task, run, fencing_token):
+        """Stop a run and bar its number."""
+        return self._pass("stop", lambda: self._stop(task, run, fencing_token))
+
+    def renew_and_list(self, fencing_token, acknowledged, lease_until_ms, wait_ms):
+        """List the runs after a wait for a completion."""
+        worker = self._worker
+        listing = self._pass("list", lambda: self._renew(fencing_token, lease_until_ms))
+        until_s = time.monotonic() + wait_ms / 1000
+        while time.monotonic() < until_s and not self._new_completions(acknowledged):
+            gevent.sleep(0.002)
+        if worker.incarnation != self._incarnation:
+            raise CommandRefused(RefusalReason.OTHER_INCARNATION)
+        if self._is_silent():
+            raise CommandUnanswered("silent")
+        listing.running = [ListedRun(run.task, run.number) for run in worker.active()]
+        listing.completions = self._new_completions(acknowledged)
+        return listing
+
+    def close(self):
+        """Do nothing, as there are no connections."""
+
+    def _pass(self, kind, execute):
+        held = self._worker.held[kind].pop(0) if self._worker.held[kind] else None
+        if held is not None:
+            held.sent.set()
+            held.executes.wait()
+            if held.error is not None:
+                raise held.error
+        if self._is_silent():
+            gevent.sleep(0.02)
+            raise CommandUnanswered("silent")
+        try:
+            return execute()
+        finally:
+            if held is not None:
+                held.answers.wait()
+
+    def _start(self, command, fencing_token):
+        worker = self._worker
+        worker.check_fence(fencing_token)
+        if any(run.task == command.task for run in worker.active()):
+            raise CommandRefused(RefusalReason.OLD_RUN)
+        if command.run <= worker.highest_number(command.task):
+            raise CommandRefused(RefusalReason.OLD_RUN)
+        worker.start(command.task, command.run)
+        return self._clock_ms()
+
+    def _stop(self, task, number, fencing_token):
+        worker = self._worker
+        worker.check_fence(fencing_token)
+        worker.barred[task] = max(number, worker.barred.get(task, 0))
+        for run in worker.active():
+            if run.task == task and run.number <= number:
+                run.stopped_s = min(run.stopped_s, time.monotonic() + STOP_S)
+        return self._clock_ms()
+
+    def _renew(self, fencing_token, lease_until_ms):
+        if self._worker.incarnation != self._incarnation:
+            raise CommandRefused(RefusalReason.OTHER_INCARNATION)
+        self._worker.check_fence(fencing_token)
+        if lease_until_ms is not None:
+            for run in self._worker.active():
+                run.lease_s = time.monotonic() + LEASE_S
+        return RunListing(self._clock_ms(), [], [])
+
+    def _clock_ms(self):
+        if self._worker.incarnation != self._incarnation:
+            raise CommandUnanswered("another incarnation has answered")
+        return 5000 + time.monotonic() * 1000
+
+    def _new_completions(self, acknowledged):
+        worker = self._worker
+        for run in worker.present_runs:
+            if not run.is_active() and not run.is_listed_ended:
+                run.is_listed_ended = True
+                number = len(worker.completions) + 1
+                worker.completions.append(
+                    RunCompletion(number, run.task, run.number, run.outcome())
+                )
+        return [row for row in worker.completions if row.sequence_number > acknowledged]
+
+
+class ModelSite:
+    """Schedulers that share model workers, and an owner that records the results.
+
+    Args:
+        workers: number of workers.
+        run_s: duration of each run, in seconds.
+    """
+
+    def __init__(self, workers=3, run_s=0.6):
+        self.workers = {f"w{n}": ModelWorker(f"w{n}", run_s) for n in range(workers)}
+        self.results, self.counts, self.schedulers = [], {}, []
+        self._silenced = set()
+
+    def add_scheduler(self, fence, group=GROUP, worker_ids=None):
+        """Start a scheduler that holds one group."""
+        number = len(self.schedulers)
+        scheduler = GroupScheduler(
+            lambda entry: self._open_client(entry, number), self._notify, self._count
+        )
+        scheduler.start()
+        self.schedulers.append(scheduler)
+        self.hold_group(scheduler, fence, group, worker_ids)
+        return scheduler
+
+    def hold_group(self, scheduler, fence, group=GROUP, worker_ids=None):
+        """Let a scheduler hold a group with some of the workers, all by default."""
+        scheduler.acquire_group(group, SERVICE, fence)
+        scheduler.set_workers(group, self.entries(worker_ids), self.groups(group, worker_ids))
+        gevent.sleep(0.02)
+
+    def entries(self, worker_ids=None):
+        """Return the entries of some workers by id."""
+        ids = self.workers if worker_ids is None else worker_ids
+        return {worker_id: self.workers[worker_id].entry() for worker_id in ids}
+
+    def groups(self, group=GROUP, worker_ids=None):
+        """Return the group of some workers by id."""
+        return dict.fromkeys(self.entries(worker_ids), group)
+
+    def dispatch(self, scheduler, group=GROUP, owner=OWNER, **fields):
+        """Dispatch tasks of one job to a scheduler."""
+        message = start_message(**fields)
+        message.group = group
+        scheduler.start_tasks(owner, message)
+
+    def busy(self):
+        """Return the worker with the first active run."""
+        return next(worker for worker in self.workers.values() if worker.active())
+
+    def overlaps(self):
+        """Return the tasks of which two runs were active at the same time."""
+        runs = [run for worker in self.workers.values() for run in worker.runs]
+        return [
+            (first.task, first.number, second.number)
+            for first in runs
+            for second in runs
+            if first is not second
+            and first.task == second.task
+            and first.started_s <= second.started_s < first.end_s()
+        ]
+
+    def close(self):
+        """Stop the schedulers."""
+        for scheduler in self.schedulers:
+            scheduler.close()
+
+    def silence(self, worker_id, scheduler_number):
+        """Let the commands of one scheduler to a worker be lost."""
+        self._silenced.add((worker_id, scheduler_number))
+
+    def _open_client(self, entry, scheduler_number):
+        pair = (entry.worker_id, scheduler_number)
+        worker = self.workers[entry.worker_id]
+        return ModelClient(worker, entry, lambda: worker.is_silent or pair in self._silenced)
+
+    def _notify(self, owner_id, message):
+        self.results.extend(message.results)
+        return True
+
+    def _count(self, name, n=1):
+        self.counts[name] = self.counts.get(name, 0) + n
