Let the stand-in worker restart, answer late or never, and carry out commands late

Its clock may be slow.

A start now extends the leases of all runs, as the protocol says: its deadline applies to everything that runs on the worker. A lapsed run is recorded as ended at the expiry of its lease, also where the event loop was blocked then. Each record of a run names worker and incarnation.

The records of runs and the faults have modules of their own. No existing test was changed.

--- a/bench/standins/fleet_worker.py
+++ b/bench/standins/fleet_worker.py
@@ -7,7 +7,9 @@
 from gevent.event import Event
 
 from bench.standins.fleet_store import FleetStore
-from bench.standins.server import ConnectionDropped, Faults, Reply, Request, Standin
+from bench.standins.fleet_worker_faults import CommandFaults, FleetWorkerFaults
+from bench.standins.run_record import CRASHED, RunRecord
+from bench.standins.server import ConnectionDropped, Reply, Request, Standin
 
 __all__ = ["FleetWorker", "FleetWorkerFaults", "RunRecord"]
 
@@ -15,65 +17,14 @@
 MS_PER_S = 1000
 TICK_INTERVAL_MS = 2.0
 SLOT_CPU_MILLICORES = 14_000
-
-
-class FleetWorkerFaults(Faults):
-    """Faults of a worker.
-
-    Attributes:
-        lose_answers: number of commands that are carried out and whose connection is then
-            closed without an answer.
-        skip_orders: number of start commands that are neither carried out nor answered.
-        fail: whether every run fails.
-        stall: whether runs make no progress.
-    """
-
-    lose_answers: int = 0
-    skip_orders: int = 0
-    fail: bool = False
-    stall: bool = False
-
-
-class RunRecord:
-    """One run of a task, for the assertions of tests.
-
-    Attributes:
-        task: name of the task.
-        run: number of the run.
-        started_s: monotonic time of its start, in seconds.
-        ended_s: monotonic time of its completion in seconds, 0 while it is active.
-        outcome: ``done``, ``failed``, ``stopped`` or ``lapsed``; empty while it is active.
-        completion_number: number of its completion, 0 while it is active.
-        acknowledged: whether its completion was acknowledged.
-        lease_expires_s: monotonic time at which its lease expires, in seconds.
-    """
-
-    __slots__ = (
-        "task",
-        "run",
-        "started_s",
-        "ended_s",
-        "outcome",
-        "completion_number",
-        "acknowledged",
-        "lease_expires_s",
-    )
-
-    def __init__(self, task: str, run: int, lease_expires_s: float) -> None:
-        self.task = task
-        self.run = run
-        self.started_s = time.monotonic()
-        self.ended_s = 0.0
-        self.outcome = ""
-        self.completion_number = 0
-        self.acknowledged = False
-        self.lease_expires_s = lease_expires_s
+EXPECTED_WORKER_HEADER = "Camphorchute-Expect-Instance"
 
 
 class FleetWorker(Standin):
     """Stand-in for a fenced worker that registers itself in the store.
 
-    Every run lasts the same time and needs the same share of the worker.
+    Every run lasts the same time and needs the same share of the worker. The worker can restart
+    as another incarnation, which knows nothing of the earlier one.
 
     Args:
         address: ``ip:port`` to listen on.
@@ -85,12 +36,13 @@
         slots: number of runs that it can execute at once.
 
     Attributes:
-        runs: every run that was started, in order.
-        fence: the highest fencing token received.
+        runs: every run that was started by any incarnation, in order.
+        fence: the highest fencing token received by this incarnation.
         calls: number of requests by path.
         born: time of its creation in milliseconds since the Unix epoch; identifies its
             incarnation.
         zone: its availability zone.
+        clock_rate: rate of its clock, below 1.0 if it is slow.
     """
 
     faults_type = FleetWorkerFaults
@@ -107,32 +59,44 @@
     ) -> None:
         super().__init__(address)
         self.runs: list[RunRecord] = []
-        self.fence = 0
         self.calls: dict[str, int] = {}
-        self.born = round(time.time() * MS_PER_S)
-        self._store = store
         self._worker_id = worker_id
         self.zone = zone
+        self.clock_rate = 1.0
+        self.born = 0
+        self._store = store
         self._service = service
         self._run_ms = run_ms
         self._slots = slots
+        self._tick_greenlet = None
+        self._begin_incarnation()
+        commands = CommandFaults(lambda: self.faults, self._listening_incarnation, worker_id)
+        self.routes |= {
+            ("POST", "/run-start"): commands.handler(self._start_run, "start_answer_ms"),
+            ("POST", "/run-stop"): commands.handler(self._stop_run, "stop_answer_ms"),
+            ("POST", "/hold"): commands.handler(self._renew_leases, "poll_answer_ms"),
+        }
+
+    def _begin_incarnation(self) -> None:
+        """Forget everything but the record of runs, as a worker that has just started."""
+        self.born = max(self.born + 1, round(time.time() * MS_PER_S))
+        self.fence = 0
         self._started_s = time.monotonic()
         self._active_runs: dict[str, RunRecord] = {}
         self._highest_run_numbers: dict[str, int] = {}
         self._completions: list[list] = []
         self._last_completion_number = 0
         self._run_ended = Event()
-        self._tick_greenlet = None
-        self.routes |= {
-            ("POST", "/run-start"): self._start_run,
-            ("POST", "/run-stop"): self._stop_run,
-            ("POST", "/hold"): self._renew_leases,
-        }
+
+    @property
+    def worker_id(self) -> str:
+        """Its id in service discovery, that of the latest incarnation."""
+        return self._worker_id
 
     def start(self) -> None:
         """Start listening and register as ready."""
         super().start()
-        self._tick_greenlet = gevent.spawn(self._end_due_runs)
+        self._tick_greenlet = gevent.spawn(self._tick)
         self.register("ready")
 
     def close(self) -> None:
@@ -141,10 +105,33 @@
             self._tick_greenlet.kill()
         super().close()
 
+    def restart(self, down_ms: float = 0.0, worker_id: str = "") -> None:
+        """Crash and start again at the same address as another incarnation.
+
+        Its active runs end with the crash. The earlier entry in service discovery stays until this
+        incarnation registers itself, and longer if the id changes.
+
+        Args:
+            down_ms: time between crash and start, in milliseconds.
+            worker_id: the id of the new incarnation, empty for the same one.
+        """
+        self._stop_listening()
+        for run in self._active_runs.values():
+            run.ended_s, run.outcome = time.monotonic(), CRASHED
+        self._begin_incarnation()
+        gevent.sleep(down_ms / MS_PER_S)
+        self._worker_id = worker_id or self._worker_id
+        self._begin_incarnation()
+        self._server.start()
+        self.register("ready")
+
     def before_request(self, request: Request) -> None:
         """Count the request and apply the faults to it."""
         self.calls[request.path] = self.calls.get(request.path, 0) + 1
+        incarnation = self.born
         super().before_request(request)
+        if self.born != incarnation:
+            raise ConnectionDropped
 
     def register(self, state: str) -> None:
         """Write its entry in service discovery.
@@ -167,17 +154,26 @@
         self._store.put(f"servers/{self._worker_id}", json.dumps(entry).encode())
 
     def _worker_clock_ms(self) -> int:
-        return round((time.monotonic() - self._started_s) * MS_PER_S) + 5000
+        return round((time.monotonic() - self._started_s) * MS_PER_S * self.clock_rate) + 5000
 
-    def _end_due_runs(self) -> None:
+    def _listening_incarnation(self) -> int:
+        return self.born if self._server.started else 0
+
+    def _tick(self) -> None:
         while True:
             gevent.sleep(TICK_INTERVAL_MS / MS_PER_S)
-            now_s = time.monotonic()
-            for run in list(self._active_runs.values()):
-                if now_s > run.lease_expires_s:
-                    self._end_run(run, "lapsed")
-                elif (now_s - run.started_s) * MS_PER_S > self._run_ms and not self.faults.stall:
-                    self._end_run(run, "failed" if self.faults.fail else "done")
+            self._end_due_runs()
+
+    def _end_due_runs(self) -> None:
+        now_s = time.monotonic()
+        for run in list(self._active_runs.values()):
+            if now_s > run.lease_expires_s:
+                self._end_run(run, "lapsed")
+                run.ended_s = run.lease_expires_s
+            elif now_s >= run.stop_due_s:
+                self._end_run(run, "stopped")
+            elif (now_s - run.started_s) * MS_PER_S > self._run_ms and not self.faults.stall:
+                self._end_run(run, "failed" if self.faults.fail else "done")
 
     def _end_run(self, run: RunRecord, outcome: str) -> None:
         run.ended_s, run.outcome = time.monotonic(), outcome
@@ -193,7 +189,13 @@
 
     def _lease_expiry_s(self, deadline_ms: float) -> float:
         lease_ms = min(MAX_LEASE_MS, deadline_ms - self._worker_clock_ms())
-        return time.monotonic() + lease_ms / MS_PER_S
+        return time.monotonic() + lease_ms / MS_PER_S / self.clock_rate
+
+    def _extend_leases(self, deadline_ms: float) -> None:
+        """Extend the leases of all active runs, and shorten none."""
+        expires_s = self._lease_expiry_s(deadline_ms)
+        for run in self._active_runs.values():
+            run.lease_expires_s = max(run.lease_expires_s, expires_s)
 
     def _refuse_command(self, reason: str) -> Reply:
         return Reply({"clock-ms": self._worker_clock_ms(), "reason": reason}, 409)
@@ -205,59 +207,84 @@
         self.fence = body.get("fence", 0)
         return False
 
-    def _reply_unless_lost(self, body: dict) -> Reply:
-        if self.faults.lose_answers:
-            self.faults.lose_answers -= 1
-            raise ConnectionDropped
+    def _reply(self, body: dict) -> Reply:
         return Reply({"clock-ms": self._worker_clock_ms(), "born": self.born} | body)
 
+    def _refuse_other_incarnation(self, request: Request) -> Reply | None:
+        """Return the refusal of a command that names another worker, None if it names this one.
+
+        Runs that are due are ended first, also after the event loop was blocked.
+        """
+        self._end_due_runs()
+        if request.header(EXPECTED_WORKER_HEADER) in ("", self._worker_id):
+            return None
+        return Reply({"error": f"this is {self._worker_id}"}, 421)
+
     def _start_run(self, request: Request) -> Reply:
         if self.faults.skip_orders:
             self.faults.skip_orders -= 1
             raise ConnectionDropped
         body = request.json()
         task, run = body["task"], body["run"]
+        refusal = self._refuse_other_incarnation(request)
+        if refusal is not None:
+            return refusal
         if self._is_fence_outdated(body):
             return self._refuse_command("fence")
         active_run = self._active_runs.get(task)
+        if body["deadline-ms"] > self._worker_clock_ms():
+            self._extend_leases(body["deadline-ms"])
         if active_run is not None and active_run.run == run:
-            return self._reply_unless_lost({})
+            return self._reply({})
         if active_run is not None or run <= self._highest_run_numbers.get(task, 0):
             return self._refuse_command("old")
         if body["deadline-ms"] <= self._worker_clock_ms():
             return self._refuse_command("late")
         if len(self._active_runs) >= self._slots:
             return self._refuse_command("room")
-        new_run = RunRecord(task, run, self._lease_expiry_s(body["deadline-ms"]))
+        expires_s = self._lease_expiry_s(body["deadline-ms"])
+        new_run = RunRecord(task, run, expires_s, self._worker_id, self.born)
         self._active_runs[task] = new_run
         self.runs.append(new_run)
-        return self._reply_unless_lost({})
+        return self._reply({})
 
     def _stop_run(self, request: Request) -> Reply:
+        refusal = self._refuse_other_incarnation(request)
+        if refusal is not None:
+            return refusal
         body = request.json()
         if self._is_fence_outdated(body):
             return self._refuse_command("fence")
         run = self._active_runs.get(body["task"])
         if run is not None and run.run <= body["run"]:
-            self._end_run(run, "stopped")
+            self._stop_active_run(run)
         highest_run_number = self._highest_run_numbers.get(body["task"], 0)
         self._highest_run_numbers[body["task"]] = max(highest_run_number, body["run"])
-        return self._reply_unless_lost({})
+        return self._reply({})
+
+    def _stop_active_run(self, run: RunRecord) -> None:
+        if not self.faults.stop_ms:
+            self._end_run(run, "stopped")
+            return
+        stop_due_s = time.monotonic() + self.faults.stop_ms / MS_PER_S
+        run.stop_due_s = min(run.stop_due_s, stop_due_s)
 
     def _renew_leases(self, request: Request) -> Reply:
+        refusal = self._refuse_other_incarnation(request)
+        if refusal is not None:
+            return refusal
         body = request.json()
         if self._is_fence_outdated(body):
             return self._refuse_command("fence")
         if "deadline-ms" in body:
-            expires_s = self._lease_expiry_s(body["deadline-ms"])
-            for run in self._active_runs.values():
-                run.lease_expires_s = max(run.lease_expires_s, expires_s)
+            self._extend_leases(body["deadline-ms"])
         self._completions = [
             completion for completion in self._completions if completion[0] > body["seen-upto"]
         ]
         for run in self.runs:
-            run.acknowledged |= 0 < run.completion_number <= body["seen-upto"]
+            if run.incarnation == self.born:
+                run.acknowledged |= 0 < run.completion_number <= body["seen-upto"]
         if not self._completions and body["wait-ms"]:
             self._run_ended.wait(body["wait-ms"] / MS_PER_S)
         running = [[run.task, run.run, "", 50] for run in self._active_runs.values()]
-        return self._reply_unless_lost({"running": running, "ended": self._completions})
+        return self._reply({"running": running, "ended": self._completions})
