--- /dev/null
+++ b/bench/run_faults/faults.py
@@ -0,0 +1,170 @@
+"""Faults that a seeded schedule injects into the workers and processes of a run."""
+
+import random
+from collections.abc import Callable
+
+import gevent
+
+from bench.run_faults.process import USUAL_VIEW_LAG_MS
+from bench.run_faults.site import GROUPS, RunFaultsSite
+from bench.standins.fleet_worker import FleetWorker
+
+__all__ = ["FAULTS", "register_fault"]
+
+MS_PER_S = 1000.0
+
+Fault = Callable[[RunFaultsSite, random.Random], str]
+FAULTS: dict[str, Fault] = {}
+
+
+def register_fault(name: str) -> Callable[[Fault], Fault]:
+    """Register a function that injects one fault and returns its description."""
+
+    def register(fault: Fault) -> Fault:
+        FAULTS[name] = fault
+        return fault
+
+    return register
+
+
+@register_fault("restart")
+def restart_worker(site: RunFaultsSite, rng: random.Random) -> str:
+    """Restart a worker under its id; the processes see the new entry later."""
+    worker, down_ms = rng.choice(site.workers), rng.choice([0, 30, 200])
+    listing_ms = rng.uniform(0, 800)
+    site.worker_thread.call(_restart, site, worker, down_ms, listing_ms, "")
+    return f"{worker.worker_id} restarts, down {down_ms} ms, listed {listing_ms:.0f} ms later"
+
+
+@register_fault("replace")
+def replace_worker(site: RunFaultsSite, rng: random.Random) -> str:
+    """Restart a worker under another id at its address; its earlier entry is removed later."""
+    worker, down_ms = rng.choice(site.workers), rng.choice([0, 30, 200])
+    listing_ms, removal_ms = rng.uniform(0, 800), rng.uniform(100, 2500)
+    earlier_id, new_id = worker.worker_id, f"{worker.worker_id}n"
+    site.directory.assign_group(new_id, site.directory.state().groups[earlier_id])
+    site.directory.unlist_worker(earlier_id, removal_ms)
+    site.worker_thread.call(_restart, site, worker, down_ms, listing_ms, new_id)
+    return f"{earlier_id} restarts as {new_id}, listed {listing_ms:.0f} ms later"
+
+
+@register_fault("unlist")
+def unlist_worker(site: RunFaultsSite, rng: random.Random) -> str:
+    """Take a worker that continues to run out of service discovery for a while."""
+    worker, duration_ms = rng.choice(site.workers), rng.uniform(100, 3000)
+    entry = site.directory.state().workers.get(worker.worker_id)
+    if entry is None:
+        return f"{worker.worker_id} is not listed"
+    site.directory.unlist_worker(worker.worker_id)
+    site.directory.list_worker(entry, duration_ms)
+    return f"{worker.worker_id} is not listed for {duration_ms:.0f} ms"
+
+
+@register_fault("move")
+def move_worker(site: RunFaultsSite, rng: random.Random) -> str:
+    """Move a worker to another group."""
+    worker = rng.choice(site.workers)
+    present = site.directory.state().groups[worker.worker_id]
+    group = next(name for name in GROUPS if name != present)
+    site.directory.assign_group(worker.worker_id, group)
+    return f"{worker.worker_id} moves to {group}"
+
+
+@register_fault("claim")
+def move_claim(site: RunFaultsSite, rng: random.Random) -> str:
+    """Give the claim on a group to another process; the earlier one may learn of it late."""
+    group = rng.choice(GROUPS)
+    holder_id = site.directory.state().claims[group][0]
+    process = rng.choice([p for p in site.processes if p.member.member_id != holder_id])
+    holder = next(p for p in site.processes if p.member.member_id == holder_id)
+    lag_ms = rng.choice([USUAL_VIEW_LAG_MS, 600.0, 3000.0])
+    holder.view_lag_ms = lag_ms
+    gevent.spawn_later(lag_ms / MS_PER_S, _reset_lag, holder)
+    site.directory.claim_group(group, process.member.member_id)
+    return f"{group} from {holder_id} to {process.member.member_id}, seen after {lag_ms:.0f} ms"
+
+
+@register_fault("lag")
+def delay_view(site: RunFaultsSite, rng: random.Random) -> str:
+    """Let a process see changes of workers, groups and claims late for a while."""
+    process, lag_ms = rng.choice(site.processes), rng.uniform(300, 1500)
+    process.view_lag_ms = lag_ms
+    gevent.spawn_later(2 * lag_ms / MS_PER_S, _reset_lag, process)
+    return f"{process.member.member_id} sees changes {lag_ms:.0f} ms late"
+
+
+@register_fault("stall")
+def stall_process(site: RunFaultsSite, rng: random.Random) -> str:
+    """Block the event loop of a process."""
+    process, duration_ms = rng.choice(site.processes), rng.uniform(300, 1500)
+    process.thread.block(duration_ms)
+    return f"{process.member.member_id} is blocked for {duration_ms:.0f} ms"
+
+
+@register_fault("cut")
+def cut_link(site: RunFaultsSite, rng: random.Random) -> str:
+    """Cut the link between two processes for a while."""
+    first, second = (process.member.member_id for process in rng.sample(site.processes, 2))
+    duration_ms = rng.uniform(50, 2000)
+    site.links.cut(first, second, duration_ms)
+    return f"link of {first} and {second} is cut for {duration_ms:.0f} ms"
+
+
+@register_fault("mute")
+def mute_worker(site: RunFaultsSite, rng: random.Random) -> str:
+    """Let a worker carry out commands without answers for a while."""
+    return _set_for_a_while(site, rng, rng.uniform(150, 2000), mute=True)
+
+
+@register_fault("late")
+def delay_commands(site: RunFaultsSite, rng: random.Random) -> str:
+    """Let a share of a worker's commands be carried out late and without an answer."""
+    share, late_ms = rng.uniform(0.1, 0.5), rng.uniform(200, 3000)
+    faults = {"late_share": share, "late_min_ms": 150.0, "late_max_ms": late_ms}
+    return _set_for_a_while(site, rng, rng.uniform(500, 3000), **faults)
+
+
+@register_fault("slow")
+def delay_answers(site: RunFaultsSite, rng: random.Random) -> str:
+    """Delay the answers of a worker to one kind of command for a while."""
+    name = rng.choice(["start_answer_ms", "stop_answer_ms", "poll_answer_ms"])
+    return _set_for_a_while(site, rng, rng.uniform(300, 2000), **{name: rng.uniform(20, 400)})
+
+
+@register_fault("hang")
+def hang_runs(site: RunFaultsSite, rng: random.Random) -> str:
+    """Let the runs of a worker make no progress for a while."""
+    return _set_for_a_while(site, rng, rng.uniform(500, 2500), stall=True)
+
+
+@register_fault("fail")
+def fail_runs(site: RunFaultsSite, rng: random.Random) -> str:
+    """Let the runs of a worker fail for a while."""
+    return _set_for_a_while(site, rng, rng.uniform(300, 1000), fail=True)
+
+
+def _set_for_a_while(
+    site: RunFaultsSite, rng: random.Random, duration_ms: float, **faults: object
+) -> str:
+    worker = rng.choice(site.workers)
+    defaults = {name: getattr(type(worker.faults)(), name) for name in faults}
+    _set_faults(worker, faults)
+    gevent.spawn_later(duration_ms / MS_PER_S, _set_faults, worker, defaults)
+    shown = ", ".join(f"{name} {value}" for name, value in faults.items())
+    return f"{worker.worker_id} for {duration_ms:.0f} ms: {shown}"
+
+
+def _set_faults(worker: FleetWorker, faults: dict[str, object]) -> None:
+    for name, value in faults.items():
+        setattr(worker.faults, name, value)
+
+
+def _reset_lag(process: object) -> None:
+    process.view_lag_ms = USUAL_VIEW_LAG_MS
+
+
+def _restart(
+    site: RunFaultsSite, worker: FleetWorker, down_ms: float, listing_ms: float, new_id: str
+) -> None:
+    site.directory.listing_delay_ms = listing_ms
+    worker.restart(down_ms, new_id)
--- /dev/null
+++ b/bench/run_faults/play.py
@@ -0,0 +1,123 @@
+"""Plays one seeded run and checks it."""
+
+import random
+import time
+from collections import Counter
+
+import gevent
+
+from bench.run_faults.callers import Caller
+from bench.run_faults.faults import FAULTS
+from bench.run_faults.run_checker import Overlap, find_overlaps, runs_of
+from bench.run_faults.site import RunFaultsSite
+
+__all__ = ["PlayReport", "play"]
+
+WORKERS = 6
+CALLERS = 24
+KINDS_OF_FAULTS = 5
+RUN_TIMES_MS = (60.0, 250.0, 600.0, 900.0)
+FAULT_PAUSE_MAX_S = 0.5
+SETTLE_S = 1.5
+PROCESS_COUNTS = (2, 3)
+
+
+class PlayReport:
+    """What was found in one run.
+
+    Attributes:
+        seed: the seed.
+        overlaps: every two runs of a task that were active at the same time.
+        duplicates: the tasks that were in two places of one scheduler.
+        faults: time in seconds, name and description of each fault.
+        started_runs: number of runs that were started.
+        answers: number of answers to callers, by outcome.
+        counts: the counters of all processes, by name.
+        started_s: monotonic time of the start, in seconds.
+    """
+
+    __slots__ = (
+        "seed",
+        "overlaps",
+        "duplicates",
+        "faults",
+        "started_runs",
+        "answers",
+        "counts",
+        "started_s",
+    )
+
+    def __init__(self, seed: int, started_s: float) -> None:
+        self.seed = seed
+        self.started_s = started_s
+        self.overlaps: list[Overlap] = []
+        self.duplicates: list[str] = []
+        self.faults: list[str] = []
+        self.started_runs = 0
+        self.answers: Counter = Counter()
+        self.counts: Counter = Counter()
+
+    def describe(self) -> str:
+        """Return the findings with the seed, and the schedule if there are any."""
+        rows = [f"seed {self.seed}, start at {self.started_s:.3f} s"]
+        rows += [repr(overlap) for overlap in self.overlaps]
+        rows += self.duplicates
+        if len(rows) > 1:
+            rows += self.faults
+        return "\n".join(rows)
+
+
+def play(seed: int, duration_s: float, faults: tuple[str, ...] = ()) -> PlayReport:
+    """Play a seeded schedule of faults under load and return what was found.
+
+    The seed fixes jobs and faults. The event loops run in real time, so that two plays of a seed
+    may still differ.
+
+    Args:
+        seed: the seed.
+        duration_s: time under load, in seconds.
+        faults: names of the faults to inject; the seed chooses them if there are none.
+    """
+    rng = random.Random(f"faults {seed}")
+    site = RunFaultsSite(
+        rng.choice(PROCESS_COUNTS), [rng.choice(RUN_TIMES_MS) for _ in range(WORKERS)]
+    )
+    report = PlayReport(seed, site.started_s)
+    callers = [Caller(site, f"caller {seed} {number}") for number in range(CALLERS)]
+    try:
+        site.start()
+        until_s = time.monotonic() + duration_s
+        greenlets = [gevent.spawn(caller.submit_jobs, until_s) for caller in callers]
+        names = faults or tuple(rng.sample(sorted(FAULTS), KINDS_OF_FAULTS))
+        _inject_faults(site, rng, until_s, names, report)
+        gevent.sleep(SETTLE_S)
+        gevent.killall(greenlets)
+    finally:
+        site.close()
+    _collect(site, callers, report)
+    return report
+
+
+def _inject_faults(
+    site: RunFaultsSite,
+    rng: random.Random,
+    until_s: float,
+    names: tuple[str, ...],
+    report: PlayReport,
+) -> None:
+    while time.monotonic() < until_s:
+        gevent.sleep(rng.uniform(0.0, FAULT_PAUSE_MAX_S))
+        name = rng.choice(names)
+        at_s = time.monotonic()
+        report.faults.append(f"{at_s:.3f} s {name}: {FAULTS[name](site, rng)}")
+
+
+def _collect(site: RunFaultsSite, callers: list[Caller], report: PlayReport) -> None:
+    runs = runs_of(site.workers)
+    report.overlaps = find_overlaps(runs)
+    report.started_runs = len(runs)
+    for process in site.processes:
+        report.duplicates += process.duplicates.found
+        report.counts.update(process.counts)
+    for caller in callers:
+        report.answers.update(caller.answers)
