--- a/bench/run_faults/faults.py
+++ b/bench/run_faults/faults.py
@@ -1,17 +1,19 @@
 """Faults that a seeded schedule injects into the workers and processes of a run."""
 
 import random
+import time
 from collections.abc import Callable
 
 import gevent
 
-from bench.run_faults.process import USUAL_VIEW_LAG_MS
+from bench.run_faults.process import USUAL_VIEW_LAG_MS, Process
 from bench.run_faults.site import GROUPS, RunFaultsSite
 from bench.standins.fleet_worker import FleetWorker
 
 __all__ = ["FAULTS", "register_fault"]
 
 MS_PER_S = 1000.0
+RECOVERY_MS = 10.0
 
 Fault = Callable[[RunFaultsSite, random.Random], str]
 FAULTS: dict[str, Fault] = {}
@@ -96,9 +98,22 @@
 @register_fault("stall")
 def stall_process(site: RunFaultsSite, rng: random.Random) -> str:
     """Block the event loop of a process."""
-    process, duration_ms = rng.choice(site.processes), rng.uniform(300, 1500)
-    process.thread.block(duration_ms)
-    return f"{process.member.member_id} is blocked for {duration_ms:.0f} ms"
+    return _block(rng.choice(site.processes), rng.uniform(300, 1500))
+
+
+@register_fault("pause")
+def pause_process(site: RunFaultsSite, rng: random.Random) -> str:
+    """Block the event loop of a process for longer than callers wait to send a job again."""
+    return _block(rng.choice(site.processes), rng.uniform(1500, 3000))
+
+
+@register_fault("busy")
+def keep_process_busy(site: RunFaultsSite, rng: random.Random) -> str:
+    """Block the event loop of a process many times, each time for tens of milliseconds."""
+    process, times = rng.choice(site.processes), rng.randint(5, 20)
+    durations_ms = [rng.uniform(20, 120) for _ in range(times)]
+    gevent.spawn(_block_repeatedly, process, durations_ms)
+    return f"{process.member.member_id} is busy for {sum(durations_ms):.0f} ms"
 
 
 @register_fault("cut")
@@ -143,6 +158,22 @@
     return _set_for_a_while(site, rng, rng.uniform(300, 1000), fail=True)
 
 
+def _block(process: Process, duration_ms: float) -> str:
+    """Block an event loop, unless it is blocked already."""
+    now_s = time.monotonic()
+    if now_s < process.blocked_until_s:
+        return f"{process.member.member_id} is blocked already"
+    process.blocked_until_s = now_s + (duration_ms + RECOVERY_MS) / MS_PER_S
+    process.thread.block(duration_ms)
+    return f"{process.member.member_id} is blocked for {duration_ms:.0f} ms"
+
+
+def _block_repeatedly(process: Process, durations_ms: list[float]) -> None:
+    for duration_ms in durations_ms:
+        _block(process, duration_ms)
+        gevent.sleep((duration_ms + RECOVERY_MS) / MS_PER_S)
+
+
 def _set_for_a_while(
     site: RunFaultsSite, rng: random.Random, duration_ms: float, **faults: object
 ) -> str:
@@ -159,7 +190,7 @@
         setattr(worker.faults, name, value)
 
 
-def _reset_lag(process: object) -> None:
+def _reset_lag(process: Process) -> None:
     process.view_lag_ms = USUAL_VIEW_LAG_MS
 
 
--- a/bench/run_faults/loop_thread.py
+++ b/bench/run_faults/loop_thread.py
@@ -47,8 +47,12 @@
         self._pool.kill()
 
     def call(self, function: Callable, *arguments: object) -> None:
-        """Run a function in the thread, without waiting for it; calls start in their order."""
-        self._loop.run_callback_threadsafe(gevent.spawn, function, *arguments)
+        """Run a function in the thread, without waiting for it; calls start in their order.
+
+        After :meth:`close` nothing happens.
+        """
+        if not self._is_stopped:
+            self._loop.run_callback_threadsafe(gevent.spawn, function, *arguments)
 
     def ask(self, function: Callable, *arguments: object) -> object:
         """Run a function in the thread and return its result.
--- a/bench/run_faults/play.py
+++ b/bench/run_faults/play.py
@@ -17,7 +17,7 @@
 CALLERS = 24
 KINDS_OF_FAULTS = 5
 RUN_TIMES_MS = (60.0, 250.0, 600.0, 900.0)
-FAULT_PAUSE_MAX_S = 0.5
+FAULT_PAUSES_MAX_S = (0.1, 0.3, 0.6)
 SETTLE_S = 1.5
 PROCESS_COUNTS = (2, 3)
 
@@ -30,6 +30,7 @@
         overlaps: every two runs of a task that were active at the same time.
         duplicates: the tasks that were in two places of one scheduler.
         faults: time in seconds, name and description of each fault.
+        events: the events on the tasks that were found, at all schedulers in order of time.
         started_runs: number of runs that were started.
         answers: number of answers to callers, by outcome.
         counts: the counters of all processes, by name.
@@ -41,6 +42,7 @@
         "overlaps",
         "duplicates",
         "faults",
+        "events",
         "started_runs",
         "answers",
         "counts",
@@ -53,6 +55,7 @@
         self.overlaps: list[Overlap] = []
         self.duplicates: list[str] = []
         self.faults: list[str] = []
+        self.events: list[str] = []
         self.started_runs = 0
         self.answers: Counter = Counter()
         self.counts: Counter = Counter()
@@ -63,7 +66,7 @@
         rows += [repr(overlap) for overlap in self.overlaps]
         rows += self.duplicates
         if len(rows) > 1:
-            rows += self.faults
+            rows += self.faults + self.events
         return "\n".join(rows)
 
 
@@ -105,8 +108,9 @@
     names: tuple[str, ...],
     report: PlayReport,
 ) -> None:
+    pause_max_s = rng.choice(FAULT_PAUSES_MAX_S)
     while time.monotonic() < until_s:
-        gevent.sleep(rng.uniform(0.0, FAULT_PAUSE_MAX_S))
+        gevent.sleep(rng.uniform(0.0, pause_max_s))
         name = rng.choice(names)
         at_s = time.monotonic()
         report.faults.append(f"{at_s:.3f} s {name}: {FAULTS[name](site, rng)}")
@@ -117,7 +121,18 @@
     report.overlaps = find_overlaps(runs)
     report.started_runs = len(runs)
     for process in site.processes:
-        report.duplicates += process.duplicates.found
+        report.duplicates += process.duplicates.found.values()
         report.counts.update(process.counts)
+    tasks = {overlap.task for overlap in report.overlaps}
+    tasks.update(*(process.duplicates.found for process in site.processes))
+    for task in sorted(tasks):
+        report.events += _events_on(site, task)
     for caller in callers:
         report.answers.update(caller.answers)
+
+
+def _events_on(site: RunFaultsSite, task: str) -> list[str]:
+    """Return the events on a task at all schedulers and workers, in order of time."""
+    rows = [row for process in site.processes for row in process.trace.rows_of(task)]
+    rows += [(run.started_s, repr(run)) for run in runs_of(site.workers) if run.task == task]
+    return [f"{task} {at_s:.4f} s {text}" for at_s, text in sorted(rows)]
--- a/bench/run_faults/process.py
+++ b/bench/run_faults/process.py
@@ -9,6 +9,7 @@
 from bench.run_faults.local_links import LocalLinks
 from bench.run_faults.loop_thread import LoopThread
 from bench.run_faults.run_checker import DuplicateWatch
+from bench.run_faults.task_trace import TaskTrace
 from camphorchute.contracts.member import Member
 from camphorchute.contracts.run_messages import RoomReport, StartTasks, StopTasks, TasksFinished
 from camphorchute.hosting import make_platform
@@ -39,23 +40,27 @@
     Attributes:
         member: its identity.
         last_active_s: monotonic time at which its event loop was last seen to run, in seconds.
+        blocked_until_s: monotonic time until which its event loop is blocked, in seconds.
         view_lag_ms: for how long it does not see a change of the directory, in milliseconds.
         thread: the thread that it runs in.
         counts: its counters, by name.
         scheduler: its scheduler.
         owner: its owner of jobs.
         duplicates: the tasks that were in two places of the scheduler.
+        trace: the events on tasks at the scheduler.
     """
 
     def __init__(self, name: str, zone: str, directory: Directory, links: LocalLinks) -> None:
         self.member = Member(name, zone, name, "", "127.0.0.1:1", "127.0.0.1:2")
         self.last_active_s = time.monotonic()
+        self.blocked_until_s = 0.0
         self.view_lag_ms = USUAL_VIEW_LAG_MS
         self.thread = LoopThread()
         self.counts: dict[str, int] = {}
         self.scheduler: GroupScheduler | None = None
         self.owner: QueueOwner | None = None
         self.duplicates: DuplicateWatch | None = None
+        self.trace: TaskTrace | None = None
         self._directory = directory
         self._links = links
         self._capacity_view: FreeCapacityView | None = None
@@ -107,6 +112,7 @@
         self.owner = QueueOwner(self._capacity_view, self._claim_holder, self, self._count)
         self.owner.admission.has_workers = lambda service: True
         self.duplicates = DuplicateWatch(self.member.member_id, self.scheduler)
+        self.trace = TaskTrace(self.member.member_id, self.scheduler)
         self.scheduler.start()
         for action, interval_s in (
             (self._reconcile, RECONCILE_INTERVAL_S),
--- a/bench/run_faults/run_checker.py
+++ b/bench/run_faults/run_checker.py
@@ -82,16 +82,15 @@
     """Finds tasks that are in two places of one scheduler: its backlogs and tables of runs.
 
     Attributes:
-        found: time, task and places of each, when it was first seen.
+        found: time and places of each when it was first seen, by task.
     """
 
-    __slots__ = ("found", "_name", "_scheduler", "_known")
+    __slots__ = ("found", "_name", "_scheduler")
 
     def __init__(self, name: str, scheduler: GroupScheduler) -> None:
-        self.found: list[str] = []
+        self.found: dict[str, str] = {}
         self._name = name
         self._scheduler = scheduler
-        self._known: set[str] = set()
 
     def check(self) -> None:
         """Record the tasks that are in two places now."""
@@ -103,9 +102,8 @@
                 for name, run in worker.runs.items():
                     places[name].append(f"run {run.number} ({run.state.name}) on {worker_id}")
         for task, rows in places.items():
-            if len(rows) > 1 and task not in self._known:
-                self._known.add(task)
-                self.found.append(
+            if len(rows) > 1 and task not in self.found:
+                self.found[task] = (
                     f"task in two places of {self._name} at {time.monotonic():.3f} s: {task}: "
                     + "; ".join(rows)
                 )
--- a/bench/run_faults/site.py
+++ b/bench/run_faults/site.py
@@ -59,9 +59,9 @@
             self.directory.claim_group(group, process.member.member_id)
         for process in self.processes:
             process.thread.start()
-            self.links.add(process)
-        for process in self.processes:
             process.start()
+        for process in self.processes:
+            self.links.add(process)
 
     def close(self) -> None:
         """Stop processes and workers."""
