--- a/bench/run_faults/directory.py
+++ b/bench/run_faults/directory.py
@@ -89,14 +89,22 @@
     def state(self, lag_ms: float = 0.0) -> ClusterState:
         """Return the state as it was seen some time ago.
 
+        An entry of an incarnation that a later one has replaced is not seen any more.
+
         Args:
             lag_ms: for how long a change is not seen yet, in milliseconds.
         """
         until_s = time.monotonic() - lag_ms / MS_PER_S
         state = ClusterState()
+        latest: dict[str, int] = {}
         for seen_s, table, key, value in sorted(self._changes, key=lambda change: change[0]):
-            if seen_s <= until_s:
-                getattr(state, table)[key] = value
+            if seen_s > until_s:
+                break
+            if isinstance(value, WorkerEntry):
+                if value.incarnation < latest.get(key, 0):
+                    continue
+                latest[key] = value.incarnation
+            getattr(state, table)[key] = value
         return state
 
     def _record(self, table: str, key: str, value: object, delay_ms: float = 0.0) -> None:
--- a/bench/run_faults/faults.py
+++ b/bench/run_faults/faults.py
@@ -42,6 +42,8 @@
 def replace_worker(site: RunFaultsSite, rng: random.Random) -> str:
     """Restart a worker under another id at its address; its earlier entry is removed later."""
     worker, down_ms = rng.choice(site.workers), rng.choice([0, 30, 200])
+    if not worker.is_up:
+        return f"{worker.worker_id} is down"
     listing_ms, removal_ms = rng.uniform(0, 800), rng.uniform(100, 2500)
     earlier_id, new_id = worker.worker_id, f"{worker.worker_id}n"
     site.directory.assign_group(new_id, site.directory.state().groups[earlier_id])
@@ -197,5 +199,6 @@
 def _restart(
     site: RunFaultsSite, worker: FleetWorker, down_ms: float, listing_ms: float, new_id: str
 ) -> None:
-    site.directory.listing_delay_ms = listing_ms
-    worker.restart(down_ms, new_id)
+    if worker.is_up:
+        site.directory.listing_delay_ms = listing_ms
+        worker.restart(down_ms, new_id)
--- a/bench/run_faults/play.py
+++ b/bench/run_faults/play.py
@@ -13,8 +13,8 @@
 
 __all__ = ["PlayReport", "play"]
 
-WORKERS = 6
-CALLERS = 24
+WORKERS = 8
+CALLERS = 32
 KINDS_OF_FAULTS = 5
 RUN_TIMES_MS = (60.0, 250.0, 600.0, 900.0)
 FAULT_PAUSES_MAX_S = (0.1, 0.3, 0.6)
--- a/bench/standins/fleet_worker.py
+++ b/bench/standins/fleet_worker.py
@@ -77,6 +77,12 @@
             ("POST", "/hold"): commands.handler(self._renew_leases, "poll_answer_ms"),
         }
 
+    def _end_incarnation(self) -> None:
+        """End the active runs as in a crash, and begin another incarnation."""
+        for run in self._active_runs.values():
+            run.ended_s, run.outcome = time.monotonic(), CRASHED
+        self._begin_incarnation()
+
     def _begin_incarnation(self) -> None:
         """Forget everything but the record of runs, as a worker that has just started."""
         self.born = max(self.born + 1, round(time.time() * MS_PER_S))
@@ -88,6 +94,11 @@
         self._last_completion_number = 0
         self._run_ended = Event()
 
+    @property
+    def is_up(self) -> bool:
+        """Whether it listens."""
+        return self._server.started
+
     @property
     def worker_id(self) -> str:
         """Its id in service discovery, that of the latest incarnation."""
@@ -116,12 +127,10 @@
             worker_id: the id of the new incarnation, empty for the same one.
         """
         self._stop_listening()
-        for run in self._active_runs.values():
-            run.ended_s, run.outcome = time.monotonic(), CRASHED
-        self._begin_incarnation()
+        self._end_incarnation()
         gevent.sleep(down_ms / MS_PER_S)
         self._worker_id = worker_id or self._worker_id
-        self._begin_incarnation()
+        self._end_incarnation()
         self._server.start()
         self.register("ready")
 
@@ -157,7 +166,7 @@
         return round((time.monotonic() - self._started_s) * MS_PER_S * self.clock_rate) + 5000
 
     def _listening_incarnation(self) -> int:
-        return self.born if self._server.started else 0
+        return self.born if self.is_up else 0
 
     def _tick(self) -> None:
         while True:
