Wait in a test until the scheduler has listed its worker

test_unplaced_tasks_are_returned_immediately_on_request failed twice beside a load of 20 to 30: it waited until the worker had seen the fencing token, which is before the scheduler has read the answer; tasks dispatched in between are all returned, five instead of three. It waits for the scheduler now; the bound of 0.2 s and the result are the same. The failing runs' own count of results was not recorded.

--- a/camphorchute/runs/tests/test_group_scheduler.py
+++ b/camphorchute/runs/tests/test_group_scheduler.py
@@ -72,7 +72,7 @@
     """Tasks stayed in the backlog of one scheduler while another had free capacity."""
     site = open_site(workers=1, run_ms=400.0)
     scheduler = site.add_scheduler(7)
-    assert wait_until(lambda: site.fleet.workers[0].fence == 7)
+    assert wait_until(lambda: scheduler.group(GROUP).workers["north-w0"].synced)
     site.dispatch_tasks(scheduler, tasks=5, return_unplaced=True)
     assert wait_until(lambda: len(site.results) == 3, 0.2)
     assert [(result.end, result.run) for result in site.results] == [
