Report an outage of the store in two lines for each process

Operators saw a line for each follower when the store was lost, one for each prefix when it was back (of a follower without changes: never, until a key changed), and, when a process stopped meanwhile, one for each shard whose claim it could not release. No line said how long the store was away, and failed claims and renewals had none.

Cause: each follower kept its own state, and the end was seen only with the next change.

`OutageLog`, one for each store client, writes one line when the first call of a follower, of the lease or of the shard claims fails, and one when each of them has been answered again, with `away_ms` and `failed_calls`. The first watch after a failure lasts 1 s. Claims that are not released have one line; `lease expired` goes through the rate limit of decisions.

--- a/camphorchute/cluster/membership_lease.py
+++ b/camphorchute/cluster/membership_lease.py
@@ -10,6 +10,7 @@
 
 from camphorchute.cluster.cluster_view import MEMBER_PREFIX
 from camphorchute.contracts.member import Member
+from camphorchute.decision_log import log_decision
 from camphorchute.hosting import Store, StoreRefused, StoreUnavailable, SwapConflict, SwapUnknown
 from camphorchute.loops import spawn_loop
 
@@ -20,6 +21,7 @@
 RENEW_INTERVAL_MS = 900.0
 RETRY_INTERVAL_MS = 250.0
 MS_PER_S = 1000.0
+STORE_USER = "lease"
 
 
 class MembershipLease:
@@ -54,6 +56,7 @@
         """Revoke the lease, so that other members need not wait until it expires."""
         if self._greenlet is not None:
             self._greenlet.kill(block=False)
+        self._store.outage.forget_user(STORE_USER)
         lease_id, self.lease_id = self.lease_id, 0
         if lease_id:
             try:
@@ -85,16 +88,19 @@
                     self._register()
                 elif not self._store.renew_lease(self.lease_id):
                     self._count("roster.lease_expired")
-                    log_message(
-                        message_type="roster", text="roster: lease expired; registering again"
-                    )
+                    log_decision("roster", "lease expired; registering again", lease=self.lease_id)
                     self.lease_id = 0
                     continue
                 self._renewed_s = requested_s
+                self._store.outage.record_answer(STORE_USER)
                 pause_ms = RENEW_INTERVAL_MS
-            except (StoreUnavailable, SwapConflict, SwapUnknown):
+            except SwapConflict:
                 self._count("roster.retry.lease")
                 pause_ms = RETRY_INTERVAL_MS
+            except (StoreUnavailable, SwapUnknown) as error:
+                self._count("roster.retry.lease")
+                self._store.outage.record_failure(STORE_USER, str(error))
+                pause_ms = RETRY_INTERVAL_MS
             gevent.sleep(random.uniform(0.8, 1.0) * pause_ms / MS_PER_S)
 
     def _register(self) -> None:
--- a/camphorchute/cluster/store_follower.py
+++ b/camphorchute/cluster/store_follower.py
@@ -4,7 +4,6 @@
 from collections.abc import Callable
 
 import gevent
-from eliot import log_message
 
 from camphorchute.cluster.cluster_view import ClusterView
 from camphorchute.hosting import WATCH_RESPONSE_TIMEOUT_MS, Store, StoreRefused, StoreUnavailable
@@ -15,6 +14,7 @@
 RETRY_MIN_MS = 100.0
 RETRY_MAX_MS = 800.0
 WATCH_LIFETIME_S = 3600.0
+WATCH_AFTER_FAILURE_S = 1.0
 MS_PER_S = 1000.0
 
 
@@ -42,7 +42,7 @@
         "_response_timeout_ms",
         "_revision",
         "_greenlet",
-        "_is_store_reachable",
+        "_has_failed",
         "_retry_pause_ms",
     )
 
@@ -63,7 +63,7 @@
         self._response_timeout_ms = response_timeout_ms
         self._revision = 0
         self._greenlet: gevent.Greenlet | None = None
-        self._is_store_reachable = True
+        self._has_failed = False
         self._retry_pause_ms = RETRY_MIN_MS
 
     def start(self) -> None:
@@ -74,6 +74,7 @@
         """Stop following the prefix."""
         if self._greenlet is not None:
             self._greenlet.kill(block=False)
+        self._store.outage.forget_user(self._prefix)
 
     def _follow_changes(self) -> None:
         while True:
@@ -91,33 +92,37 @@
         listing = self._store.list(self._prefix)
         self._view.apply_listing(self._prefix, list(listing.values))
         self._revision = listing.revision
-        self._mark_store_reachable()
+        self._record_answer()
 
     def _watch_changes(self) -> None:
+        """Watch the prefix; a watch that ends without an error has been answered.
+
+        The first watch after a failure is short, so that the store counts as lost no longer than
+        it is if no key changes.
+        """
+        lifetime_s, response_timeout_ms = WATCH_LIFETIME_S, self._response_timeout_ms
+        if self._has_failed:
+            lifetime_s = WATCH_AFTER_FAILURE_S
+            response_timeout_ms = min(response_timeout_ms, lifetime_s * MS_PER_S)
         changes = self._store.watch(
-            self._prefix,
-            self._revision + 1,
-            WATCH_LIFETIME_S,
-            self._batching_ms,
-            self._response_timeout_ms,
+            self._prefix, self._revision + 1, lifetime_s, self._batching_ms, response_timeout_ms
         )
         for change in changes:
             self._revision = max(self._revision, change.mod_revision)
             self._view.apply_change(change)
-            self._mark_store_reachable()
+            self._record_answer()
+        self._record_answer()
 
-    def _mark_store_reachable(self) -> None:
-        """Reset the retry pause, and report a store that answers again."""
+    def _record_answer(self) -> None:
+        """Record that the store answered, and reset the retry pause."""
+        self._has_failed = False
         self._retry_pause_ms = RETRY_MIN_MS
-        if not self._is_store_reachable:
-            self._is_store_reachable = True
-            log_message(message_type="roster", text=f"roster: store answers again: {self._prefix}")
+        self._store.outage.record_answer(self._prefix)
 
     def _wait_before_retry(self, error: Exception) -> None:
-        """Report an unreachable store once, then sleep for an exponentially growing pause."""
+        """Record a failed call, then sleep for an exponentially growing pause."""
         self._count("roster.retry.store_unavailable")
-        if self._is_store_reachable:
-            self._is_store_reachable = False
-            log_message(message_type="roster", text=f"roster: store does not answer: {error}")
+        self._has_failed = True
+        self._store.outage.record_failure(self._prefix, str(error))
         gevent.sleep(random.uniform(0.5, 1.0) * self._retry_pause_ms / MS_PER_S)
         self._retry_pause_ms = min(RETRY_MAX_MS, self._retry_pause_ms * 2)
--- a/camphorchute/durable_jobs/shard_claims.py
+++ b/camphorchute/durable_jobs/shard_claims.py
@@ -24,6 +24,7 @@
 HANDOVER_INTERVAL_MS = 30_000.0
 OVERLOADED_CLAIM_DELAY_MS = 2000.0
 MS_PER_S = 1000.0
+STORE_USER = "shard claims"
 
 
 class ShardClaims:
@@ -82,8 +83,12 @@
         """Release every shard, so that other members can claim them immediately."""
         if self._greenlet is not None:
             self._greenlet.kill(block=False)
-        for shard in list(self._terms):
-            self._release_claim(shard)
+        unreleased = sum(not self._release_claim(shard) for shard in list(self._terms))
+        if unreleased:
+            log_message(
+                message_type="keeping", text="keeping: claims not released", shards=unreleased
+            )
+        self._store.outage.forget_user(STORE_USER)
 
     def owner_of(self, shard: int) -> Member | None:
         """Return the member that owns a shard, None if no live owner is known."""
@@ -98,6 +103,8 @@
         while True:
             for shard in range(SHARD_COUNT):
                 self._check_shard(shard)
+            if not self._vacant_since_s:
+                self._store.outage.record_answer(STORE_USER)
             gevent.sleep(CHECK_INTERVAL_MS / MS_PER_S)
 
     def _check_shard(self, shard: int) -> None:
@@ -160,28 +167,33 @@
             term = self._store.swap(_claim_key(shard), value, revision, lease_id)
         except SwapConflict:
             self._count("keeping.claim_lost")
-        except SwapUnknown:
+            self._store.outage.record_answer(STORE_USER)
+        except SwapUnknown as error:
             self._count("keeping.claim_unknown")
-        except StoreUnavailable:
+            self._store.outage.record_failure(STORE_USER, str(error))
+        except StoreUnavailable as error:
             self._count("keeping.retry.claim")
+            self._store.outage.record_failure(STORE_USER, str(error))
         else:
+            self._store.outage.record_answer(STORE_USER)
             self._claims[_claim_key(shard)] = StoredValue(_claim_key(shard), value, term, lease_id)
             self._acquire(shard, term, current is not None and current.value == b"")
 
-    def _release_claim(self, shard: int) -> None:
-        """Release a shard; if the store does not answer, the claim expires with the lease."""
+    def _release_claim(self, shard: int) -> bool:
+        """Release a shard; return whether the store answered.
+
+        If it did not, the claim expires with the lease.
+        """
         term = self._terms[shard]
         self._drop_claim(shard)
         try:
             self._store.swap(_claim_key(shard), b"", term)
-        except (StoreUnavailable, SwapUnknown) as error:
+        except (StoreUnavailable, SwapUnknown):
             self._count("keeping.release_failed")
-            log_message(
-                message_type="keeping",
-                text=f"keeping: claim of shard {shard} not released: {error}",
-            )
+            return False
         except SwapConflict:
             self._count("keeping.release_late")
+        return True
 
     def _acquire(self, shard: int, term: int, was_released: bool) -> None:
         self._terms[shard] = term
--- a/camphorchute/durable_jobs/tests/fakes.py
+++ b/camphorchute/durable_jobs/tests/fakes.py
@@ -11,6 +11,7 @@
     SwapAllConflict,
     SwapUnknown,
 )
+from camphorchute.outage_log import OutageLog
 from camphorchute.queues import JobOutcome
 
 __all__ = ["FakeLease", "FakePeers", "FakeQueueOwner", "FakeStore", "FakeView"]
@@ -27,6 +28,7 @@
         self.errors_to_raise = []
         self.lose_reply = False
         self.reads_fail = False
+        self.outage = OutageLog("roster", "store")
         self.revision = 0
         self.events = []
 
--- a/camphorchute/hosting/store.py
+++ b/camphorchute/hosting/store.py
@@ -3,6 +3,8 @@
 from abc import ABC, abstractmethod
 from collections.abc import Callable, Iterator, Sequence
 
+from camphorchute.outage_log import OutageLog
+
 __all__ = [
     "ConditionalWrite",
     "Store",
@@ -123,6 +125,7 @@
     Attributes:
         calls: number of calls sent, by name of the call.
         failures: number of calls that failed, by name of the call and reason.
+        outage: reports when the store is lost and answers again; its users record their calls.
         max_changes: largest number of changes in one call of :meth:`swap_all`.
     """
 
@@ -131,6 +134,7 @@
     def __init__(self) -> None:
         self.calls: dict[str, int] = {}
         self.failures: dict[str, int] = {}
+        self.outage = OutageLog("roster", "store")
 
     @abstractmethod
     def start(self) -> None:
