Claim a shard of durable jobs only once a durable job of it was submitted

Without any durable job, 32 shards were claimed at the start and again after each loss or change of members; each claim is a priced call, and each owner watches its shard.

Cause: every shard had an owner, since nothing said which shards have jobs.

A process marks the shard in the store before it writes the first record of it (`camphorchute/kept-shards/SHARD`, without a lease, never removed). Only marked shards, shards seen claimed and shards with records at the start of the process get an owner. If the marker is not stored, the job is refused with `not_stored` and no record is written. An owner opens a shard only after the marker says `owned`; that write succeeds once, so the first owner need not wait 2.5 s for a predecessor. Completions are not discarded before the markers and records are known. A claim is now kept with the lease that it was made with; before, a lease that changed during the call was recorded instead.

Ruled out: an empty claim key as the marker (it vanishes with the lease of the next owner, and after an expiry it would say falsely that the previous owner has released the shard).

Three processes, no durable job, one killed (stand-in store): 90 conditional writes in the test before, 0 after; each process lists the records once.

The tests "cost no call" and "need not wait" failed before. Changed tests: the fixture of test_shard_claims marks all shards, so that its tests still have 32 owners; the fixture of test_durable_jobs no longer waits until every shard has an owner, which is no longer to happen; its jobs are submitted as soon as the fleet is ready, and a new test asserts which shards get owners. The fixture of test_store_outage_lines marks all shards.

--- a/camphorchute/durable_jobs/shard_claims.py
+++ b/camphorchute/durable_jobs/shard_claims.py
@@ -9,6 +9,7 @@
 
 from camphorchute.cluster import OWN_PREFIX, ClusterView, MembershipLease
 from camphorchute.contracts.member import Member
+from camphorchute.durable_jobs.shard_markers import ShardMarkers
 from camphorchute.hosting import Store, StoredValue, StoreUnavailable, SwapConflict, SwapUnknown
 from camphorchute.loops import spawn_loop
 from camphorchute.runs import SHARD_COUNT
@@ -30,6 +31,8 @@
 class ShardClaims:
     """Claims shards without an owner, and hands shards over to their preferred members.
 
+    Only a shard that is marked as having had a durable job needs an owner.
+
     A claim is a key bound to the lease of this process; the key's revision is the owner's term. An
     empty value means that the previous owner released its claim. The preferred owner of a shard is
     the live member that comes first in the order of a hash of the shard and the member's id.
@@ -47,6 +50,7 @@
         on_lost: called with a shard that this process no longer owns.
         can_act_in_time: returns whether this process can act in time; one that cannot hands its
             shards over.
+        markers: knows which shards need an owner.
     """
 
     def __init__(
@@ -60,6 +64,7 @@
         self.on_acquired: Callable[[int, int, int, bool], None] = lambda *claim: None
         self.on_lost: Callable[[int], None] = lambda shard: None
         self.can_act_in_time: Callable[[], bool] = lambda: True
+        self.markers = ShardMarkers(store, view, count)
         self._store = store
         self._view = view
         self._lease = lease
@@ -77,12 +82,14 @@
 
     def start(self) -> None:
         """Start claiming shards and checking the claims."""
+        self.markers.start()
         self._greenlet = spawn_loop("keeping", self._check_all, self._count)
 
     def close(self) -> None:
         """Release every shard, so that other members can claim them immediately."""
         if self._greenlet is not None:
             self._greenlet.kill(block=False)
+        self.markers.close()
         unreleased = sum(not self._release_claim(shard) for shard in list(self._terms))
         if unreleased:
             log_message(
@@ -95,27 +102,37 @@
         return self._view.members.get(self._holder_id(shard))
 
     def ownership_stable_ms(self) -> float:
-        """Return for how long all shards have had live owners, in milliseconds."""
+        """Return for how long all shards that need one have had live owners, in milliseconds."""
         return (time.monotonic() - self._stable_since_s) * MS_PER_S
 
     def _check_all(self) -> None:
         gevent.sleep(START_DELAY_MS / MS_PER_S)
         while True:
+            if not self._knows_shards():
+                self._stable_since_s = time.monotonic()
             for shard in range(SHARD_COUNT):
                 self._check_shard(shard)
             if not self._vacant_since_s:
                 self._store.outage.record_answer(STORE_USER)
             gevent.sleep(CHECK_INTERVAL_MS / MS_PER_S)
 
+    def _knows_shards(self) -> bool:
+        """Whether this process knows which shards need an owner, as soon as it sees itself."""
+        return self.markers.is_loaded and self._member.member_id in self._view.members
+
     def _check_shard(self, shard: int) -> None:
         current = self._claims.get(_claim_key(shard))
+        if current is not None:
+            self.markers.add_claimed(shard)
+        elif not self.markers.needs_owner(shard):
+            return
         holder_id = self._holder_id(shard)
         if holder_id not in self._view.members:
             self._stable_since_s = time.monotonic()
         if shard in self._terms:
             self._check_own_claim(shard, current, holder_id)
         elif holder_id == self._member.member_id and current.lease_id == self._lease.lease_id:
-            self._acquire(shard, current.mod_revision, False)
+            self._open_claimed(shard, current, False)
         elif holder_id in self._view.members:
             self._vacant_since_s.pop(shard, None)
         else:
@@ -127,7 +144,7 @@
             self._drop_claim(shard)
         elif current.mod_revision > self._terms[shard]:
             self._drop_claim(shard)
-            self._acquire(shard, current.mod_revision, False)
+            self._acquire(shard, current, False)
         elif self._should_release(shard):
             self._last_release_s[shard] = time.monotonic()
             self._release_claim(shard)
@@ -176,8 +193,25 @@
             self._store.outage.record_failure(STORE_USER, str(error))
         else:
             self._store.outage.record_answer(STORE_USER)
-            self._claims[_claim_key(shard)] = StoredValue(_claim_key(shard), value, term, lease_id)
-            self._acquire(shard, term, current is not None and current.value == b"")
+            claim = StoredValue(_claim_key(shard), value, term, lease_id)
+            self._claims[claim.key] = claim
+            self._open_claimed(shard, claim, current is not None and current.value == b"")
+
+    def _open_claimed(self, shard: int, claim: StoredValue, was_released: bool) -> None:
+        """Acquire a claimed shard once its marker says that it has been owned.
+
+        Args:
+            shard: the shard.
+            claim: the claim of this process.
+            was_released: whether the previous owner released its claim.
+        """
+        try:
+            is_first_owner = self.markers.confirm_owned(shard)
+        except StoreUnavailable as error:
+            self._count("keeping.retry.mark_owned")
+            self._store.outage.record_failure(STORE_USER, str(error))
+            return
+        self._acquire(shard, claim, was_released or is_first_owner)
 
     def _release_claim(self, shard: int) -> bool:
         """Release a shard; return whether the store answered.
@@ -195,13 +229,13 @@
             self._count("keeping.release_late")
         return True
 
-    def _acquire(self, shard: int, term: int, was_released: bool) -> None:
-        self._terms[shard] = term
-        self._lease_ids[shard] = self._lease.lease_id
+    def _acquire(self, shard: int, claim: StoredValue, was_released: bool) -> None:
+        self._terms[shard] = claim.mod_revision
+        self._lease_ids[shard] = claim.lease_id
         self._vacant_since_s.pop(shard, None)
         self._misplaced_since_s.pop(shard, None)
         self._count("keeping.shard_taken")
-        self.on_acquired(shard, term, self._lease_ids[shard], was_released)
+        self.on_acquired(shard, claim.mod_revision, claim.lease_id, was_released)
 
     def _drop_claim(self, shard: int) -> None:
         del self._terms[shard]
--- a/camphorchute/durable_jobs/shard_owner.py
+++ b/camphorchute/durable_jobs/shard_owner.py
@@ -107,6 +107,7 @@
             if refusal is not None:
                 self._refuse_unless_stored(key, refusal)
             else:
+                self._claims.markers.mark(shard_of(job.job_id), self._context.writer)
                 revision = self._context.writer.write(key, value, 0)
                 self._notify_owner(job.job_id, revision, value)
                 self._context.count("keeping.accepted")
