Count how far the expected waits of admitted jobs were from the actual ones

Nothing showed by how much the waits were wrong that jobs are admitted and refused with.

`WaitErrors` records the expected wait of each admitted job and counts, at the first result of its first step, the difference to the actual wait in buckets by powers of two, apart for jobs that were expected to start at once and those expected to queue; jobs whose first task is returned without a start, and the age of the reports at admission, have their own.

--- a/camphorchute/queues/job_admission.py
+++ b/camphorchute/queues/job_admission.py
@@ -12,6 +12,7 @@
 from camphorchute.policies.admission import AdmissionPolicy, JobTimes, is_admitted
 from camphorchute.queues.free_capacity_view import FreeCapacityView
 from camphorchute.queues.job_run import JobRun
+from camphorchute.queues.wait_errors import WaitErrors
 
 __all__ = ["JobAdmission", "finish_by_s"]
 
@@ -32,9 +33,10 @@
 
     Attributes:
         has_workers: returns whether service discovery lists workers of a service.
+        wait_errors: counts how far the expected waits were from those that jobs had.
     """
 
-    __slots__ = ("has_workers", "_capacity_view", "_start_limit_ms", "_count")
+    __slots__ = ("has_workers", "wait_errors", "_capacity_view", "_start_limit_ms", "_count")
 
     def __init__(
         self,
@@ -43,6 +45,7 @@
         count: Callable[..., None],
     ) -> None:
         self.has_workers: Callable[[str], bool] = lambda service: False
+        self.wait_errors = WaitErrors(count)
         self._capacity_view = capacity_view
         self._start_limit_ms = start_limit_ms
         self._count = count
@@ -88,6 +91,8 @@
                 room_age_ms=self._capacity_view.report_age_ms(queue.service),
             )
             raise self.make_overload_refusal(f"{plan.wait_ms:.0f} ms to wait", plan.wait_ms)
+        report_age_ms = self._capacity_view.report_age_ms(queue.service)
+        self.wait_errors.record_admitted(job.job_id, plan.wait_ms, first.estimate_ms, report_age_ms)
         return run
 
     def make_overload_refusal(self, detail: str, retry_after_ms: float) -> Refusal:
--- a/camphorchute/queues/queue_owner.py
+++ b/camphorchute/queues/queue_owner.py
@@ -166,6 +166,7 @@
         run = self._jobs.get(message.job_id)
         if run is None:
             return
+        self.admission.wait_errors.record_results(message.job_id, message.results)
         did_change = [self._apply_result(run, peer, result) for result in message.results]
         run.capacity_returns += any(
             result.end is TaskResultKind.NO_ROOM for result in message.results
@@ -232,6 +233,7 @@
         if run.outcome is not None:
             return
         run.outcome = outcome
+        self.admission.wait_errors.forget(run.job.job_id)
         self._count(f"queues.ended.{outcome.name.lower()}")
         took_ms = (time.monotonic() - run.started_s) * MS_PER_S
         self._count(f"queues.job_ms.under_{1 << max(0, int(took_ms)).bit_length()}")
