Spread the time after which refused callers return, from the wait they were refused for

Callers refused at the same time got the same `retry_after_ms` and the same header, mostly 1 s, and so came back in the same second. A job that was admitted and not started in time got a constant, and the body stated fractions of a millisecond.

Cause: `make_overload_refusal` used the larger of 1000 ms and the wait, without a spread; other refusals used constants.

`spread_retry_after_ms` returns a random whole time in a range that begins at the expected wait, at least 500 ms, and is as long as it, at least 1.5 s. It is used for the refusals of queues, of durable jobs, of a process that is not ready, and for those without a time. The refusal of a job that did not start in time uses the wait expected at that moment. The header stays the time of the body in whole seconds, rounded up.

The effect on served jobs has not been measured.

--- a/camphorchute/durable_jobs/shard_owner.py
+++ b/camphorchute/durable_jobs/shard_owner.py
@@ -18,6 +18,7 @@
 from camphorchute.links import LinkLost, handles
 from camphorchute.loops import spawn_loop
 from camphorchute.queues import FreeCapacityView
+from camphorchute.retry_after import spread_retry_after_ms
 from camphorchute.runs import shard_of
 
 __all__ = ["ShardOwner"]
@@ -27,7 +28,6 @@
 QUEUED_COUNTS_INTERVAL_MS = 1000.0
 FORGET_COMPLETIONS_AFTER_MS = 5000.0
 MAX_WAIT_PER_TARGET_TIME = 3.0
-RETRY_AFTER_MIN_MS = 1000.0
 CANCEL_TIMEOUT_MS = 2500.0
 CANCEL_RETRY_MS = 100.0
 RECORD_MAX_BYTES = 256 * 1024
@@ -117,7 +117,7 @@
             raise Refusal(ResultCode.OWNER_UNREACHABLE, f"job {job.job_id}: {error}") from error
         except StoreUnavailable as error:
             self._context.count("keeping.refused.not_stored")
-            raise Refusal(ResultCode.NOT_STORED, str(error), RETRY_AFTER_MIN_MS) from error
+            raise Refusal(ResultCode.NOT_STORED, str(error), spread_retry_after_ms()) from error
 
     def job_state(self, job_id: str) -> str:
         """Return the state of a job, empty if there is no such job.
@@ -199,14 +199,14 @@
         """Return the refusal of a job that cannot finish in time, None if it may."""
         service = queue.service
         if not all(self._capacity_view.can_ever_run(service, step.demand) for step in job.steps):
-            return Refusal(ResultCode.NO_WORKER, f"service {service}", RETRY_AFTER_MIN_MS)
+            return Refusal(ResultCode.NO_WORKER, f"service {service}", spread_retry_after_ms())
         first_step = job.steps[0]
         plan = self._capacity_view.plan(service, first_step, first_step.tasks, queue.limits)
         target_time_ms = queue.limits.target_time_ms(job.longest_chain_ms())
         if plan.wait_ms <= MAX_WAIT_PER_TARGET_TIME * target_time_ms:
             return None
         detail = f"{plan.wait_ms:.0f} ms to wait"
-        return Refusal(ResultCode.OVERLOADED, detail, max(RETRY_AFTER_MIN_MS, plan.wait_ms))
+        return Refusal(ResultCode.OVERLOADED, detail, spread_retry_after_ms(plan.wait_ms))
 
     def _refuse_unless_stored(self, key: str, refusal: Refusal) -> None:
         """Raise the refusal of a job unless an earlier request has stored the job."""
@@ -240,7 +240,7 @@
 
     def _store_unavailable_refusal(self, error: Exception) -> Refusal:
         self._context.count("keeping.refused.store_unavailable")
-        return Refusal(ResultCode.STORE_UNAVAILABLE, str(error), RETRY_AFTER_MIN_MS)
+        return Refusal(ResultCode.STORE_UNAVAILABLE, str(error), spread_retry_after_ms())
 
     def _publish_queued_counts(self) -> None:
         """Write the number of queued jobs to the store whenever it has changed."""
--- a/camphorchute/entry/hosted_process.py
+++ b/camphorchute/entry/hosted_process.py
@@ -32,6 +32,7 @@
 from camphorchute.policies import POLICY_REGISTRIES, DecisionPolicies
 from camphorchute.policies.readiness import ServingState
 from camphorchute.queues import FreeCapacityReports, FreeCapacityView, QueueOwner
+from camphorchute.retry_after import spread_retry_after_ms
 from camphorchute.runs import GroupScheduler
 
 __all__ = ["HostedProcess", "run"]
@@ -39,7 +40,6 @@
 MS_PER_S = 1000.0
 WORKER_CHANGES_BATCH_MS = 400.0
 ACCEPT_DRAIN_FRACTION = 0.45
-NOT_READY_RETRY_MS = 500
 READY_BODY_BYTES = 1024
 COUNTERS_LOG_INTERVAL_S = 60.0
 JOB_WRITES_FRACTION = 0.5
@@ -254,7 +254,9 @@
 
     def _refuse_not_serving(self) -> None:
         if self._view.queues is None:
-            raise Refusal(ResultCode.NOT_READY, "no configuration is known yet", NOT_READY_RETRY_MS)
+            raise Refusal(
+                ResultCode.NOT_READY, "no configuration is known yet", spread_retry_after_ms()
+            )
 
 
 def run(settings: object) -> None:
--- a/camphorchute/entry/problem.py
+++ b/camphorchute/entry/problem.py
@@ -1,11 +1,11 @@
 """HTTP responses: JSON bodies, and problem details with a result code."""
 
 import math
-import random
 
 import msgspec
 
 from camphorchute.contracts import JobAnswer, Refusal, ResultCode, code_info
+from camphorchute.retry_after import spread_retry_after_ms
 
 __all__ = ["Response", "answer_response", "json_response", "problem_response"]
 
@@ -29,7 +29,6 @@
     503: "Service Unavailable",
     504: "Gateway Timeout",
 }
-RETRY_AFTER_DEFAULT_MS = 500
 
 
 class Response:
@@ -99,7 +98,7 @@
     info = code_info(refusal.code)
     retry_after_ms = refusal.retry_after_ms
     if info.retry and not retry_after_ms:
-        retry_after_ms = round(RETRY_AFTER_DEFAULT_MS * random.uniform(1, 2))
+        retry_after_ms = spread_retry_after_ms()
     problem = Problem(
         f"/codes#{int(refusal.code)}",
         refusal.code.name.lower(),
--- a/camphorchute/entry/queue_endpoints.py
+++ b/camphorchute/entry/queue_endpoints.py
@@ -10,6 +10,7 @@
 from camphorchute.entry.problem import JSON_TYPE, Response, json_response
 from camphorchute.hosting import HostingPlatform, Queue, UnsupportedFeature
 from camphorchute.queues import JobOutcome, QueueOwner
+from camphorchute.retry_after import spread_retry_after_ms
 
 __all__ = ["QueueEndpoints", "ReadinessEndpoints"]
 
@@ -106,7 +107,9 @@
 
     def _find_queue(self, request: Request) -> Queue:
         if self._view.queues is None:
-            raise Refusal(ResultCode.NOT_READY, "no configuration is known yet", 500)
+            raise Refusal(
+                ResultCode.NOT_READY, "no configuration is known yet", spread_retry_after_ms()
+            )
         host = request.header("Host").partition(":")[0]
         queue = self._view.queues.find_queue(host, request.path)
         if queue is None:
--- a/camphorchute/queues/job_admission.py
+++ b/camphorchute/queues/job_admission.py
@@ -13,11 +13,11 @@
 from camphorchute.queues.free_capacity_view import FreeCapacityView
 from camphorchute.queues.job_run import JobRun
 from camphorchute.queues.wait_errors import WaitErrors
+from camphorchute.retry_after import spread_retry_after_ms
 
 __all__ = ["JobAdmission", "finish_by_s"]
 
 ANSWER_MARGIN_MS = 60.0
-REFUSAL_RETRY_AFTER_MS = 1000.0
 GROUP_HANDOVER_MS = 60.0
 NO_SCHEDULER_WAIT_MAX_MS = 1000.0
 MS_PER_S = 1000.0
@@ -73,9 +73,9 @@
         if not self._can_ever_run(job, queue.service):
             self._count("queues.refused.no_worker")
             log_decision("queues", "refused, no worker", job=job.job_id, service=queue.service)
-            raise Refusal(ResultCode.NO_WORKER, f"service {queue.service}", REFUSAL_RETRY_AFTER_MS)
+            raise Refusal(ResultCode.NO_WORKER, f"service {queue.service}", spread_retry_after_ms())
         if caller_gone.is_set():
-            raise self.make_overload_refusal("caller has gone", REFUSAL_RETRY_AFTER_MS)
+            raise self.make_overload_refusal("caller has gone", 0.0)
         first = job.steps[0]
         plan = self._capacity_view.plan(queue.service, first, first.tasks, run.step_limits)
         if not is_admitted(plan.wait_ms, start_limit_ms):
@@ -95,10 +95,25 @@
         self.wait_errors.record_admitted(job.job_id, plan.wait_ms, first.estimate_ms, report_age_ms)
         return run
 
-    def make_overload_refusal(self, detail: str, retry_after_ms: float) -> Refusal:
-        """Return the refusal of a job for which there is no capacity in time."""
+    def make_overload_refusal(self, detail: str, wait_ms: float) -> Refusal:
+        """Return the refusal of a job for which there is no capacity in time.
+
+        Args:
+            detail: what exactly was missing.
+            wait_ms: how long the job is expected to wait for capacity, in milliseconds.
+        """
         self._count("queues.refused.overloaded")
-        return Refusal(ResultCode.OVERLOADED, detail, max(REFUSAL_RETRY_AFTER_MS, retry_after_ms))
+        return Refusal(ResultCode.OVERLOADED, detail, spread_retry_after_ms(wait_ms))
+
+    def make_late_start_refusal(self, run: JobRun) -> Refusal:
+        """Return the refusal of an admitted job of which no task was started in time.
+
+        Args:
+            run: the job.
+        """
+        first = run.job.steps[0]
+        plan = self._capacity_view.plan(run.queue.service, first, first.tasks, run.step_limits)
+        return self.make_overload_refusal("no room in time", plan.wait_ms)
 
     def _wait_for_group(self, job: BatchJob, service: str, start_limit_ms: float) -> None:
         """Wait until a group can run a job, while one may be between two schedulers.
--- a/camphorchute/queues/queue_owner.py
+++ b/camphorchute/queues/queue_owner.py
@@ -21,11 +21,7 @@
     start_while_useful,
 )
 from camphorchute.queues.free_capacity_view import FreeCapacityView
-from camphorchute.queues.job_admission import (
-    REFUSAL_RETRY_AFTER_MS,
-    JobAdmission,
-    finish_by_s,
-)
+from camphorchute.queues.job_admission import JobAdmission, finish_by_s
 from camphorchute.queues.job_run import JobOutcome, JobRun, TaskProgress, TaskState
 from camphorchute.queues.task_dispatcher import TaskDispatcher
 
@@ -121,7 +117,7 @@
             self._count("queues.caller_left")
             self.end_job(run, JobOutcome.LOST)
         if run.outcome is JobOutcome.NOT_RUN:
-            raise self.admission.make_overload_refusal("no room in time", REFUSAL_RETRY_AFTER_MS)
+            raise self.admission.make_late_start_refusal(run)
         return run.outcome or JobOutcome.LOST
 
     def adopt_job(self, run: JobRun) -> None:
