--- a/camphorchute/queues/queue_owner.py
+++ b/camphorchute/queues/queue_owner.py
@@ -21,11 +21,7 @@
     start_while_useful,
 )
 from camphorchute.queues.free_capacity_view import FreeCapacityView
-from camphorchute.queues.job_admission import (
-    REFUSAL_RETRY_AFTER_MS,
-    JobAdmission,
-    finish_by_s,
-)
+from camphorchute.queues.job_admission import JobAdmission, finish_by_s
 from camphorchute.queues.job_run import JobOutcome, JobRun, TaskProgress, TaskState
 from camphorchute.queues.task_dispatcher import TaskDispatcher
 
@@ -132,7 +128,7 @@
             self._count("queues.caller_left")
             self.end_job(run, JobOutcome.LOST)
         if run.outcome is JobOutcome.NOT_RUN:
-            raise self.admission.make_overload_refusal("no room in time", REFUSAL_RETRY_AFTER_MS)
+            raise self.admission.make_late_start_refusal(run)
         return run.outcome or JobOutcome.LOST
 
     def adopt_job(self, run: JobRun) -> None:
@@ -177,6 +173,7 @@
         run = self._jobs.get(message.job_id)
         if run is None:
             return
+        self.admission.wait_errors.record_results(message.job_id, message.results)
         did_change = [self._apply_result(run, peer, result) for result in message.results]
         run.capacity_returns += any(
             result.end is TaskResultKind.NO_ROOM for result in message.results
@@ -250,6 +247,7 @@
         if run.outcome is not None:
             return
         run.outcome = outcome
+        self.admission.wait_errors.forget(run.job.job_id)
         self._count(f"queues.ended.{outcome.name.lower()}")
         took_ms = (time.monotonic() - run.started_s) * MS_PER_S
         self._count(f"queues.job_ms.under_{1 << max(0, int(took_ms)).bit_length()}")
