--- a/bench/run_faults/loop_thread.py
+++ b/bench/run_faults/loop_thread.py
@@ -1,5 +1,6 @@
 """A native thread with an event loop of its own, which can be blocked without the others."""
 
+from collections import deque
 from collections.abc import Callable
 
 import gevent
@@ -9,7 +10,6 @@
 __all__ = ["LoopThread"]
 
 CHECK_INTERVAL_S = 0.001
-STOP_CHECK_INTERVAL_S = 0.02
 MS_PER_S = 1000.0
 
 _block = monkey.get_original("time", "sleep")
@@ -26,19 +26,17 @@
         >>> thread.close()
     """
 
-    __slots__ = ("_pool", "_loop", "_is_stopped", "_main")
+    __slots__ = ("_pool", "_inbox", "_is_stopped", "_main")
 
     def __init__(self) -> None:
         self._pool = ThreadPool(1)
-        self._loop = None
+        self._inbox: deque[tuple] = deque()
         self._is_stopped = False
         self._main = None
 
     def start(self) -> None:
-        """Start the thread and wait for its event loop."""
+        """Start the thread."""
         self._main = self._pool.spawn(self._run)
-        while self._loop is None:
-            gevent.sleep(CHECK_INTERVAL_S)
 
     def close(self) -> None:
         """Stop the event loop with all its greenlets, and wait until the thread has ended."""
@@ -52,7 +50,7 @@
         After :meth:`close` nothing happens.
         """
         if not self._is_stopped:
-            self._loop.run_callback_threadsafe(gevent.spawn, function, *arguments)
+            self._inbox.append((function, *arguments))
 
     def ask(self, function: Callable, *arguments: object) -> object:
         """Run a function in the thread and return its result.
@@ -74,9 +72,10 @@
         self.call(_block, duration_ms / MS_PER_S)
 
     def _run(self) -> None:
-        self._loop = gevent.get_hub().loop
         while not self._is_stopped:
-            gevent.sleep(STOP_CHECK_INTERVAL_S)
+            while self._inbox:
+                gevent.spawn(*self._inbox.popleft())
+            gevent.sleep(CHECK_INTERVAL_S)
 
     @staticmethod
     def _record_result(results: list, function: Callable, arguments: tuple) -> None:
