Draw the jobs of a load pattern before it is played

Policies were compared on different loads: jobs were drawn from the same random numbers as the jitter of ejections.

Jobs are drawn when a pattern is set up, and zones are placed in a fixed order.

--- a/bench/patterns/model.py
+++ b/bench/patterns/model.py
@@ -4,8 +4,9 @@
 import random
 from collections.abc import Callable
 
+from bench.patterns.job import JobKind, ModelJob
 from bench.patterns.outcome import PatternOutcome
-from camphorchute.contracts.batch_job import BatchStep, QueueLimits
+from camphorchute.contracts.batch_job import BatchStep
 from camphorchute.contracts.resources import Resources
 from camphorchute.contracts.run_messages import GroupFreeCapacity, StartTasks, TaskToStart
 from camphorchute.policies import DecisionPolicies, FailureTracker, WorkerSpeed
@@ -14,10 +15,9 @@
 from camphorchute.policies.worker_choice import WorkerCandidate
 from camphorchute.queues.group_wait import GroupWait
 from camphorchute.runs.backlog import Backlog
-from camphorchute.runs.job_tasks import JobTasks
 from camphorchute.runs.run import PendingTask
 
-__all__ = ["JobKind", "Model", "ModelWorker"]
+__all__ = ["Model", "ModelWorker"]
 
 SWEEP_INTERVAL_S = 0.02
 STOP_S = 0.06
@@ -27,25 +27,6 @@
 MS_PER_S = 1000.0
 
 
-class JobKind:
-    """A kind of job.
-
-    Attributes:
-        name: name of its queue.
-        width: mean number of tasks.
-        work_ms: mean run time of a task at speed 1.0.
-        limits: limits of its queue.
-    """
-
-    __slots__ = ("name", "width", "work_ms", "limits")
-
-    def __init__(self, name: str, width: int, work_ms: float, priority: int) -> None:
-        self.name = name
-        self.width = width
-        self.work_ms = work_ms
-        self.limits = QueueLimits(priority, 3, 1.6, 60.0)
-
-
 class ModelWorker:
     """A worker of the model.
 
@@ -80,24 +61,6 @@
         return not self.failures.ejected or is_probe
 
 
-class _Job:
-    """A job under way: its kind, the time it really needs, and its open tasks."""
-
-    __slots__ = ("kind", "zone", "submitted_s", "work_ms", "estimate_ms", "open", "tasks", "over")
-
-    def __init__(
-        self, kind: JobKind, zone: str, now_s: float, work_ms: float, estimate_ms: float
-    ) -> None:
-        self.kind = kind
-        self.zone = zone
-        self.submitted_s = now_s
-        self.work_ms = work_ms
-        self.estimate_ms = estimate_ms
-        self.open = 0
-        self.tasks = JobTasks()
-        self.over = False
-
-
 class Model:
     """Worker groups, one in each zone, and the jobs that are submitted to them.
 
@@ -141,7 +104,7 @@
         self._backlogs = {zone: Backlog(policies.task_order) for zone in zones}
         self._events: list[tuple[float, int, Callable[[], None]]] = []
         self._counter = 0
-        self._jobs: dict[PendingTask, _Job] = {}
+        self._jobs: dict[PendingTask, ModelJob] = {}
         self._spreads: dict[str, RunTimeSpread] = {}
 
     def at(self, time_s: float, action: Callable[[], None]) -> None:
@@ -152,10 +115,14 @@
     def submit_at_rate(
         self, kind: JobKind, jobs_per_s: float, from_s: float, until_s: float
     ) -> None:
-        """Submit jobs of a kind with exponential pauses, evenly in all zones."""
+        """Submit jobs of a kind with exponential pauses, evenly in all zones.
+
+        All jobs are drawn here, so that every policy gets the same ones.
+        """
         time_s = from_s
         while (time_s := time_s + self.random.expovariate(jobs_per_s)) < until_s:
-            self.at(time_s, lambda kind=kind: self._submit(kind))
+            job = self._draw_job(kind, time_s)
+            self.at(time_s, lambda job=job: self._admit(job))
 
     def lose_runs_across_the_cut(self) -> None:
         """Give up the jobs with tasks on the other side of a partition."""
@@ -172,14 +139,14 @@
             action()
         return self.outcome
 
-    def _submit(self, kind: JobKind) -> None:
+    def _draw_job(self, kind: JobKind, submitted_s: float) -> ModelJob:
         work_ms = self.random.lognormvariate(0.0, 0.3) * kind.work_ms
         estimate_ms = work_ms * self.random.lognormvariate(0.0, self._estimate_error)
         zone = self.random.choice(self.zones)
-        job = _Job(kind, zone, self.now_s, work_ms, estimate_ms)
-        self._admit(job, max(1, round(self.random.gauss(kind.width, kind.width * 0.3))))
+        width = max(1, round(self.random.gauss(kind.width, kind.width * 0.3)))
+        return ModelJob(kind, zone, submitted_s, work_ms, estimate_ms, width)
 
-    def _admit(self, job: _Job, width: int) -> None:
+    def _admit(self, job: ModelJob) -> None:
         limits = job.kind.limits
         target_ms = limits.target_time_ms(job.estimate_ms)
         deadline_ms = DEADLINE_FACTOR * target_ms + DEADLINE_ADDED_MS
@@ -189,16 +156,16 @@
             if waited_ms >= limit_ms:
                 self.outcome.refused += 1
             else:
-                self.at(self.now_s + SWEEP_INTERVAL_S, lambda: self._admit(job, width))
+                self.at(self.now_s + SWEEP_INTERVAL_S, lambda: self._admit(job))
             return
-        zones, wait_ms = self._plan(job, width)
+        zones, wait_ms = self._plan(job)
         if not is_admitted(waited_ms + wait_ms, limit_ms):
             self.outcome.refused += 1
             return
-        job.open = width
+        job.open = job.width
         for index, zone in enumerate(zones):
             self._dispatch(job, index, zone, limit_ms, deadline_ms)
-        for zone in set(zones):
+        for zone in dict.fromkeys(zones):
             self._place(zone)
 
     def _reachable(self, zone: str) -> list[str]:
@@ -208,7 +175,7 @@
             other for other in self.zones if (other == self.cut_zone) == (zone == self.cut_zone)
         ]
 
-    def _plan(self, job: _Job, width: int) -> tuple[list[str], float]:
+    def _plan(self, job: ModelJob) -> tuple[list[str], float]:
         """Return a zone for each task, and the expected wait of the last one."""
         reachable = self._reachable(job.zone)
         ranked = sorted(
@@ -219,14 +186,14 @@
                 for _ in range(worker.slots - len(worker.runs))
             )
         )
-        zones = [self.workers[row[-1]].zone for row in ranked[:width]]
-        step = BatchStep(width, Resources(CORES_PER_TASK * 1000), job.estimate_ms)
+        zones = [self.workers[row[-1]].zone for row in ranked[: job.width]]
+        step = BatchStep(job.width, Resources(CORES_PER_TASK * 1000), job.estimate_ms)
         waits = {
             zone: GroupWait(self._report(zone), step, job.kind.limits, zone == job.zone)
             for zone in reachable
         }
         wait_ms = 0.0
-        for _ in range(width - len(zones)):
+        for _ in range(job.width - len(zones)):
             zone = min(waits, key=lambda name: waits[name].cost_ms())
             waits[zone].add_task()
             zones.append(zone)
@@ -247,12 +214,12 @@
             backlog.late_wait_ms(self.now_s, slots * CORES_PER_TASK),
         )
 
-    def _rank(self, worker: ModelWorker, job: _Job, is_own_zone: bool) -> tuple:
+    def _rank(self, worker: ModelWorker, job: ModelJob, is_own_zone: bool) -> tuple:
         candidate = WorkerCandidate(worker.learned.value, is_own_zone)
         return self.policies.worker_choice(candidate, job.estimate_ms, job.kind.limits)
 
     def _dispatch(
-        self, job: _Job, index: int, zone: str, limit_ms: float, deadline_ms: float
+        self, job: ModelJob, index: int, zone: str, limit_ms: float, deadline_ms: float
     ) -> None:
         waited_ms = (self.now_s - job.submitted_s) * MS_PER_S
         limits = job.kind.limits
@@ -294,7 +261,7 @@
             worker = min(free, key=lambda worker, job=job: self._rank(worker, job, True))
             self._start(worker, task, job)
 
-    def _start(self, worker: ModelWorker, task: PendingTask, job: _Job) -> None:
+    def _start(self, worker: ModelWorker, task: PendingTask, job: ModelJob) -> None:
         started_s = self.now_s
         job.tasks.has_started = True
         worker.runs[task] = started_s
@@ -329,13 +296,13 @@
                 self.outcome.record_done(took_ms, job.work_ms, target_ms)
         self._place(worker.zone)
 
-    def _release(self, worker: ModelWorker, task: PendingTask) -> _Job:
+    def _release(self, worker: ModelWorker, task: PendingTask) -> ModelJob:
         """End a run of a task on a worker, and return the task's job."""
         started_s = worker.runs.pop(task)
         self.outcome.core_s += CORES_PER_TASK * (self.now_s - started_s)
         return self._jobs[task]
 
-    def _requeue(self, task: PendingTask, job: _Job) -> None:
+    def _requeue(self, task: PendingTask, job: ModelJob) -> None:
         task.start_by_s = task.finish_by_s
         if not job.over:
             self._backlogs[task.message.group].add(task)
@@ -355,10 +322,10 @@
         elif not ok and (tracker.ejected or self.policies.ejection(tracker, others, is_overdue)):
             tracker.eject(self.now_s * MS_PER_S)
 
-    def _spread(self, job: _Job) -> RunTimeSpread:
+    def _spread(self, job: ModelJob) -> RunTimeSpread:
         return self._spreads.setdefault(job.kind.name, RunTimeSpread())
 
-    def _give_up(self, job: _Job) -> None:
+    def _give_up(self, job: ModelJob) -> None:
         """End a job that cannot be done in time."""
         if not job.over:
             job.over = True
--- a/bench/patterns/pattern.py
+++ b/bench/patterns/pattern.py
@@ -2,7 +2,8 @@
 
 from collections.abc import Callable
 
-from bench.patterns.model import JobKind, Model
+from bench.patterns.job import JobKind
+from bench.patterns.model import Model
 from bench.patterns.outcome import PatternOutcome
 from camphorchute.policies import DecisionPolicies
 
