Eject a worker once for runs that were stopped together, and judge probes by the usual speed

Callers: two overdue runs that were stopped together on one worker doubled its backoff before any probe, so a worker that hung for a moment was out of use for two seconds and more. A probe of a worker that hangs held its job for several times as long as the first overdue run, as stopped runs had lowered the speed.

Change: only a failed run that was started after the ejection doubles the backoff. A run of an ejected worker is overdue by the time that its task takes elsewhere.

Two of the new tests failed before; test_failed_probe_doubles_the_backoff holds the rule that stays.

--- a/bench/patterns/model.py
+++ b/bench/patterns/model.py
@@ -11,7 +11,7 @@
 from camphorchute.contracts.run_messages import GroupFreeCapacity, StartTasks, TaskToStart
 from camphorchute.policies import DecisionPolicies, FailureTracker, WorkerSpeed
 from camphorchute.policies.admission import JobTimes, is_admitted
-from camphorchute.policies.overdue import RunAge, RunTimeSpread
+from camphorchute.policies.overdue import RunAge, RunTimeSpread, expected_run_ms
 from camphorchute.policies.worker_choice import WorkerCandidate
 from camphorchute.queues.group_wait import GroupWait
 from camphorchute.runs.backlog import Backlog
@@ -277,14 +277,14 @@
             return
         job = self._release(worker, task)
         elapsed_ms = (self.now_s - started_s) * MS_PER_S
-        self._record_outcome(worker, task, ok)
+        self._record_outcome(worker, task, started_s, ok)
         if not ok:
             task.failures += 1
             if task.failures >= job.kind.limits.max_attempts:
                 self._give_up(job)
             self._requeue(task, job)
         else:
-            ratio = elapsed_ms / max(1.0, job.estimate_ms / worker.learned.value)
+            ratio = elapsed_ms / expected_run_ms(job.estimate_ms, worker.learned.value)
             self._spread(job).record_ratio(ratio)
             job.tasks.record_ratio(ratio)
             worker.learned.record_run(job.estimate_ms, elapsed_ms)
@@ -308,7 +308,12 @@
             self._backlogs[task.message.group].add(task)
 
     def _record_outcome(
-        self, worker: ModelWorker, task: PendingTask, ok: bool, is_overdue: bool = False
+        self,
+        worker: ModelWorker,
+        task: PendingTask,
+        started_s: float,
+        ok: bool,
+        is_overdue: bool = False,
     ) -> None:
         tracker = worker.failures
         tracker.record_outcome(ok, task.message.job_id)
@@ -319,7 +324,11 @@
         ]
         if tracker.ejected and ok:
             tracker.restore()
-        elif not ok and (tracker.ejected or self.policies.ejection(tracker, others, is_overdue)):
+        elif not ok and (
+            tracker.is_probe(started_s * MS_PER_S)
+            or not tracker.ejected
+            and self.policies.ejection(tracker, others, is_overdue)
+        ):
             tracker.eject(self.now_s * MS_PER_S)
 
     def _spread(self, job: ModelJob) -> RunTimeSpread:
@@ -354,7 +363,7 @@
             return
         age = RunAge(
             (self.now_s - started_s) * MS_PER_S,
-            max(1.0, job.estimate_ms / worker.learned.value),
+            expected_run_ms(job.estimate_ms, worker.learned.value, worker.failures.ejected),
             self._spread(job),
             job.tasks.run_time_ratio(default=0.0),
             task.overdue_stops,
@@ -363,5 +372,5 @@
             task.overdue_stops += 1
             self._release(worker, task)
             worker.learned.record_run(job.estimate_ms, age.elapsed_ms)
-            self._record_outcome(worker, task, False, is_overdue=True)
+            self._record_outcome(worker, task, started_s, False, is_overdue=True)
             self.at(self.now_s + STOP_S, lambda: self._requeue(task, job))
--- a/camphorchute/policies/failures.py
+++ b/camphorchute/policies/failures.py
@@ -24,6 +24,7 @@
 
     Attributes:
         ejected: whether the worker is ejected.
+        ejected_at_ms: monotonic time of its last ejection.
         probe_at_ms: monotonic time from which an ejected worker may be probed.
 
     Examples:
@@ -36,6 +37,7 @@
 
     __slots__ = (
         "ejected",
+        "ejected_at_ms",
         "probe_at_ms",
         "_outcomes",
         "_backoff_level",
@@ -45,6 +47,7 @@
 
     def __init__(self, rng: random.Random) -> None:
         self.ejected = False
+        self.ejected_at_ms = 0.0
         self.probe_at_ms = 0.0
         self._outcomes: deque[tuple[bool, str]] = deque(maxlen=WINDOW_OUTCOMES)
         self._backoff_level = 0
@@ -81,9 +84,24 @@
         """Give the worker no work for a backoff with jitter, doubled with each ejection."""
         backoff_ms = min(BACKOFF_MAX_MS, BACKOFF_FIRST_MS * 2**self._backoff_level)
         self.ejected = True
+        self.ejected_at_ms = now_ms
         self.probe_at_ms = now_ms + backoff_ms * self._random.uniform(0.75, 1.25)
         self._backoff_level += 1
 
+    def is_probe(self, started_ms: float) -> bool:
+        """Return whether an attempt is a probe: it was started after the worker was ejected.
+
+        Args:
+            started_ms: monotonic time of the start of the attempt.
+
+        Examples:
+            >>> tracker = FailureTracker(random.Random(1))
+            >>> tracker.eject(500.0)
+            >>> tracker.is_probe(499.0), tracker.is_probe(1500.0)
+            (False, True)
+        """
+        return self.ejected and started_ms > self.ejected_at_ms
+
     def restore(self) -> None:
         """Give the worker work again and clear its outcomes."""
         self.ejected = False
--- a/camphorchute/policies/overdue.py
+++ b/camphorchute/policies/overdue.py
@@ -4,7 +4,13 @@
 
 from camphorchute.policies.registry import PolicyRegistry
 
-__all__ = ["OVERDUE_POLICIES", "RunAge", "RunTimeSpread", "is_overdue_by_spread"]
+__all__ = [
+    "OVERDUE_POLICIES",
+    "RunAge",
+    "RunTimeSpread",
+    "expected_run_ms",
+    "is_overdue_by_spread",
+]
 
 AVERAGING_WEIGHT = 0.05
 PRIOR_RATIO, PRIOR_DEVIATION = 1.0, 0.35
@@ -79,6 +85,24 @@
         self.restarts = restarts
 
 
+def expected_run_ms(estimate_ms: float, speed: float, is_suspected: bool = False) -> float:
+    """Return the expected run time on a worker, at least 1 ms.
+
+    The learned speed of a suspected worker follows from runs that were stopped, and a worker that
+    makes no progress has none; it is judged by the time that the task takes elsewhere.
+
+    Args:
+        estimate_ms: expected run time at speed 1.0.
+        speed: learned speed of the worker.
+        is_suspected: whether the worker is ejected, so that the run is a probe.
+
+    Examples:
+        >>> expected_run_ms(100.0, 0.2), expected_run_ms(100.0, 0.2, is_suspected=True)
+        (500.0, 100.0)
+    """
+    return max(1.0, estimate_ms / (max(1.0, speed) if is_suspected else speed))
+
+
 OverduePolicy = Callable[[RunAge], bool]
 OVERDUE_POLICIES: PolicyRegistry[OverduePolicy] = PolicyRegistry("overdue run")
 
--- a/camphorchute/runs/run_supervisor.py
+++ b/camphorchute/runs/run_supervisor.py
@@ -7,7 +7,7 @@
 from camphorchute.hosting import RunOutcome
 from camphorchute.policies import DecisionPolicies
 from camphorchute.policies.failures import FailureTracker
-from camphorchute.policies.overdue import RunAge, RunTimeSpread
+from camphorchute.policies.overdue import RunAge, RunTimeSpread, expected_run_ms
 from camphorchute.policies.retry_budget import RetryBudget
 from camphorchute.runs.leased_worker import LeasedWorker
 from camphorchute.runs.run import Run, RunState, job_of
@@ -55,10 +55,11 @@
         """
         if outcome is RunOutcome.DONE and not run.was_adopted:
             elapsed_ms = (time.monotonic() - run.start_sent_s) * MS_PER_S
-            ratio = elapsed_ms / _expected_ms(worker, run)
+            estimate_ms = run.task.message.estimate_ms
+            ratio = elapsed_ms / expected_run_ms(estimate_ms, worker.speed.value)
             self._spread_of(run).record_ratio(ratio)
             run.task.job_tasks.record_ratio(ratio)
-            worker.speed.record_run(run.task.message.estimate_ms, elapsed_ms)
+            worker.speed.record_run(estimate_ms, elapsed_ms)
             self._record_outcome(worker, run, True, workers)
         elif outcome is RunOutcome.FAILED:
             self._record_outcome(worker, run, False, workers)
@@ -130,7 +131,7 @@
             if ok:
                 tracker.restore()
                 self._log_ejection(worker, "worker is in use again")
-            else:
+            elif tracker.is_probe(run.start_sent_s * MS_PER_S):
                 tracker.eject(now_ms)
         elif not ok and self._policies.ejection(
             tracker, _other_trackers(worker, workers), is_overdue
@@ -157,8 +158,10 @@
 
 
 def _expected_ms(worker: LeasedWorker, run: Run) -> float:
-    """Return the expected run time on a worker of its learned speed, at least 1 ms."""
-    return max(1.0, run.task.message.estimate_ms / worker.speed.value)
+    """Return the run time beyond which a run can be overdue."""
+    return expected_run_ms(
+        run.task.message.estimate_ms, worker.speed.value, worker.failures.ejected
+    )
 
 
 def _other_trackers(worker: LeasedWorker, workers: Iterable[LeasedWorker]) -> list[FailureTracker]:
--- a/camphorchute/runs/tests/test_run_supervisor.py
+++ b/camphorchute/runs/tests/test_run_supervisor.py
@@ -1,6 +1,14 @@
+import random
+import time
+
 import gevent
 
 from camphorchute.contracts.run_messages import TaskResultKind
+from camphorchute.hosting import RunOutcome
+from camphorchute.policies import DecisionPolicies, FailureTracker, WorkerSpeed
+from camphorchute.runs.job_tasks import JobTasks
+from camphorchute.runs.run import PendingTask, Run, RunState
+from camphorchute.runs.run_supervisor import RunSupervisor
 from camphorchute.runs.tests.scheduler_site import (
     GROUP,
     OWNER,
@@ -9,6 +17,80 @@
 )
 
 
+class FakeEntry:
+    def __init__(self, worker_id):
+        self.worker_id = worker_id
+
+
+class FakeHealth:
+    is_responsive = True
+
+
+class FakeWorker:
+    """What a supervisor needs of a worker; a stopped run ends at once."""
+
+    def __init__(self, worker_id):
+        self.entry = FakeEntry(worker_id)
+        self.health = FakeHealth()
+        self.speed = WorkerSpeed()
+        self.failures = FailureTracker(random.Random(1))
+        self.runs = {}
+        self.stopped = []
+
+    def add_run(self, job_id, started_ago_ms, estimate_ms=100.0):
+        """Add an active run of a job of its own, started some time ago."""
+        now_s = time.monotonic()
+        message = start_message(estimate_ms=estimate_ms, finish_within_ms=60_000.0)
+        message.job_id = job_id
+        task = PendingTask("owner", message, message.tasks[0], now_s, 1)
+        task.job_tasks = JobTasks()
+        run = Run(task, 1, now_s - started_ago_ms / 1000)
+        run.state = RunState.RUNNING
+        self.runs[task.name] = run
+        return run
+
+    def stop_run(self, run):
+        run.stop_requested = True
+        self.stopped.append(run)
+
+
+def make_supervisor(starts=100):
+    supervisor = RunSupervisor(DecisionPolicies(), lambda name, n=1: None)
+    for _ in range(starts):
+        supervisor.record_start()
+    return supervisor
+
+
+def complete_run(supervisor, worker, workers, took_ms=100.0):
+    run = worker.add_run(f"job{random.random()}", took_ms)
+    del worker.runs[run.task.name]
+    supervisor.record_end(worker, run, RunOutcome.DONE, workers)
+
+
+def test_runs_that_are_stopped_together_eject_their_worker_once():
+    """Two overdue runs of one worker doubled its backoff before it was probed."""
+    supervisor = make_supervisor()
+    workers = [FakeWorker("w1"), FakeWorker("w2"), FakeWorker("w3")]
+    for number in range(3):
+        workers[0].add_run(f"hung{number}", started_ago_ms=2000.0)
+    for worker in workers[1:]:
+        complete_run(supervisor, worker, workers)
+    now_s = time.monotonic()
+    supervisor.stop_overdue_runs(workers, now_s)
+    assert len(workers[0].stopped) == 3
+    assert workers[0].failures.probe_at_ms - now_s * 1000 < 1300.0
+
+
+def test_failed_probe_doubles_the_backoff():
+    supervisor = make_supervisor()
+    workers = [FakeWorker("w1"), FakeWorker("w2"), FakeWorker("w3")]
+    workers[0].failures.eject(time.monotonic() * 1000 - 1500.0)
+    run = workers[0].add_run("probe", started_ago_ms=100.0)
+    now_s = time.monotonic()
+    supervisor.record_end(workers[0], run, RunOutcome.FAILED, workers)
+    assert workers[0].failures.probe_at_ms - now_s * 1000 > 1490.0
+
+
 def start_stalled_worker(site):
     """Return a scheduler with a budget for restarts, and a worker that makes no progress."""
     scheduler = site.add_scheduler(7)
@@ -54,3 +136,15 @@
         if not leased.failures.ejected:
             break
     assert not leased.failures.ejected
+
+
+def test_probe_is_overdue_by_the_time_that_its_task_takes_elsewhere():
+    """A worker that made no progress counted as slow, so that its probes held their jobs longer."""
+    supervisor = make_supervisor()
+    workers = [FakeWorker("w1"), FakeWorker("w2"), FakeWorker("w3")]
+    for _ in range(30):
+        workers[0].speed.record_run(estimate_ms=100.0, run_time_ms=1000.0)
+    workers[0].failures.eject(time.monotonic() * 1000 - 1500.0)
+    probe = workers[0].add_run("probe", started_ago_ms=1000.0)
+    supervisor.stop_overdue_runs(workers, time.monotonic())
+    assert workers[0].stopped == [probe]
