Stop an overdue run only if its worker is at fault and a restart is worth it

Cause: a run of twice the time of its job's other tasks counted against the worker, although the worker completed other runs meanwhile.

Change: a worker that has completed a run since has the widest limit, six times; no run is stopped before twice the time that its task takes at the usual speed.

The new test of the supervisor failed before.

--- a/bench/patterns/model.py
+++ b/bench/patterns/model.py
@@ -316,7 +316,7 @@
         is_overdue: bool = False,
     ) -> None:
         tracker = worker.failures
-        tracker.record_outcome(ok, task.message.job_id)
+        tracker.record_outcome(ok, task.message.job_id, self.now_s * MS_PER_S)
         others = [
             other.failures
             for other in self.workers
@@ -367,6 +367,8 @@
             self._spread(job),
             job.tasks.run_time_ratio(default=0.0),
             task.overdue_stops,
+            job.estimate_ms,
+            worker.failures.makes_progress(started_s * MS_PER_S),
         )
         if self.policies.overdue(age):
             task.overdue_stops += 1
--- a/camphorchute/policies/failures.py
+++ b/camphorchute/policies/failures.py
@@ -25,6 +25,7 @@
     Attributes:
         ejected: whether the worker is ejected.
         ejected_at_ms: monotonic time of its last ejection.
+        last_success_ms: monotonic time of the last success that was recorded with its time.
         probe_at_ms: monotonic time from which an ejected worker may be probed.
 
     Examples:
@@ -38,6 +39,7 @@
     __slots__ = (
         "ejected",
         "ejected_at_ms",
+        "last_success_ms",
         "probe_at_ms",
         "_outcomes",
         "_backoff_level",
@@ -48,6 +50,7 @@
     def __init__(self, rng: random.Random) -> None:
         self.ejected = False
         self.ejected_at_ms = 0.0
+        self.last_success_ms = 0.0
         self.probe_at_ms = 0.0
         self._outcomes: deque[tuple[bool, str]] = deque(maxlen=WINDOW_OUTCOMES)
         self._backoff_level = 0
@@ -73,9 +76,17 @@
             return False
         return len({job for ok, job in self._outcomes if not ok}) >= MIN_FAILED_JOBS
 
-    def record_outcome(self, ok: bool, job: str) -> None:
-        """Store the outcome of an attempt of a job."""
+    def record_outcome(self, ok: bool, job: str, now_ms: float = 0.0) -> None:
+        """Store the outcome of an attempt of a job.
+
+        Args:
+            ok: whether it was a success.
+            job: the job.
+            now_ms: monotonic time, 0 if :meth:`makes_progress` is not used.
+        """
         self._outcomes.append((ok, job))
+        if ok:
+            self.last_success_ms = now_ms
         self._successes_in_row = self._successes_in_row + 1 if ok else 0
         if self._successes_in_row >= RESET_AFTER_SUCCESSES:
             self._backoff_level = 0
@@ -102,6 +113,14 @@
         """
         return self.ejected and started_ms > self.ejected_at_ms
 
+    def makes_progress(self, since_ms: float) -> bool:
+        """Return whether the worker is in use and has completed an attempt since a time.
+
+        Args:
+            since_ms: monotonic time.
+        """
+        return not self.ejected and self.last_success_ms > since_ms
+
     def restore(self) -> None:
         """Give the worker work again and clear its outcomes."""
         self.ejected = False
--- a/camphorchute/policies/overdue.py
+++ b/camphorchute/policies/overdue.py
@@ -66,9 +66,19 @@
         sibling_ratio: mean ratio of measured to expected run time of the tasks of the same job
             that are done, 0 if none is.
         restarts: how often the task was stopped as overdue.
+        restart_ms: expected run time elsewhere, at speed 1.0.
+        makes_progress: whether its worker has completed another run since this one started.
     """
 
-    __slots__ = ("elapsed_ms", "expected_ms", "spread", "sibling_ratio", "restarts")
+    __slots__ = (
+        "elapsed_ms",
+        "expected_ms",
+        "spread",
+        "sibling_ratio",
+        "restarts",
+        "restart_ms",
+        "makes_progress",
+    )
 
     def __init__(
         self,
@@ -77,12 +87,16 @@
         spread: RunTimeSpread,
         sibling_ratio: float = 0.0,
         restarts: int = 0,
+        restart_ms: float = 0.0,
+        makes_progress: bool = False,
     ) -> None:
         self.elapsed_ms = elapsed_ms
         self.expected_ms = expected_ms
         self.spread = spread
         self.sibling_ratio = sibling_ratio
         self.restarts = restarts
+        self.restart_ms = restart_ms
+        self.makes_progress = makes_progress
 
 
 def expected_run_ms(estimate_ms: float, speed: float, is_suspected: bool = False) -> float:
@@ -111,7 +125,9 @@
 def is_overdue_by_spread(age: RunAge) -> bool:
     """Return whether a run takes longer than nearly all runs, given the other tasks of its job.
 
-    A task that was overdue before is not stopped again: its estimate is at fault, not a worker.
+    A task that was overdue before is not stopped again: its estimate is at fault, not a worker. A
+    worker that completes other runs does not hang, so its runs have the widest limit. And a run
+    is not stopped before it has taken twice as long as its task needs elsewhere.
 
     Examples:
         >>> spread = RunTimeSpread()
@@ -121,15 +137,25 @@
         True
         >>> is_overdue_by_spread(RunAge(200.0, 60.0, spread, sibling_ratio=1.1, restarts=1))
         False
+        >>> is_overdue_by_spread(RunAge(200.0, 60.0, spread, 1.1, makes_progress=True))
+        False
     """
     if age.restarts >= RESTARTS_MAX:
         return False
+    return age.elapsed_ms > _limit_ms(age) + DISPATCH_ALLOWANCE_MS
+
+
+def _limit_ms(age: RunAge) -> float:
+    """Return the run time beyond which a run is overdue."""
+    if age.makes_progress:
+        return FACTOR_MAX * max(age.expected_ms, age.restart_ms)
+    sibling_factor = SIBLING_FACTOR * max(1.0, age.sibling_ratio)
     if age.sibling_ratio > 0:
-        factor = SIBLING_FACTOR * max(1.0, age.sibling_ratio)
+        factor = sibling_factor
     else:
         factor = age.spread.mean + DEVIATIONS_ALLOWED * age.spread.deviation
         factor = min(FACTOR_MAX, max(FACTOR_MIN, factor))
-    return age.elapsed_ms > factor * age.expected_ms + DISPATCH_ALLOWANCE_MS
+    return max(factor * age.expected_ms, sibling_factor * age.restart_ms)
 
 
 @OVERDUE_POLICIES.register("never")
--- a/camphorchute/runs/run_supervisor.py
+++ b/camphorchute/runs/run_supervisor.py
@@ -93,6 +93,8 @@
                 self._spread_of(run),
                 run.task.job_tasks.run_time_ratio(default=0.0),
                 run.task.overdue_stops,
+                run.task.message.estimate_ms,
+                worker.failures.makes_progress(run.start_sent_s * MS_PER_S),
             )
         )
 
@@ -125,8 +127,8 @@
     ) -> None:
         """Record an outcome as evidence for or against a worker, and act on it."""
         tracker = worker.failures
-        tracker.record_outcome(ok, job_of(run.task.name))
         now_ms = time.monotonic() * MS_PER_S
+        tracker.record_outcome(ok, job_of(run.task.name), now_ms)
         if tracker.ejected:
             if ok:
                 tracker.restore()
@@ -158,7 +160,7 @@
 
 
 def _expected_ms(worker: LeasedWorker, run: Run) -> float:
-    """Return the run time beyond which a run can be overdue."""
+    """Return the expected time of an active run, by which it is judged."""
     return expected_run_ms(
         run.task.message.estimate_ms, worker.speed.value, worker.failures.ejected
     )
--- a/camphorchute/runs/tests/test_run_supervisor.py
+++ b/camphorchute/runs/tests/test_run_supervisor.py
@@ -148,3 +148,15 @@
     probe = workers[0].add_run("probe", started_ago_ms=1000.0)
     supervisor.stop_overdue_runs(workers, time.monotonic())
     assert workers[0].stopped == [probe]
+
+
+def test_run_on_a_worker_that_completes_others_is_not_stopped():
+    """On quiet days tasks with a wrong estimate were stopped on healthy workers."""
+    supervisor = make_supervisor()
+    workers = [FakeWorker("w1"), FakeWorker("w2")]
+    long_run = workers[0].add_run("long", started_ago_ms=500.0)
+    long_run.task.job_tasks.record_ratio(1.0)
+    complete_run(supervisor, workers[0], workers)
+    supervisor.stop_overdue_runs(workers, time.monotonic())
+    assert workers[0].stopped == []
+    assert not workers[0].failures.ejected
