--- a/camphorchute/runs/tests/test_run_supervisor.py
+++ b/camphorchute/runs/tests/test_run_supervisor.py
@@ -44,7 +44,7 @@
         message.job_id = job_id
         task = PendingTask("owner", message, message.tasks[0], now_s, 1)
         task.job_tasks = JobTasks()
-        run = Run(task, 1, now_s - started_ago_ms / 1000)
+        run = Run(task, self, 1, now_s - started_ago_ms / 1000)
         run.state = RunState.RUNNING
         self.runs[task.name] = run
         return run
