Let no start, question or dispatch outlive what it was for

Lost time and calls: a question about an earlier run outlived its task and made polls without a pause; a worker's next incarnation was asked only after the leases of the earlier one; its orphans and free capacity stayed in use; an unresolved run's task was returned as one that had not started in time; a start acknowledged after its run was listed as done was stopped. Change: a start is sent only for a run that its worker holds; a dispatch updates a pending task as a whole; a question is dropped with its task; a worker that was replaced leaves its runs to be listed or barred by its next incarnation at once. A reading of a worker's clock is extrapolated with its drift.

--- a/camphorchute/runs/earlier_run.py
+++ b/camphorchute/runs/earlier_run.py
@@ -29,6 +29,7 @@
         barred_s: monotonic time in seconds at which a stop command for it was acknowledged, 0
             before.
         is_ruled_out: whether the run is not active and can no longer start.
+        is_forgotten: whether its task started here or was returned, so that it matters no more.
 
     Examples:
         >>> run = EarlierRun("5c0e7a21d94b36f8.0.0.1", 2, worker=None)
@@ -47,6 +48,7 @@
         "is_being_barred",
         "barred_s",
         "is_ruled_out",
+        "is_forgotten",
     )
 
     def __init__(self, task: str, number: int, worker: object) -> None:
@@ -57,6 +59,7 @@
         self.is_being_barred = False
         self.barred_s = 0.0
         self.is_ruled_out = False
+        self.is_forgotten = False
 
     def is_ruled_out_by(self, listed_tasks: Container[str], sent_s: float) -> bool:
         """Return whether a list of runs rules the run out.
@@ -106,7 +109,9 @@
         self._runs.append(run)
 
     def forget(self, task: str) -> None:
-        """Ask no more about the runs of a task, since one of them was adopted."""
+        """Ask no more about the runs of a task, which started here or was returned."""
+        for run in self._runs:
+            run.is_forgotten |= run.task == task
         self._runs = [run for run in self._runs if run.task != task]
 
     def apply_list(self, listed_tasks: Container[str], sent_s: float) -> None:
--- a/camphorchute/runs/group_membership.py
+++ b/camphorchute/runs/group_membership.py
@@ -67,8 +67,11 @@
             if entry is None and worker_id in self._group_by_worker:
                 self._release_worker(group, worker)
                 continue
+            if entry is not None:
+                self._replace_worker(group, worker, entry)
+                continue
             worker.mark_unlisted()
-            if entry is not None or worker.synced or worker.unlisted_ms() > UNSYNCED_WORKER_KEEP_MS:
+            if worker.synced or worker.unlisted_ms() > UNSYNCED_WORKER_KEEP_MS:
                 self._remove_worker(group, worker)
         for worker_id, entry in entries.items():
             if worker_id not in group.workers:
@@ -82,6 +85,16 @@
         for run in worker.take_all_runs():
             self._report_moved_run(worker, run)
 
+    def _replace_worker(self, group: WorkerGroup, worker: LeasedWorker, entry: WorkerEntry) -> None:
+        """Replace a worker by its next incarnation, which lists the runs that it has or bars them.
+
+        A start command under way may reach that incarnation; any other run has ended.
+        """
+        group.workers[entry.worker_id] = self._open_worker(group, entry)
+        worker.close()
+        for run in list(worker.runs.values()):
+            worker.leave_unresolved(run)
+
     def _remove_worker(self, group: WorkerGroup, worker: LeasedWorker) -> None:
         """Remove a worker that left; its runs may continue until their leases expire."""
         del group.workers[worker.entry.worker_id]
--- a/camphorchute/runs/group_scheduler.py
+++ b/camphorchute/runs/group_scheduler.py
@@ -207,10 +207,7 @@
         known_task = self._open_tasks.find_same(task)
         if known_task is not None:
             self._count("runs.owner_changed")
-            known_task.owner_id = task.owner_id
-            known_task.message, known_task.dispatch = task.message, task.dispatch
-            known_task.cancelled = known_task.orphaned = False
-            known_task.finish_by_s = task.finish_by_s
+            known_task.apply_dispatch(task)
             self._move_to_group(known_task, group)
             return
         self._open_tasks.add(task)
@@ -297,6 +294,8 @@
             group: the group that this worker moved to, empty if it did not move.
         """
         self._open_tasks.discard(task)
+        if task.earlier_run is not None:
+            task.earlier_run.worker.forget_earlier_runs(task.name)
         if outcome is TaskResultKind.MAY_RUN and not group and task.group != task.message.group:
             group = task.group
         result = TaskResult(
--- a/camphorchute/runs/leased_worker.py
+++ b/camphorchute/runs/leased_worker.py
@@ -35,6 +35,7 @@
 COMPLETION_RETENTION_MS = 10_000.0
 IDLE_POLL_INTERVAL_S = 1.0
 ORPHAN_POLL_WAIT_MS = 50.0
+EARLIER_RUN_POLL_WAIT_MS = 10.0
 UNACKNOWLEDGED_POLL_INTERVAL_MS = 15.0
 MS_PER_S = 1000.0
 
@@ -69,6 +70,7 @@
         free_capacity: capacity of the worker that no run in :attr:`runs` uses.
         leases: the leases granted to its runs.
         health: whether the worker answers.
+        is_closed: whether it is polled no more, since it was removed or has ended.
         has_ended: whether another incarnation has answered instead of this one.
     """
 
@@ -96,7 +98,7 @@
         "_earlier_runs",
         "_poll_requested",
         "_greenlet",
-        "_closed",
+        "is_closed",
     )
 
     def __init__(
@@ -132,7 +134,7 @@
         )
         self._poll_requested = Event()
         self._greenlet: gevent.Greenlet | None = None
-        self._closed = False
+        self.is_closed = False
 
     def start(self) -> None:
         """Start to poll the worker."""
@@ -140,7 +142,7 @@
 
     def close(self) -> None:
         """Stop polling and close the connections; active runs end when their leases expire."""
-        self._closed = True
+        self.is_closed = True
         self._poll_requested.set()
         self._client.close()
 
@@ -168,6 +170,10 @@
         self._earlier_runs.add(earlier_run)
         self._poll_requested.set()
 
+    def forget_earlier_runs(self, task: str) -> None:
+        """Ask no more about the earlier runs of a task."""
+        self._earlier_runs.forget(task)
+
     def mark_unlisted(self) -> None:
         """Record that service discovery no longer lists the worker."""
         if not self._unlisted_since_s:
@@ -179,22 +185,14 @@
         self._poll_requested.set()
 
     def can_start(self, task: PendingTask, now_s: float) -> bool:
-        """Whether a task can be started on the worker now.
-
-        Args:
-            task: the task.
-            now_s: time of the monotonic clock in seconds.
-        """
-        return not self._closed and self.usable_capacity(now_s).can_hold(task.message.demand)
+        """Whether a task can be started on the worker at a time of the monotonic clock."""
+        return self.usable_capacity(now_s).can_hold(task.message.demand)
 
     def usable_capacity(self, now_s: float) -> Resources:
-        """Return the free capacity that tasks may be placed on, empty if none may.
-
-        Args:
-            now_s: time of the monotonic clock in seconds.
-        """
+        """Return the free capacity that tasks may be placed on, empty if none may."""
         is_usable = (
             self.synced
+            and not self.is_closed
             and self.health.is_responsive
             and not self.orphans
             and not self.entry.is_draining
@@ -226,7 +224,6 @@
         run.was_listed = run.was_adopted = True
         self._count("runs.adopted")
         self.orphans.pop(task.name, None)
-        self._earlier_runs.forget(task.name)
         if not task.is_durable:
             self.completions.acknowledge_task(task.name)
         if outcome is not None:
@@ -236,6 +233,8 @@
         """Enter a run of a task and reserve its capacity."""
         run = Run(task, self, number, time.monotonic())
         task.run = run
+        self._earlier_runs.forget(task.name)
+        self.leases.record_active()
         task.started = True
         task.next_run = max(task.next_run, number + 1)
         self.runs[task.name] = run
@@ -270,11 +269,11 @@
             gevent.spawn(self._commands.send_stop, run.task.name, run.number)
 
     def _poll_loop(self) -> None:
-        while not self._closed:
+        while not self.is_closed:
             if self.synced and self.health.is_responsive:
                 self._wait_for_poll()
             self._poll_requested.clear()
-            if not self._closed:
+            if not self.is_closed:
                 self._poll()
                 self._expire_unresponsive()
                 self._expire_orphans()
@@ -328,9 +327,10 @@
 
     def _poll_wait_ms(self) -> float:
         """Return for how long the worker may wait for a completion before it answers a poll."""
-        is_list_urgent = self.completions or self._earlier_runs or not self.synced
-        if is_list_urgent or not self.health.is_responsive:
+        if self.completions or not (self.synced and self.health.is_responsive):
             return 0.0
+        if self._earlier_runs:
+            return EARLIER_RUN_POLL_WAIT_MS
         if self.orphans:
             return ORPHAN_POLL_WAIT_MS
         return POLL_WAIT_MS if self.runs else 0.0
@@ -338,7 +338,8 @@
     def _handle_poll_refusal(self, reason: RefusalReason) -> None:
         self._count(f"runs.look_refused.{reason.name.lower()}")
         if reason is RefusalReason.OTHER_INCARNATION:
-            self.has_ended = self._closed = True
+            self.has_ended = self.is_closed = True
+            self.orphans = {}
             self._end_runs_of_ended_worker()
             return
         if reason is RefusalReason.FENCED:
--- a/camphorchute/runs/run.py
+++ b/camphorchute/runs/run.py
@@ -186,6 +186,22 @@
         """Whether its job is durable: completions are saved before the worker may drop them."""
         return self.message.term is not None
 
+    def apply_dispatch(self, newer: PendingTask) -> None:
+        """Take over what a later dispatch of the task says.
+
+        Args:
+            newer: the task as it was dispatched now.
+        """
+        self.owner_id, self.message, self.dispatch = newer.owner_id, newer.message, newer.dispatch
+        self.cancelled = self.orphaned = False
+        self.finish_by_s = newer.finish_by_s
+        self.next_run = max(self.next_run, newer.next_run)
+        self.failures = max(self.failures, newer.failures)
+        if self.run is None:
+            self.start_by_s, self.in_time_until_s = newer.start_by_s, newer.in_time_until_s
+            if newer.may_run:
+                self.mark_may_run(newer.worker_id, newer.may_run_since_s)
+
     def mark_may_run(self, worker_id: str, now_s: float) -> None:
         """Record that its last run may be active on a worker.
 
--- a/camphorchute/runs/run_commands.py
+++ b/camphorchute/runs/run_commands.py
@@ -6,6 +6,8 @@
 from collections.abc import Callable
 from typing import TYPE_CHECKING
 
+import gevent
+
 from camphorchute.hosting import (
     CommandRefused,
     CommandUnanswered,
@@ -14,7 +16,7 @@
     WorkerClient,
 )
 from camphorchute.runs.earlier_run import EarlierRun
-from camphorchute.runs.run import Run, RunState
+from camphorchute.runs.run import EndEvidence, Run, RunState
 from camphorchute.runs.run_listener import RunListener
 from camphorchute.runs.worker_health import RETRY_PAUSE_MS
 
@@ -25,6 +27,7 @@
 
 NO_CAPACITY_PAUSE_MS = 40.0
 UNHEALTHY_PAUSE_MS = 500.0
+MS_PER_S = 1000.0
 
 
 class RunCommands:
@@ -56,6 +59,11 @@
 
     def send_start(self, run: Run) -> None:
         """Send the start command of a run and record the answer."""
+        if not self._worker.holds(run):
+            return
+        if self._worker.is_closed:
+            self._give_up_run(run, "worker_removed")
+            return
         task = run.task
         command = StartCommand(task.name, run.number, task.message.payload, task.message.demand)
         lease_until_ms = self._worker.leases.grant()
@@ -76,7 +84,7 @@
         run.start_acknowledged_s = time.monotonic()
         if self._worker.has_ended:
             self._worker.leave_unresolved(run)
-        elif run.end_evidence is not None:
+        elif run.end_evidence not in (None, EndEvidence.LISTED):
             self._count("runs.late_answer")
             self.send_stop(run.task.name, run.number)
         self._worker.request_poll()
@@ -169,6 +177,8 @@
 
         A worker that refuses the command as outdated has ended that run or a later one already.
         """
+        if earlier_run.is_forgotten:
+            return
         try:
             self._client.stop_run(earlier_run.task, earlier_run.number, self._current_fence())
         except CommandRefused as refused:
@@ -181,5 +191,6 @@
             earlier_run.barred_s = time.monotonic()
         else:
             self._count("runs.retry.bar_earlier_run")
+            gevent.sleep(RETRY_PAUSE_MS / MS_PER_S)
         earlier_run.is_being_barred = False
         self._worker.request_poll()
--- a/camphorchute/runs/run_events.py
+++ b/camphorchute/runs/run_events.py
@@ -98,6 +98,7 @@
             self._scheduler.finish_task(task, run.number, TaskResultKind.MAY_RUN, worker_id)
             return
         task.mark_may_run(worker_id, time.monotonic())
+        task.start_by_s = task.finish_by_s
         if not group.adopt_run(task):
             self._scheduler.requeue(task)
 
--- a/camphorchute/runs/worker_leases.py
+++ b/camphorchute/runs/worker_leases.py
@@ -43,7 +43,7 @@
     def grant(self) -> float:
         """Return the time on the worker's clock until which a lease granted now lasts."""
         since_ms = (time.monotonic() - self._clock_read_s) * MS_PER_S
-        until_ms = self._clock_ms + since_ms + LEASE_MS
+        until_ms = self._clock_ms + since_ms * (1 - CLOCK_DRIFT_RATIO) + LEASE_MS
         self.record_active()
         return until_ms
 
