Name the attempts that a new owner adopts, so that their return is not dropped

Callers saw: a job that moved to another owner ended at its deadline, or as worker_lost at its next move, although some of its tasks had never started.

Cause: the new owner asks every scheduler for the job's tasks and adopts those that are open there, without the ids of their attempts. A task that still waits for its start command, or that its worker refuses, is returned by attempt; the owner drops a return of an attempt that it does not know, and the task stays in no backlog. The same holds for a return that is lost with its link: only named attempts are asked about again.

Change: FoundTasks names the attempts of the running tasks, in their order; the owner adopts task and attempt. A scheduler of an earlier version names none, and each running task is adopted as before. A return that overtakes the reply is remembered, so that the task is not adopted after it was returned.

Why no task starts twice: a task becomes pending only by the return of its current attempt, or when its scheduler does not know the named attempt and promises never to start it; both rules are unchanged and now cover adopted tasks too. Such a task may be the first that the new owner dispatches, so the owner is recorded with a witness before; until then, and until every scheduler has replied, it dispatches nothing.

--- a/camphorchute/contracts/task_messages.py
+++ b/camphorchute/contracts/task_messages.py
@@ -146,8 +146,11 @@
         key: idempotency key of the job.
         ended: outcomes of the tasks that have ended.
         running: indices of the tasks that may have been sent to a worker and have not ended.
+        attempts: ids of the attempts of the running tasks, in their order; empty from a scheduler
+            of an earlier version.
     """
 
     key: str
     ended: list[TaskOutcome]
     running: list[int]
+    attempts: list[str] = []
--- a/camphorchute/jobs/dispatcher.py
+++ b/camphorchute/jobs/dispatcher.py
@@ -167,10 +167,10 @@
         """Add tasks of an open job to the backlog and dispatch what fits into free slots.
 
         Args:
-            job: the job; nothing happens if it has ended or is ending.
+            job: the job; nothing happens if it has ended, is ending or may not dispatch tasks yet.
             indices: indices of the tasks.
         """
-        if not job.is_open or job.is_ending:
+        if not job.is_open or job.is_ending or not job.may_dispatch:
             return
         queue = self._backlogs.setdefault((job.pool, job.spec.team), deque())
         queue.extend((job, index) for index in indices)
@@ -182,10 +182,10 @@
         """Put tasks that a scheduler did not start back at the head of the backlog.
 
         Args:
-            job: the job; nothing happens if it has ended.
+            job: the job; nothing happens if it has ended or may not dispatch tasks yet.
             indices: indices of the tasks.
         """
-        if not job.is_open:
+        if not job.is_open or not job.may_dispatch:
             return
         queue = self._backlogs.setdefault((job.pool, job.spec.team), deque())
         queue.extendleft((job, index) for index in reversed(indices))
@@ -223,6 +223,8 @@
         attempts = set(message.attempts)
         indices = [i for i, task in enumerate(job.tasks) if task.attempt in attempts]
         returned = [i for i in indices if job.return_task(i, job.tasks[i].attempt)]
+        if not job.is_recovered:
+            job.returned_attempts |= attempts
         self._count(f"jobs.retry.{code.name.lower()}", len(returned))
         self.requeue_tasks(job, returned)
 
--- a/camphorchute/jobs/job.py
+++ b/camphorchute/jobs/job.py
@@ -27,7 +27,7 @@
     Attributes:
         state: whether the task is pending, dispatched to a scheduler or ended.
         attempt: id of the current attempt; empty while the task is pending, or where an earlier
-            owner dispatched it.
+            owner dispatched it and its scheduler has not named it.
         scheduler_id: member id of the scheduler that the task was dispatched to, or empty.
         answer: the worker's answer, empty until the task has ended.
         dispatched_s: monotonic time of the dispatch in seconds, 0 before the first one.
@@ -61,6 +61,10 @@
         entry: the ledger's entry of the key, None until the key is accepted.
         reach: which schedulers tasks may be dispatched to without a further acknowledgement.
         resumed: whether an earlier owner or submission of the key may have dispatched tasks.
+        is_recovered: whether it is known what earlier owners dispatched.
+        may_dispatch: whether this owner may dispatch tasks; a resumed job is dispatched only once
+            witnesses have recorded its new owner.
+        returned_attempts: ids of attempts that were returned before the owner knew them.
         is_ending: whether the final answer is being decided; no task is dispatched meanwhile.
         queued_task_count: number of tasks of the job in the dispatch backlog.
         unfit_scheduler_ids: schedulers whose workers are all too small for a task of the job.
@@ -90,6 +94,9 @@
         "entry",
         "reach",
         "resumed",
+        "is_recovered",
+        "may_dispatch",
+        "returned_attempts",
         "is_ending",
         "queued_task_count",
         "unfit_scheduler_ids",
@@ -110,6 +117,9 @@
         self.entry: KeyEntry | None = None
         self.reach = Reach.OTHER_HOSTS
         self.resumed = False
+        self.is_recovered = True
+        self.may_dispatch = True
+        self.returned_attempts: set[str] = set()
         self.is_ending = False
         self.queued_task_count = 0
         self.unfit_scheduler_ids: set[str] = set()
@@ -128,6 +138,12 @@
         """Whether the job has no answer and has not moved to another owner."""
         return not self.finished.is_set()
 
+    def mark_resumed(self) -> None:
+        """Mark the job as one of which an earlier owner may have dispatched tasks."""
+        self.resumed = True
+        self.is_recovered = False
+        self.may_dispatch = False
+
     def dispatch_task(self, index: int, attempt: str, scheduler_id: str) -> None:
         """Mark a pending task as dispatched to a scheduler.
 
@@ -168,18 +184,20 @@
         task.scheduler_id = ""
         return True
 
-    def adopt_task(self, index: int, scheduler_id: str) -> None:
+    def adopt_task(self, index: int, scheduler_id: str, attempt: str = "") -> None:
         """Mark a pending task as one that an earlier owner dispatched to a scheduler.
 
-        A task that is not pending stays as it is.
+        A task that is not pending, or whose attempt was returned already, stays as it is.
 
         Args:
             index: index of the task.
             scheduler_id: member id of the scheduler.
+            attempt: id of the attempt, empty if it is not known.
         """
         task = self.tasks[index]
-        if task.state is TaskState.WAITING:
+        if task.state is TaskState.WAITING and attempt not in self.returned_attempts:
             task.state = TaskState.HANDED
+            task.attempt = attempt
             task.scheduler_id = scheduler_id
 
     def complete_task(self, index: int, attempt: str, answer: str) -> bool:
--- a/camphorchute/jobs/owner.py
+++ b/camphorchute/jobs/owner.py
@@ -205,6 +205,8 @@
         if job is None or not job.is_open:
             return Done()
         self._dispatcher.requeue_returned_tasks(job, peer, message)
+        if job.is_recovered and not job.may_dispatch:
+            gevent.spawn(self._dispatch_returned_tasks, job)
         return Done()
 
     @handles(Grant, nonblocking=True)
@@ -301,7 +303,7 @@
 
     def _resume_job(self, job: Job, entry: KeyEntry) -> None:
         job.entry = entry
-        job.resumed = True
+        job.mark_resumed()
         job.reach = self._view.reach()
         self._jobs.add(job)
         self._record_event("resumed", job)
@@ -310,13 +312,31 @@
 
     def _recover_from_earlier_owners(self, job: Job) -> None:
         try:
-            indices = self._recovery.recover_from_earlier_owners(job)
+            self._recovery.recover_from_earlier_owners(job)
+            job.is_recovered = True
             if not job.is_open:
                 self._record_completion(job)
-                return
-            if indices:
-                self._acknowledge_reach(job, self._view.reach())
-                self._dispatcher.enqueue_tasks(job, indices)
+            else:
+                self._dispatch_recovered_tasks(job)
+        except Refusal as refusal:
+            self._end_job_by_refusal(job, refusal)
+
+    def _dispatch_recovered_tasks(self, job: Job) -> None:
+        """Dispatch the pending tasks of a resumed job, once witnesses have recorded its owner.
+
+        Without a pending task nothing is recorded; a task that is returned later calls it again.
+        """
+        if not job.pending_tasks():
+            return
+        self._acknowledge_reach(job, self._view.reach())
+        if job.may_dispatch:
+            return
+        job.may_dispatch = True
+        self._dispatcher.enqueue_tasks(job, job.pending_tasks())
+
+    def _dispatch_returned_tasks(self, job: Job) -> None:
+        try:
+            self._dispatch_recovered_tasks(job)
         except Refusal as refusal:
             self._end_job_by_refusal(job, refusal)
 
@@ -325,6 +345,8 @@
             indices = self._recovery.recover_from_scheduler(job, scheduler)
             if not job.is_open:
                 self._record_completion(job)
+            elif not job.may_dispatch and job.is_recovered:
+                self._dispatch_recovered_tasks(job)
             elif indices:
                 self._dispatcher.enqueue_tasks(job, indices)
         except Refusal as refusal:
--- a/camphorchute/jobs/recovery.py
+++ b/camphorchute/jobs/recovery.py
@@ -174,8 +174,10 @@
         return found
 
     def _apply_found_tasks(self, job: Job, scheduler: Member, found: FoundTasks) -> None:
-        for index in found.running:
-            job.adopt_task(index, scheduler.member_id)
+        is_named = len(found.attempts) == len(found.running)
+        attempts = found.attempts if is_named else [""] * len(found.running)
+        for index, attempt in zip(found.running, attempts, strict=True):
+            job.adopt_task(index, scheduler.member_id, attempt)
         for outcome in found.ended:
             if outcome.code != ResultCode.COMPLETE:
                 job.adopt_task(outcome.index, scheduler.member_id)
--- a/camphorchute/workers/task_scheduler.py
+++ b/camphorchute/workers/task_scheduler.py
@@ -214,8 +214,10 @@
         record.fenced = True
         fence.bar_attempts(record, message.attempts)
         fence.retain_or_drop(record, self._context.now_ms())
-        running = [a.index for a in record.open_attempts()]
-        return FoundTasks(message.key, record.outcomes(), running)
+        running = record.open_attempts()
+        indices = [attempt.index for attempt in running]
+        attempts = [attempt.attempt for attempt in running]
+        return FoundTasks(message.key, record.outcomes(), indices, attempts)
 
     def drop_owner(self, owner_id: str) -> None:
         """Free the slots reserved for a lost owner and remove its demand; its tasks continue."""
--- a/camphorchute/workers/tests/test_task_scheduler.py
+++ b/camphorchute/workers/tests/test_task_scheduler.py
@@ -165,6 +165,7 @@
     found = find(harness)
     assert [outcome.index for outcome in found.ended] == [0]
     assert found.running == [1]
+    assert found.attempts == ["job-1"]
     harness.step()
     harness.back_end.finish("job-1")
     harness.step()
