Apply the refusals of a start answer only to the attempts of its start command

Callers saw: nothing so far; found by a review for answers that are applied to state that has moved on.

Cause: a start answer may name any attempt as refused. The scheduler returned each one that occupies a slot of the worker, also a running or unclear attempt of an earlier start command. Its owner then starts the task again while the first attempt runs.

Change: refusals of attempts that the start command did not contain are counted as unmatched answers and change nothing, as answers of unknown attempts do.

Ruled out: the other part of the start answer cannot hit another command. Each connection carries one request at a time and is closed at its first timeout, so no answer is read as that of a later request; an attempt that was reported meanwhile is not returned, as it has an outcome.

Tests: two cases of test_worker_link.py failed before (the owner gets back a running and an unclear task) and pass; the tests of workers pass.

--- a/camphorchute/workers/tests/test_worker_link.py
+++ b/camphorchute/workers/tests/test_worker_link.py
@@ -1,6 +1,6 @@
 import pytest
 
-from camphorchute.workers.back_end import AttemptAnswer
+from camphorchute.workers.back_end import AttemptAnswer, StartReport
 from camphorchute.workers.tests.fakes import SchedulerHarness
 
 UNCLEAR = {
@@ -29,6 +29,31 @@
     assert harness.free_slots == 8
 
 
+# Guards against a task that runs and is returned to its owner, which starts it again.
+@pytest.mark.parametrize("state", ["running", "unclear"])
+def test_a_start_answer_that_refuses_an_attempt_of_an_earlier_command_changes_nothing(state):
+    harness = SchedulerHarness()
+    harness.back_end.start_fault = "answer lost" if state == "unclear" else ""
+    harness.dispatch(indices=[0])
+    harness.scheduler.links()[0].send_starts()
+    harness.back_end.start_fault = ""
+    harness.now_s += 1.0
+    start_attempts = harness.back_end.start_attempts
+
+    def refuse_earlier_attempt(attempts):
+        report = start_attempts(attempts)
+        return StartReport(report.started, {"job-0": "no_slot"})
+
+    harness.back_end.start_attempts = refuse_earlier_attempt
+    harness.dispatch(indices=[1])
+    harness.step(101)
+    assert harness.owner_reports() == []
+    assert harness.counts["home.answers.unmatched"] == 1
+    harness.back_end.finish("job-0", "job-1")
+    harness.step()
+    assert sorted(harness.owner_reports()) == [("COMPLETE", 0), ("COMPLETE", 1)]
+
+
 def test_an_unclear_start_whose_task_ended_is_reported_with_its_answer():
     harness = SchedulerHarness()
     harness.back_end.start_fault = "answer lost"
--- a/camphorchute/workers/worker_link.py
+++ b/camphorchute/workers/worker_link.py
@@ -249,8 +249,12 @@
         self._apply_start_report(batch, report)
 
     def _apply_start_report(self, batch: list[OpenAttempt], report: StartReport) -> None:
-        if report.refused:
-            self._handle_refusals(report.refused)
+        sent = {attempt.attempt for attempt in batch}
+        refused = {name: reason for name, reason in report.refused.items() if name in sent}
+        if refused:
+            self._handle_refusals(refused)
+        if len(refused) < len(report.refused):
+            self._context.count("home.answers.unmatched", len(report.refused) - len(refused))
         unclear = set(report.unclear)
         for attempt in batch:
             if attempt.state is not AttemptState.SENT:
