Report a task whose answer could not be processed as running when its owner asks

Callers saw: nothing so far; found by a review for tasks that are in no place.

Cause: an attempt is marked as ended before its outcome is stored. An unexpected error between the two, which the scheduler survives, left an attempt that is neither open nor has an outcome. FindTasks did not list it, and its owner concluded that it was never started and dispatched the task again.

Change: FindTasks lists every attempt without an outcome as running.

Ruled out: no input was found that raises between the two steps; the test injects the error.

Tests: test_find_tasks_returns_a_task_whose_answer_could_not_be_processed failed before and passes; the tests of workers pass.

--- a/camphorchute/workers/task_scheduler.py
+++ b/camphorchute/workers/task_scheduler.py
@@ -214,7 +214,7 @@
         record.fenced = True
         fence.bar_attempts(record, message.attempts)
         fence.retain_or_drop(record, self._context.now_ms())
-        running = record.open_attempts()
+        running = [a for a in record.attempts.values() if a.outcome is None]
         indices = [attempt.index for attempt in running]
         attempts = [attempt.attempt for attempt in running]
         return FoundTasks(message.key, record.outcomes(), indices, attempts)
--- a/camphorchute/workers/tests/test_task_scheduler.py
+++ b/camphorchute/workers/tests/test_task_scheduler.py
@@ -3,6 +3,7 @@
 
 from camphorchute.contracts import InvariantBroken, Refusal, ResultCode, TaskSpec
 from camphorchute.contracts.messages import CancelTasks, Demand, FindTasks, TasksEnded
+from camphorchute.policies.run_times import RunTimes
 from camphorchute.services.definition import ServiceDefinition
 from camphorchute.workers.tests.fakes import SchedulerHarness, captured_logs
 
@@ -173,6 +174,22 @@
     assert harness.owner_reports("owner") == [("COMPLETE", 0)]
 
 
+# Guards against a task that ran and that its owner takes for one which never started.
+def test_find_tasks_returns_a_task_whose_answer_could_not_be_processed(monkeypatch):
+    harness = SchedulerHarness()
+    harness.dispatch()
+    harness.step()
+    harness.back_end.finish("job-0")
+    monkeypatch.setattr(RunTimes, "add_sample", raise_injected_error)
+    with pytest.raises(RuntimeError):
+        harness.step()
+    assert find(harness, attempts=["job-0"]).running == [0]
+
+
+def raise_injected_error(*args):
+    raise RuntimeError("injected fault of the learned run times")
+
+
 @pytest.mark.parametrize("known", [False, True])
 def test_an_older_owner_is_refused_after_find_tasks(known):
     harness = SchedulerHarness()
