Record where the tasks of a moved job may have been started

Cause: each replacement moves jobs to the process that joins. A new owner knew of its predecessors only through which schedulers they could reach. A scheduler that had left gracefully counts as dead, so each pending task might have been started there, and no worker reports a task that was never started.

Change: an owner that stops to run a job writes into the key's entry which tasks may have been started, by scheduler, and for which owners that holds. The entry reaches the new owner with the fence, as before, and its witnesses. For these owners the record replaces the reach.

Why no task starts twice: the record is made when the job has closed at its owner, which dispatches nothing after that; a task that is not listed was never dispatched or was returned under its current attempt. It counts only for the owners that it names, each with the number of its period, so a later owner, or the same one later, is not comprised; both are recorded at a witness before they dispatch, as before. A resumed job is recorded only after every earlier dispatch is known. Without a record (a killed owner, an owner of an earlier version, lost witnesses) the reach counts as before, and the job fails rather than start a task again.

--- a/camphorchute/contracts/messages.py
+++ b/camphorchute/contracts/messages.py
@@ -32,6 +32,7 @@
     "CancelTasks",
     "ConfigRecords",
     "Demand",
+    "DispatchRecord",
     "DispatchedTask",
     "Done",
     "Entries",
@@ -135,11 +136,28 @@
         member_id: member id of the owner.
         host: the entry VM that the owner runs on.
         reach: the schedulers that it may have dispatched tasks to.
+        period: number that the owner gives to each period in which it runs the job, from 1; 0 from
+            an owner of an earlier version.
     """
 
     member_id: str
     host: str
     reach: Reach
+    period: int = 0
+
+
+class DispatchRecord(msgspec.Struct, frozen=True):
+    """What an owner knew of a job's tasks when it stopped to run the job.
+
+    A task that is not listed was not started by a scheduler for any of the owners, nor will be.
+
+    Attributes:
+        owners: the owners whose dispatches the record comprises; each has stopped to run the job.
+        dispatched: indices of the tasks that may have been started, by scheduler.
+    """
+
+    owners: list[KeyOwner]
+    dispatched: dict[str, list[int]]
 
 
 class KeyEntry(msgspec.Struct, omit_defaults=True):
@@ -154,6 +172,7 @@
         local: indices of the tasks that an owner may have dispatched to a scheduler beyond its
             reach, such as itself.
         uncertain: whether later acknowledgements of the key may have been lost.
+        record: what is known of the tasks that some of the owners dispatched, None if nothing is.
     """
 
     key: str
@@ -163,6 +182,7 @@
     owners: list[KeyOwner] = []
     local: list[int] = []
     uncertain: bool = False
+    record: DispatchRecord | None = None
 
 
 class SubmitJob(msgspec.Struct, tag="submit"):
--- a/camphorchute/jobs/job.py
+++ b/camphorchute/jobs/job.py
@@ -277,6 +277,14 @@
         """Return whether a task was dispatched, so that it may have run."""
         return any(task.state is not TaskState.WAITING for task in self.tasks)
 
+    def dispatched_tasks(self) -> dict[str, list[int]]:
+        """Return the indices of the tasks that may have been started, by scheduler."""
+        dispatched: dict[str, list[int]] = {}
+        for index, task in enumerate(self.tasks):
+            if task.state is not TaskState.WAITING:
+                dispatched.setdefault(task.scheduler_id, []).append(index)
+        return dispatched
+
     def active_schedulers(self) -> set[str]:
         """Return the ids of the schedulers that hold dispatched tasks which have not ended."""
         return {t.scheduler_id for t in self.tasks if t.state is TaskState.HANDED}
--- a/camphorchute/jobs/owner.py
+++ b/camphorchute/jobs/owner.py
@@ -1,5 +1,6 @@
 """The owner's side of a job: accepts each key once, runs its job and returns the answer."""
 
+import itertools
 import time
 from collections.abc import Callable
 
@@ -11,6 +12,7 @@
 from camphorchute.contracts.member import Member
 from camphorchute.contracts.messages import (
     CancelJob,
+    DispatchRecord,
     Done,
     FetchJob,
     Grant,
@@ -66,6 +68,7 @@
         "_checks",
         "_count",
         "_jobs",
+        "_periods",
         "_greenlet",
     )
 
@@ -93,6 +96,7 @@
         self._checks = KeyChecks(view, window_ms, clock_skew_ms)
         self._count = count
         self._jobs = JobTable(answer_retention_ms)
+        self._periods = itertools.count(1)
         self._greenlet = None
 
     def start(self) -> None:
@@ -358,9 +362,7 @@
 
     def _acknowledge_reach(self, job: Job, reach: Reach) -> None:
         """Have witnesses record a reach within which this owner may dispatch tasks of the job."""
-        owner = self._own_key_owner(reach)
-        if owner not in job.entry.owners:
-            job.entry.owners.append(owner)
+        job.entry.owners.append(self._own_key_owner(reach))
         self._acknowledge_entries(job.key, [job.entry])
         job.reach = reach
 
@@ -382,7 +384,7 @@
 
     def _own_key_owner(self, reach: Reach) -> KeyOwner:
         member = self._view.member
-        return KeyOwner(member.member_id, member.host, reach)
+        return KeyOwner(member.member_id, member.host, reach, next(self._periods))
 
     def _end_job_by_refusal(self, job: Job, refusal: Refusal) -> None:
         if refusal.code in OWNER_CHANGED_CODES:
@@ -484,9 +486,20 @@
         """Redirect the callers of a job to its new owner and drop the job here."""
         self._record_event("moved", job)
         job.mark_moved()
+        self._record_dispatched_tasks(job)
         self._dispatcher.discount_pending_tasks(job)
         self._jobs.remove(job)
 
+    def _record_dispatched_tasks(self, job: Job) -> None:
+        """Record in the key's entry which tasks of a moved job may have been started, and where.
+
+        The new owner gets the entry with its fence. Without a record it must assume that any
+        scheduler which has gone started the tasks that no other one holds.
+        """
+        owners = [owner for owner in job.entry.owners if owner.period]
+        if job.is_recovered and len(owners) == len(job.entry.owners):
+            job.entry.record = DispatchRecord(owners, job.dispatched_tasks())
+
     def _run_expiry_loop(self) -> None:
         while True:
             gevent.sleep(EXPIRY_INTERVAL_MS / 1000)
--- a/camphorchute/jobs/recovery.py
+++ b/camphorchute/jobs/recovery.py
@@ -7,7 +7,14 @@
 
 from camphorchute.contracts import Refusal, ResultCode
 from camphorchute.contracts.member import Member
-from camphorchute.contracts.messages import FindTasks, FoundTasks, KeyEntry, KeyOwner, Reach
+from camphorchute.contracts.messages import (
+    DispatchRecord,
+    FindTasks,
+    FoundTasks,
+    KeyEntry,
+    KeyOwner,
+    Reach,
+)
 from camphorchute.jobs.job import Job
 from camphorchute.links import LinkLost, Peers
 from camphorchute.workers.back_end import BackEndError, FoundAttempt
@@ -37,10 +44,19 @@
         >>> far = KeyOwner("o", "vm2", Reach.OTHER_HOSTS)
         >>> possibly_dispatched_tasks(scheduler, KeyEntry("k", 0, b"", 0, [far]), 3)
         {0, 1, 2}
+        >>> record = DispatchRecord([far], {"m": [2]})
+        >>> entry = KeyEntry("k", 0, b"", 0, [far], [1], record=record)
+        >>> possibly_dispatched_tasks(scheduler, entry, 3)
+        {2}
     """
-    if entry.uncertain or any(_is_within_reach(member, owner) for owner in entry.owners):
+    record = entry.record or DispatchRecord([], {})
+    unrecorded = [owner for owner in entry.owners if owner not in record.owners]
+    if entry.uncertain or any(_is_within_reach(member, owner) for owner in unrecorded):
         return set(range(tasks))
-    return set(entry.local)
+    recorded = set(record.dispatched.get(member.member_id, []))
+    if entry.owners and not unrecorded:
+        return recorded
+    return recorded | set(entry.local)
 
 
 def _is_within_reach(member: Member, owner: KeyOwner) -> bool:
--- /dev/null
+++ b/camphorchute/jobs/tests/test_moved_jobs.py
@@ -0,0 +1,108 @@
+"""What a job's earlier owner records of its tasks, and what the next owner concludes from it."""
+
+import pytest
+
+from camphorchute.contracts import Fate, JobKey, ResultCode
+from camphorchute.contracts.messages import DispatchRecord, KeyOwner, Reach
+from camphorchute.jobs.tests.fakes import (
+    DEPARTED_OWNER,
+    B,
+    C,
+    OwnerHarness,
+    make_spec,
+    wait_for_answer,
+)
+
+KEY = "k"
+
+
+@pytest.fixture
+def harness():
+    harness = OwnerHarness()
+    yield harness
+    harness.owner.close()
+
+
+def end_search_soon(monkeypatch):
+    monkeypatch.setattr("camphorchute.jobs.recovery.SEARCH_TIMEOUT_MS", 100.0)
+    monkeypatch.setattr("camphorchute.jobs.recovery.SEARCH_INTERVAL_MS", 20.0)
+
+
+RECORDED_OWNER = KeyOwner("gone", "vm-gone", Reach.OTHER_HOSTS, 1)
+SAME_OWNER_LATER = KeyOwner("gone", "vm-gone", Reach.OTHER_HOSTS, 2)
+LATER_OWNER = KeyOwner("later", "vm-later", Reach.OTHER_HOSTS, 1)
+
+
+# Guards against worker_lost for tasks that a scheduler which has gone was never sent.
+@pytest.mark.parametrize(
+    "owners, dispatched, uncertain, starts",
+    [
+        ([RECORDED_OWNER], {}, False, [0, 1]),
+        ([RECORDED_OWNER], {"b": [0, 1]}, False, [0, 1]),
+        ([RECORDED_OWNER], {"c": [1]}, False, None),
+        ([RECORDED_OWNER], {}, True, None),
+        ([RECORDED_OWNER, LATER_OWNER], {}, False, None),
+        ([RECORDED_OWNER, SAME_OWNER_LATER], {}, False, None),
+    ],
+)
+def test_only_tasks_recorded_at_a_dead_scheduler_may_have_been_started_there(
+    harness, monkeypatch, owners, dispatched, uncertain, starts
+):
+    end_search_soon(monkeypatch)
+    harness.add_accepted_key(KEY, owners)
+    entry = harness.ledger.entries_of_shard(JobKey(KEY, ["north"]).shard)[0]
+    entry.record = DispatchRecord([RECORDED_OWNER], dispatched)
+    entry.uncertain = uncertain
+    harness.peers.unreachable = {"c"}
+    harness.deaths.record_death(C)
+    harness.report_free_slots(B)
+    submitted = harness.submit(KEY)
+    if starts is None:
+        answer = wait_for_answer(submitted)
+        assert answer.fate is Fate.MAY_HAVE_RUN and not harness.dispatch_messages()
+    else:
+        assert [index for _, index in harness.dispatched_tasks()] == starts
+
+
+def entry_of(harness):
+    return harness.ledger.get(JobKey(KEY, ["north"]).shard, KEY)
+
+
+def test_a_moved_job_records_which_tasks_its_schedulers_may_have_started(harness):
+    harness.report_free_slots(B, free_slots=2)
+    harness.submit(KEY, make_spec(4))
+    harness.report_free_slots(C, free_slots=1)
+    harness.complete_tasks(B, KEY, 0)
+    harness.move_shards_away()
+    entry = entry_of(harness)
+    assert entry.record.owners == entry.owners and entry.owners[0].period
+    assert entry.record.dispatched == {"b": [0, 1], "c": [2]}
+
+
+def test_a_returned_task_is_not_recorded_as_dispatched(harness):
+    harness.report_free_slots(B)
+    harness.submit(KEY)
+    harness.return_tasks(B, KEY, ResultCode.LEAVING)
+    harness.move_shards_away()
+    assert entry_of(harness).record.dispatched == {}
+
+
+# Guards against a record of a job whose earlier dispatches are not known.
+@pytest.mark.parametrize("owner", [RECORDED_OWNER, DEPARTED_OWNER])
+@pytest.mark.parametrize("replied", [False, True])
+def test_a_resumed_job_is_recorded_only_if_every_earlier_dispatch_is_known(harness, owner, replied):
+    harness.add_accepted_key(KEY, [owner])
+    harness.peers.unreachable = set() if replied else {"c"}
+    harness.submit(KEY)
+    harness.move_shards_away()
+    is_recorded = entry_of(harness).record is not None
+    assert is_recorded is (replied and owner is RECORDED_OWNER)
+
+
+def test_each_period_in_which_an_owner_runs_a_job_is_recorded_apart(harness):
+    harness.add_accepted_key(KEY, [RECORDED_OWNER])
+    for _ in range(2):
+        harness.submit(KEY)
+        harness.owner._jobs.clear()
+    periods = [owner.period for owner in entry_of(harness).owners if owner.member_id == "a"]
+    assert len(set(periods)) == 2
--- a/camphorchute/zones/ledger.py
+++ b/camphorchute/zones/ledger.py
@@ -5,7 +5,7 @@
 
 from camphorchute.contracts.codes import ResultCode
 from camphorchute.contracts.errors import Refusal
-from camphorchute.contracts.messages import KeyEntry
+from camphorchute.contracts.messages import DispatchRecord, KeyEntry
 
 __all__ = ["Ledger"]
 
@@ -123,6 +123,16 @@
         held.local = sorted({*held.local, *entry.local})
         held.uncertain = held.uncertain or entry.uncertain
         held.owners += [owner for owner in entry.owners if owner not in held.owners]
+        held.record = _more_complete_record(held.record, entry.record)
         if entry.expires_unix_ms > held.expires_unix_ms:
             held.expires_unix_ms = entry.expires_unix_ms
             heapq.heappush(self._expiry_heap, (held.expires_unix_ms, held.shard, held.key))
+
+
+def _more_complete_record(
+    held: DispatchRecord | None, other: DispatchRecord | None
+) -> DispatchRecord | None:
+    """Return the record that comprises more owners; each holds for its own owners."""
+    if held is None or (other is not None and len(other.owners) > len(held.owners)):
+        return other
+    return held
--- a/camphorchute/zones/tests/test_ledger.py
+++ b/camphorchute/zones/tests/test_ledger.py
@@ -3,7 +3,7 @@
 import pytest
 
 from camphorchute.contracts import Refusal, ResultCode
-from camphorchute.contracts.messages import KeyEntry, KeyOwner, Reach
+from camphorchute.contracts.messages import DispatchRecord, KeyEntry, KeyOwner, Reach
 from camphorchute.zones import Ledger
 
 A = KeyOwner("a", "vm1", Reach.OTHER_HOSTS)
@@ -88,3 +88,25 @@
     for local in ([2], [1, 2], []):
         ledger.hold(KeyEntry("k", 3, b"d", 2**60, [A], local))
     assert ledger.get(3, "k").local == [1, 2]
+
+
+RECORD_OF_A = DispatchRecord([A], {"s": [0]})
+RECORD_OF_A_AND_B = DispatchRecord([A, B], {"s": [1]})
+
+
+@pytest.mark.parametrize("method", ["hold", "merge"])
+@pytest.mark.parametrize(
+    "records, kept",
+    [
+        ([None, RECORD_OF_A], RECORD_OF_A),
+        ([RECORD_OF_A, None], RECORD_OF_A),
+        ([RECORD_OF_A, RECORD_OF_A_AND_B], RECORD_OF_A_AND_B),
+        ([RECORD_OF_A_AND_B, RECORD_OF_A], RECORD_OF_A_AND_B),
+    ],
+)
+def test_the_record_of_dispatched_tasks_that_comprises_more_owners_is_kept(method, records, kept):
+    ledger = Ledger(2)
+    for record in records:
+        held = KeyEntry("k", 3, b"d", 2**60, [A, B], record=record)
+        ledger.hold(held) if method == "hold" else ledger.merge([held])
+    assert ledger.get(3, "k").record == kept
