Take a task that was returned off the list of those dispatched beyond an owner's reach

The owner had dispatched tasks 0 to 6 to its own scheduler, which a witness had recorded, and got them back 3 ms later as no_slot. The list at the witness only grows. When the owner was killed 0.6 s later, the new owner took the seven tasks as possibly started by the dead scheduler, and no worker reports them.

Change: a returned task is taken off the list, and a witness is told, once and without waiting. Copies of the list are merged by a stamp, its term and the number of its change; the later one counts instead of the union.

Why no task starts twice: a task is put on the list, with a new stamp, and acknowledged by a witness before each dispatch; only the return of its current attempt takes it off, in the same step in which it becomes pending. One process owns a key in a term and begins with the merged list, so the list with the highest stamp that a witness acknowledged is complete; a takeover that may miss it marks the key as uncertain, as before. A witness that misses a removal keeps a longer list. A list of an earlier version has no stamp: it is united with every other, and the result has none.

What stays: a task that was dispatched and neither returned nor started when its scheduler was killed cannot be told from a started one by asking the workers. Its job fails with worker_lost.

The tests of jobs, zones and contracts pass.

--- a/camphorchute/contracts/messages.py
+++ b/camphorchute/contracts/messages.py
@@ -170,7 +170,9 @@
         expires_unix_ms: time after which the entry may be dropped, in milliseconds since 1970.
         owners: every owner that may have dispatched tasks of the key.
         local: indices of the tasks that an owner may have dispatched to a scheduler beyond its
-            reach, such as itself.
+            reach, such as itself, and that were not returned.
+        local_term: term in which ``local`` was changed last; 0 from an owner of an earlier version.
+        local_change: number of changes of ``local``.
         uncertain: whether later acknowledgements of the key may have been lost.
         record: what is known of the tasks that some of the owners dispatched, None if nothing is.
     """
@@ -181,6 +183,8 @@
     expires_unix_ms: int
     owners: list[KeyOwner] = []
     local: list[int] = []
+    local_term: int = 0
+    local_change: int = 0
     uncertain: bool = False
     record: DispatchRecord | None = None
 
--- a/camphorchute/jobs/dispatcher.py
+++ b/camphorchute/jobs/dispatcher.py
@@ -209,8 +209,10 @@
         if self._requested_slots[request_key] <= 0:
             self._send_demands(grant.service, grant.team)
 
-    def requeue_returned_tasks(self, job: Job, scheduler: Member, message: TasksReturned) -> None:
-        """Requeue the tasks that a scheduler returned.
+    def requeue_returned_tasks(
+        self, job: Job, scheduler: Member, message: TasksReturned
+    ) -> list[int]:
+        """Requeue the tasks that a scheduler returned, and return their indices.
 
         Args:
             job: the job.
@@ -227,6 +229,7 @@
             job.returned_attempts |= attempts
         self._count(f"jobs.retry.{code.name.lower()}", len(returned))
         self.requeue_tasks(job, returned)
+        return returned
 
     def discount_pending_tasks(self, job: Job) -> None:
         """Take the tasks of an ended or moved job out of the number of pending tasks.
--- a/camphorchute/jobs/owner.py
+++ b/camphorchute/jobs/owner.py
@@ -31,7 +31,13 @@
 from camphorchute.jobs.key_checks import KeyChecks, check_digest
 from camphorchute.jobs.recovery import Recovery
 from camphorchute.links import handles
-from camphorchute.zones import Ledger, Witnessing, ZoneView
+from camphorchute.zones import (
+    Ledger,
+    Witnessing,
+    ZoneView,
+    add_local_tasks,
+    remove_local_tasks,
+)
 
 __all__ = ["JobOwner"]
 
@@ -208,7 +214,8 @@
         job = self._jobs.get(message.key)
         if job is None or not job.is_open:
             return Done()
-        self._dispatcher.requeue_returned_tasks(job, peer, message)
+        returned = self._dispatcher.requeue_returned_tasks(job, peer, message)
+        self._record_returned_tasks(job, returned)
         if job.is_recovered and not job.may_dispatch:
             gevent.spawn(self._dispatch_returned_tasks, job)
         return Done()
@@ -357,9 +364,27 @@
             self._end_job_by_refusal(job, refusal)
 
     def _acknowledge_local_tasks(self, job: Job, indices: list[int]) -> None:
-        job.entry.local = sorted({*job.entry.local, *indices})
+        term = self._view.owned_term(job.key.shard)
+        if term is None:
+            raise self._checks.not_owner_refusal(job.key)
+        add_local_tasks(job.entry, term.number, indices)
         self._acknowledge_entries(job.key, [job.entry])
 
+    def _record_returned_tasks(self, job: Job, indices: list[int]) -> None:
+        """Record that tasks beyond the job's reach were returned, so that none counts as started.
+
+        A witness that does not get to know it keeps the earlier list, which is only longer.
+        """
+        term = self._view.owned_term(job.key.shard)
+        if term is not None and remove_local_tasks(job.entry, term.number, indices):
+            gevent.spawn(self._acknowledge_returned_tasks, job)
+
+    def _acknowledge_returned_tasks(self, job: Job) -> None:
+        try:
+            self._acknowledge_entries(job.key, [job.entry])
+        except Refusal as refusal:
+            self._count(f"jobs.returned_local_{refusal.code.name.lower()}")
+
     def _acknowledge_reach(self, job: Job, reach: Reach) -> None:
         """Have witnesses record a reach within which this owner may dispatch tasks of the job."""
         job.entry.owners.append(self._own_key_owner(reach))
--- a/camphorchute/jobs/tests/test_moved_jobs.py
+++ b/camphorchute/jobs/tests/test_moved_jobs.py
@@ -3,13 +3,21 @@
 import pytest
 
 from camphorchute.contracts import Fate, JobKey, ResultCode
-from camphorchute.contracts.messages import DispatchRecord, KeyOwner, Reach
+from camphorchute.contracts.messages import (
+    DispatchRecord,
+    KeyOwner,
+    Reach,
+    TasksReturned,
+    Witness,
+)
 from camphorchute.jobs.tests.fakes import (
     DEPARTED_OWNER,
+    A,
     B,
     C,
     OwnerHarness,
     make_spec,
+    run_greenlets,
     wait_for_answer,
 )
 
@@ -106,3 +114,39 @@
         harness.owner._jobs.clear()
     periods = [owner.period for owner in entry_of(harness).owners if owner.member_id == "a"]
     assert len(set(periods)) == 2
+
+
+def last_witnessed_entry(harness):
+    return harness.peers.requests_of(Witness)[-1][1].entries[0]
+
+
+# Guards against worker_lost for tasks that the own scheduler of a killed owner had returned.
+def test_a_returned_task_is_no_longer_recorded_as_dispatched_beyond_the_reach(harness):
+    harness.submit(KEY)
+    harness.report_free_slots(A)
+    assert harness.dispatched_tasks() == [("a", 0), ("a", 1)]
+    assert last_witnessed_entry(harness).local == [0, 1]
+    attempt = harness.dispatch_messages()[0][1].tasks[0].attempt
+    returned = TasksReturned(KEY, [attempt], int(ResultCode.NO_SLOT))
+    harness.owner.receive_returned_tasks(A, returned)
+    run_greenlets()
+    assert last_witnessed_entry(harness).local == [1]
+    harness.report_free_slots(A)
+    assert harness.dispatched_tasks()[2:] == [("a", 0)]
+    assert last_witnessed_entry(harness).local == [0, 1]
+
+
+@pytest.mark.parametrize("cause", ["late return", "no witness"])
+def test_only_the_return_of_the_current_attempt_shortens_the_list(harness, cause):
+    harness.submit(KEY)
+    harness.report_free_slots(A)
+    if cause == "late return":
+        harness.owner.receive_returned_tasks(A, TasksReturned(KEY, ["a-0"], 0))
+        run_greenlets()
+        assert entry_of(harness).local == [0, 1]
+        return
+    harness.peers.unreachable = {"b", "c"}
+    harness.return_tasks(A, KEY, ResultCode.NO_SLOT)
+    assert entry_of(harness).local == []
+    harness.report_free_slots(A)
+    assert len(harness.dispatched_tasks()) == 2
--- a/camphorchute/zones/__init__.py
+++ b/camphorchute/zones/__init__.py
@@ -2,6 +2,7 @@
 
 from camphorchute.zones.deaths import DeathRegistry
 from camphorchute.zones.ledger import Ledger
+from camphorchute.zones.local_tasks import add_local_tasks, remove_local_tasks
 from camphorchute.zones.membership import Membership
 from camphorchute.zones.record import OwnershipRecord, ShardRecord, Term, assign_shard
 from camphorchute.zones.record_store import RecordStore
@@ -22,6 +23,8 @@
     "TermRecovery",
     "Witnessing",
     "ZoneView",
+    "add_local_tasks",
     "assign_shard",
+    "remove_local_tasks",
     "term_recovery",
 ]
--- a/camphorchute/zones/ledger.py
+++ b/camphorchute/zones/ledger.py
@@ -6,6 +6,7 @@
 from camphorchute.contracts.codes import ResultCode
 from camphorchute.contracts.errors import Refusal
 from camphorchute.contracts.messages import DispatchRecord, KeyEntry
+from camphorchute.zones.local_tasks import merge_local_tasks
 
 __all__ = ["Ledger"]
 
@@ -120,7 +121,7 @@
     def _merge_entry(self, held: KeyEntry, entry: KeyEntry) -> None:
         if held is entry:
             return
-        held.local = sorted({*held.local, *entry.local})
+        merge_local_tasks(held, entry)
         held.uncertain = held.uncertain or entry.uncertain
         held.owners += [owner for owner in entry.owners if owner not in held.owners]
         held.record = _more_complete_record(held.record, entry.record)
