Ignore a stop command of an owner that was replaced

Callers saw: nothing so far; found by a review for answers that are applied to state that has moved on.

Cause: CancelTasks names only the key. A paused or cut-off owner that fails its job later, with a stale view of the shard, stopped the tasks that the new owner runs; the job then ended as cancelled at the new owner.

Change: the command names the term of its sender. The scheduler ignores it if an owner of a later term has dispatched or asked for the job's tasks, and counts it as home.cancel.stale_term. An owner that knows that it was replaced sends none. A command without a term, from an earlier version, is obeyed as before.

No start depends on it: a stop command only keeps tasks from starting.

Tests: test_a_stop_command_of_a_replaced_owner_changes_nothing failed before for the superseded term; the tests of workers, jobs and entry pass.

--- a/camphorchute/contracts/task_messages.py
+++ b/camphorchute/contracts/task_messages.py
@@ -111,9 +111,16 @@
 
 
 class CancelTasks(msgspec.Struct, tag="cancel_tasks"):
-    """Stop command for a job: start no more of its tasks and stop the running ones; one way."""
+    """Stop command for a job: start no more of its tasks and stop the running ones; one way.
+
+    Attributes:
+        key: idempotency key of the job.
+        term: term of the shard under which the sender owns it; 0 from an owner of an earlier
+            version.
+    """
 
     key: str
+    term: int = 0
 
 
 class FindTasks(msgspec.Struct, tag="find_tasks"):
--- a/camphorchute/jobs/dispatcher.py
+++ b/camphorchute/jobs/dispatcher.py
@@ -245,10 +245,13 @@
         """Send one message to each scheduler that holds tasks of a job to cancel them.
 
         Args:
-            job: the job.
+            job: the job; nothing is sent if this process does not own its key any more.
         """
+        term = self._view.owned_term(job.key.shard)
+        if term is None:
+            return
         for scheduler_id in job.active_schedulers():
-            self._peers.send_if_linked(scheduler_id, CancelTasks(job.key.text))
+            self._peers.send_if_linked(scheduler_id, CancelTasks(job.key.text, term.number))
 
     def _dispatch_pending(self, service: str, team: str) -> None:
         queue = self._backlogs.get((service, team))
--- a/camphorchute/workers/task_scheduler.py
+++ b/camphorchute/workers/task_scheduler.py
@@ -187,10 +187,16 @@
             pool.set_demand(owner_id, message.team, message.waiting)
 
     def cancel_tasks(self, message: CancelTasks) -> None:
-        """Return the unsent tasks of a job, stop its running ones and start no further ones."""
+        """Return the unsent tasks of a job, stop its running ones and start no further ones.
+
+        The command of an owner whose term is superseded changes nothing.
+        """
         record = self._context.fence.records.get(message.key)
         if record is None:
             return
+        if message.term and message.term < record.term:
+            self._context.count("home.cancel.stale_term")
+            return
         record.cancelled = True
         self._end_job(record, ResultCode.CANCELLED_BEFORE_START, ResultCode.CANCELLED)
         self._context.fence.retain_or_drop(record, self._context.now_ms())
--- a/camphorchute/workers/tests/test_task_scheduler.py
+++ b/camphorchute/workers/tests/test_task_scheduler.py
@@ -219,6 +219,20 @@
     assert harness.back_end.batches[1] == ["job-1-again"]
 
 
+# Guards against a late stop command of a replaced owner, which ended the job at its new owner.
+@pytest.mark.parametrize("term, stops", [(1, False), (2, True), (0, True)])
+def test_a_stop_command_of_a_replaced_owner_changes_nothing(term, stops):
+    harness = SchedulerHarness()
+    harness.dispatch(indices=[0])
+    harness.step()
+    find(harness, term=2)
+    harness.scheduler.cancel_tasks(CancelTasks("job", term))
+    harness.step()
+    assert harness.back_end.calls["stop_job"] == int(stops)
+    assert harness.owner_reports("new owner") == ([("CANCELLED", 0)] if stops else [])
+    assert harness.counts["home.cancel.stale_term"] == int(not stops)
+
+
 def test_cancel_returns_unsent_tasks_and_stops_running_ones():
     harness = SchedulerHarness()
     harness.dispatch(indices=[0])
