Free the slot of an upstream request that is stopped before it is sent

Callers saw: nothing so far; found by a review of late stop commands.

Cause: a greenlet that is killed before it first runs executes no `finally`, so the request stayed among the running ones, and its slot was occupied until the process ended.

Change: the request is removed when its greenlet ends in any way.

Tests: test_a_request_that_is_stopped_before_it_is_sent_is_not_listed_as_running failed before and passes; the tests of workers pass.

--- a/camphorchute/workers/http_upstream.py
+++ b/camphorchute/workers/http_upstream.py
@@ -1,6 +1,7 @@
 """Client for upstreams: plain HTTP servers that receive each task as a single request."""
 
 import base64
+import functools
 import time
 
 import gevent
@@ -158,6 +159,7 @@
         for attempt in attempts:
             greenlet = gevent.Greenlet(self._run, attempt)
             self._running[attempt.attempt] = (attempt, greenlet)
+            greenlet.link(functools.partial(self._remove_running, attempt.attempt))
             greenlet.start()
         return StartReport(started=[attempt.attempt for attempt in attempts])
 
@@ -194,6 +196,11 @@
         self._connection_refused = False
         return BackEndStatus(self.connections, len(self._running))
 
+    def _remove_running(self, attempt: str, greenlet: gevent.Greenlet) -> None:
+        """Remove a request that has ended, also one that was stopped before it began."""
+        del self._running[attempt]
+        self._request_ended.set()
+
     def _run(self, attempt: Attempt) -> None:
         started_s = time.monotonic()
         try:
@@ -213,9 +220,6 @@
             self._next_page.answers.append(
                 _attempt_answer(attempt, False, f"malformed request: {error}", 0.0)
             )
-        finally:
-            del self._running[attempt.attempt]
-            self._request_ended.set()
 
     def _request(self, attempt: Attempt) -> HttpAnswer | None:
         """Return the answer, or None if the request may have run and no answer can be obtained."""
--- a/camphorchute/workers/tests/test_http_upstream.py
+++ b/camphorchute/workers/tests/test_http_upstream.py
@@ -130,6 +130,17 @@
     assert back_end.next_answers(0, 0.0).answers == []
 
 
+# Guards against a slot that stays occupied by a request that was never sent.
+def test_a_request_that_is_stopped_before_it_is_sent_is_not_listed_as_running(upstream):
+    back_end = make_back_end(upstream)
+    back_end.start_attempts([make_attempt()])
+    back_end.stop_job("job")
+    gevent.sleep(0.05)
+    assert back_end.find_attempts("job") == []
+    assert back_end.status().running == 0
+    assert recorded_requests(upstream) == []
+
+
 @pytest.mark.parametrize(
     "payload", ["no json", '{"method": "GET"}', '{"method":"A\\r","path":"/"}']
 )
