Comprise in a job's record only the owners that the job takes account of

Found by reading again; no caller saw it.

Cause: the record named every owner in the key's entry. A process that was replaced and does not know it yet may hold the key as a witness of its successor, whose owner entry is then merged into the same entry. Its record, made when it learns of the new term, would have comprised the successor without its dispatches, and a third owner could have started a task a second time. The same holds for a job that closes twice.

Change: a job keeps the owners that it knew when it was accepted or resumed, and itself; the record comprises these, and only a job that is still open makes one.

Tests: three cases of test_moved_jobs.py failed before and pass; the tests of jobs and zones pass.

--- a/camphorchute/jobs/job.py
+++ b/camphorchute/jobs/job.py
@@ -7,7 +7,7 @@
 
 from camphorchute.contracts import JobAnswer, JobKey, JobSpec, ResultCode
 from camphorchute.contracts.errors import InvariantBroken
-from camphorchute.contracts.messages import KeyEntry, Reach
+from camphorchute.contracts.messages import KeyEntry, KeyOwner, Reach
 from camphorchute.jobs.pools import pool_for_job
 
 __all__ = ["Job", "Task", "TaskState"]
@@ -59,6 +59,7 @@
         deadline_s: monotonic time of the deadline in seconds.
         tasks: the tasks, in the order of the body.
         entry: the ledger's entry of the key, None until the key is accepted.
+        known_owners: this owner and the earlier ones whose dispatches the job takes account of.
         reach: which schedulers tasks may be dispatched to without a further acknowledgement.
         resumed: whether an earlier owner or submission of the key may have dispatched tasks.
         is_recovered: whether it is known what earlier owners dispatched.
@@ -92,6 +93,7 @@
         "deadline_s",
         "tasks",
         "entry",
+        "known_owners",
         "reach",
         "resumed",
         "is_recovered",
@@ -115,6 +117,7 @@
         self.deadline_s = time.monotonic() + remaining_ms / 1000
         self.tasks = [Task() for _ in spec.tasks]
         self.entry: KeyEntry | None = None
+        self.known_owners: list[KeyOwner] = []
         self.reach = Reach.OTHER_HOSTS
         self.resumed = False
         self.is_recovered = True
--- a/camphorchute/jobs/owner.py
+++ b/camphorchute/jobs/owner.py
@@ -292,8 +292,9 @@
         now_ms = time.time() * 1000
         expires_unix_ms = round(now_ms + self._checks.key_retention_ms)
         key = job.key
+        job.known_owners = [self._own_key_owner(job.reach)]
         job.entry = KeyEntry(
-            key.text, key.shard, job.digest, expires_unix_ms, [self._own_key_owner(job.reach)]
+            key.text, key.shard, job.digest, expires_unix_ms, list(job.known_owners)
         )
         self._ledger.hold(job.entry)
         self._jobs.add(job)
@@ -314,6 +315,7 @@
 
     def _resume_job(self, job: Job, entry: KeyEntry) -> None:
         job.entry = entry
+        job.known_owners = list(entry.owners)
         job.mark_resumed()
         job.reach = self._view.reach()
         self._jobs.add(job)
@@ -387,7 +389,9 @@
 
     def _acknowledge_reach(self, job: Job, reach: Reach) -> None:
         """Have witnesses record a reach within which this owner may dispatch tasks of the job."""
-        job.entry.owners.append(self._own_key_owner(reach))
+        owner = self._own_key_owner(reach)
+        job.known_owners.append(owner)
+        job.entry.owners.append(owner)
         self._acknowledge_entries(job.key, [job.entry])
         job.reach = reach
 
@@ -510,20 +514,24 @@
     def _redirect_job(self, job: Job) -> None:
         """Redirect the callers of a job to its new owner and drop the job here."""
         self._record_event("moved", job)
+        if job.is_open:
+            self._record_dispatched_tasks(job)
         job.mark_moved()
-        self._record_dispatched_tasks(job)
         self._dispatcher.discount_pending_tasks(job)
         self._jobs.remove(job)
 
     def _record_dispatched_tasks(self, job: Job) -> None:
-        """Record in the key's entry which tasks of a moved job may have been started, and where.
+        """Record in the key's entry which tasks of a job may have been started, and where.
+
+        The job closes in the same step. A later owner of the key may be in the entry already; the
+        record does not comprise it.
 
         The new owner gets the entry with its fence. Without a record it must assume that any
         scheduler which has gone started the tasks that no other one holds.
         """
-        owners = [owner for owner in job.entry.owners if owner.period]
-        if job.is_recovered and len(owners) == len(job.entry.owners):
-            job.entry.record = DispatchRecord(owners, job.dispatched_tasks())
+        are_numbered = all(owner.period for owner in job.known_owners)
+        if job.is_recovered and are_numbered:
+            job.entry.record = DispatchRecord(list(job.known_owners), job.dispatched_tasks())
 
     def _run_expiry_loop(self) -> None:
         while True:
--- a/camphorchute/jobs/tests/test_moved_jobs.py
+++ b/camphorchute/jobs/tests/test_moved_jobs.py
@@ -5,6 +5,7 @@
 from camphorchute.contracts import Fate, JobKey, ResultCode
 from camphorchute.contracts.messages import (
     DispatchRecord,
+    KeyEntry,
     KeyOwner,
     Reach,
     TasksReturned,
@@ -150,3 +151,28 @@
     assert entry_of(harness).local == []
     harness.report_free_slots(A)
     assert len(harness.dispatched_tasks()) == 2
+
+
+# Guards against a record that comprises a later owner, whose dispatches its author cannot know.
+@pytest.mark.parametrize("resumed", [False, True])
+def test_a_record_comprises_no_owner_that_was_added_while_the_job_ran(harness, resumed):
+    if resumed:
+        harness.add_accepted_key(KEY, [RECORDED_OWNER])
+    harness.submit(KEY)
+    owners = list(entry_of(harness).owners)
+    entry = entry_of(harness)
+    harness.ledger.merge([KeyEntry(KEY, entry.shard, entry.digest, 2**60, [LATER_OWNER])])
+    harness.move_shards_away()
+    assert entry_of(harness).record.owners == owners
+    assert LATER_OWNER in entry_of(harness).owners
+
+
+def test_a_job_that_has_closed_records_nothing(harness):
+    harness.submit(KEY)
+    job = harness.owner._jobs.get(KEY)
+    harness.move_shards_away()
+    record = entry_of(harness).record
+    entry_of(harness).owners.append(LATER_OWNER)
+    job.known_owners.append(LATER_OWNER)
+    harness.owner._redirect_job(job)
+    assert entry_of(harness).record is record
