Keep a task pending that is returned while the reply about it is under way

Callers saw: nothing so far; found by a review for answers that are applied to state that has moved on.

Cause: after a lost link an owner asks the scheduler for the job's tasks. A return that the scheduler sends after its reply may be handled before the reply is applied, as returns are handled in the reader of the link. The reply then put the task back to the scheduler, which holds it no more; the job waited until its deadline.

Change: returns are remembered for as long as a query of the job is open, not only until a resumed job is recovered, and a named attempt that was returned is not adopted.

Why no task starts twice: the return proves that its attempt never starts, as before.

Tests: test_a_task_returned_while_the_scheduler_is_asked_stays_pending failed before and passes; the tests of jobs pass.

--- a/camphorchute/jobs/dispatcher.py
+++ b/camphorchute/jobs/dispatcher.py
@@ -225,7 +225,7 @@
         attempts = set(message.attempts)
         indices = [i for i, task in enumerate(job.tasks) if task.attempt in attempts]
         returned = [i for i in indices if job.return_task(i, job.tasks[i].attempt)]
-        if not job.is_recovered:
+        if job.open_query_count:
             job.returned_attempts |= attempts
         self._count(f"jobs.retry.{code.name.lower()}", len(returned))
         self.requeue_tasks(job, returned)
--- a/camphorchute/jobs/job.py
+++ b/camphorchute/jobs/job.py
@@ -65,7 +65,8 @@
         is_recovered: whether it is known what earlier owners dispatched.
         may_dispatch: whether this owner may dispatch tasks; a resumed job is dispatched only once
             witnesses have recorded its new owner.
-        returned_attempts: ids of attempts that were returned before the owner knew them.
+        open_query_count: number of queries to schedulers whose replies have not been applied.
+        returned_attempts: ids of attempts that were returned while such a query was open.
         is_ending: whether the final answer is being decided; no task is dispatched meanwhile.
         queued_task_count: number of tasks of the job in the dispatch backlog.
         unfit_scheduler_ids: schedulers whose workers are all too small for a task of the job.
@@ -98,6 +99,7 @@
         "resumed",
         "is_recovered",
         "may_dispatch",
+        "open_query_count",
         "returned_attempts",
         "is_ending",
         "queued_task_count",
@@ -122,6 +124,7 @@
         self.resumed = False
         self.is_recovered = True
         self.may_dispatch = True
+        self.open_query_count = 0
         self.returned_attempts: set[str] = set()
         self.is_ending = False
         self.queued_task_count = 0
@@ -147,6 +150,16 @@
         self.is_recovered = False
         self.may_dispatch = False
 
+    def begin_query(self) -> None:
+        """Note a query to a scheduler; attempts that are returned meanwhile are remembered."""
+        self.open_query_count += 1
+
+    def end_query(self) -> None:
+        """Note that the reply to a query was applied, or that none will be."""
+        self.open_query_count -= 1
+        if not self.open_query_count:
+            self.returned_attempts.clear()
+
     def dispatch_task(self, index: int, attempt: str, scheduler_id: str) -> None:
         """Mark a pending task as dispatched to a scheduler.
 
--- a/camphorchute/jobs/recovery.py
+++ b/camphorchute/jobs/recovery.py
@@ -178,16 +178,24 @@
             job.pool,
             attempts or [],
         )
+        job.begin_query()
         try:
-            found = self._peers.request(scheduler, message, FIND_TASKS_TIMEOUT_MS)
+            found = self._request_tasks(scheduler, message)
+            if found is not None:
+                self._apply_found_tasks(job, scheduler, found)
+            return found
+        finally:
+            job.end_query()
+
+    def _request_tasks(self, scheduler: Member, message: FindTasks) -> FoundTasks | None:
+        try:
+            return self._peers.request(scheduler, message, FIND_TASKS_TIMEOUT_MS)
         except LinkLost:
             self._count("jobs.retry.find_tasks")
             return None
         except Refusal as refusal:
             self._view.adopt_from_refusal(refusal)
             raise
-        self._apply_found_tasks(job, scheduler, found)
-        return found
 
     def _apply_found_tasks(self, job: Job, scheduler: Member, found: FoundTasks) -> None:
         is_named = len(found.attempts) == len(found.running)
--- a/camphorchute/jobs/tests/test_recovery.py
+++ b/camphorchute/jobs/tests/test_recovery.py
@@ -2,7 +2,7 @@
 import pytest
 
 from camphorchute.contracts import JobKey, Refusal, ResultCode, TaskOutcome
-from camphorchute.contracts.messages import FindTasks, FoundTasks
+from camphorchute.contracts.messages import FindTasks, FoundTasks, TasksReturned
 from camphorchute.jobs import recovery
 from camphorchute.jobs.job import Job, TaskState
 from camphorchute.jobs.tests.fakes import B, OwnerHarness, make_spec
@@ -57,6 +57,20 @@
     assert job.tasks_dispatched_to("b") == [0, 1]
 
 
+# Guards against a task in two places: in the backlog and, by a late reply, at its scheduler.
+def test_a_task_returned_while_the_scheduler_is_asked_stays_pending(harness, job):
+    def reply_after_return(scheduler, message):
+        returned = TasksReturned("k", ["a-0"], int(ResultCode.NO_SLOT))
+        harness.dispatcher.requeue_returned_tasks(job, B, returned)
+        return FoundTasks("k", [], [0, 1], ["a-0", "a-1"])
+
+    harness.peers.replies[FindTasks] = reply_after_return
+    assert harness.recovery.recover_from_scheduler(job, B) == []
+    assert job.pending_tasks() == [0, 2]
+    assert job.tasks_dispatched_to("b") == [1]
+    assert not job.returned_attempts
+
+
 def test_a_task_dispatched_while_the_scheduler_is_asked_is_not_reclaimed(harness, job):
     set_found_tasks_at_b(
         harness, running=[0, 1], while_asking=lambda: job.dispatch_task(2, "a-2", "b")
