--- a/camphorchute/jobs/owner.py
+++ b/camphorchute/jobs/owner.py
@@ -1,6 +1,5 @@
 """The owner's side of a job: accepts each key once, runs its job and returns the answer."""
 
-import itertools
 import time
 from collections.abc import Callable
 
@@ -12,14 +11,11 @@
 from camphorchute.contracts.member import Member
 from camphorchute.contracts.messages import (
     CancelJob,
-    DispatchRecord,
     Done,
     FetchJob,
     Grant,
     JobEnded,
     KeyEntry,
-    KeyOwner,
-    Reach,
     SubmitJob,
     TasksEnded,
     TasksReturned,
@@ -30,14 +26,9 @@
 from camphorchute.jobs.job_table import JobTable
 from camphorchute.jobs.key_checks import KeyChecks, check_digest
 from camphorchute.jobs.recovery import Recovery
+from camphorchute.jobs.witnessed_entries import WitnessedEntries
 from camphorchute.links import handles
-from camphorchute.zones import (
-    Ledger,
-    Witnessing,
-    ZoneView,
-    add_local_tasks,
-    remove_local_tasks,
-)
+from camphorchute.zones import Ledger, Witnessing, ZoneView
 
 __all__ = ["JobOwner"]
 
@@ -66,7 +57,7 @@
     __slots__ = (
         "_view",
         "_ledger",
-        "_witnessing",
+        "_entries",
         "_admission",
         "_dispatcher",
         "_recovery",
@@ -74,7 +65,6 @@
         "_checks",
         "_count",
         "_jobs",
-        "_periods",
         "_greenlet",
     )
 
@@ -94,20 +84,19 @@
     ) -> None:
         self._view = view
         self._ledger = ledger
-        self._witnessing = witnessing
         self._admission = admission
         self._dispatcher = dispatcher
         self._recovery = recovery
         self._zones = zones
         self._checks = KeyChecks(view, window_ms, clock_skew_ms)
+        self._entries = WitnessedEntries(view, witnessing, self._checks, count)
         self._count = count
         self._jobs = JobTable(answer_retention_ms)
-        self._periods = itertools.count(1)
         self._greenlet = None
 
     def start(self) -> None:
         """Start to follow the ownership records and to expire keys and answers."""
-        self._dispatcher.acknowledge_local_tasks = self._acknowledge_local_tasks
+        self._dispatcher.acknowledge_local_tasks = self._entries.add_local_tasks
         self._view.change_listeners.append(self._redirect_moved_jobs)
         self._greenlet = gevent.spawn(self._run_expiry_loop)
 
@@ -147,7 +136,7 @@
             job = self._find_or_accept_job(key, message)
         except Refusal as refusal:
             if code_info(refusal.code).fate is Fate.NOT_RUN:
-                self._acknowledge_entries(key, [])
+                self._entries.acknowledge(key, [])
             raise
         return self._wait_for_answer(job, None)
 
@@ -215,7 +204,7 @@
         if job is None or not job.is_open:
             return Done()
         returned = self._dispatcher.requeue_returned_tasks(job, peer, message)
-        self._record_returned_tasks(job, returned)
+        self._entries.remove_returned_tasks(job, returned)
         if job.is_recovered and not job.may_dispatch:
             gevent.spawn(self._dispatch_returned_tasks, job)
         return Done()
@@ -292,14 +281,14 @@
         now_ms = time.time() * 1000
         expires_unix_ms = round(now_ms + self._checks.key_retention_ms)
         key = job.key
-        job.known_owners = [self._own_key_owner(job.reach)]
+        job.known_owners = [self._entries.make_key_owner(job.reach)]
         job.entry = KeyEntry(
             key.text, key.shard, job.digest, expires_unix_ms, list(job.known_owners)
         )
         self._ledger.hold(job.entry)
         self._jobs.add(job)
         try:
-            self._acknowledge_entries(key, [job.entry])
+            self._entries.acknowledge(key, [job.entry])
         except Refusal as refusal:
             self._jobs.remove(job)
             if refusal.code is ResultCode.KEY_CONFLICT:
@@ -341,7 +330,7 @@
         """
         if not job.pending_tasks():
             return
-        self._acknowledge_reach(job, self._view.reach())
+        self._entries.add_reach(job, self._view.reach())
         if job.may_dispatch:
             return
         job.may_dispatch = True
@@ -365,56 +354,6 @@
         except Refusal as refusal:
             self._end_job_by_refusal(job, refusal)
 
-    def _acknowledge_local_tasks(self, job: Job, indices: list[int]) -> None:
-        term = self._view.owned_term(job.key.shard)
-        if term is None:
-            raise self._checks.not_owner_refusal(job.key)
-        add_local_tasks(job.entry, term.number, indices)
-        self._acknowledge_entries(job.key, [job.entry])
-
-    def _record_returned_tasks(self, job: Job, indices: list[int]) -> None:
-        """Record that tasks beyond the job's reach were returned, so that none counts as started.
-
-        A witness that does not get to know it keeps the earlier list, which is only longer.
-        """
-        term = self._view.owned_term(job.key.shard)
-        if term is not None and remove_local_tasks(job.entry, term.number, indices):
-            gevent.spawn(self._acknowledge_returned_tasks, job)
-
-    def _acknowledge_returned_tasks(self, job: Job) -> None:
-        try:
-            self._acknowledge_entries(job.key, [job.entry])
-        except Refusal as refusal:
-            self._count(f"jobs.returned_local_{refusal.code.name.lower()}")
-
-    def _acknowledge_reach(self, job: Job, reach: Reach) -> None:
-        """Have witnesses record a reach within which this owner may dispatch tasks of the job."""
-        owner = self._own_key_owner(reach)
-        job.known_owners.append(owner)
-        job.entry.owners.append(owner)
-        self._acknowledge_entries(job.key, [job.entry])
-        job.reach = reach
-
-    def _acknowledge_entries(self, key: JobKey, entries: list[KeyEntry]) -> None:
-        """Return once a witness has acknowledged the entries under the current term.
-
-        Without entries this proves that no other process can have accepted the key so far: a new
-        owner recovers a shard only after every witness of the earlier term refuses that term.
-
-        Raises:
-            Refusal: this process does not own the key any more, or no witness acknowledged.
-        """
-        term = self._view.owned_term(key.shard)
-        if term is None:
-            raise self._checks.not_owner_refusal(key)
-        self._witnessing.acknowledge(term, key.shard, entries)
-        if self._view.owned_term(key.shard) is None:
-            raise self._checks.not_owner_refusal(key)
-
-    def _own_key_owner(self, reach: Reach) -> KeyOwner:
-        member = self._view.member
-        return KeyOwner(member.member_id, member.host, reach, next(self._periods))
-
     def _end_job_by_refusal(self, job: Job, refusal: Refusal) -> None:
         if refusal.code in OWNER_CHANGED_CODES:
             self._redirect_job(job)
@@ -465,7 +404,7 @@
             return
         job.is_ending = True
         try:
-            self._acknowledge_entries(job.key, [])
+            self._entries.acknowledge(job.key, [])
         except Refusal as refusal:
             self._end_job_by_refusal(job, refusal)
             return
@@ -515,24 +454,11 @@
         """Redirect the callers of a job to its new owner and drop the job here."""
         self._record_event("moved", job)
         if job.is_open:
-            self._record_dispatched_tasks(job)
+            self._entries.record_dispatched_tasks(job)
         job.mark_moved()
         self._dispatcher.discount_pending_tasks(job)
         self._jobs.remove(job)
 
-    def _record_dispatched_tasks(self, job: Job) -> None:
-        """Record in the key's entry which tasks of a job may have been started, and where.
-
-        The job closes in the same step. A later owner of the key may be in the entry already; the
-        record does not comprise it.
-
-        The new owner gets the entry with its fence. Without a record it must assume that any
-        scheduler which has gone started the tasks that no other one holds.
-        """
-        are_numbered = all(owner.period for owner in job.known_owners)
-        if job.is_recovered and are_numbered:
-            job.entry.record = DispatchRecord(list(job.known_owners), job.dispatched_tasks())
-
     def _run_expiry_loop(self) -> None:
         while True:
             gevent.sleep(EXPIRY_INTERVAL_MS / 1000)
