--- a/camphorchute/contracts/task_messages.py
+++ b/camphorchute/contracts/task_messages.py
@@ -111,9 +111,16 @@
 
 
 class CancelTasks(msgspec.Struct, tag="cancel_tasks"):
-    """Stop command for a job: start no more of its tasks and stop the running ones; one way."""
+    """Stop command for a job: start no more of its tasks and stop the running ones; one way.
+
+    Attributes:
+        key: idempotency key of the job.
+        term: term of the shard under which the sender owns it; 0 from an owner of an earlier
+            version.
+    """
 
     key: str
+    term: int = 0
 
 
 class FindTasks(msgspec.Struct, tag="find_tasks"):
@@ -146,8 +153,11 @@
         key: idempotency key of the job.
         ended: outcomes of the tasks that have ended.
         running: indices of the tasks that may have been sent to a worker and have not ended.
+        attempts: ids of the attempts of the running tasks, in their order; empty from a scheduler
+            of an earlier version.
     """
 
     key: str
     ended: list[TaskOutcome]
     running: list[int]
+    attempts: list[str] = []
--- a/camphorchute/jobs/dispatcher.py
+++ b/camphorchute/jobs/dispatcher.py
@@ -167,10 +167,10 @@
         """Add tasks of an open job to the backlog and dispatch what fits into free slots.
 
         Args:
-            job: the job; nothing happens if it has ended or is ending.
+            job: the job; nothing happens if it has ended, is ending or may not dispatch tasks yet.
             indices: indices of the tasks.
         """
-        if not job.is_open or job.is_ending:
+        if not job.is_open or job.is_ending or not job.may_dispatch:
             return
         queue = self._backlogs.setdefault((job.pool, job.spec.team), deque())
         queue.extend((job, index) for index in indices)
@@ -182,10 +182,10 @@
         """Put tasks that a scheduler did not start back at the head of the backlog.
 
         Args:
-            job: the job; nothing happens if it has ended.
+            job: the job; nothing happens if it has ended or may not dispatch tasks yet.
             indices: indices of the tasks.
         """
-        if not job.is_open:
+        if not job.is_open or not job.may_dispatch:
             return
         queue = self._backlogs.setdefault((job.pool, job.spec.team), deque())
         queue.extendleft((job, index) for index in reversed(indices))
@@ -209,8 +209,10 @@
         if self._requested_slots[request_key] <= 0:
             self._send_demands(grant.service, grant.team)
 
-    def requeue_returned_tasks(self, job: Job, scheduler: Member, message: TasksReturned) -> None:
-        """Requeue the tasks that a scheduler returned.
+    def requeue_returned_tasks(
+        self, job: Job, scheduler: Member, message: TasksReturned
+    ) -> list[int]:
+        """Requeue the tasks that a scheduler returned, and return their indices.
 
         Args:
             job: the job.
@@ -223,8 +225,11 @@
         attempts = set(message.attempts)
         indices = [i for i, task in enumerate(job.tasks) if task.attempt in attempts]
         returned = [i for i in indices if job.return_task(i, job.tasks[i].attempt)]
+        if job.open_query_count:
+            job.returned_attempts |= attempts
         self._count(f"jobs.retry.{code.name.lower()}", len(returned))
         self.requeue_tasks(job, returned)
+        return returned
 
     def discount_pending_tasks(self, job: Job) -> None:
         """Take the tasks of an ended or moved job out of the number of pending tasks.
@@ -240,10 +245,13 @@
         """Send one message to each scheduler that holds tasks of a job to cancel them.
 
         Args:
-            job: the job.
+            job: the job; nothing is sent if this process does not own its key any more.
         """
+        term = self._view.owned_term(job.key.shard)
+        if term is None:
+            return
         for scheduler_id in job.active_schedulers():
-            self._peers.send_if_linked(scheduler_id, CancelTasks(job.key.text))
+            self._peers.send_if_linked(scheduler_id, CancelTasks(job.key.text, term.number))
 
     def _dispatch_pending(self, service: str, team: str) -> None:
         queue = self._backlogs.get((service, team))
--- a/camphorchute/jobs/job.py
+++ b/camphorchute/jobs/job.py
@@ -7,7 +7,7 @@
 
 from camphorchute.contracts import JobAnswer, JobKey, JobSpec, ResultCode
 from camphorchute.contracts.errors import InvariantBroken
-from camphorchute.contracts.messages import KeyEntry, Reach
+from camphorchute.contracts.messages import KeyEntry, KeyOwner, Reach
 from camphorchute.jobs.pools import pool_for_job
 
 __all__ = ["Job", "Task", "TaskState"]
@@ -27,7 +27,7 @@
     Attributes:
         state: whether the task is pending, dispatched to a scheduler or ended.
         attempt: id of the current attempt; empty while the task is pending, or where an earlier
-            owner dispatched it.
+            owner dispatched it and its scheduler has not named it.
         scheduler_id: member id of the scheduler that the task was dispatched to, or empty.
         answer: the worker's answer, empty until the task has ended.
         dispatched_s: monotonic time of the dispatch in seconds, 0 before the first one.
@@ -59,8 +59,14 @@
         deadline_s: monotonic time of the deadline in seconds.
         tasks: the tasks, in the order of the body.
         entry: the ledger's entry of the key, None until the key is accepted.
+        known_owners: this owner and the earlier ones whose dispatches the job takes account of.
         reach: which schedulers tasks may be dispatched to without a further acknowledgement.
         resumed: whether an earlier owner or submission of the key may have dispatched tasks.
+        is_recovered: whether it is known what earlier owners dispatched.
+        may_dispatch: whether this owner may dispatch tasks; a resumed job is dispatched only once
+            witnesses have recorded its new owner.
+        open_query_count: number of queries to schedulers whose replies have not been applied.
+        returned_attempts: ids of attempts that were returned while such a query was open.
         is_ending: whether the final answer is being decided; no task is dispatched meanwhile.
         queued_task_count: number of tasks of the job in the dispatch backlog.
         unfit_scheduler_ids: schedulers whose workers are all too small for a task of the job.
@@ -88,8 +94,13 @@
         "deadline_s",
         "tasks",
         "entry",
+        "known_owners",
         "reach",
         "resumed",
+        "is_recovered",
+        "may_dispatch",
+        "open_query_count",
+        "returned_attempts",
         "is_ending",
         "queued_task_count",
         "unfit_scheduler_ids",
@@ -108,8 +119,13 @@
         self.deadline_s = time.monotonic() + remaining_ms / 1000
         self.tasks = [Task() for _ in spec.tasks]
         self.entry: KeyEntry | None = None
+        self.known_owners: list[KeyOwner] = []
         self.reach = Reach.OTHER_HOSTS
         self.resumed = False
+        self.is_recovered = True
+        self.may_dispatch = True
+        self.open_query_count = 0
+        self.returned_attempts: set[str] = set()
         self.is_ending = False
         self.queued_task_count = 0
         self.unfit_scheduler_ids: set[str] = set()
@@ -128,6 +144,22 @@
         """Whether the job has no answer and has not moved to another owner."""
         return not self.finished.is_set()
 
+    def mark_resumed(self) -> None:
+        """Mark the job as one of which an earlier owner may have dispatched tasks."""
+        self.resumed = True
+        self.is_recovered = False
+        self.may_dispatch = False
+
+    def begin_query(self) -> None:
+        """Note a query to a scheduler; attempts that are returned meanwhile are remembered."""
+        self.open_query_count += 1
+
+    def end_query(self) -> None:
+        """Note that the reply to a query was applied, or that none will be."""
+        self.open_query_count -= 1
+        if not self.open_query_count:
+            self.returned_attempts.clear()
+
     def dispatch_task(self, index: int, attempt: str, scheduler_id: str) -> None:
         """Mark a pending task as dispatched to a scheduler.
 
@@ -168,18 +200,20 @@
         task.scheduler_id = ""
         return True
 
-    def adopt_task(self, index: int, scheduler_id: str) -> None:
+    def adopt_task(self, index: int, scheduler_id: str, attempt: str = "") -> None:
         """Mark a pending task as one that an earlier owner dispatched to a scheduler.
 
-        A task that is not pending stays as it is.
+        A task that is not pending, or whose attempt was returned already, stays as it is.
 
         Args:
             index: index of the task.
             scheduler_id: member id of the scheduler.
+            attempt: id of the attempt, empty if it is not known.
         """
         task = self.tasks[index]
-        if task.state is TaskState.WAITING:
+        if task.state is TaskState.WAITING and attempt not in self.returned_attempts:
             task.state = TaskState.HANDED
+            task.attempt = attempt
             task.scheduler_id = scheduler_id
 
     def complete_task(self, index: int, attempt: str, answer: str) -> bool:
@@ -259,6 +293,14 @@
         """Return whether a task was dispatched, so that it may have run."""
         return any(task.state is not TaskState.WAITING for task in self.tasks)
 
+    def dispatched_tasks(self) -> dict[str, list[int]]:
+        """Return the indices of the tasks that may have been started, by scheduler."""
+        dispatched: dict[str, list[int]] = {}
+        for index, task in enumerate(self.tasks):
+            if task.state is not TaskState.WAITING:
+                dispatched.setdefault(task.scheduler_id, []).append(index)
+        return dispatched
+
     def active_schedulers(self) -> set[str]:
         """Return the ids of the schedulers that hold dispatched tasks which have not ended."""
         return {t.scheduler_id for t in self.tasks if t.state is TaskState.HANDED}
--- a/camphorchute/jobs/owner.py
+++ b/camphorchute/jobs/owner.py
@@ -16,8 +16,6 @@
     Grant,
     JobEnded,
     KeyEntry,
-    KeyOwner,
-    Reach,
     SubmitJob,
     TasksEnded,
     TasksReturned,
@@ -28,6 +26,7 @@
 from camphorchute.jobs.job_table import JobTable
 from camphorchute.jobs.key_checks import KeyChecks, check_digest
 from camphorchute.jobs.recovery import Recovery
+from camphorchute.jobs.witnessed_entries import WitnessedEntries
 from camphorchute.links import handles
 from camphorchute.zones import Ledger, Witnessing, ZoneView
 
@@ -58,7 +57,7 @@
     __slots__ = (
         "_view",
         "_ledger",
-        "_witnessing",
+        "_entries",
         "_admission",
         "_dispatcher",
         "_recovery",
@@ -85,19 +84,19 @@
     ) -> None:
         self._view = view
         self._ledger = ledger
-        self._witnessing = witnessing
         self._admission = admission
         self._dispatcher = dispatcher
         self._recovery = recovery
         self._zones = zones
         self._checks = KeyChecks(view, window_ms, clock_skew_ms)
+        self._entries = WitnessedEntries(view, witnessing, self._checks, count)
         self._count = count
         self._jobs = JobTable(answer_retention_ms)
         self._greenlet = None
 
     def start(self) -> None:
         """Start to follow the ownership records and to expire keys and answers."""
-        self._dispatcher.acknowledge_local_tasks = self._acknowledge_local_tasks
+        self._dispatcher.acknowledge_local_tasks = self._entries.add_local_tasks
         self._view.change_listeners.append(self._redirect_moved_jobs)
         self._greenlet = gevent.spawn(self._run_expiry_loop)
 
@@ -137,7 +136,7 @@
             job = self._find_or_accept_job(key, message)
         except Refusal as refusal:
             if code_info(refusal.code).fate is Fate.NOT_RUN:
-                self._acknowledge_entries(key, [])
+                self._entries.acknowledge(key, [])
             raise
         return self._wait_for_answer(job, None)
 
@@ -204,7 +203,10 @@
         job = self._jobs.get(message.key)
         if job is None or not job.is_open:
             return Done()
-        self._dispatcher.requeue_returned_tasks(job, peer, message)
+        returned = self._dispatcher.requeue_returned_tasks(job, peer, message)
+        self._entries.remove_returned_tasks(job, returned)
+        if job.is_recovered and not job.may_dispatch:
+            gevent.spawn(self._dispatch_returned_tasks, job)
         return Done()
 
     @handles(Grant, nonblocking=True)
@@ -279,13 +281,14 @@
         now_ms = time.time() * 1000
         expires_unix_ms = round(now_ms + self._checks.key_retention_ms)
         key = job.key
+        job.known_owners = [self._entries.make_key_owner(job.reach)]
         job.entry = KeyEntry(
-            key.text, key.shard, job.digest, expires_unix_ms, [self._own_key_owner(job.reach)]
+            key.text, key.shard, job.digest, expires_unix_ms, list(job.known_owners)
         )
         self._ledger.hold(job.entry)
         self._jobs.add(job)
         try:
-            self._acknowledge_entries(key, [job.entry])
+            self._entries.acknowledge(key, [job.entry])
         except Refusal as refusal:
             self._jobs.remove(job)
             if refusal.code is ResultCode.KEY_CONFLICT:
@@ -301,7 +304,8 @@
 
     def _resume_job(self, job: Job, entry: KeyEntry) -> None:
         job.entry = entry
-        job.resumed = True
+        job.known_owners = list(entry.owners)
+        job.mark_resumed()
         job.reach = self._view.reach()
         self._jobs.add(job)
         self._record_event("resumed", job)
@@ -310,13 +314,31 @@
 
     def _recover_from_earlier_owners(self, job: Job) -> None:
         try:
-            indices = self._recovery.recover_from_earlier_owners(job)
+            self._recovery.recover_from_earlier_owners(job)
+            job.is_recovered = True
             if not job.is_open:
                 self._record_completion(job)
-                return
-            if indices:
-                self._acknowledge_reach(job, self._view.reach())
-                self._dispatcher.enqueue_tasks(job, indices)
+            else:
+                self._dispatch_recovered_tasks(job)
+        except Refusal as refusal:
+            self._end_job_by_refusal(job, refusal)
+
+    def _dispatch_recovered_tasks(self, job: Job) -> None:
+        """Dispatch the pending tasks of a resumed job, once witnesses have recorded its owner.
+
+        Without a pending task nothing is recorded; a task that is returned later calls it again.
+        """
+        if not job.pending_tasks():
+            return
+        self._entries.add_reach(job, self._view.reach())
+        if job.may_dispatch:
+            return
+        job.may_dispatch = True
+        self._dispatcher.enqueue_tasks(job, job.pending_tasks())
+
+    def _dispatch_returned_tasks(self, job: Job) -> None:
+        try:
+            self._dispatch_recovered_tasks(job)
         except Refusal as refusal:
             self._end_job_by_refusal(job, refusal)
 
@@ -325,43 +347,13 @@
             indices = self._recovery.recover_from_scheduler(job, scheduler)
             if not job.is_open:
                 self._record_completion(job)
+            elif not job.may_dispatch and job.is_recovered:
+                self._dispatch_recovered_tasks(job)
             elif indices:
                 self._dispatcher.enqueue_tasks(job, indices)
         except Refusal as refusal:
             self._end_job_by_refusal(job, refusal)
 
-    def _acknowledge_local_tasks(self, job: Job, indices: list[int]) -> None:
-        job.entry.local = sorted({*job.entry.local, *indices})
-        self._acknowledge_entries(job.key, [job.entry])
-
-    def _acknowledge_reach(self, job: Job, reach: Reach) -> None:
-        """Have witnesses record a reach within which this owner may dispatch tasks of the job."""
-        owner = self._own_key_owner(reach)
-        if owner not in job.entry.owners:
-            job.entry.owners.append(owner)
-        self._acknowledge_entries(job.key, [job.entry])
-        job.reach = reach
-
-    def _acknowledge_entries(self, key: JobKey, entries: list[KeyEntry]) -> None:
-        """Return once a witness has acknowledged the entries under the current term.
-
-        Without entries this proves that no other process can have accepted the key so far: a new
-        owner recovers a shard only after every witness of the earlier term refuses that term.
-
-        Raises:
-            Refusal: this process does not own the key any more, or no witness acknowledged.
-        """
-        term = self._view.owned_term(key.shard)
-        if term is None:
-            raise self._checks.not_owner_refusal(key)
-        self._witnessing.acknowledge(term, key.shard, entries)
-        if self._view.owned_term(key.shard) is None:
-            raise self._checks.not_owner_refusal(key)
-
-    def _own_key_owner(self, reach: Reach) -> KeyOwner:
-        member = self._view.member
-        return KeyOwner(member.member_id, member.host, reach)
-
     def _end_job_by_refusal(self, job: Job, refusal: Refusal) -> None:
         if refusal.code in OWNER_CHANGED_CODES:
             self._redirect_job(job)
@@ -412,7 +404,7 @@
             return
         job.is_ending = True
         try:
-            self._acknowledge_entries(job.key, [])
+            self._entries.acknowledge(job.key, [])
         except Refusal as refusal:
             self._end_job_by_refusal(job, refusal)
             return
@@ -461,6 +453,8 @@
     def _redirect_job(self, job: Job) -> None:
         """Redirect the callers of a job to its new owner and drop the job here."""
         self._record_event("moved", job)
+        if job.is_open:
+            self._entries.record_dispatched_tasks(job)
         job.mark_moved()
         self._dispatcher.discount_pending_tasks(job)
         self._jobs.remove(job)
--- a/camphorchute/jobs/recovery.py
+++ b/camphorchute/jobs/recovery.py
@@ -7,7 +7,14 @@
 
 from camphorchute.contracts import Refusal, ResultCode
 from camphorchute.contracts.member import Member
-from camphorchute.contracts.messages import FindTasks, FoundTasks, KeyEntry, KeyOwner, Reach
+from camphorchute.contracts.messages import (
+    DispatchRecord,
+    FindTasks,
+    FoundTasks,
+    KeyEntry,
+    KeyOwner,
+    Reach,
+)
 from camphorchute.jobs.job import Job
 from camphorchute.links import LinkLost, Peers
 from camphorchute.workers.back_end import BackEndError, FoundAttempt
@@ -37,10 +44,19 @@
         >>> far = KeyOwner("o", "vm2", Reach.OTHER_HOSTS)
         >>> possibly_dispatched_tasks(scheduler, KeyEntry("k", 0, b"", 0, [far]), 3)
         {0, 1, 2}
+        >>> record = DispatchRecord([far], {"m": [2]})
+        >>> entry = KeyEntry("k", 0, b"", 0, [far], [1], record=record)
+        >>> possibly_dispatched_tasks(scheduler, entry, 3)
+        {2}
     """
-    if entry.uncertain or any(_is_within_reach(member, owner) for owner in entry.owners):
+    record = entry.record or DispatchRecord([], {})
+    unrecorded = [owner for owner in entry.owners if owner not in record.owners]
+    if entry.uncertain or any(_is_within_reach(member, owner) for owner in unrecorded):
         return set(range(tasks))
-    return set(entry.local)
+    recorded = set(record.dispatched.get(member.member_id, []))
+    if entry.owners and not unrecorded:
+        return recorded
+    return recorded | set(entry.local)
 
 
 def _is_within_reach(member: Member, owner: KeyOwner) -> bool:
@@ -162,20 +178,30 @@
             job.pool,
             attempts or [],
         )
+        job.begin_query()
         try:
-            found = self._peers.request(scheduler, message, FIND_TASKS_TIMEOUT_MS)
+            found = self._request_tasks(scheduler, message)
+            if found is not None:
+                self._apply_found_tasks(job, scheduler, found)
+            return found
+        finally:
+            job.end_query()
+
+    def _request_tasks(self, scheduler: Member, message: FindTasks) -> FoundTasks | None:
+        try:
+            return self._peers.request(scheduler, message, FIND_TASKS_TIMEOUT_MS)
         except LinkLost:
             self._count("jobs.retry.find_tasks")
             return None
         except Refusal as refusal:
             self._view.adopt_from_refusal(refusal)
             raise
-        self._apply_found_tasks(job, scheduler, found)
-        return found
 
     def _apply_found_tasks(self, job: Job, scheduler: Member, found: FoundTasks) -> None:
-        for index in found.running:
-            job.adopt_task(index, scheduler.member_id)
+        is_named = len(found.attempts) == len(found.running)
+        attempts = found.attempts if is_named else [""] * len(found.running)
+        for index, attempt in zip(found.running, attempts, strict=True):
+            job.adopt_task(index, scheduler.member_id, attempt)
         for outcome in found.ended:
             if outcome.code != ResultCode.COMPLETE:
                 job.adopt_task(outcome.index, scheduler.member_id)
--- a/camphorchute/workers/task_scheduler.py
+++ b/camphorchute/workers/task_scheduler.py
@@ -187,10 +187,16 @@
             pool.set_demand(owner_id, message.team, message.waiting)
 
     def cancel_tasks(self, message: CancelTasks) -> None:
-        """Return the unsent tasks of a job, stop its running ones and start no further ones."""
+        """Return the unsent tasks of a job, stop its running ones and start no further ones.
+
+        The command of an owner whose term is superseded changes nothing.
+        """
         record = self._context.fence.records.get(message.key)
         if record is None:
             return
+        if message.term and message.term < record.term:
+            self._context.count("home.cancel.stale_term")
+            return
         record.cancelled = True
         self._end_job(record, ResultCode.CANCELLED_BEFORE_START, ResultCode.CANCELLED)
         self._context.fence.retain_or_drop(record, self._context.now_ms())
@@ -214,8 +220,10 @@
         record.fenced = True
         fence.bar_attempts(record, message.attempts)
         fence.retain_or_drop(record, self._context.now_ms())
-        running = [a.index for a in record.open_attempts()]
-        return FoundTasks(message.key, record.outcomes(), running)
+        running = [a for a in record.attempts.values() if a.outcome is None]
+        indices = [attempt.index for attempt in running]
+        attempts = [attempt.attempt for attempt in running]
+        return FoundTasks(message.key, record.outcomes(), indices, attempts)
 
     def drop_owner(self, owner_id: str) -> None:
         """Free the slots reserved for a lost owner and remove its demand; its tasks continue."""
--- a/camphorchute/workers/tests/test_task_scheduler.py
+++ b/camphorchute/workers/tests/test_task_scheduler.py
@@ -3,6 +3,7 @@
 
 from camphorchute.contracts import InvariantBroken, Refusal, ResultCode, TaskSpec
 from camphorchute.contracts.messages import CancelTasks, Demand, FindTasks, TasksEnded
+from camphorchute.policies.run_times import RunTimes
 from camphorchute.services.definition import ServiceDefinition
 from camphorchute.workers.tests.fakes import SchedulerHarness, captured_logs
 
@@ -165,6 +166,7 @@
     found = find(harness)
     assert [outcome.index for outcome in found.ended] == [0]
     assert found.running == [1]
+    assert found.attempts == ["job-1"]
     harness.step()
     harness.back_end.finish("job-1")
     harness.step()
@@ -172,6 +174,22 @@
     assert harness.owner_reports("owner") == [("COMPLETE", 0)]
 
 
+# Guards against a task that ran and that its owner takes for one which never started.
+def test_find_tasks_returns_a_task_whose_answer_could_not_be_processed(monkeypatch):
+    harness = SchedulerHarness()
+    harness.dispatch()
+    harness.step()
+    harness.back_end.finish("job-0")
+    monkeypatch.setattr(RunTimes, "add_sample", raise_injected_error)
+    with pytest.raises(RuntimeError):
+        harness.step()
+    assert find(harness, attempts=["job-0"]).running == [0]
+
+
+def raise_injected_error(*args):
+    raise RuntimeError("injected fault of the learned run times")
+
+
 @pytest.mark.parametrize("known", [False, True])
 def test_an_older_owner_is_refused_after_find_tasks(known):
     harness = SchedulerHarness()
@@ -201,6 +219,20 @@
     assert harness.back_end.batches[1] == ["job-1-again"]
 
 
+# Guards against a late stop command of a replaced owner, which ended the job at its new owner.
+@pytest.mark.parametrize("term, stops", [(1, False), (2, True), (0, True)])
+def test_a_stop_command_of_a_replaced_owner_changes_nothing(term, stops):
+    harness = SchedulerHarness()
+    harness.dispatch(indices=[0])
+    harness.step()
+    find(harness, term=2)
+    harness.scheduler.cancel_tasks(CancelTasks("job", term))
+    harness.step()
+    assert harness.back_end.calls["stop_job"] == int(stops)
+    assert harness.owner_reports("new owner") == ([("CANCELLED", 0)] if stops else [])
+    assert harness.counts["home.cancel.stale_term"] == int(not stops)
+
+
 def test_cancel_returns_unsent_tasks_and_stops_running_ones():
     harness = SchedulerHarness()
     harness.dispatch(indices=[0])
