--- a/bench/run_faults/hosted_play.py
+++ b/bench/run_faults/hosted_play.py
@@ -59,6 +59,8 @@
         "_seed",
         "_actions",
         "_restarts",
+        "_ending_hosts",
+        "_is_closed",
     )
 
     def __init__(self, seed: int, log_dir: Path, base: int) -> None:
@@ -67,6 +69,8 @@
         self.overlaps: list[Overlap] = []
         self._seed = seed
         self._restarts: list[gevent.Greenlet] = []
+        self._ending_hosts: set[str] = set()
+        self._is_closed = False
         self._random = random.Random(f"hosted {seed}")
         self._actions: list[Callable[[], str]] = [
             self._pause_entry,
@@ -89,7 +93,8 @@
 
     def close(self) -> None:
         """Stop entry processes and stand-ins; start no process again."""
-        gevent.killall(self._restarts)
+        self._is_closed = True
+        gevent.joinall(self._restarts)
         self._fleet.close()
 
     def execute(self, duration_s: float) -> None:
@@ -104,7 +109,7 @@
             at_s = time.monotonic()
             self.faults.append(f"{at_s:.3f} s {self._random.choice(self._actions)()}")
         gevent.sleep(SETTLE_S)
-        gevent.killall(callers + self._restarts)
+        gevent.killall(callers)
         self.overlaps = find_overlaps(runs_of(self._fleet.site.workers))
 
     def started_runs(self) -> int:
@@ -129,8 +134,8 @@
                 gevent.sleep(RESEND_PAUSE_MS / MS_PER_S)
 
     def _pick_entry(self) -> HostedEntry | None:
-        """Return an entry process that runs, None if it would be the last one."""
-        running = [entry for entry in self._fleet.entries if entry.process.poll() is None]
+        """Return an entry process that runs and does not end, None if it would be the last one."""
+        running = [entry for entry in self._fleet.entries if entry.host not in self._ending_hosts]
         return self._random.choice(running) if len(running) > 1 else None
 
     def _pause_entry(self) -> str:
@@ -159,12 +164,14 @@
         return f"{entry.host} is stopped"
 
     def _start_again(self, entry: HostedEntry) -> None:
+        self._ending_hosts.add(entry.host)
         until_s = time.monotonic() + EXIT_TIMEOUT_S
         process = entry.process
-        while process.poll() is None and time.monotonic() < until_s:
+        while process.poll() is None and time.monotonic() < until_s and not self._is_closed:
             gevent.sleep(0.05)
-        if entry.process is process and process.poll() is not None:
+        if process.poll() is not None and not self._is_closed:
             self._fleet.start_entry(entry)
+            self._ending_hosts.discard(entry.host)
 
     def _restart_worker(self) -> str:
         worker = self._random.choice(self._fleet.site.workers)
