--- a/bench/checks.py
+++ b/bench/checks.py
@@ -1,6 +1,11 @@
-"""Run every test; a failure of a test in ``KNOWN-RED.txt`` is printed but does not count."""
+"""Run every test; a failure of a test in ``KNOWN-RED.txt`` is printed but does not count.
 
+The tests of the program and those of the benchmark run beside each other, since most of them wait.
+"""
+
+import subprocess
 import sys
+import tempfile
 from pathlib import Path
 
 import pytest
@@ -8,6 +13,7 @@
 ROOT = Path(__file__).resolve().parent.parent
 KNOWN_RED = ROOT / "KNOWN-RED.txt"
 TEST_FIELD = "test:"
+PROGRAM_TESTS, BENCH_TESTS = "camphorchute", "bench"
 
 
 def known_red_tests(text: str) -> list[str]:
@@ -25,14 +31,15 @@
 
 
 def main() -> int:
-    """Run the tests with the given pytest arguments and return the exit status.
+    """Run the tests with the given pytest arguments, all if none, and return the exit status.
 
     The listed tests are deselected from the main run and run one by one after it.
     """
     text = KNOWN_RED.read_text() if KNOWN_RED.exists() else ""
     listed_tests = known_red_tests(text)
     deselected = [f"--deselect={test}" for test in listed_tests]
-    status = pytest.main([*sys.argv[1:], *deselected])
+    arguments = sys.argv[1:]
+    status = pytest.main([*arguments, *deselected]) if arguments else _run_all(deselected)
     for test in listed_tests:
         failed = pytest.main([test])
         print(
@@ -42,5 +49,17 @@
     return int(status)
 
 
+def _run_all(options: list[str]) -> int:
+    """Run the tests of the benchmark in a second process; return the higher exit status."""
+    with tempfile.TemporaryFile("w+") as output:
+        command = [sys.executable, "-m", "pytest", BENCH_TESTS, *options]
+        bench_run = subprocess.Popen(command, cwd=ROOT, stdout=output, stderr=subprocess.STDOUT)
+        status = int(pytest.main([PROGRAM_TESTS, *options]))
+        bench_status = bench_run.wait()
+        output.seek(0)
+        print(output.read())
+    return max(status, abs(bench_status))
+
+
 if __name__ == "__main__":
     sys.exit(main())
