--- a/camphorchute/runs/leased_worker.py
+++ b/camphorchute/runs/leased_worker.py
@@ -129,9 +129,7 @@
         self._commands = RunCommands(self, client, current_fence, listener, count)
         self._unlisted_since_s = 0.0
         self._listing_reader = ListingReader(self, count)
-        self._earlier_runs = EarlierRuns(
-            lambda run: gevent.spawn(self._commands.bar_earlier_run, run)
-        )
+        self._earlier_runs = EarlierRuns(self._commands.bar_in_background)
         self._poll_requested = Event()
         self._greenlet: gevent.Greenlet | None = None
         self.is_closed = False
@@ -153,9 +151,8 @@
 
     def unlisted_ms(self) -> float:
         """Return for how long service discovery has not listed the worker, 0 if it lists it."""
-        if not self._unlisted_since_s:
-            return 0.0
-        return (time.monotonic() - self._unlisted_since_s) * MS_PER_S
+        since_s = self._unlisted_since_s
+        return (time.monotonic() - since_s) * MS_PER_S if since_s else 0.0
 
     def is_expired(self) -> bool:
         """Whether it was unlisted for longer than a lease can last."""
@@ -246,10 +243,7 @@
         return self.runs.get(run.task.name) is run
 
     def take_run(self, run: Run) -> bool:
-        """Remove a run and release its capacity, so that the caller decides about its task.
-
-        Returns False if the run was taken before; its task is not the caller's to decide about.
-        """
+        """Remove a run, so that the caller decides about its task; return False if it was taken."""
         if not self.holds(run):
             self._count("runs.late_answer")
             return False
@@ -319,8 +313,7 @@
     def _must_renew_leases(self) -> bool:
         """Whether a run is active that an owner wants.
 
-        Runs of an earlier scheduler must be asked for within their present lease: their job may be
-        over, and repeated by its caller.
+        The job of another run may be over, and repeated by its caller.
         """
         is_reachable = self.synced and self.health.is_responsive
         return is_reachable and any(not run.stop_requested for run in self.runs.values())
@@ -361,10 +354,9 @@
             self._listener.run_unresolved(self, run)
 
     def _end_runs_of_ended_worker(self) -> None:
-        """End the runs of an incarnation that is gone.
+        """End the runs that this incarnation, which is gone, has listed.
 
-        Only a run that it has listed has ended with it. Any other one may have been started by the
-        next incarnation; a start command under way is left to its answer.
+        The next one may have started any other run; a start command under way has its answer yet.
         """
         for run in list(self.runs.values()):
             if run.was_listed:
--- a/camphorchute/runs/run_commands.py
+++ b/camphorchute/runs/run_commands.py
@@ -172,6 +172,10 @@
                 run.start_acknowledged_s = time.monotonic()
         self._worker.request_poll()
 
+    def bar_in_background(self, earlier_run: EarlierRun) -> None:
+        """Call :meth:`bar_earlier_run` without waiting for it."""
+        gevent.spawn(self.bar_earlier_run, earlier_run)
+
     def bar_earlier_run(self, earlier_run: EarlierRun) -> None:
         """Send a stop command for a run that the worker does not list, so that it cannot start.
 
