--- a/camphorchute/runs/tests/test_run_resolution.py
+++ b/camphorchute/runs/tests/test_run_resolution.py
@@ -155,3 +155,20 @@
     leased = scheduler.group(GROUP).workers["w0"]
     assert wait_until(lambda: leased.has_ended, 1.0)
     assert scheduler.free_capacity_report()[0].workers[0].free.cpu_millicores == 0
+
+
+def test_question_about_a_returned_task_stops_no_run_of_its_repetition(open_model):
+    """A stop command under way for an earlier run ended the run of the repeated job."""
+    site = open_model(workers=1, run_s=0.3)
+    count_lists(site.workers["w0"])
+    scheduler = site.add_scheduler(7)
+    held = Held()
+    site.workers["w0"].held["stop"].append(held)
+    site.dispatch(scheduler, run=3, may_run=True, worker_id="w0")
+    assert held.sent.wait(1.0)
+    scheduler.stop_tasks(OWNER, StopTasks(JOB_ID))
+    site.dispatch(scheduler, owner=OTHER_OWNER)
+    assert wait_until(lambda: site.workers["w0"].active())
+    held.release()
+    gevent.sleep(1.0)
+    assert len(site.workers["w0"].runs) == 1
