Judge others only by the time in which this process could hear them

A process that was late blamed others: after a configuration of 1,400 routes had arrived over a thin link, a scheduler stopped runs of 12 ms as overdue after 150 ms, ejected three healthy workers and found that each worker "does not answer in 320 ms"; runs were given up and callers got 504. The event loop fires late timers before it reads what has arrived, and an answer behind a large transfer says nothing about its sender.

Answers of workers, stores and peers, the silence of links, overdue runs and learned speeds are judged by it; leases are not. A time limit that has passed takes effect only if nothing is there to read, and an answer that may be large has a limit on its progress instead of one on the whole, so that the transfer of a configuration is not cut off and begun again.

--- a/camphorchute/entry/loop_lag.py
+++ b/camphorchute/entry/loop_lag.py
@@ -7,10 +7,10 @@
 from eliot import log_message
 
 from camphorchute.loops import spawn_loop
+from camphorchute.observation_clock import TICK_INTERVAL_MS, observation_clock
 
 __all__ = ["LoopLag"]
 
-SAMPLE_INTERVAL_MS = 50.0
 SAMPLE_MAX_MS = 500.0
 SAMPLE_WEIGHT = 0.1
 BEHIND_THRESHOLD_MS = 120.0
@@ -22,6 +22,8 @@
 class LoopLag:
     """Measures how late timers fire, as a moving average over about a second.
 
+    It also ticks the observation clock, which judgements of others are made by.
+
     A single sample is capped, which distinguishes a process on a VM that has become slow
     from one that was suspended once.
 
@@ -58,6 +60,7 @@
         """Stop measuring."""
         if self._greenlet is not None:
             self._greenlet.kill(block=False)
+            observation_clock.stop()
 
     def add_sample(self, lag_ms: float) -> None:
         """Add the lag of one timer to the average, in milliseconds."""
@@ -77,8 +80,9 @@
 
     def _measure(self) -> None:
         while True:
-            due_s = time.monotonic() + SAMPLE_INTERVAL_MS / MS_PER_S
-            gevent.sleep(SAMPLE_INTERVAL_MS / MS_PER_S)
+            due_s = time.monotonic() + TICK_INTERVAL_MS / MS_PER_S
+            gevent.sleep(TICK_INTERVAL_MS / MS_PER_S)
+            observation_clock.tick()
             self.add_sample(max(0.0, time.monotonic() - due_s) * MS_PER_S)
 
     def _set_behind(self, is_behind: bool, now_s: float) -> None:
--- a/camphorchute/links/link.py
+++ b/camphorchute/links/link.py
@@ -22,6 +22,7 @@
     encode_frame,
 )
 from camphorchute.links.handlers import Handlers
+from camphorchute.observation_clock import observation_clock
 
 __all__ = ["Link", "LinkLost", "OUTBOX_MAX_FRAMES"]
 
@@ -48,7 +49,8 @@
         peer: the process at the other end.
         opened_by: member id of the process that opened the connection.
         opened_s: monotonic time at which the link was created.
-        last_received_s: monotonic time of the last message received.
+        last_received_s: time of the last message received, by the observation clock, as the peer's
+            silence is judged by it.
         last_sent_s: monotonic time at which a message was last queued for sending, 0 before the
             first.
         last_activity_s: monotonic time of the last message sent or received that was not a
@@ -85,7 +87,7 @@
         self.peer = peer
         self.opened_by = opened_by
         self.opened_s = time.monotonic()
-        self.last_received_s = self.opened_s
+        self.last_received_s = observation_clock.now_s()
         self.last_sent_s = 0.0
         self.last_activity_s = self.opened_s
         self.last_sent_slots: list[SlotCount] | None = None
@@ -112,9 +114,9 @@
         try:
             while self._open:
                 frame = decode_frame(self._socket.recv())
-                self.last_received_s = time.monotonic()
+                self.last_received_s = observation_clock.now_s()
                 if not isinstance(frame.message, MemberBeat):
-                    self.last_activity_s = self.last_received_s
+                    self.last_activity_s = time.monotonic()
                 self._dispatch_frame(frame)
         except (ConnectionClosed, OSError):
             pass
--- a/camphorchute/platform/kv_store.py
+++ b/camphorchute/platform/kv_store.py
@@ -30,6 +30,7 @@
 CALL_TIMEOUT_MS = 1000.0
 CONNECT_TIMEOUT_MS = 700.0
 WATCH_ANSWER_MARGIN_MS = 500.0
+ANSWER_PROGRESS_MS = 1000.0
 MS_PER_S = 1000
 MAX_IDLE_WATCH_CONNECTIONS = 4
 HTTP_OK, HTTP_NOT_FOUND, HTTP_GONE, HTTP_CONDITION_FAILED = 200, 404, 410, 412
@@ -205,7 +206,11 @@
         self.calls["watch"] += 1
         try:
             answer = self._watch_channel.exchange(
-                "GET", "/kv-watch?" + query, b"", response_timeout_ms + WATCH_ANSWER_MARGIN_MS
+                "GET",
+                "/kv-watch?" + query,
+                b"",
+                response_timeout_ms + WATCH_ANSWER_MARGIN_MS,
+                progress_ms=ANSWER_PROGRESS_MS,
             )
         except (NotSent, AnswerLost) as error:
             raise self._counted_error("watch", "lost", error) from error
@@ -250,7 +255,9 @@
     def _exchange(self, method: str, target: str, body: bytes) -> HttpAnswer:
         """Send a request once and return its answer of any status."""
         headers = {"Content-Type": "application/json"} if body else None
-        return self._channel.exchange(method, target, body, CALL_TIMEOUT_MS, headers)
+        return self._channel.exchange(
+            method, target, body, CALL_TIMEOUT_MS, headers, progress_ms=ANSWER_PROGRESS_MS
+        )
 
     def _decode_answer(
         self, answer: HttpAnswer, answer_type: type, status: int = HTTP_OK
--- a/camphorchute/runs/run.py
+++ b/camphorchute/runs/run.py
@@ -8,6 +8,7 @@
 import xxhash
 
 from camphorchute.contracts.run_messages import StartTasks, TaskResultKind, TaskToStart
+from camphorchute.observation_clock import observation_clock
 from camphorchute.runs.earlier_run import EarlierRun
 
 if TYPE_CHECKING:
@@ -26,6 +27,7 @@
 ]
 
 SHARD_COUNT = 32
+MS_PER_S = 1000.0
 
 
 class RunState(Enum):
@@ -250,6 +252,7 @@
         "stop_requested",
         "was_adopted",
         "end_evidence",
+        "_unobserved_before_s",
     )
 
     def __init__(
@@ -265,3 +268,13 @@
         self.stop_requested = False
         self.was_adopted = False
         self.end_evidence: EndEvidence | None = None
+        self._unobserved_before_s = observation_clock.unobserved_s()
+
+    def observed_ms(self, now_s: float) -> float:
+        """Return the time since the start command in which this process could have seen the end.
+
+        Args:
+            now_s: time of the monotonic clock in seconds.
+        """
+        unobserved_s = observation_clock.unobserved_s() - self._unobserved_before_s
+        return (now_s - self.start_sent_s - unobserved_s) * MS_PER_S
--- a/camphorchute/runs/run_supervisor.py
+++ b/camphorchute/runs/run_supervisor.py
@@ -54,7 +54,7 @@
             workers: all workers of the group.
         """
         if outcome is RunOutcome.DONE and not run.was_adopted:
-            elapsed_ms = (time.monotonic() - run.start_sent_s) * MS_PER_S
+            elapsed_ms = run.observed_ms(time.monotonic())
             estimate_ms = run.task.message.estimate_ms
             ratio = elapsed_ms / expected_run_ms(estimate_ms, worker.speed.value)
             self._spread_of(run).record_ratio(ratio)
@@ -85,7 +85,7 @@
         remaining_ms = (run.task.finish_by_s - now_s) * MS_PER_S
         if remaining_ms < run.task.message.estimate_ms:
             return False
-        elapsed_ms = (now_s - run.start_sent_s) * MS_PER_S
+        elapsed_ms = run.observed_ms(now_s)
         return self._policies.overdue(
             RunAge(
                 elapsed_ms,
@@ -101,7 +101,7 @@
     def _stop_overdue_run(
         self, worker: LeasedWorker, run: Run, now_s: float, workers: list[LeasedWorker]
     ) -> None:
-        elapsed_ms = (now_s - run.start_sent_s) * MS_PER_S
+        elapsed_ms = run.observed_ms(now_s)
         self._count("runs.retry.overdue")
         log_decision(
             "runs",
--- a/camphorchute/runs/tests/test_run_supervisor.py
+++ b/camphorchute/runs/tests/test_run_supervisor.py
@@ -2,10 +2,12 @@
 import time
 
 import gevent
+import pytest
 
 from camphorchute.contracts.run_messages import TaskResultKind
 from camphorchute.hosting import RunOutcome
 from camphorchute.policies import DecisionPolicies, FailureTracker, WorkerSpeed
+from camphorchute.runs import run as run_module
 from camphorchute.runs.job_tasks import JobTasks
 from camphorchute.runs.run import PendingTask, Run, RunState
 from camphorchute.runs.run_supervisor import RunSupervisor
@@ -26,6 +28,15 @@
     is_responsive = True
 
 
+class LateClock:
+    """An observation clock that has stood still for some time."""
+
+    late_s = 0.0
+
+    def unobserved_s(self):
+        return self.late_s
+
+
 class FakeWorker:
     """What a supervisor needs of a worker; a stopped run ends at once."""
 
@@ -160,3 +171,30 @@
     supervisor.stop_overdue_runs(workers, time.monotonic())
     assert workers[0].stopped == []
     assert not workers[0].failures.ejected
+
+
+@pytest.mark.parametrize(
+    ("late_ms", "stopped"),
+    [(0.0, True), (1000.0, False)],
+    ids=["observed all the time", "late all the time"],
+)
+def test_run_is_not_overdue_for_time_in_which_this_process_was_late(monkeypatch, late_ms, stopped):
+    """Runs of 12 ms were stopped after 150 ms in which this process had read no answer."""
+    clock = LateClock()
+    monkeypatch.setattr(run_module, "observation_clock", clock)
+    supervisor, worker = make_supervisor(), FakeWorker("w0")
+    run = worker.add_run("job1", started_ago_ms=1000.0)
+    clock.late_s = late_ms / 1000
+    supervisor.stop_overdue_runs([worker], time.monotonic())
+    assert (worker.stopped == [run]) == stopped
+    assert not (worker.failures.outcome_count and not stopped)
+
+
+def test_learned_speed_leaves_out_time_in_which_this_process_was_late(monkeypatch):
+    clock = LateClock()
+    monkeypatch.setattr(run_module, "observation_clock", clock)
+    supervisor, worker = make_supervisor(), FakeWorker("w0")
+    run = worker.add_run("job1", started_ago_ms=1100.0)
+    clock.late_s = 1.0
+    supervisor.record_end(worker, run, RunOutcome.DONE, [worker])
+    assert worker.speed.value > 0.9
--- a/camphorchute/workers/http_channel.py
+++ b/camphorchute/workers/http_channel.py
@@ -6,16 +6,22 @@
 
 import select
 import socket as sockets
+import time
 
 import gevent
 from gevent import socket
 from geventhttpclient.response import HTTPParseError, HTTPSocketResponse
 
+from camphorchute.observation_clock import observation_clock
+
 __all__ = ["AnswerLost", "HttpAnswer", "HttpChannel", "NotSent", "split_address"]
 
 CONNECT_TIMEOUT_MS = 1000.0
 READ_BLOCK_BYTES = 65536
 FINAL_STATUS_MIN = 200
+LARGE_ANSWER_BYTES = 32_768
+ANSWER_MAX_MS = 30_000.0
+MS_PER_S = 1000.0
 
 
 class NotSent(Exception):  # noqa: N818
@@ -62,13 +68,68 @@
 def _is_idle(sock: socket.socket) -> bool:
     """Return whether an idle connection is still open and has no unread bytes."""
     try:
-        poll = select.poll()
-        poll.register(sock.fileno(), select.POLLIN | select.POLLHUP | select.POLLERR)
-        return not poll.poll(0)
+        return not _is_readable(sock)
     except (OSError, ValueError):
         return False
 
 
+def _is_readable(sock: socket.socket) -> bool:
+    """Return whether a connection has unread bytes, has ended or failed."""
+    poll = select.poll()
+    poll.register(sock.fileno(), select.POLLIN | select.POLLHUP | select.POLLERR)
+    return bool(poll.poll(0))
+
+
+class _AnswerReader:
+    """Reads one answer from a connection within its time limits.
+
+    The limits count the time in which this process could have read. A limit that has passed takes
+    effect only if no byte is there to read: a late event loop fires timers before it reads.
+
+    Args:
+        sock: the connection.
+        timeout_ms: maximum time to the first byte, or to the last one without ``progress_ms``.
+        progress_ms: maximum time between two blocks after the first one, 0 for no such limit.
+    """
+
+    __slots__ = ("_sock", "_progress_ms", "_started_s", "_due_s", "_received_bytes")
+
+    def __init__(self, sock: socket.socket, timeout_ms: float, progress_ms: float) -> None:
+        self._sock = sock
+        self._progress_ms = progress_ms
+        self._started_s = time.monotonic()
+        self._due_s = observation_clock.now_s() + timeout_ms / MS_PER_S
+        self._received_bytes = 0
+
+    def recv(self, size_bytes: int) -> bytes:
+        """Return the next block; raise `gevent.Timeout` when a limit has passed."""
+        data = None
+        while data is None:
+            data = self._recv_until(size_bytes, self._due_s - observation_clock.now_s())
+        self._received_bytes += len(data)
+        if self._received_bytes > LARGE_ANSWER_BYTES:
+            observation_clock.record_transfer()
+        if self._progress_ms:
+            self._due_s = observation_clock.now_s() + self._progress_ms / MS_PER_S
+            if (time.monotonic() - self._started_s) * MS_PER_S > ANSWER_MAX_MS:
+                raise gevent.Timeout(ANSWER_MAX_MS / MS_PER_S)
+        return data
+
+    def close(self) -> None:
+        """Close the connection; the parser calls this for an answer that ends it."""
+        self._sock.close()
+
+    def _recv_until(self, size_bytes: int, remaining_s: float) -> bytes | None:
+        """Return the next block, None if none came; without time left, one that is there."""
+        self._sock.settimeout(max(0.0, remaining_s))
+        try:
+            return self._sock.recv(size_bytes)
+        except BlockingIOError:
+            raise gevent.Timeout(remaining_s) from None
+        except TimeoutError:
+            return None
+
+
 class HttpChannel:
     """Pool of connections to one address, each of which carries one request at a time.
 
@@ -138,6 +199,7 @@
         timeout_ms: float,
         headers: dict[str, str] | None = None,
         new_connection: bool = False,
+        progress_ms: float = 0.0,
     ) -> HttpAnswer:
         """Send a request exactly once and return its answer.
 
@@ -145,9 +207,12 @@
             method: HTTP method.
             target: path and query.
             body: body of the request, may be empty.
-            timeout_ms: maximum time from the first byte sent to the last byte received.
+            timeout_ms: maximum time from the first byte sent to the last byte received, or to the
+                first one if ``progress_ms`` is given.
             headers: further headers.
             new_connection: whether to open a new connection instead of using an idle one.
+            progress_ms: maximum time between two blocks of the answer, for answers that may be
+                large; 0 for no such limit.
 
         Raises:
             NotSent: no byte was sent.
@@ -159,10 +224,11 @@
         if sock is None:
             sock = self.connect()
         try:
-            with gevent.Timeout(timeout_ms / 1000):
+            with gevent.Timeout(timeout_ms / MS_PER_S):
                 sock.sendall(request)
-                response = _Response(sock, READ_BLOCK_BYTES, method)
-                content = response.read()
+            reader = _AnswerReader(sock, timeout_ms, progress_ms)
+            response = _Response(reader, READ_BLOCK_BYTES, method)
+            content = response.read()
             if response.complete_answers != 1:
                 sock.close()
                 raise AnswerLost(
@@ -209,4 +275,5 @@
         if self._closed or len(self._idle) >= self.max_idle_connections or response.should_close():
             sock.close()
         else:
+            sock.settimeout(None)
             self._idle.append(sock)
--- a/camphorchute/workers/tests/test_http_channel.py
+++ b/camphorchute/workers/tests/test_http_channel.py
@@ -1,4 +1,5 @@
 import socket
+import time
 
 import gevent
 import pytest
@@ -113,3 +114,53 @@
     with pytest.raises(ValueError, match="line break"):
         channel.exchange("GET", target, b"", 1000, headers)
     assert server.connections == 0
+
+
+def block_event_loop(duration_s):
+    """Keep the event loop from running, as a late process does."""
+    end_s = time.monotonic() + duration_s
+    while time.monotonic() < end_s:
+        pass
+
+
+def test_answer_that_arrived_while_the_event_loop_was_late_is_read():
+    """A process that was late for 0.3 s had given its workers up as silent."""
+    server = socket.create_server(("127.0.0.1", 0))
+    channel = HttpChannel(f"127.0.0.1:{server.getsockname()[1]}")
+    request = gevent.spawn(channel.exchange, "GET", "/", b"", 100)
+    gevent.sleep(0.02)
+    connection, _ = server.accept()
+    connection.sendall(OK)
+    block_event_loop(0.3)
+    assert request.get(timeout=5).body == b"ok"
+    connection.close()
+    server.close()
+
+
+def serve_in_pieces(sock, size_bytes, piece_bytes, pause_s):
+    sock.recv(65536)
+    sock.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % size_bytes)
+    for _ in range(0, size_bytes, piece_bytes):
+        sock.sendall(b"x" * piece_bytes)
+        gevent.sleep(pause_s)
+
+
+@pytest.mark.parametrize(
+    ("pause_s", "progress_ms", "is_complete"),
+    [(0.03, 150.0, True), (0.4, 150.0, False), (0.03, 0.0, False)],
+    ids=["slow but steady", "stopped in the middle", "without a limit on progress"],
+)
+def test_large_answer_is_read_as_long_as_it_makes_progress(pause_s, progress_ms, is_complete):
+    """A configuration over a thin link had been cut off and asked for again from the start."""
+    server = StreamServer(
+        ("127.0.0.1", 0), lambda sock, _: serve_in_pieces(sock, 20_000, 1_000, pause_s)
+    )
+    server.start()
+    channel = HttpChannel(f"127.0.0.1:{server.server_port}")
+    try:
+        answer = channel.exchange("GET", "/", b"", 200, progress_ms=progress_ms)
+        assert is_complete and len(answer.body) == 20_000
+    except AnswerLost:
+        assert not is_complete
+    finally:
+        server.stop(timeout=0)
--- a/camphorchute/zones/membership.py
+++ b/camphorchute/zones/membership.py
@@ -18,6 +18,7 @@
 from camphorchute.contracts.messages import AskRecord, Done, Heartbeat, RecordIs
 from camphorchute.hosting import StoreUnavailable
 from camphorchute.links import Link, LinkLost, Peers, handles
+from camphorchute.observation_clock import observation_clock
 from camphorchute.zones.deaths import DeathRegistry
 from camphorchute.zones.record import (
     OwnershipRecord,
@@ -250,7 +251,7 @@
 
     def _send_heartbeats(self) -> None:
         message = self._make_heartbeat()
-        now_s = time.monotonic()
+        now_s = observation_clock.now_s()
         for link in self._peers.links():
             if now_s - link.last_received_s > self._suspect_ms / 1000:
                 self._count("links.closed_silent")
