Fetch a configuration from one member at a time, in parts

ConfigurationFetch lets the store go first unless it is lost, then fetches from one member, of its own zone if there is one, compressed and in parts of 8 KB that are requested one after the other, so that a heartbeat or a command waits for one part at most. An interrupted transfer is continued from another member.

--- a/camphorchute/cluster/__init__.py
+++ b/camphorchute/cluster/__init__.py
@@ -2,6 +2,7 @@
 
 from camphorchute.cluster.claims import GroupClaims
 from camphorchute.cluster.cluster_view import OWN_PREFIX, Claim, ClusterView
+from camphorchute.cluster.configuration_fetch import ConfigurationFetch
 from camphorchute.cluster.group_followers import GroupFollowers
 from camphorchute.cluster.heartbeats import Heartbeats
 from camphorchute.cluster.membership_lease import MembershipLease
@@ -11,6 +12,7 @@
     "OWN_PREFIX",
     "Claim",
     "ClusterView",
+    "ConfigurationFetch",
     "GroupClaims",
     "GroupFollowers",
     "Heartbeats",
--- a/camphorchute/cluster/heartbeats.py
+++ b/camphorchute/cluster/heartbeats.py
@@ -8,11 +8,12 @@
 import gevent
 
 from camphorchute.cluster.cluster_view import ClusterView
-from camphorchute.contracts import Refusal
+from camphorchute.cluster.configuration_fetch import ConfigurationFetch
 from camphorchute.contracts.member import Member
-from camphorchute.contracts.run_messages import FetchQueues, MemberBeat, QueuesAre
-from camphorchute.links import Link, LinkLost, Peers, handles
+from camphorchute.contracts.run_messages import MemberBeat
+from camphorchute.links import Link, Peers, handles
 from camphorchute.loops import spawn_loop
+from camphorchute.observation_clock import observation_clock
 
 __all__ = ["Heartbeats"]
 
@@ -22,7 +23,6 @@
 CONNECT_INTERVAL_MS = 500.0
 RING_DISTANCE_MAX = 2
 LINK_UNUSED_MS = 10_000.0
-FETCH_TIMEOUT_MS = 500.0
 MS_PER_S = 1000.0
 
 
@@ -33,20 +33,35 @@
     Other links are opened on demand and closed when they have not been used for a while, so that
     the number of heartbeats does not grow with the square of the number of members.
 
-    A heartbeat carries the version of the sender's queue configuration. A member that receives a
-    higher version than its own fetches that configuration from the sender.
+    A heartbeat carries the version of the sender's queue configuration, so that a member with an
+    older one can fetch it from the sender.
 
     Args:
         peers: the links to other members.
         view: the cluster view, which lists the members and holds the queue configuration.
+        configuration_fetch: receives the versions that other members have.
         count: adds to a named counter.
     """
 
-    __slots__ = ("_peers", "_view", "_count", "_sent_versions", "_greenlets")
-
-    def __init__(self, peers: Peers, view: ClusterView, count: Callable[..., None]) -> None:
+    __slots__ = (
+        "_peers",
+        "_view",
+        "_configuration_fetch",
+        "_count",
+        "_sent_versions",
+        "_greenlets",
+    )
+
+    def __init__(
+        self,
+        peers: Peers,
+        view: ClusterView,
+        configuration_fetch: ConfigurationFetch,
+        count: Callable[..., None],
+    ) -> None:
         self._peers = peers
         self._view = view
+        self._configuration_fetch = configuration_fetch
         self._count = count
         self._sent_versions: dict[str, int] = {}
         self._greenlets: list[gevent.Greenlet] = []
@@ -64,14 +79,8 @@
 
     @handles(MemberBeat, nonblocking=True)
     def handle_heartbeat(self, peer: Member, message: MemberBeat) -> None:
-        """Fetch the sender's queue configuration if it is newer than the one in force here."""
-        if message.queues_version > self._queues_version():
-            gevent.spawn(self._fetch_queues, peer)
-
-    @handles(FetchQueues, nonblocking=True)
-    def handle_fetch_queues(self, peer: Member, message: FetchQueues) -> QueuesAre:
-        """Return the queue configuration in force, empty if none is known."""
-        return QueuesAre(self._view.queues.encoded if self._view.queues else b"")
+        """Record which version of the queue configuration the sender has."""
+        self._configuration_fetch.offer(peer, message.queues_version)
 
     def is_isolated(self) -> bool:
         """Return whether this process has links to fewer than half of its neighbours."""
@@ -79,17 +88,6 @@
         linked = sum(self._peers.is_linked(member.member_id) for member in neighbours)
         return linked < len(neighbours) / 2
 
-    def _fetch_queues(self, peer: Member) -> None:
-        """Fetch the queue configuration of a member and apply it if it is newer."""
-        try:
-            answer = self._peers.request(peer, FetchQueues(), FETCH_TIMEOUT_MS)
-        except (LinkLost, Refusal):
-            self._count("roster.retry.fetch_queues")
-            return
-        if answer.source:
-            self._count("roster.configuration_from_peer")
-            self._view.apply_newer_queues(answer.source)
-
     def _queues_version(self) -> int:
         return self._view.queues.version if self._view.queues else 0
 
@@ -101,7 +99,8 @@
             now_s = time.monotonic()
             for link in self._peers.links():
                 unused_ms = (now_s - link.last_activity_s) * MS_PER_S
-                if (now_s - link.last_received_s) * MS_PER_S > LINK_UNRESPONSIVE_MS:
+                silent_s = observation_clock.now_s() - link.last_received_s
+                if silent_s * MS_PER_S > LINK_UNRESPONSIVE_MS:
                     self._count("roster.link_silent")
                     link.close()
                 elif unused_ms > LINK_UNUSED_MS and link.peer.member_id not in neighbours:
--- a/camphorchute/cluster/tests/test_heartbeats.py
+++ b/camphorchute/cluster/tests/test_heartbeats.py
@@ -7,6 +7,7 @@
 from camphorchute.cluster.heartbeats import Heartbeats
 from camphorchute.contracts.member import Member
 from camphorchute.contracts.run_messages import MemberBeat
+from camphorchute.observation_clock import ObservationClock
 
 
 def make_member(number):
@@ -55,11 +56,20 @@
         return sorted(self.members.values(), key=lambda member: member.member_id)
 
 
+class FakeFetch:
+    def __init__(self):
+        self.offers = []
+
+    def offer(self, peer, version):
+        self.offers.append((peer.member_id, version))
+
+
 def start_heartbeats(own_number, member_count, links):
     peers = FakePeers(make_member(own_number), links)
     heartbeats = Heartbeats(
         peers,
         FakeView(make_member(number) for number in range(member_count)),
+        FakeFetch(),
         lambda name, n=1: None,
     )
     heartbeats.start()
@@ -113,3 +123,30 @@
         gevent.sleep(0.01)
     heartbeats.close()
     assert link.sent == [MemberBeat(0)]
+
+
+def test_link_is_not_closed_for_a_silence_in_which_this_process_was_late(monkeypatch):
+    """A process that was late for some seconds closed its links to healthy members."""
+    clock = ObservationClock()
+    monkeypatch.setattr(module, "observation_clock", clock)
+    link = FakeLink(make_member(11))
+    clock.tick()
+    link.last_received_s = clock.now_s()
+    end_s = time.monotonic() + 1.0
+    while time.monotonic() < end_s:
+        pass
+    heartbeats, _ = start_heartbeats(10, 42, [link])
+    gevent.sleep(0.05)
+    assert link.is_open
+    for _ in range(18):
+        gevent.sleep(0.05)
+        clock.tick()
+    heartbeats.close()
+    assert not link.is_open
+
+
+def test_versions_of_the_configuration_are_passed_on():
+    heartbeats, _ = start_heartbeats(10, 42, [])
+    heartbeats.handle_heartbeat(make_member(3), MemberBeat(17))
+    heartbeats.close()
+    assert heartbeats._configuration_fetch.offers == [("m03", 17)]
--- a/camphorchute/contracts/run_messages.py
+++ b/camphorchute/contracts/run_messages.py
@@ -15,7 +15,7 @@
     "FetchQueues",
     "GroupFreeCapacity",
     "MemberBeat",
-    "QueuesAre",
+    "QueuesPart",
     "RoomReport",
     "RunMessage",
     "ShardTerm",
@@ -212,15 +212,33 @@
 
 
 class FetchQueues(msgspec.Struct, tag="fetch_queues"):
-    """Request the queue configuration in force; the reply is :class:`QueuesAre`."""
+    """Request a part of the queue configuration in force; the reply is :class:`QueuesPart`.
+
+    Attributes:
+        version: version of the configuration that the earlier parts are of, 0 before the first.
+        offset: number of bytes that were received of it.
+    """
+
+    version: int = 0
+    offset: int = 0
 
 
-class QueuesAre(msgspec.Struct, tag="queues_are"):
-    """The queue configuration in force, as the platform encodes it; empty if none is known."""
+class QueuesPart(msgspec.Struct, tag="queues_part"):
+    """A part of the queue configuration in force, compressed with zlib.
+
+    Attributes:
+        version: version of the configuration, 0 if none is known.
+        size_bytes: size of the whole compressed configuration.
+        offset: number of bytes before this part; 0 if the requested version is not in force.
+        data: the bytes of this part.
+    """
 
-    source: bytes = b""
+    version: int
+    size_bytes: int
+    offset: int = 0
+    data: bytes = b""
 
 
 RunMessage = (
-    StartTasks | StopTasks | TasksFinished | RoomReport | MemberBeat | FetchQueues | QueuesAre
+    StartTasks | StopTasks | TasksFinished | RoomReport | MemberBeat | FetchQueues | QueuesPart
 )
--- a/camphorchute/entry/hosted_process.py
+++ b/camphorchute/entry/hosted_process.py
@@ -12,6 +12,7 @@
 from camphorchute.cluster import (
     OWN_PREFIX,
     ClusterView,
+    ConfigurationFetch,
     GroupClaims,
     Heartbeats,
     MembershipLease,
@@ -100,7 +101,10 @@
             lambda group: self._capacity_view.scheduler_of(group) is not None,
             count,
         )
-        self._heartbeats = Heartbeats(self._peers, self._view, count)
+        self._configuration_fetch = ConfigurationFetch(
+            self._peers, self._view, lambda: store.outage.is_lost, count
+        )
+        self._heartbeats = Heartbeats(self._peers, self._view, self._configuration_fetch, count)
         self._owner = QueueOwner(
             self._capacity_view,
             self._view.scheduler_of,
@@ -137,6 +141,7 @@
             self._lease,
             self._scheduler,
             self._claims,
+            self._configuration_fetch,
             self._heartbeats,
         )
         job_components = (
@@ -182,6 +187,7 @@
         self._capacity_reports.close()
         self._loop_lag.close()
         self._heartbeats.close()
+        self._configuration_fetch.close()
         for follower in self._followers:
             follower.close()
         gevent.killall(self._greenlets, block=False)
@@ -208,6 +214,7 @@
         for component in (
             self._scheduler,
             self._scheduler.durable_tasks,
+            self._configuration_fetch,
             self._heartbeats,
             self._capacity_view,
             self._owner,
