--- a/bench/hosted_fleet.py
+++ b/bench/hosted_fleet.py
@@ -68,8 +68,11 @@
     Attributes:
         site: the stand-ins.
         entries: the entry processes.
+        program: arguments of the interpreter that run the program.
     """
 
+    program = ("-m", "camphorchute")
+
     def __init__(
         self, zones: list[str], workers: int, log_dir: Path, base: int, run_ms: float = 40.0
     ) -> None:
@@ -110,7 +113,7 @@
         environment = {f"CAMPHORCHUTE_{name}": value for name, value in settings.items()}
         with (self._log_dir / f"entry-{entry.host}.log").open("ab") as log:
             entry.process = subprocess.Popen(
-                [sys.executable, "-m", "camphorchute", "entry"],
+                [sys.executable, *self.program, "entry"],
                 cwd=ROOT,
                 env={**os.environ, **environment},
                 stdin=subprocess.DEVNULL,
--- a/camphorchute/workers/http_channel.py
+++ b/camphorchute/workers/http_channel.py
@@ -4,11 +4,9 @@
 sends a request with an idempotent method again when a connection closes.
 """
 
-import select
 import socket as sockets
 import time
 
-import gevent
 from gevent import socket
 from geventhttpclient.response import HTTPParseError, HTTPSocketResponse
 
@@ -67,17 +65,18 @@
 
 def _is_idle(sock: socket.socket) -> bool:
     """Return whether an idle connection is still open and has no unread bytes."""
+    sock.settimeout(0.0)
     try:
-        return not _is_readable(sock)
+        sock.recv(1, sockets.MSG_PEEK)
+    except BlockingIOError:
+        return True
     except (OSError, ValueError):
         return False
+    return False
 
 
-def _is_readable(sock: socket.socket) -> bool:
-    """Return whether a connection has unread bytes, has ended or failed."""
-    poll = select.poll()
-    poll.register(sock.fileno(), select.POLLIN | select.POLLHUP | select.POLLERR)
-    return bool(poll.poll(0))
+class _NoAnswerInTime(Exception):  # noqa: N818
+    """A time limit on an answer has passed."""
 
 
 class _AnswerReader:
@@ -102,7 +101,7 @@
         self._received_bytes = 0
 
     def recv(self, size_bytes: int) -> bytes:
-        """Return the next block; raise `gevent.Timeout` when a limit has passed."""
+        """Return the next block; raise :class:`_NoAnswerInTime` when a limit has passed."""
         data = None
         while data is None:
             data = self._recv_until(size_bytes, self._due_s - observation_clock.now_s())
@@ -112,7 +111,7 @@
         if self._progress_ms:
             self._due_s = observation_clock.now_s() + self._progress_ms / MS_PER_S
             if (time.monotonic() - self._started_s) * MS_PER_S > ANSWER_MAX_MS:
-                raise gevent.Timeout(ANSWER_MAX_MS / MS_PER_S)
+                raise _NoAnswerInTime
         return data
 
     def close(self) -> None:
@@ -125,7 +124,7 @@
         try:
             return self._sock.recv(size_bytes)
         except BlockingIOError:
-            raise gevent.Timeout(remaining_s) from None
+            raise _NoAnswerInTime from None
         except TimeoutError:
             return None
 
@@ -182,7 +181,6 @@
             sock.settimeout(self.connect_timeout_ms / 1000)
             sock.connect(self._host_and_port)
             sock.setsockopt(sockets.IPPROTO_TCP, sockets.TCP_NODELAY, 1)
-            sock.settimeout(None)
         except OSError as error:
             sock.close()
             raise NotSent(f"{self.address}: {error}") from error
@@ -224,8 +222,8 @@
         if sock is None:
             sock = self.connect()
         try:
-            with gevent.Timeout(timeout_ms / MS_PER_S):
-                sock.sendall(request)
+            sock.settimeout(timeout_ms / MS_PER_S)
+            sock.sendall(request)
             reader = _AnswerReader(sock, timeout_ms, progress_ms)
             response = _Response(reader, READ_BLOCK_BYTES, method)
             content = response.read()
@@ -234,7 +232,7 @@
                 raise AnswerLost(
                     f"{self.address}: {response.complete_answers} answers to a request, not 1"
                 )
-        except gevent.Timeout as error:
+        except (_NoAnswerInTime, TimeoutError) as error:
             sock.close()
             raise AnswerLost(f"{self.address}: no answer in {timeout_ms:.0f} ms") from error
         except (OSError, HTTPParseError) as error:
@@ -275,5 +273,4 @@
         if self._closed or len(self._idle) >= self.max_idle_connections or response.should_close():
             sock.close()
         else:
-            sock.settimeout(None)
             self._idle.append(sock)
