Report free capacity at once only if a plan would change by it

Each process received fourteen reports of free capacity for each job that it owned, most of them of one task more or less among many free workers. A change of less than 30 % in what is free or waits is reported within 150 ms, any other one as soon as before.

--- a/camphorchute/queues/free_capacity_reports.py
+++ b/camphorchute/queues/free_capacity_reports.py
@@ -1,5 +1,6 @@
 """Sends free-capacity reports of this process's groups to the members that follow them."""
 
+import time
 from collections.abc import Callable
 
 import gevent
@@ -7,7 +8,7 @@
 
 from camphorchute.cluster import ClusterView
 from camphorchute.contracts.member import Member
-from camphorchute.contracts.run_messages import RoomReport
+from camphorchute.contracts.run_messages import GroupFreeCapacity, RoomReport
 from camphorchute.links import Peers
 from camphorchute.loops import spawn_loop
 from camphorchute.runs import GroupScheduler
@@ -17,14 +18,45 @@
 REPORT_INTERVAL_MIN_MS = 20.0
 REPORT_INTERVAL_PER_MEMBER_MS = 3.0
 REPORT_INTERVAL_MAX_MS = 500.0
+MINOR_CHANGE_INTERVAL_MS = 150.0
+MINOR_CHANGE_SHARE = 0.3
 MS_PER_S = 1000.0
 
 
+class _Summary:
+    """What the receivers of a report about one group plan by.
+
+    Args:
+        group: the report about the group.
+    """
+
+    __slots__ = ("_usable_workers", "_free_millicores", "_capacity_millicores", "_waiting_core_ms")
+
+    def __init__(self, group: GroupFreeCapacity) -> None:
+        free = [worker.free.cpu_millicores for worker in group.workers]
+        self._usable_workers = len(free)
+        self._free_millicores = sum(free)
+        self._capacity_millicores = group.capacity.cpu_millicores
+        self._waiting_core_ms = sum(group.waiting_core_ms.values())
+
+    def differs_from(self, other: "_Summary") -> bool:
+        """Return whether a plan by one summary would be a poor one by the other."""
+        free_change = abs(self._free_millicores - other._free_millicores)
+        waiting_change = abs(self._waiting_core_ms - other._waiting_core_ms)
+        return (
+            self._usable_workers != other._usable_workers
+            or self._capacity_millicores != other._capacity_millicores
+            or free_change > MINOR_CHANGE_SHARE * self._free_millicores
+            or waiting_change > MINOR_CHANGE_SHARE * self._waiting_core_ms
+        )
+
+
 class FreeCapacityReports:
     """Reports free capacity soon after it has changed, and at intervals without a change.
 
     The pause between two reports grows with the number of receivers, so that the reports of a
-    process stay within a fixed number of messages per second.
+    process stay within a fixed number of messages per second. A change that hardly matters to a
+    receiver waits longer: with plenty of capacity free, a few tasks more or less change no plan.
 
     Args:
         scheduler: the scheduler of this process, which knows the free capacity of its groups.
@@ -40,6 +72,8 @@
         "_count",
         "_changed",
         "_last_receivers",
+        "_last_summaries",
+        "_reported_s",
         "_greenlet",
     )
 
@@ -52,6 +86,8 @@
         self._count = count
         self._changed = Event()
         self._last_receivers: dict[str, Member] = {}
+        self._last_summaries: dict[str, _Summary] = {}
+        self._reported_s = 0.0
         self._greenlet: gevent.Greenlet | None = None
         scheduler.on_capacity_changed = self._changed.set
 
@@ -65,17 +101,34 @@
             self._greenlet.kill(block=False)
 
     def _report_changes(self) -> None:
-        """Report on every change, and at the latest after REPORT_INTERVAL_MAX_MS."""
+        """Report on every change that matters, and at the latest after REPORT_INTERVAL_MAX_MS."""
         while True:
-            self._changed.wait(REPORT_INTERVAL_MAX_MS / MS_PER_S)
+            has_changed = self._changed.wait(REPORT_INTERVAL_MAX_MS / MS_PER_S)
             self._changed.clear()
-            receiver_count = self._send_report()
-            gevent.sleep(
-                max(REPORT_INTERVAL_MIN_MS, REPORT_INTERVAL_PER_MEMBER_MS * receiver_count)
-                / MS_PER_S
-            )
-
-    def _send_report(self) -> int:
+            report = self._scheduler.free_capacity_report()
+            pause_ms = REPORT_INTERVAL_MIN_MS
+            if not has_changed or self._is_due(report):
+                pause_ms = max(pause_ms, REPORT_INTERVAL_PER_MEMBER_MS * self._send_report(report))
+            elif not self._changed.is_set():
+                gevent.spawn_later(self._remaining_ms() / MS_PER_S, self._changed.set)
+            gevent.sleep(pause_ms / MS_PER_S)
+
+    def _is_due(self, report: list[GroupFreeCapacity]) -> bool:
+        """Return whether a report says something new, or the last one is old enough."""
+        if self._remaining_ms() <= 0 or len(report) != len(self._last_summaries):
+            return True
+        return any(
+            group.group not in self._last_summaries
+            or self._last_summaries[group.group].differs_from(_Summary(group))
+            for group in report
+        )
+
+    def _remaining_ms(self) -> float:
+        """Return the time until a change is reported even if it hardly matters."""
+        elapsed_ms = (time.monotonic() - self._reported_s) * MS_PER_S
+        return MINOR_CHANGE_INTERVAL_MS - elapsed_ms
+
+    def _send_report(self, report: list[GroupFreeCapacity]) -> int:
         """Send one report; return the number of its receivers.
 
         Members that received the previous report get this one too, so that those that no longer
@@ -84,10 +137,10 @@
         receivers_now = self._find_receivers()
         receivers = {**self._last_receivers, **receivers_now}
         self._last_receivers = receivers_now
+        self._last_summaries = {group.group: _Summary(group) for group in report}
+        self._reported_s = time.monotonic()
         if receivers:
-            self._peers.send_to_all(
-                list(receivers.values()), RoomReport(self._scheduler.free_capacity_report())
-            )
+            self._peers.send_to_all(list(receivers.values()), RoomReport(report))
         return len(receivers)
 
     def _find_receivers(self) -> dict[str, Member]:
--- a/camphorchute/queues/tests/test_free_capacity_reports.py
+++ b/camphorchute/queues/tests/test_free_capacity_reports.py
@@ -3,6 +3,8 @@
 
 from camphorchute.cluster import GroupFollowers
 from camphorchute.contracts.member import Member
+from camphorchute.contracts.resources import Resources
+from camphorchute.contracts.run_messages import GroupFreeCapacity, WorkerFreeCapacity
 from camphorchute.queues import free_capacity_reports as module
 from camphorchute.queues.free_capacity_reports import FreeCapacityReports
 
@@ -112,3 +114,46 @@
     site.peers.linked = {unregistered} if linked else set()
     site.next_receivers()
     assert (unregistered in site.next_receivers()) is linked
+
+
+def group_report(free_cores=(32, 32, 16), waiting_core_ms=0.0, group=GROUPS[0]):
+    workers = [WorkerFreeCapacity(Resources(1000 * cores), 1.0) for cores in free_cores]
+    capacity = Resources(32_000 * len(free_cores))
+    return GroupFreeCapacity(group, "flags", capacity, {0: waiting_core_ms}, workers)
+
+
+@pytest.mark.parametrize(
+    ("before", "after", "is_reported_at_once"),
+    [
+        ([group_report()], [group_report()], False),
+        ([group_report((32, 32, 16))], [group_report((32, 16, 16))], False),
+        ([group_report((32, 32, 16))], [group_report((16, 16, 16))], True),
+        ([group_report((16, 0, 0))], [group_report((0, 0, 0))], True),
+        ([group_report((0, 0, 0))], [group_report((16, 0, 0))], True),
+        ([group_report((0, 0), 0.0)], [group_report((0, 0), 100.0)], True),
+        ([group_report((0, 0), 1000.0)], [group_report((0, 0), 1100.0)], False),
+        ([group_report((0, 0), 1000.0)], [group_report((0, 0), 2000.0)], True),
+        ([group_report((32, 32))], [group_report((32, 32, 0))], True),
+        ([group_report()], [group_report(), group_report(group=GROUPS[1])], True),
+    ],
+)
+def test_change_that_hardly_matters_waits(make_site, before, after, is_reported_at_once):
+    site = make_site([GROUPS[0]])
+    site.scheduler.free_capacity_report = lambda: before
+    site.next_receivers()
+    site.scheduler.free_capacity_report = lambda: after
+    site.scheduler.on_capacity_changed()
+    gevent.sleep(0.1)
+    assert len(site.peers.receivers_by_report) == (2 if is_reported_at_once else 1)
+    gevent.sleep(0.2)
+    assert len(site.peers.receivers_by_report) == 2
+
+
+def test_many_changes_that_hardly_matter_are_reported_together(make_site):
+    """A process received fourteen reports for each job that it owned."""
+    site = make_site([GROUPS[0]])
+    site.scheduler.free_capacity_report = lambda: [group_report()]
+    for _ in range(60):
+        site.scheduler.on_capacity_changed()
+        gevent.sleep(0.01)
+    assert len(site.peers.receivers_by_report) <= 6
