Notice a lost answer of a worker soon, and ask again before suspecting it

An answer now counts as lost after four deviations of the answer times seen, 40 to 120 ms; a poll waits no longer than its next end is due; and a lost poll is repeated at once, so that a worker is suspected only after two in a row.

--- a/camphorchute/platform/fenced_worker.py
+++ b/camphorchute/platform/fenced_worker.py
@@ -14,7 +14,9 @@
     WorkerClient,
 )
 from camphorchute.hosting.worker_entry import WorkerEntry
+from camphorchute.observation_clock import observation_clock
 from camphorchute.platform import fleet_messages as messages
+from camphorchute.workers.answer_times import AnswerTimes
 from camphorchute.workers.http_channel import AnswerLost, HttpAnswer, HttpChannel, NotSent
 
 __all__ = ["FencedWorker"]
@@ -22,6 +24,7 @@
 COMMAND_TIMEOUT_MS = 120.0
 CONNECT_TIMEOUT_MS = 150.0
 MAX_IDLE_CONNECTIONS = 4
+MS_PER_S = 1000.0
 HTTP_OK = 200
 EXPECTED_WORKER_HEADER = "Camphorchute-Expect-Instance"
 
@@ -53,9 +56,11 @@
 
     Args:
         entry: entry of the worker in service discovery.
+        answer_times: how long workers take to answer, shared by the clients of one process.
     """
 
-    def __init__(self, entry: WorkerEntry) -> None:
+    def __init__(self, entry: WorkerEntry, answer_times: AnswerTimes | None = None) -> None:
+        self._answer_times = answer_times or AnswerTimes(COMMAND_TIMEOUT_MS)
         self._incarnation = entry.incarnation
         self._headers = {
             "Content-Type": "application/json",
@@ -132,7 +137,8 @@
             CommandUnanswered: it is not known whether the worker executed the command, or the
                 command was not sent.
         """
-        timeout_ms = COMMAND_TIMEOUT_MS + wait_ms
+        timeout_ms = self._answer_times.timeout_ms() + wait_ms
+        sent_s = observation_clock.now_s()
         try:
             answer = self._channel.exchange(
                 "POST", path, msgspec.json.encode(body), timeout_ms, self._headers
@@ -141,6 +147,8 @@
             raise CommandUnanswered(str(error), sent=False) from error
         except AnswerLost as error:
             raise CommandUnanswered(str(error)) from error
+        if not wait_ms:
+            self._answer_times.record((observation_clock.now_s() - sent_s) * MS_PER_S)
         if answer.status != HTTP_OK:
             raise _command_error(answer)
         try:
--- a/camphorchute/platform/fleet_platform.py
+++ b/camphorchute/platform/fleet_platform.py
@@ -11,8 +11,9 @@
 from camphorchute.hosting.worker_client import WorkerClient
 from camphorchute.hosting.worker_entry import WorkerEntry
 from camphorchute.platform import fleet_messages as messages
-from camphorchute.platform.fenced_worker import FencedWorker
+from camphorchute.platform.fenced_worker import COMMAND_TIMEOUT_MS, FencedWorker
 from camphorchute.platform.kv_store import KvStore
+from camphorchute.workers.answer_times import AnswerTimes
 
 __all__ = ["FleetPlatform"]
 
@@ -45,6 +46,7 @@
     def __init__(self, store_address: str, count: Callable[..., None]) -> None:
         self.store = KvStore(store_address)
         self._count = count
+        self._answer_times = AnswerTimes(COMMAND_TIMEOUT_MS)
 
     def decode_worker_entry(self, key: str, value: bytes) -> WorkerEntry | None:
         """Return the worker of a service discovery entry, None if the entry is not usable."""
@@ -83,7 +85,7 @@
 
     def open_worker_client(self, entry: WorkerEntry) -> WorkerClient:
         """Return a client for a worker, without connecting to the worker yet."""
-        return FencedWorker(entry)
+        return FencedWorker(entry, self._answer_times)
 
     def decode_job(self, job_id: str, body: bytes) -> BatchJob:
         """Return the job in the body of a caller's request.
--- a/camphorchute/platform/tests/test_fenced_worker.py
+++ b/camphorchute/platform/tests/test_fenced_worker.py
@@ -1,5 +1,7 @@
 import json
+import time
 
+import gevent
 import pytest
 
 from bench.standins.server import Reply, Standin
@@ -23,9 +25,11 @@
     def __init__(self):
         super().__init__("127.0.0.1:0")
         self.reply = Reply({"clock-ms": 5})
+        self.delay_ms = 0.0
         self.requests = []
 
     def handle_unrouted_request(self, request):
+        gevent.sleep(self.delay_ms / 1000)
         self.requests.append((request.path, json.loads(request.body), request))
         return self.reply
 
@@ -165,3 +169,22 @@
             client.start_run(make_start_command(), 7, 486_000.0)
         else:
             client.stop_run("j.0.0.1", 2, 7)
+
+
+def test_lost_answer_is_noticed_soon_where_answers_are_fast(worker, client):
+    """Each lost start command had cost 120 ms, twice the run time of its task."""
+    for _ in range(30):
+        client.start_run(make_start_command(), 3, 5000.0)
+    worker.faults.hang = True
+    started_s = time.monotonic()
+    with pytest.raises(CommandUnanswered):
+        client.start_run(make_start_command(), 3, 5000.0)
+    assert (time.monotonic() - started_s) * 1000 < 90.0
+
+
+def test_answers_that_were_always_slow_are_waited_for(worker, client):
+    worker.delay_ms = 70.0
+    for _ in range(10):
+        client.start_run(make_start_command(), 3, 5000.0)
+    worker.delay_ms = 100.0
+    assert client.start_run(make_start_command(), 3, 5000.0) == 5
--- a/camphorchute/runs/leased_worker.py
+++ b/camphorchute/runs/leased_worker.py
@@ -19,6 +19,7 @@
 )
 from camphorchute.loops import spawn_loop
 from camphorchute.policies import FailureTracker, WorkerSpeed
+from camphorchute.policies.overdue import expected_run_ms
 from camphorchute.runs.earlier_run import EarlierRun, EarlierRuns
 from camphorchute.runs.listing_reader import ListingReader
 from camphorchute.runs.run import EndEvidence, PendingTask, Run, RunState
@@ -31,6 +32,8 @@
 __all__ = ["LeasedWorker"]
 
 POLL_WAIT_MS = 200.0
+POLL_WAIT_MIN_MS = 40.0
+END_ALLOWANCE_FACTOR = 1.5
 ORPHAN_GRACE_MS = 300.0  # short, as the caller of a job that has ended repeats it after 1.3 s
 COMPLETION_RETENTION_MS = 10_000.0
 IDLE_POLL_INTERVAL_S = 1.0
@@ -97,6 +100,7 @@
         "_listing_reader",
         "_earlier_runs",
         "_poll_requested",
+        "_is_poll_repeated",
         "_greenlet",
         "is_closed",
     )
@@ -131,6 +135,7 @@
         self._listing_reader = ListingReader(self, count)
         self._earlier_runs = EarlierRuns(self._commands.bar_in_background)
         self._poll_requested = Event()
+        self._is_poll_repeated = False
         self._greenlet: gevent.Greenlet | None = None
         self.is_closed = False
 
@@ -296,11 +301,9 @@
         except CommandRefused as refused:
             self._handle_poll_refusal(refused.reason)
         except CommandUnanswered as unanswered:
-            self._count("runs.look_lost")
-            self.health.mark_unresponsive(str(unanswered))
-            self._poll_requested.set()
-            gevent.sleep(self.health.retry_pause_ms() / MS_PER_S)
+            self._handle_unanswered_poll(unanswered)
         else:
+            self._is_poll_repeated = False
             self.health.record_poll_answer()
             self.leases.read_clock(listing.clock_ms)
             self._listing_reader.apply(listing, sent_s)
@@ -310,6 +313,17 @@
             was_synced, self.synced = self.synced, self.synced or is_fence_in_force
             self._listener.worker_changed(self, is_usable_now=self.synced and not was_synced)
 
+    def _handle_unanswered_poll(self, unanswered: CommandUnanswered) -> None:
+        """Repeat a poll at once; a worker that answers neither is unresponsive."""
+        self._count("runs.look_lost")
+        self._poll_requested.set()
+        if self.health.is_responsive and not self._is_poll_repeated:
+            self._is_poll_repeated = True
+            return
+        self._is_poll_repeated = False
+        self.health.mark_unresponsive(str(unanswered))
+        gevent.sleep(self.health.retry_pause_ms() / MS_PER_S)
+
     def _must_renew_leases(self) -> bool:
         """Whether a run is active that an owner wants.
 
@@ -320,13 +334,27 @@
 
     def _poll_wait_ms(self) -> float:
         """Return for how long the worker may wait for a completion before it answers a poll."""
-        if self.completions or not (self.synced and self.health.is_responsive):
+        is_reachable = self.synced and self.health.is_responsive
+        if self.completions or self._is_poll_repeated or not is_reachable:
             return 0.0
         if self._earlier_runs:
             return EARLIER_RUN_POLL_WAIT_MS
         if self.orphans:
             return ORPHAN_POLL_WAIT_MS
-        return POLL_WAIT_MS if self.runs else 0.0
+        return self._next_end_ms() if self.runs else 0.0
+
+    def _next_end_ms(self) -> float:
+        """Return the time by which a run should have ended, within the limits of a poll.
+
+        If a poll is lost, the end that it would have reported is known soon after that time.
+        """
+        now_s = time.monotonic()
+        remaining_ms = min(
+            END_ALLOWANCE_FACTOR * expected_run_ms(run.task.message.estimate_ms, self.speed.value)
+            - run.observed_ms(now_s)
+            for run in self.runs.values()
+        )
+        return min(POLL_WAIT_MS, max(POLL_WAIT_MIN_MS, remaining_ms))
 
     def _handle_poll_refusal(self, reason: RefusalReason) -> None:
         self._count(f"runs.look_refused.{reason.name.lower()}")
