--- a/camphorchute/workers/answer_times.py
+++ b/camphorchute/workers/answer_times.py
@@ -6,6 +6,7 @@
 MEAN_WEIGHT = 1 / 8
 DEVIATION_WEIGHT = 1 / 4
 DEVIATIONS_ALLOWED = 4.0
+MEANS_ALLOWED = 2.0
 
 
 class AnswerTimes:
@@ -52,4 +53,5 @@
         if self._mean_ms is None:
             return self._timeout_max_ms
         expected_ms = self._mean_ms + DEVIATIONS_ALLOWED * self._deviation_ms
+        expected_ms = max(expected_ms, MEANS_ALLOWED * self._mean_ms)
         return min(self._timeout_max_ms, max(TIMEOUT_MIN_MS, expected_ms))
