--- a/camphorchute/runs/group_scheduler.py
+++ b/camphorchute/runs/group_scheduler.py
@@ -35,6 +35,7 @@
 
 FIRST_RUN = 1
 SWEEP_INTERVAL_MS = 20.0
+IDLE_SWEEP_INTERVAL_MS = 80.0
 MS_PER_S = 1000.0
 
 
@@ -305,7 +306,8 @@
 
     def _sweep_loop(self) -> None:
         while True:
-            gevent.sleep(SWEEP_INTERVAL_MS / MS_PER_S)
+            interval_ms = SWEEP_INTERVAL_MS if self._open_tasks else IDLE_SWEEP_INTERVAL_MS
+            gevent.sleep(interval_ms / MS_PER_S)
             if self.pause_watch.tick():
                 self._count("runs.process_paused")
                 continue
--- a/camphorchute/runs/open_tasks.py
+++ b/camphorchute/runs/open_tasks.py
@@ -16,6 +16,10 @@
     def __init__(self) -> None:
         self._jobs: dict[str, JobTasks] = defaultdict(JobTasks)
 
+    def __bool__(self) -> bool:
+        """Whether a task is open."""
+        return bool(self._jobs)
+
     def __contains__(self, task: PendingTask) -> bool:
         job = self._jobs.get(task.message.job_id)
         return job is not None and job.by_name.get(task.name) is task
