Let the periodic checks of a process fall together

An idle process woke 125 times a second, once for each periodic check, and on a large fleet idle processes are most of the processor time. The checks now wait for ticks of 50 ms or multiples, shifted by a phase of the process, so that one wake-up serves them all.

--- a/camphorchute/cluster/claims.py
+++ b/camphorchute/cluster/claims.py
@@ -11,7 +11,7 @@
 from camphorchute.cluster.membership_lease import MembershipLease
 from camphorchute.contracts.member import Member
 from camphorchute.hosting import Store, StoreUnavailable, SwapConflict, SwapUnknown
-from camphorchute.loops import spawn_loop
+from camphorchute.loops import spawn_loop, until_next_tick_s
 from camphorchute.runs import GroupScheduler
 from camphorchute.runs.group_names import GROUP_SEPARATOR, zone_of_group
 
@@ -129,7 +129,7 @@
     def _reconcile_claims(self) -> None:
         """Compare the claims with the cluster view whenever it changes, and act on differences."""
         while True:
-            self._view.changed.wait(CHECK_INTERVAL_MS / MS_PER_S)
+            self._view.changed.wait(until_next_tick_s(CHECK_INTERVAL_MS))
             self._view.changed.clear()
             self._view.remove_expired_workers()
             if not self.can_act_in_time():
--- a/camphorchute/cluster/heartbeats.py
+++ b/camphorchute/cluster/heartbeats.py
@@ -12,13 +12,13 @@
 from camphorchute.contracts.member import Member
 from camphorchute.contracts.run_messages import MemberBeat
 from camphorchute.links import Link, Peers, handles
-from camphorchute.loops import spawn_loop
+from camphorchute.loops import spawn_loop, until_next_tick_s
 from camphorchute.observation_clock import observation_clock
 
 __all__ = ["Heartbeats"]
 
 HEARTBEAT_INTERVAL_MS = 250.0
-LINK_CHECK_INTERVAL_MS = 125.0
+LINK_CHECK_INTERVAL_MS = 100.0
 LINK_UNRESPONSIVE_MS = 750.0
 CONNECT_INTERVAL_MS = 500.0
 RING_DISTANCE_MAX = 2
@@ -108,7 +108,7 @@
                     link.close()
                 elif self._is_heartbeat_due(link, now_s):
                     link.send(message)
-            gevent.sleep(LINK_CHECK_INTERVAL_MS / MS_PER_S)
+            gevent.sleep(until_next_tick_s(LINK_CHECK_INTERVAL_MS))
 
     def _is_heartbeat_due(self, link: Link, now_s: float) -> bool:
         """Return whether a heartbeat is needed on a link, and record the version that it carries.
--- a/camphorchute/durable_jobs/shard_claims.py
+++ b/camphorchute/durable_jobs/shard_claims.py
@@ -11,7 +11,7 @@
 from camphorchute.contracts.member import Member
 from camphorchute.durable_jobs.shard_markers import ShardMarkers
 from camphorchute.hosting import Store, StoredValue, StoreUnavailable, SwapConflict, SwapUnknown
-from camphorchute.loops import spawn_loop
+from camphorchute.loops import spawn_loop, until_next_tick_s
 from camphorchute.runs import SHARD_COUNT
 
 __all__ = ["SHARD_OWNER_KEY_PREFIX", "ShardClaims"]
@@ -115,8 +115,8 @@
                 self._check_shard(shard)
             if not self._vacant_since_s:
                 self._store.outage.record_answer(STORE_USER)
-            gevent.sleep(CHECK_PAUSE_MIN_MS / MS_PER_S)
-            self._view.changed.wait(CHECK_INTERVAL_MS / MS_PER_S)
+            if self._view.changed.wait(until_next_tick_s(CHECK_INTERVAL_MS)):
+                gevent.sleep(CHECK_PAUSE_MIN_MS / MS_PER_S)
 
     def _knows_shards(self) -> bool:
         """Whether this process knows which shards need an owner, as soon as it sees itself."""
--- a/camphorchute/entry/loop_lag.py
+++ b/camphorchute/entry/loop_lag.py
@@ -6,7 +6,7 @@
 import gevent
 from eliot import log_message
 
-from camphorchute.loops import spawn_loop
+from camphorchute.loops import spawn_loop, until_next_tick_s
 from camphorchute.observation_clock import TICK_INTERVAL_MS, observation_clock
 
 __all__ = ["LoopLag"]
@@ -80,8 +80,9 @@
 
     def _measure(self) -> None:
         while True:
-            due_s = time.monotonic() + TICK_INTERVAL_MS / MS_PER_S
-            gevent.sleep(TICK_INTERVAL_MS / MS_PER_S)
+            pause_s = until_next_tick_s(TICK_INTERVAL_MS)
+            due_s = time.monotonic() + pause_s
+            gevent.sleep(pause_s)
             observation_clock.tick()
             self.add_sample(max(0.0, time.monotonic() - due_s) * MS_PER_S)
 
--- a/camphorchute/loops.py
+++ b/camphorchute/loops.py
@@ -1,13 +1,17 @@
 """Greenlets that run the background loop of a component and restart it when it fails."""
 
+import random
+import time
 from collections.abc import Callable
 
 import gevent
 from eliot import write_traceback
 
-__all__ = ["spawn_loop"]
+__all__ = ["spawn_loop", "until_next_tick_s"]
 
 RESTART_DELAY_MS = 100.0
+MS_PER_S = 1000.0
+_PHASE_S = random.random()  # processes that share a clock do not all wake at the same time
 
 
 def spawn_loop(name: str, loop: Callable[[], None], count: Callable[..., None]) -> gevent.Greenlet:
@@ -37,3 +41,20 @@
                 return
 
     return gevent.spawn(run_until_return)
+
+
+def until_next_tick_s(interval_ms: float) -> float:
+    """Return the time until the next tick of an interval, in seconds.
+
+    The ticks of an interval and of its multiples fall together, so that loops which wait for them
+    wake the process once.
+
+    Args:
+        interval_ms: interval between two ticks, in milliseconds.
+
+    Examples:
+        >>> 0 < until_next_tick_s(50.0) <= 0.05
+        True
+    """
+    interval_s = interval_ms / MS_PER_S
+    return interval_s - (time.monotonic() + _PHASE_S) % interval_s
--- a/camphorchute/runs/group_scheduler.py
+++ b/camphorchute/runs/group_scheduler.py
@@ -17,7 +17,7 @@
 from camphorchute.decision_log import log_decision
 from camphorchute.hosting import WorkerClient, WorkerEntry
 from camphorchute.links import handles
-from camphorchute.loops import spawn_loop
+from camphorchute.loops import spawn_loop, until_next_tick_s
 from camphorchute.pause_watch import PauseWatch
 from camphorchute.policies import DecisionPolicies
 from camphorchute.runs.durable_tasks import DurableTasks
@@ -35,7 +35,7 @@
 
 FIRST_RUN = 1
 SWEEP_INTERVAL_MS = 20.0
-IDLE_SWEEP_INTERVAL_MS = 80.0
+IDLE_SWEEP_INTERVAL_MS = 100.0
 MS_PER_S = 1000.0
 
 
@@ -307,7 +307,7 @@
     def _sweep_loop(self) -> None:
         while True:
             interval_ms = SWEEP_INTERVAL_MS if self._open_tasks else IDLE_SWEEP_INTERVAL_MS
-            gevent.sleep(interval_ms / MS_PER_S)
+            gevent.sleep(until_next_tick_s(interval_ms))
             if self.pause_watch.tick():
                 self._count("runs.process_paused")
                 continue
