Time what depends on the fleet, and fetch no unusable configuration again at once

A configuration that a member has in force and that cannot be used here was transferred again for each of its heartbeats; the same version of the same member is left alone for 5 s.

--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -23,7 +23,12 @@
 from bench.measure.registry import MEASUREMENTS, print_json_line, register_measurement  # noqa: E402
 from bench.measure.sizes import SERVICE, ZONE  # noqa: E402
 from bench.measure.usage import Usage, total_usage  # noqa: E402
+from camphorchute.cluster import GroupFollowers  # noqa: E402
+from camphorchute.cluster.worker_groups import WorkerGroups  # noqa: E402
 from camphorchute.contracts import new_key  # noqa: E402
+from camphorchute.contracts.member import Member  # noqa: E402
+from camphorchute.contracts.resources import Resources  # noqa: E402
+from camphorchute.hosting import WorkerEntry  # noqa: E402
 
 NETWORK_BASE = 61
 DELAY_AFTER_START_S = 4.0
@@ -162,6 +167,50 @@
     return statuses
 
 
+@register_measurement
+def fleet() -> None:
+    """Measure the parts of an entry process that depend on the fleet, without a network.
+
+    The fleet has five zones and a group of workers for each two and a half members.
+    """
+    for member_count in (9, 42, 97, 300, 1000, 4000):
+        print_json_line(**_fleet_row(member_count))
+
+
+def _fleet_row(member_count: int) -> dict[str, float]:
+    zones = [f"zone{number}" for number in range(5)]
+    members = [
+        Member(f"{number:05}", zones[number % 5], "", "", "", "") for number in range(member_count)
+    ]
+    groups = [
+        f"{zones[number % 5]}/flags/{number}" for number in range(max(5, member_count * 2 // 5))
+    ]
+    table = GroupFollowers(members, groups)
+    workers = WorkerGroups()
+    entries = [
+        WorkerEntry(f"w{number}", 1, "", "flags", zones[number % 5], Resources(0))
+        for number in range(3 * member_count)
+    ]
+    for entry in entries:
+        workers.set_worker(entry)
+    return {
+        "members": member_count,
+        "groups": len(groups),
+        "table_us": _mean_us(lambda: GroupFollowers(members, groups), 10),
+        "followers_us": _mean_us(lambda: table.followers_of(groups[0]), 1000),
+        "is_follower_us": _mean_us(lambda: table.is_follower(members[0], groups[0]), 1000),
+        "worker_change_us": _mean_us(lambda: workers.set_worker(entries[0]), 1000),
+    }
+
+
+def _mean_us(action: Callable[[], object], rounds: int) -> float:
+    """Return the mean processor time of an action in microseconds."""
+    began_s = time.process_time()
+    for _ in range(rounds):
+        action()
+    return round(1e6 * (time.process_time() - began_s) / rounds, 2)
+
+
 @register_measurement
 def members() -> None:
     """Measure the store calls caused by the kill and the restart of one process.
--- a/camphorchute/cluster/configuration_fetch.py
+++ b/camphorchute/cluster/configuration_fetch.py
@@ -25,6 +25,7 @@
 STORE_CHECK_INTERVAL_MS = 25.0
 CONFIGURATION_MAX_BYTES = 16 * 1024 * 1024
 COMPRESSION_LEVEL = 1
+REJECTED_RETRY_MS = 5000.0
 MS_PER_S = 1000.0
 
 
@@ -74,6 +75,7 @@
         "_offers",
         "_offered",
         "_transfer",
+        "_rejected",
         "_packed",
         "_greenlet",
     )
@@ -92,6 +94,7 @@
         self._offers: dict[str, tuple[Member, int]] = {}
         self._offered = Event()
         self._transfer: _Transfer | None = None
+        self._rejected: dict[str, tuple[int, float]] = {}
         self._packed: tuple[int, bytes] = (0, b"")
         self._greenlet: gevent.Greenlet | None = None
 
@@ -111,7 +114,7 @@
             peer: the member.
             version: the version.
         """
-        if version > self._version_in_force():
+        if version > self._version_in_force() and not self._is_rejected(peer, version):
             self._offers[peer.member_id] = (peer, version)
             self._offered.set()
 
@@ -128,6 +131,12 @@
         first = message.offset if message.version == version and message.offset >= 0 else 0
         return QueuesPart(version, len(packed), first, packed[first : first + PART_BYTES])
 
+    def _is_rejected(self, peer: Member, version: int) -> bool:
+        """Whether a member sent a version a short time ago that could not be used."""
+        rejected_version, rejected_s = self._rejected.get(peer.member_id, (0, 0.0))
+        since_ms = (time.monotonic() - rejected_s) * MS_PER_S
+        return version == rejected_version and since_ms < REJECTED_RETRY_MS
+
     def _version_in_force(self) -> int:
         return self._view.queues.version if self._view.queues else 0
 
@@ -185,7 +194,7 @@
                 self._transfer = None
                 return False
             if self._transfer.is_complete:
-                return self._apply_transfer()
+                return self._apply_transfer(peer)
 
     def _add_part(self, part: QueuesPart) -> bool:
         """Add a part to the transfer, a new one if its version differs; return if it fits."""
@@ -202,7 +211,7 @@
         transfer.received += part.data
         return True
 
-    def _apply_transfer(self) -> bool:
+    def _apply_transfer(self, peer: Member) -> bool:
         """Apply the configuration that was received; return whether it is in force now."""
         transfer, self._transfer = self._transfer, None
         try:
@@ -215,4 +224,17 @@
             return False
         self._count("roster.configuration_from_peer")
         self._view.apply_newer_queues(source)
-        return self._version_in_force() >= transfer.version
+        is_applied = self._version_in_force() >= transfer.version
+        if not is_applied:
+            self._reject(peer, transfer.version)
+        return is_applied
+
+    def _reject(self, peer: Member, version: int) -> None:
+        """Record a configuration that could not be used; forget those of long ago."""
+        now_s = time.monotonic()
+        self._rejected = {
+            member_id: (rejected, rejected_s)
+            for member_id, (rejected, rejected_s) in self._rejected.items()
+            if (now_s - rejected_s) * MS_PER_S < REJECTED_RETRY_MS
+        }
+        self._rejected[peer.member_id] = (version, now_s)
--- a/camphorchute/cluster/tests/test_configuration_fetch.py
+++ b/camphorchute/cluster/tests/test_configuration_fetch.py
@@ -192,3 +192,16 @@
     part = sender.fetch.send_part(sender.member, message)
     assert part.version == 7
     assert bool(part.data) == (offset < 10**9)
+
+
+def test_configuration_that_cannot_be_used_is_not_fetched_again_at_once(start):
+    """It was transferred again for every heartbeat of a member that had it in force."""
+    receiver, packed = start(0), zlib.compress(b"no table")
+    peer = Member("m1", "north", "", "", "", "")
+    receiver.links["m1"] = lambda message: QueuesPart(7, len(packed), 0, packed)
+    for _ in range(5):
+        receiver.fetch.offer(peer, 7)
+        gevent.sleep(0.05)
+    assert len(receiver.requests) == 1
+    receiver.fetch.offer(peer, 8)
+    assert wait_until(lambda: len(receiver.requests) == 2, 1.0)
