Refuse a job at once for the delay in this process

A process past its processor time accepted jobs that ended in 504: its admission knew the wait for workers, not the wait in itself. The delay of a job is three times the lag of the event loop (its tasks are dispatched, their results arrive, its caller is answered); it adds to the wait for workers in the decision and in Retry-After, and queues.refused.process_saturated counts refusals by it alone.

--- a/camphorchute/entry/hosted_process.py
+++ b/camphorchute/entry/hosted_process.py
@@ -114,6 +114,7 @@
             self._policies.admission,
         )
         self._owner.admission.has_workers = self._view.has_workers
+        self._owner.admission.own_delay_ms = lambda: self._loop_lag.job_delay_ms()
         self._owner.is_settled = self._scheduler.pause_watch.is_settled
         self._created_s = time.monotonic()
         self._capacity_reports = FreeCapacityReports(
--- a/camphorchute/entry/loop_lag.py
+++ b/camphorchute/entry/loop_lag.py
@@ -16,6 +16,7 @@
 BEHIND_THRESHOLD_MS = 120.0
 CAUGHT_UP_THRESHOLD_MS = 40.0
 BEHIND_MIN_DURATION_MS = 5000.0
+PASSES_OF_A_JOB = 3  # its tasks are dispatched, their results arrive, the caller is answered
 MS_PER_S = 1000.0
 
 
@@ -62,6 +63,10 @@
             self._greenlet.kill(block=False)
             observation_clock.stop()
 
+    def job_delay_ms(self) -> float:
+        """Return how long a job waits in this process until its event loop has come to it."""
+        return PASSES_OF_A_JOB * self.average_ms
+
     def add_sample(self, lag_ms: float) -> None:
         """Add the lag of one timer to the average, in milliseconds."""
         self.average_ms += SAMPLE_WEIGHT * (min(SAMPLE_MAX_MS, lag_ms) - self.average_ms)
--- a/camphorchute/entry/tests/test_loop_lag.py
+++ b/camphorchute/entry/tests/test_loop_lag.py
@@ -52,3 +52,11 @@
         gevent.sleep(0.001)
     lag.close()
     assert lag.average_ms > 50.0
+
+
+@pytest.mark.parametrize(("lag_ms", "delay_ms"), [(0.0, 0.0), (20.0, 60.0), (100.0, 300.0)])
+def test_delay_of_a_job_follows_from_the_lag(lag_ms, delay_ms):
+    lag = LoopLag(lambda name: None)
+    for _ in range(200):
+        lag.add_sample(lag_ms)
+    assert lag.job_delay_ms() == pytest.approx(delay_ms, rel=0.01)
--- a/camphorchute/queues/job_admission.py
+++ b/camphorchute/queues/job_admission.py
@@ -33,10 +33,18 @@
 
     Attributes:
         has_workers: returns whether service discovery lists workers of a service.
+        own_delay_ms: returns the delay that a job has in this process itself, in milliseconds.
         wait_errors: counts how far the expected waits were from those that jobs had.
     """
 
-    __slots__ = ("has_workers", "wait_errors", "_capacity_view", "_start_limit_ms", "_count")
+    __slots__ = (
+        "has_workers",
+        "own_delay_ms",
+        "wait_errors",
+        "_capacity_view",
+        "_start_limit_ms",
+        "_count",
+    )
 
     def __init__(
         self,
@@ -45,6 +53,7 @@
         count: Callable[..., None],
     ) -> None:
         self.has_workers: Callable[[str], bool] = lambda service: False
+        self.own_delay_ms: Callable[[], float] = lambda: 0.0
         self.wait_errors = WaitErrors(count)
         self._capacity_view = capacity_view
         self._start_limit_ms = start_limit_ms
@@ -78,19 +87,24 @@
             raise self.make_overload_refusal("caller has gone", 0.0)
         first = job.steps[0]
         plan = self._capacity_view.plan(queue.service, first, first.tasks, run.step_limits)
-        if not is_admitted(plan.wait_ms, start_limit_ms):
+        own_delay_ms = self.own_delay_ms()
+        wait_ms = plan.wait_ms + own_delay_ms
+        if not is_admitted(wait_ms, start_limit_ms):
+            if is_admitted(plan.wait_ms, start_limit_ms):
+                self._count("queues.refused.process_saturated")
             log_decision(
                 "queues",
                 "refused, too long a wait",
                 job=job.job_id,
                 queue=queue.name,
                 wait_ms=round(plan.wait_ms),
+                own_delay_ms=round(own_delay_ms),
                 limit_ms=round(start_limit_ms),
                 tasks=first.tasks,
                 without_room=plan.pending_count,
                 room_age_ms=self._capacity_view.report_age_ms(queue.service),
             )
-            raise self.make_overload_refusal(f"{plan.wait_ms:.0f} ms to wait", plan.wait_ms)
+            raise self.make_overload_refusal(f"{wait_ms:.0f} ms to wait", wait_ms)
         report_age_ms = self._capacity_view.report_age_ms(queue.service)
         self.wait_errors.record_admitted(job.job_id, plan.wait_ms, first.estimate_ms, report_age_ms)
         return run
--- a/camphorchute/queues/tests/test_job_admission.py
+++ b/camphorchute/queues/tests/test_job_admission.py
@@ -79,3 +79,33 @@
     """Refusals without a time all had a header of one second."""
     refusals = [Refusal(ResultCode.NOT_READY, "no configuration") for _ in range(REFUSALS)]
     assert len({header_seconds(refusal) for refusal in refusals}) >= 2
+
+
+@pytest.mark.parametrize(
+    ("group_wait_ms", "own_delay_ms", "is_accepted"),
+    [
+        (0.0, 0.0, True),
+        (0.0, 60.0, True),
+        (0.0, 300.0, False),
+        (60.0, 60.0, False),
+        (300.0, 0.0, False),
+    ],
+    ids=["no load", "some delay here", "saturated process", "both add up", "full groups"],
+)
+def test_job_is_refused_at_once_for_the_delay_in_this_process(
+    group_wait_ms, own_delay_ms, is_accepted
+):
+    """A saturated process accepted jobs that ended in 504 after their caller's deadline."""
+    counted = []
+    admission = JobAdmission(make_view(group_wait_ms), lambda times: 100.0, counted.append)
+    admission.own_delay_ms = lambda: own_delay_ms
+    job = BatchJob("job", "text", (BatchStep(1, DEMAND, 10.0),))
+    try:
+        admission.admit(job, QUEUE, 60_000.0, Event())
+        assert is_accepted
+    except Refusal as refusal:
+        assert not is_accepted
+        assert refusal.code is ResultCode.OVERLOADED
+        assert refusal.retry_after_ms >= group_wait_ms + own_delay_ms
+    is_saturated = not is_accepted and group_wait_ms <= 80.0
+    assert ("queues.refused.process_saturated" in counted) == is_saturated
