Let a restarted process hear several members before it takes a configuration

A process that starts while the store refuses it took the configuration of the first member that it met, though that member may have been cut off: a queue that was withdrawn since was in use again at the restarted process for some hundred ms. It now waits 400 ms for the heartbeats of its links and takes the newest version (the test fails without: m1 was asked first).

--- a/camphorchute/cluster/configuration_fetch.py
+++ b/camphorchute/cluster/configuration_fetch.py
@@ -22,6 +22,7 @@
 PART_TIMEOUT_MS = 1000.0
 STORE_PRECEDENCE_MS = 250.0
 STORE_TRANSFER_MAX_MS = 3000.0
+FIRST_OFFERS_MS = 400.0  # within which every linked member sends a heartbeat
 STORE_CHECK_INTERVAL_MS = 25.0
 CONFIGURATION_MAX_BYTES = 16 * 1024 * 1024
 COMPRESSION_LEVEL = 1
@@ -60,6 +61,9 @@
     commands on the same link wait for one part at most. A transfer that was interrupted is
     continued from another member.
 
+    A process that has no configuration yet hears several members first: the one that is linked first
+    may have been cut off for long, and its configuration may name what was withdrawn since.
+
     Args:
         peers: the links to other members.
         view: holds the configuration in force.
@@ -143,6 +147,8 @@
     def _fetch_offered(self) -> None:
         while True:
             self._offered.wait()
+            if self._view.queues is None:
+                gevent.sleep(FIRST_OFFERS_MS / MS_PER_S)
             self._wait_for_store()
             while (peer := self._choose_peer()) is not None:
                 if not self._fetch_from(peer):
--- a/camphorchute/cluster/tests/test_configuration_fetch.py
+++ b/camphorchute/cluster/tests/test_configuration_fetch.py
@@ -205,3 +205,16 @@
     assert len(receiver.requests) == 1
     receiver.fetch.offer(peer, 8)
     assert wait_until(lambda: len(receiver.requests) == 2, 1.0)
+
+
+def test_restarted_process_takes_the_newest_configuration_of_its_members(start):
+    """The first member that it met had been cut off, and had a queue that was withdrawn since."""
+    receiver = start(0)
+    stale, current = start(1, routes=3, version=3), start(2, routes=3, version=7)
+    for sender in (stale, current):
+        link(receiver, sender)
+        receiver.fetch.offer(sender.member, sender.version())
+        gevent.sleep(0.1)
+    assert receiver.version() == 0
+    assert wait_until(lambda: receiver.version() == 7, 2.0)
+    assert [member_id for member_id, _, _ in receiver.requests] == ["m2"]
