--- a/camphorchute/cluster/configuration_fetch.py
+++ b/camphorchute/cluster/configuration_fetch.py
@@ -61,8 +61,8 @@
     commands on the same link wait for one part at most. A transfer that was interrupted is
     continued from another member.
 
-    A process that has no configuration yet hears several members first: the one that is linked first
-    may have been cut off for long, and its configuration may name what was withdrawn since.
+    A process that has no configuration yet hears several members first: the one that is linked
+    first may have been cut off for long, and its configuration may name what was withdrawn since.
 
     Args:
         peers: the links to other members.
--- a/camphorchute/cluster/tests/test_configuration_fetch.py
+++ b/camphorchute/cluster/tests/test_configuration_fetch.py
@@ -196,7 +196,7 @@
 
 def test_configuration_that_cannot_be_used_is_not_fetched_again_at_once(start):
     """It was transferred again for every heartbeat of a member that had it in force."""
-    receiver, packed = start(0), zlib.compress(b"no table")
+    receiver, packed = start(0, routes=1, version=3), zlib.compress(b"no table")
     peer = Member("m1", "north", "", "", "", "")
     receiver.links["m1"] = lambda message: QueuesPart(7, len(packed), 0, packed)
     for _ in range(5):
