Answer a job again that was done a short time ago instead of running it twice

A caller that submits a job again after its answer was lost, as makers of flags do, got a second run of it once the first one had ended: two certificates for one flag. The process that did the job remembers it for a minute, by its id, queue and content, without a call to the store, and answers 200.

--- a/camphorchute/queues/queue_owner.py
+++ b/camphorchute/queues/queue_owner.py
@@ -20,6 +20,7 @@
     AdmissionPolicy,
     start_while_useful,
 )
+from camphorchute.queues.done_jobs import DoneJobs
 from camphorchute.queues.free_capacity_view import FreeCapacityView
 from camphorchute.queues.job_admission import JobAdmission, finish_by_s
 from camphorchute.queues.job_run import JobOutcome, JobRun, TaskProgress, TaskState
@@ -59,6 +60,7 @@
         "_count",
         "_dispatcher",
         "_jobs",
+        "_done_jobs",
     )
 
     def __init__(
@@ -76,6 +78,7 @@
         self._count = count
         self._dispatcher = TaskDispatcher(capacity_view, claim_holder, peers, self.end_job, count)
         self._jobs: dict[str, JobRun] = {}
+        self._done_jobs = DoneJobs()
 
     def open_job_count(self) -> int:
         """Return the number of jobs under way, durable ones included."""
@@ -98,7 +101,7 @@
     def run(
         self, job: BatchJob, queue: Queue, deadline_ms: float, caller_gone: gevent.event.Event
     ) -> JobOutcome:
-        """Run a job and return its outcome, or wait for the same job if it is under way here.
+        """Run a job and return its outcome, or that of the same job if it ran here before.
 
         Args:
             job: the job.
@@ -109,6 +112,9 @@
         Raises:
             Refusal: no task of the job was started.
         """
+        if self._done_jobs.includes(queue.name, job):
+            self._count("queues.answered_again")
+            return JobOutcome.DONE
         run = self._jobs.get(job.job_id)
         if run is None:
             accepted = self.admission.admit(job, queue, deadline_ms, caller_gone)
@@ -248,6 +254,8 @@
             return
         run.outcome = outcome
         self.admission.wait_errors.forget(run.job.job_id)
+        if outcome is JobOutcome.DONE and run.term is None:
+            self._done_jobs.add(run.queue.name, run.job)
         self._count(f"queues.ended.{outcome.name.lower()}")
         took_ms = (time.monotonic() - run.started_s) * MS_PER_S
         self._count(f"queues.job_ms.under_{1 << max(0, int(took_ms)).bit_length()}")
