Read the event of a changed view instead of waiting for it

A dump of the greenlets shows the loop of claims of seven processes waiting for the view's event for good, though its time-out was 100 ms: since the periodic checks fall together, two loops wait for one event with time-outs that coincide. A small model with real time did not show it, so the fault in the library is suspected and not traced.

No loop waits for the event now: the loop of claims reads it every 50 ms, the one of shards checks every 100 ms. The test lets such a wait never end.

--- a/camphorchute/cluster/claims.py
+++ b/camphorchute/cluster/claims.py
@@ -18,6 +18,7 @@
 __all__ = ["GroupClaims"]
 
 CHECK_INTERVAL_MS = 100.0
+CHANGE_TICK_MS = 50.0
 RANK_DELAY_MS = 200.0
 OTHER_ZONE_DELAY_MS = 1500.0
 RECLAIM_INTERVAL_MS = 500.0
@@ -129,8 +130,7 @@
     def _reconcile_claims(self) -> None:
         """Compare the claims with the cluster view whenever it changes, and act on differences."""
         while True:
-            self._view.changed.wait(until_next_tick_s(CHECK_INTERVAL_MS))
-            self._view.changed.clear()
+            self._wait_for_change()
             self._view.remove_expired_workers()
             if not self.can_act_in_time():
                 self._release_all_groups()
@@ -143,6 +143,18 @@
                 self._check_group(group)
                 self._scheduler.set_workers(group, workers, group_by_worker)
 
+    def _wait_for_change(self) -> None:
+        """Wait until the view has changed, at most for CHECK_INTERVAL_MS.
+
+        The event is read and not waited for: a wait whose time-out coincided with that of another
+        loop did not end.
+        """
+        for _ in range(round(CHECK_INTERVAL_MS / CHANGE_TICK_MS)):
+            gevent.sleep(until_next_tick_s(CHANGE_TICK_MS))
+            if self._view.changed.is_set():
+                break
+        self._view.changed.clear()
+
     def _release_all_groups(self) -> None:
         """Release every group, so that a process that keeps up with its work can acquire it."""
         now_s = time.monotonic()
--- a/camphorchute/cluster/tests/test_claims.py
+++ b/camphorchute/cluster/tests/test_claims.py
@@ -1,5 +1,6 @@
 import gevent
 import pytest
+from gevent.event import Event
 
 import camphorchute.platform  # noqa: F401 - fills the registry of platforms
 from bench.standins.fleet_site import SERVICE_NAME, FleetSite
@@ -257,3 +258,20 @@
     assert (
         site.store.items["camphorchute/homes/" + GROUP]["revision"] == process.scheduler.held[GROUP]
     )
+
+
+class EndlessWait(Event):
+    """An event whose waits do not end."""
+
+    def wait(self, timeout=None):
+        gevent.sleep(60)
+
+
+def test_changes_are_followed_though_a_wait_for_the_event_does_not_end(make_process):
+    """A loop that waited for the event with a time-out stood still: draining workers got tasks."""
+    process = make_process(1)
+    assert wait_until(process.holds)
+    process.view.changed = EndlessWait()
+    gevent.sleep(0.2)
+    process.scheduler.workers.clear()
+    assert wait_until(lambda: GROUP in process.scheduler.workers, 1.0)
--- a/camphorchute/durable_jobs/shard_claims.py
+++ b/camphorchute/durable_jobs/shard_claims.py
@@ -17,7 +17,6 @@
 __all__ = ["SHARD_OWNER_KEY_PREFIX", "ShardClaims"]
 
 SHARD_OWNER_KEY_PREFIX = OWN_PREFIX + "keepers/"
-CHECK_PAUSE_MIN_MS = 20.0
 CHECK_INTERVAL_MS = 100.0
 START_DELAY_MS = 800.0
 CLAIM_TURN_MS = 200.0
@@ -115,8 +114,7 @@
                 self._check_shard(shard)
             if not self._vacant_since_s:
                 self._store.outage.record_answer(STORE_USER)
-            if self._view.changed.wait(until_next_tick_s(CHECK_INTERVAL_MS)):
-                gevent.sleep(CHECK_PAUSE_MIN_MS / MS_PER_S)
+            gevent.sleep(until_next_tick_s(CHECK_INTERVAL_MS))
 
     def _knows_shards(self) -> bool:
         """Whether this process knows which shards need an owner, as soon as it sees itself."""
