Move the wait of a poll to a module of its own

The line on an unresponsive worker is written through the limited decision log like the others of the package.

--- a/camphorchute/runs/leased_worker.py
+++ b/camphorchute/runs/leased_worker.py
@@ -5,10 +5,10 @@
 from collections.abc import Callable
 
 import gevent
-from eliot import log_message
 from gevent.event import Event
 
 from camphorchute.contracts.resources import Resources
+from camphorchute.decision_log import log_decision
 from camphorchute.hosting import (
     CommandRefused,
     CommandUnanswered,
@@ -19,9 +19,9 @@
 )
 from camphorchute.loops import spawn_loop
 from camphorchute.policies import FailureTracker, WorkerSpeed
-from camphorchute.policies.overdue import expected_run_ms
 from camphorchute.runs.earlier_run import EarlierRun, EarlierRuns
 from camphorchute.runs.listing_reader import ListingReader
+from camphorchute.runs.poll_wait import poll_wait_ms
 from camphorchute.runs.run import EndEvidence, PendingTask, Run, RunState
 from camphorchute.runs.run_commands import RunCommands
 from camphorchute.runs.run_listener import RunListener
@@ -31,14 +31,9 @@
 
 __all__ = ["LeasedWorker"]
 
-POLL_WAIT_MS = 200.0
-POLL_WAIT_MIN_MS = 40.0
-END_ALLOWANCE_FACTOR = 1.5
 ORPHAN_GRACE_MS = 300.0  # short, as the caller of a job that has ended repeats it after 1.3 s
 COMPLETION_RETENTION_MS = 10_000.0
 IDLE_POLL_INTERVAL_S = 1.0
-ORPHAN_POLL_WAIT_MS = 50.0
-EARLIER_RUN_POLL_WAIT_MS = 10.0
 UNACKNOWLEDGED_POLL_INTERVAL_MS = 15.0
 MS_PER_S = 1000.0
 
@@ -317,44 +312,26 @@
         """Repeat a poll at once; a worker that answers neither is unresponsive."""
         self._count("runs.look_lost")
         self._poll_requested.set()
-        if self.health.is_responsive and not self._is_poll_repeated:
-            self._is_poll_repeated = True
-            return
-        self._is_poll_repeated = False
-        self.health.mark_unresponsive(str(unanswered))
-        gevent.sleep(self.health.retry_pause_ms() / MS_PER_S)
+        self._is_poll_repeated = self.health.is_responsive and not self._is_poll_repeated
+        if not self._is_poll_repeated:
+            self.health.mark_unresponsive(str(unanswered))
+            gevent.sleep(self.health.retry_pause_ms() / MS_PER_S)
 
     def _must_renew_leases(self) -> bool:
         """Whether a run is active that an owner wants.
 
         The job of another run may be over, and repeated by its caller.
         """
-        is_reachable = self.synced and self.health.is_responsive
-        return is_reachable and any(not run.stop_requested for run in self.runs.values())
+        wanted_runs = [run for run in self.runs.values() if not run.stop_requested]
+        return bool(wanted_runs) and self.synced and self.health.is_responsive
 
     def _poll_wait_ms(self) -> float:
         """Return for how long the worker may wait for a completion before it answers a poll."""
-        is_reachable = self.synced and self.health.is_responsive
-        if self.completions or self._is_poll_repeated or not is_reachable:
+        is_unreachable = not (self.synced and self.health.is_responsive)
+        if is_unreachable or self.completions or self._is_poll_repeated:
             return 0.0
-        if self._earlier_runs:
-            return EARLIER_RUN_POLL_WAIT_MS
-        if self.orphans:
-            return ORPHAN_POLL_WAIT_MS
-        return self._next_end_ms() if self.runs else 0.0
-
-    def _next_end_ms(self) -> float:
-        """Return the time by which a run should have ended, within the limits of a poll.
-
-        If a poll is lost, the end that it would have reported is known soon after that time.
-        """
-        now_s = time.monotonic()
-        remaining_ms = min(
-            END_ALLOWANCE_FACTOR * expected_run_ms(run.task.message.estimate_ms, self.speed.value)
-            - run.observed_ms(now_s)
-            for run in self.runs.values()
-        )
-        return min(POLL_WAIT_MS, max(POLL_WAIT_MIN_MS, remaining_ms))
+        has_orphans, has_earlier_runs = bool(self.orphans), bool(self._earlier_runs)
+        return poll_wait_ms(self.runs.values(), self.speed.value, has_orphans, has_earlier_runs)
 
     def _handle_poll_refusal(self, reason: RefusalReason) -> None:
         self._count(f"runs.look_refused.{reason.name.lower()}")
@@ -398,12 +375,8 @@
             return
         if self.runs:
             self._count("runs.lease_over_unheard", len(self.runs))
-            log_message(
-                message_type="runs",
-                text="runs: worker was unresponsive until its leases expired",
-                worker=self.entry.worker_id,
-                runs=len(self.runs),
-            )
+            fields = {"worker": self.entry.worker_id, "runs": len(self.runs)}
+            log_decision("runs", "worker was unresponsive until its leases expired", **fields)
         for run in list(self.runs.values()):
             self.end_run(run, RunOutcome.LEASE_EXPIRED, EndEvidence.WORKER_SILENT)
 
