Let a wait for an event end though its notification is cancelled

Event.wait of gevent has no time-out if the event is set while other waiters are about to be notified; when these time out in the same pass of the loop, the notification is cancelled and the caller is never woken. Change: every wait for an event goes through loops.wait_for_event, which does not wait for a set event.

--- a/camphorchute/cluster/configuration_fetch.py
+++ b/camphorchute/cluster/configuration_fetch.py
@@ -13,7 +13,7 @@
 from camphorchute.contracts.member import Member
 from camphorchute.contracts.run_messages import FetchQueues, QueuesPart
 from camphorchute.links import LinkLost, Peers, handles
-from camphorchute.loops import spawn_loop
+from camphorchute.loops import spawn_loop, wait_for_event
 from camphorchute.observation_clock import observation_clock
 
 __all__ = ["ConfigurationFetch"]
@@ -146,7 +146,7 @@
 
     def _fetch_offered(self) -> None:
         while True:
-            self._offered.wait()
+            wait_for_event(self._offered)
             if self._view.queues is None:
                 gevent.sleep(FIRST_OFFERS_MS / MS_PER_S)
             self._wait_for_store()
--- a/camphorchute/durable_jobs/job_writer.py
+++ b/camphorchute/durable_jobs/job_writer.py
@@ -15,7 +15,7 @@
     SwapConflict,
     SwapUnknown,
 )
-from camphorchute.loops import spawn_loop
+from camphorchute.loops import spawn_loop, wait_for_event
 
 __all__ = ["JobWriter"]
 
@@ -95,7 +95,7 @@
     def _write_pending(self) -> None:
         allowed_calls, refilled_s = BURST_CALLS_MAX, time.monotonic()
         while True:
-            self._has_pending.wait()
+            wait_for_event(self._has_pending)
             if not self._pending:
                 self._has_pending.clear()
                 continue
--- a/camphorchute/durable_jobs/shard.py
+++ b/camphorchute/durable_jobs/shard.py
@@ -27,7 +27,7 @@
 from camphorchute.durable_jobs.job_writer import JobWriter
 from camphorchute.hosting import Store, StoredValue, StoreUnavailable, SwapConflict, SwapUnknown
 from camphorchute.links import LinkLost, Peers
-from camphorchute.loops import spawn_loop
+from camphorchute.loops import spawn_loop, wait_for_event
 from camphorchute.queues import QueueOwner, TaskState
 from camphorchute.runs import job_of
 
@@ -400,7 +400,7 @@
         """
         try:
             while run.unsaved_completions and not self._closed and run.job.job_id in self._runs:
-                run.outcome_known.wait(SAVE_BATCHING_MS / MS_PER_S)
+                wait_for_event(run.outcome_known, SAVE_BATCHING_MS / MS_PER_S)
                 completions, run.unsaved_completions = run.unsaved_completions, []
                 if self._try_store_record(run):
                     self._report_saved_completions(completions)
--- a/camphorchute/entry/daemon.py
+++ b/camphorchute/entry/daemon.py
@@ -27,6 +27,7 @@
 from camphorchute.entry.zone_list import ZonesDiffer, ensure_zone_list
 from camphorchute.jobs import Admission, Dispatcher, JobOwner, Recovery, Router
 from camphorchute.links import Handlers, Peers
+from camphorchute.loops import wait_for_event
 from camphorchute.platform import EtcdStore, VmList, VmState
 from camphorchute.services import Catalogue, Distribution, Planner
 from camphorchute.workers import SchedulerTiming, TaskScheduler
@@ -178,7 +179,7 @@
             gevent.spawn(self._monitor_loop_lag),
             gevent.spawn(self._refresh_vm_list),
         ]
-        self._membership.joined.wait()
+        wait_for_event(self._membership.joined)
         log_message(
             message_type="entry",
             text=f"entry: {self._member.member_id} serves {self._member.zone}",
@@ -329,9 +330,8 @@
             self._vm_list_requested.clear()
             self._vm_list.refresh()
             gevent.sleep(VM_LIST_MIN_INTERVAL_MS / MS_PER_S)
-            self._vm_list_requested.wait(
-                random.uniform(0.5, 1.0) * VM_LIST_IDLE_INTERVAL_MS / MS_PER_S
-            )
+            pause_s = random.uniform(0.5, 1.0) * VM_LIST_IDLE_INTERVAL_MS / MS_PER_S
+            wait_for_event(self._vm_list_requested, pause_s)
 
     def _monitor_loop_lag(self) -> None:
         """Count how often the event loop was delayed by more than ``LAG_THRESHOLD_MS``."""
--- a/camphorchute/entry/scheduler_component.py
+++ b/camphorchute/entry/scheduler_component.py
@@ -21,6 +21,7 @@
 )
 from camphorchute.jobs.pools import upstream_pool
 from camphorchute.links import Peers, handles
+from camphorchute.loops import wait_for_event
 from camphorchute.services import Catalogue, ServiceDefinition, Upstream, Worker
 from camphorchute.workers import HttpWorker, TaskScheduler
 from camphorchute.workers.back_end import BackEndError, FoundAttempt
@@ -159,7 +160,7 @@
 
     def _follow_changes(self) -> None:
         while True:
-            self._inputs_changed.wait()
+            wait_for_event(self._inputs_changed)
             self._inputs_changed.clear()
             self._assign_back_ends()
 
--- a/camphorchute/jobs/owner.py
+++ b/camphorchute/jobs/owner.py
@@ -28,6 +28,7 @@
 from camphorchute.jobs.recovery import Recovery
 from camphorchute.jobs.witnessed_entries import WitnessedEntries
 from camphorchute.links import handles
+from camphorchute.loops import wait_for_event
 from camphorchute.zones import Ledger, Witnessing, ZoneView
 
 __all__ = ["JobOwner"]
@@ -424,7 +425,7 @@
         log_message(message_type="jobs", text=f"jobs: {event}", job=job.key.text)
 
     def _wait_for_answer(self, job: Job, wait_ms: float | None) -> JobEnded:
-        job.finished.wait(None if wait_ms is None else max(wait_ms, 0) / 1000)
+        wait_for_event(job.finished, None if wait_ms is None else max(wait_ms, 0) / 1000)
         if job.moved:
             raise self._checks.not_owner_refusal(job.key)
         if job.answer is None:
--- a/camphorchute/loops.py
+++ b/camphorchute/loops.py
@@ -1,4 +1,4 @@
-"""Greenlets that run the background loop of a component and restart it when it fails."""
+"""Background loops of components: started again when they fail, woken by ticks and events."""
 
 import random
 import time
@@ -6,8 +6,9 @@
 
 import gevent
 from eliot import write_traceback
+from gevent.event import Event
 
-__all__ = ["spawn_loop", "until_next_tick_s"]
+__all__ = ["spawn_loop", "until_next_tick_s", "wait_for_event"]
 
 RESTART_DELAY_MS = 100.0
 MS_PER_S = 1000.0
@@ -58,3 +59,25 @@
     """
     interval_s = interval_ms / MS_PER_S
     return interval_s - (time.monotonic() + _PHASE_S) % interval_s
+
+
+def wait_for_event(event: Event, timeout_s: float | None = None) -> bool:
+    """Wait until an event is set, and return whether it is.
+
+    ``Event.wait`` of gevent does not time out if the event is set already and its other waiters are
+    about to be notified. If all of these time out in the same pass of the event loop, their
+    notification is cancelled, and the wait never ends.
+
+    Args:
+        event: the event.
+        timeout_s: longest time to wait, without a limit if None.
+
+    Examples:
+        >>> event = Event()
+        >>> wait_for_event(event, 0.001)
+        False
+        >>> event.set()
+        >>> wait_for_event(event)
+        True
+    """
+    return event.is_set() or event.wait(timeout_s)
--- a/camphorchute/queues/free_capacity_reports.py
+++ b/camphorchute/queues/free_capacity_reports.py
@@ -10,7 +10,7 @@
 from camphorchute.contracts.member import Member
 from camphorchute.contracts.run_messages import GroupFreeCapacity, RoomReport
 from camphorchute.links import Peers
-from camphorchute.loops import spawn_loop
+from camphorchute.loops import spawn_loop, wait_for_event
 from camphorchute.runs import GroupScheduler
 
 __all__ = ["FreeCapacityReports"]
@@ -103,7 +103,7 @@
     def _report_changes(self) -> None:
         """Report on every change that matters, and at the latest after REPORT_INTERVAL_MAX_MS."""
         while True:
-            has_changed = self._changed.wait(REPORT_INTERVAL_MAX_MS / MS_PER_S)
+            has_changed = wait_for_event(self._changed, REPORT_INTERVAL_MAX_MS / MS_PER_S)
             self._changed.clear()
             report = self._scheduler.free_capacity_report()
             pause_ms = REPORT_INTERVAL_MIN_MS
--- a/camphorchute/queues/job_admission.py
+++ b/camphorchute/queues/job_admission.py
@@ -9,6 +9,7 @@
 from camphorchute.contracts.batch_job import BatchJob
 from camphorchute.decision_log import log_decision
 from camphorchute.hosting import Queue
+from camphorchute.loops import wait_for_event
 from camphorchute.policies.admission import AdmissionPolicy, JobTimes, is_admitted
 from camphorchute.queues.free_capacity_view import FreeCapacityView
 from camphorchute.queues.job_run import JobRun
@@ -148,7 +149,7 @@
             if remaining_s <= 0:
                 return
             self._capacity_view.report_received.clear()
-            self._capacity_view.report_received.wait(remaining_s)
+            wait_for_event(self._capacity_view.report_received, remaining_s)
 
     def _can_ever_run(self, job: BatchJob, service: str) -> bool:
         """Return whether each step has a group with enough total capacity for one of its tasks."""
--- a/camphorchute/queues/queue_owner.py
+++ b/camphorchute/queues/queue_owner.py
@@ -16,6 +16,7 @@
 from camphorchute.decision_log import log_decision
 from camphorchute.hosting import Queue
 from camphorchute.links import Peers, handles
+from camphorchute.loops import wait_for_event
 from camphorchute.policies.admission import (
     AdmissionPolicy,
     start_while_useful,
@@ -234,9 +235,9 @@
                 continue
             is_incomplete = not run.may_dispatch() or self._dispatch_ready_tasks(run)
             remaining_s = min(POLL_INTERVAL_MAX_S, max(0.0, run.finish_by_s - now_s))
-            run.changed.wait(
-                min(remaining_s, RETRY_INTERVAL_MS / MS_PER_S) if is_incomplete else remaining_s
-            )
+            if is_incomplete:
+                remaining_s = min(remaining_s, RETRY_INTERVAL_MS / MS_PER_S)
+            wait_for_event(run.changed, remaining_s)
             run.changed.clear()
 
     def _dispatch_ready_tasks(self, run: JobRun) -> bool:
--- a/camphorchute/runs/leased_worker.py
+++ b/camphorchute/runs/leased_worker.py
@@ -17,7 +17,7 @@
     WorkerClient,
     WorkerEntry,
 )
-from camphorchute.loops import spawn_loop
+from camphorchute.loops import spawn_loop, wait_for_event
 from camphorchute.policies import FailureTracker, WorkerSpeed
 from camphorchute.runs.earlier_run import EarlierRun, EarlierRuns
 from camphorchute.runs.listing_reader import ListingReader
@@ -280,9 +280,10 @@
         waiting for the next completion, so polls need a pause here.
         """
         if not (self.runs or self.orphans):
-            self._poll_requested.wait(IDLE_POLL_INTERVAL_S if self.completions else None)
+            idle_s = IDLE_POLL_INTERVAL_S if self.completions else None
+            wait_for_event(self._poll_requested, idle_s)
         elif self.completions:
-            self._poll_requested.wait(UNACKNOWLEDGED_POLL_INTERVAL_MS / MS_PER_S)
+            wait_for_event(self._poll_requested, UNACKNOWLEDGED_POLL_INTERVAL_MS / MS_PER_S)
 
     def _poll(self) -> None:
         """Renew the leases and apply the runs and completions that the worker lists."""
--- a/camphorchute/services/distribution.py
+++ b/camphorchute/services/distribution.py
@@ -11,6 +11,7 @@
 
 from camphorchute.contracts import Refusal
 from camphorchute.hosting import Store, StoredListing, StoredValue, StoreUnavailable
+from camphorchute.loops import wait_for_event
 from camphorchute.services.backoff import Backoff
 from camphorchute.services.catalogue import Catalogue
 from camphorchute.services.record import SERVICES_PREFIX, ServiceRecord, decode_record, service_key
@@ -190,7 +191,7 @@
     def _run_peer_requests(self) -> None:
         self._request_first_state()
         while True:
-            self._new_revision_event.wait()
+            wait_for_event(self._new_revision_event)
             self._new_revision_event.clear()
             self._request_missing_records()
 
@@ -218,7 +219,7 @@
                 self._list_as_fallback()
             if not self._catalogue.ready:
                 self._new_revision_event.clear()
-                self._new_revision_event.wait(backoff.next_wait_s())
+                wait_for_event(self._new_revision_event, backoff.next_wait_s())
 
     def _list_as_fallback(self) -> None:
         try:
--- a/camphorchute/workers/http_upstream.py
+++ b/camphorchute/workers/http_upstream.py
@@ -8,6 +8,7 @@
 import msgspec
 from gevent.event import Event
 
+from camphorchute.loops import wait_for_event
 from camphorchute.policies.retry_budget import RetryBudget
 from camphorchute.services.definition import ServiceDefinition
 from camphorchute.workers.back_end import (
@@ -167,7 +168,7 @@
         """Wait for ended requests, after a check of an upstream that has refused a connection."""
         if self._connection_refused and not self._request_ended.is_set():
             self.status()
-        self._request_ended.wait(wait_ms / 1000)
+        wait_for_event(self._request_ended, wait_ms / 1000)
         self._request_ended.clear()
         page, self._next_page = self._next_page, AnswerPage(after)
         page.last = after + len(page.answers)
--- a/camphorchute/workers/worker_link.py
+++ b/camphorchute/workers/worker_link.py
@@ -7,6 +7,7 @@
 from gevent.event import Event
 
 from camphorchute.contracts import InvariantBroken, ResultCode
+from camphorchute.loops import wait_for_event
 from camphorchute.workers.answers import AnswerHandler
 from camphorchute.workers.attempt_checks import AttemptChecks
 from camphorchute.workers.back_end import (
@@ -295,7 +296,7 @@
 
     def _send_starts_forever(self) -> None:
         while True:
-            self._wake_starts.wait()
+            wait_for_event(self._wake_starts)
             self._wake_starts.clear()
             self._run_guarded(self.send_starts)
 
@@ -318,7 +319,7 @@
 
     def _check_forever(self) -> None:
         while True:
-            self._wake_checks.wait(self._check_wait_ms() / 1000)
+            wait_for_event(self._wake_checks, self._check_wait_ms() / 1000)
             self._wake_checks.clear()
             self._run_guarded(self.checks.run_due_checks)
 
--- a/camphorchute/zones/shard_recovery.py
+++ b/camphorchute/zones/shard_recovery.py
@@ -16,6 +16,7 @@
 from camphorchute.contracts.member import Member
 from camphorchute.contracts.messages import Fence
 from camphorchute.links import LinkLost, Peers
+from camphorchute.loops import wait_for_event
 from camphorchute.zones.deaths import DeathRegistry
 from camphorchute.zones.ledger import Ledger
 from camphorchute.zones.record import (
@@ -94,7 +95,8 @@
     def _run(self) -> None:
         while True:
             shards = self._unrecovered_shards()
-            self._wake.wait((RETRY_INTERVAL_MS if shards else IDLE_INTERVAL_MS) / 1000)
+            interval_ms = RETRY_INTERVAL_MS if shards else IDLE_INTERVAL_MS
+            wait_for_event(self._wake, interval_ms / 1000)
             self._wake.clear()
             try:
                 self._recover(self._unrecovered_shards())
