--- a/bench/job_profile.py
+++ b/bench/job_profile.py
@@ -23,8 +23,6 @@
 
 ZONES = ["north", "south", "east"]
 NETWORK_BASE = 73
-ENTRIES_PER_ZONE = 2
-WORKERS_PER_ZONE = 4
 SETTLE_S = 3.0
 IDLE_S = 5.0
 
@@ -50,16 +48,25 @@
 @click.option("--callers", default=12, show_default=True)
 @click.option("--tasks", default=4, show_default=True, help="Tasks of each job.")
 @click.option("--duration-s", default=10.0, show_default=True)
+@click.option("--entries-per-zone", default=2, show_default=True, help="Entry processes.")
+@click.option("--workers-per-zone", default=4, show_default=True, help="Stand-in workers.")
 @click.option("--profile/--no-profile", default=True, show_default=True)
-def main(callers: int, tasks: int, duration_s: float, profile: bool) -> None:
+def main(
+    callers: int,
+    tasks: int,
+    duration_s: float,
+    entries_per_zone: int,
+    workers_per_zone: int,
+    profile: bool,
+) -> None:
     """Print the processor time of a job and where it goes."""
     with tempfile.TemporaryDirectory() as folder:
         os.environ[PROFILE_FOLDER] = folder
         fleet_type = _ProfiledFleet if profile else HostedFleet
-        fleet = fleet_type(ZONES, WORKERS_PER_ZONE, Path(folder), NETWORK_BASE)
+        fleet = fleet_type(ZONES, workers_per_zone, Path(folder), NETWORK_BASE)
         try:
             for zone in ZONES:
-                for number in range(1, ENTRIES_PER_ZONE + 1):
+                for number in range(1, entries_per_zone + 1):
                     fleet.add_entry(zone, number)
             fleet.wait_ready()
             time.sleep(SETTLE_S)
