--- a/camphorchute/workers/tests/test_http_channel.py
+++ b/camphorchute/workers/tests/test_http_channel.py
@@ -84,7 +84,7 @@
     server = serve(OK, OK)
     channel = HttpChannel(server.address)
     channel.exchange("GET", "/", b"", timeout_ms=1000)
-    channel._idle[0].shutdown(socket.SHUT_RD)
+    channel._idle[0].sock.shutdown(socket.SHUT_RD)
     channel.exchange("GET", "/", b"", timeout_ms=1000)
     assert server.connections == 2
 
@@ -102,7 +102,7 @@
     channel.exchange("POST", "/", b"x" * 1000, timeout_ms=1000)
     assert len(server.requests) == 1
     assert server.requests[0].endswith(b"x" * 1000)
-    assert channel._idle[0].getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY)
+    assert channel._idle[0].sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY)
 
 
 @pytest.mark.parametrize("part", ["target", "header"])
