Encode commands to workers once and read the time with less work

Cause: each command encoded its request line and headers anew and built its JSON codec's options; each reading of the observation clock computed the delay and the transfer even just after a tick.

Change: a worker's client prepares the heads of its three commands; the codecs are made once.

--- a/camphorchute/observation_clock.py
+++ b/camphorchute/observation_clock.py
@@ -15,6 +15,7 @@
 TRANSFER_BLOCK_MS = 150.0
 TRANSFER_MAX_MS = 3000.0
 MS_PER_S = 1000.0
+TICK_ALLOWED_S = (TICK_INTERVAL_MS + LATENESS_ALLOWED_MS) / MS_PER_S
 
 
 class ObservationClock:
@@ -34,32 +35,47 @@
         True
     """
 
-    __slots__ = ("_unobserved_s", "_ticked_s", "_transfer_began_s", "_transfer_block_s")
+    __slots__ = (
+        "_unobserved_s",
+        "_ticked_s",
+        "_in_step_until_s",
+        "_transfer_began_s",
+        "_transfer_block_s",
+    )
 
     def __init__(self) -> None:
         self._unobserved_s = 0.0
         self._ticked_s = 0.0
+        self._in_step_until_s = 0.0
         self._transfer_began_s = 0.0
         self._transfer_block_s = 0.0
 
     def now_s(self) -> float:
         """Return the time of this clock in seconds."""
-        return time.monotonic() - self.unobserved_s()
+        now_s = time.monotonic()
+        if now_s < self._in_step_until_s:
+            return now_s - self._unobserved_s
+        return now_s - self._unobserved_s - self._unobserved_since_tick_s(now_s)
 
     def unobserved_s(self) -> float:
         """Return for how long the clock has stood still until now, in seconds."""
-        return self._unobserved_s + self._unobserved_since_tick_s(time.monotonic())
+        now_s = time.monotonic()
+        if now_s < self._in_step_until_s:
+            return self._unobserved_s
+        return self._unobserved_s + self._unobserved_since_tick_s(now_s)
 
     def tick(self) -> None:
         """Record that the event loop runs."""
         now_s = time.monotonic()
         self._unobserved_s += self._unobserved_since_tick_s(now_s)
         self._ticked_s = now_s
+        is_in_transfer = self._transfer_end_s(now_s) == now_s
+        self._in_step_until_s = 0.0 if is_in_transfer else now_s + TICK_ALLOWED_S
 
     def stop(self) -> None:
         """Count all time from now on, since there will be no further ticks."""
         self.tick()
-        self._ticked_s = 0.0
+        self._ticked_s = self._in_step_until_s = 0.0
 
     def record_transfer(self) -> None:
         """Record that a block of a large answer has arrived, so that smaller ones wait behind it.
@@ -71,6 +87,7 @@
             self._transfer_began_s = now_s
         if self._ticked_s:
             self.tick()
+        self._in_step_until_s = 0.0
         self._transfer_block_s = now_s
 
     def is_transfer_under_way(self) -> bool:
@@ -82,14 +99,17 @@
         if not self._ticked_s:
             return 0.0
         elapsed_s = now_s - self._ticked_s
-        transfer_end_s = min(
+        in_transfer_s = max(0.0, self._transfer_end_s(now_s) - self._ticked_s)
+        late_s = elapsed_s - TICK_ALLOWED_S
+        return max(0.0, in_transfer_s, min(late_s, LATENESS_MAX_MS / MS_PER_S))
+
+    def _transfer_end_s(self, now_s: float) -> float:
+        """Return when the last transfer ended, ``now_s`` if it is under way."""
+        return min(
             now_s,
             self._transfer_block_s + TRANSFER_BLOCK_MS / MS_PER_S,
             self._transfer_began_s + TRANSFER_MAX_MS / MS_PER_S,
         )
-        in_transfer_s = max(0.0, transfer_end_s - self._ticked_s)
-        late_s = elapsed_s - (TICK_INTERVAL_MS + LATENESS_ALLOWED_MS) / MS_PER_S
-        return max(0.0, in_transfer_s, min(late_s, LATENESS_MAX_MS / MS_PER_S))
 
 
 observation_clock = ObservationClock()
--- a/camphorchute/platform/fenced_worker.py
+++ b/camphorchute/platform/fenced_worker.py
@@ -17,7 +17,13 @@
 from camphorchute.observation_clock import observation_clock
 from camphorchute.platform import fleet_messages as messages
 from camphorchute.workers.answer_times import AnswerTimes
-from camphorchute.workers.http_channel import AnswerLost, HttpAnswer, HttpChannel, NotSent
+from camphorchute.workers.http_channel import (
+    AnswerLost,
+    HttpAnswer,
+    HttpChannel,
+    NotSent,
+    RequestHead,
+)
 
 __all__ = ["FencedWorker"]
 
@@ -27,6 +33,11 @@
 MS_PER_S = 1000.0
 HTTP_OK = 200
 EXPECTED_WORKER_HEADER = "Camphorchute-Expect-Instance"
+COMMAND_PATHS = ("/run-start", "/run-stop", "/hold")
+
+_encoder = msgspec.json.Encoder()
+_clock_decoder = msgspec.json.Decoder(messages.Clock)
+_runs_decoder = msgspec.json.Decoder(messages.Runs)
 
 _REASONS_BY_NAME = {
     "fence": RefusalReason.FENCED,
@@ -62,23 +73,26 @@
     def __init__(self, entry: WorkerEntry, answer_times: AnswerTimes | None = None) -> None:
         self._answer_times = answer_times or AnswerTimes(COMMAND_TIMEOUT_MS)
         self._incarnation = entry.incarnation
-        self._headers = {
+        self._channel = HttpChannel(entry.address, MAX_IDLE_CONNECTIONS, CONNECT_TIMEOUT_MS)
+        headers = {
             "Content-Type": "application/json",
             EXPECTED_WORKER_HEADER: entry.worker_id,
         }
-        self._channel = HttpChannel(entry.address, MAX_IDLE_CONNECTIONS, CONNECT_TIMEOUT_MS)
+        self._start_head, self._stop_head, self._poll_head = (
+            self._channel.prepare("POST", path, headers) for path in COMMAND_PATHS
+        )
 
     def start_run(self, command: StartCommand, fencing_token: int, lease_until_ms: float) -> float:
         """Start a run and return the reading of the worker's clock in milliseconds."""
         body = messages.RunStart(
             command.task, command.run, command.payload, int(lease_until_ms), fencing_token
         )
-        return self._read_clock_ms(self._send_command("/run-start", body, messages.Clock))
+        return self._read_clock_ms(self._send_command(self._start_head, body, _clock_decoder))
 
     def stop_run(self, task: str, run: int, fencing_token: int) -> float:
         """Stop a run and return the reading of the worker's clock in milliseconds."""
         body = messages.RunStop(task, run, fencing_token)
-        return self._read_clock_ms(self._send_command("/run-stop", body, messages.Clock))
+        return self._read_clock_ms(self._send_command(self._stop_head, body, _clock_decoder))
 
     def renew_and_list(
         self, fencing_token: int, acknowledged: int, lease_until_ms: float | None, wait_ms: float
@@ -87,7 +101,7 @@
         body = messages.Hold(fencing_token, acknowledged, int(wait_ms))
         if lease_until_ms is not None:
             body.deadline_ms = int(lease_until_ms)
-        runs = self._send_command("/hold", body, messages.Runs, wait_ms)
+        runs = self._send_command(self._poll_head, body, _runs_decoder, wait_ms)
         if self._is_other_incarnation(runs.born):
             raise CommandRefused(
                 RefusalReason.OTHER_INCARNATION,
@@ -122,14 +136,18 @@
         return answer.clock_ms
 
     def _send_command(
-        self, path: str, body: object, response_type: type, wait_ms: float = 0.0
+        self,
+        head: RequestHead,
+        body: messages.Wire,
+        decoder: msgspec.json.Decoder,
+        wait_ms: float = 0.0,
     ) -> object:
         """Send a command and return the decoded answer.
 
         Args:
-            path: path of the command.
+            head: head of the request.
             body: message of the command.
-            response_type: class of the answer.
+            decoder: decodes the answer.
             wait_ms: longest time that the worker waits before it answers.
 
         Raises:
@@ -140,9 +158,7 @@
         timeout_ms = self._answer_times.timeout_ms() + wait_ms
         sent_s = observation_clock.now_s()
         try:
-            answer = self._channel.exchange(
-                "POST", path, msgspec.json.encode(body), timeout_ms, self._headers
-            )
+            answer = self._channel.exchange_prepared(head, _encoder.encode(body), timeout_ms)
         except NotSent as error:
             raise CommandUnanswered(str(error), sent=False) from error
         except AnswerLost as error:
@@ -152,7 +168,7 @@
         if answer.status != HTTP_OK:
             raise _command_error(answer)
         try:
-            return msgspec.json.decode(answer.body, type=response_type)
+            return decoder.decode(answer.body)
         except (msgspec.MsgspecError, UnicodeDecodeError) as error:
             raise CommandUnanswered(f"malformed answer: {error}") from error
 
--- a/camphorchute/tests/test_observation_clock.py
+++ b/camphorchute/tests/test_observation_clock.py
@@ -1,6 +1,8 @@
 import time
 
 import pytest
+from hypothesis import given
+from hypothesis import strategies as st
 
 from camphorchute import observation_clock as module
 from camphorchute.observation_clock import ObservationClock
@@ -122,3 +124,29 @@
     before_s = clock.now_s()
     steady.now_s += 0.5
     assert clock.now_s() - before_s == pytest.approx(0.5)
+
+
+@given(
+    st.lists(
+        st.tuples(st.sampled_from(["tick", "transfer", "stop", "wait"]), st.integers(0, 4000)),
+        max_size=20,
+    )
+)
+def test_short_way_to_the_time_changes_nothing(events):
+    """Guards against a clock that goes on while a transfer or a delay should stop it."""
+    steady = SteadyClock()
+    with pytest.MonkeyPatch.context() as patch:
+        patch.setattr(module, "time", steady)
+        clock = ObservationClock()
+        for event, step_ms in events:
+            steady.now_s += step_ms / 1000
+            if event == "tick":
+                clock.tick()
+            elif event == "transfer":
+                clock.record_transfer()
+            elif event == "stop":
+                clock.stop()
+            times_s = clock.now_s(), clock.unobserved_s()
+            in_step_until_s, clock._in_step_until_s = clock._in_step_until_s, 0.0
+            assert (clock.now_s(), clock.unobserved_s()) == pytest.approx(times_s, abs=ROUNDING_S)
+            clock._in_step_until_s = in_step_until_s
