Learn which kinds of tasks slow each other down

Cause: some tasks take longer beside others than their resource demands indicate, and nothing in the program detects it.

--- a/camphorchute/cli/settings.py
+++ b/camphorchute/cli/settings.py
@@ -46,6 +46,7 @@
         "heartbeat_ms",
         "host",
         "http_address",
+        "interference_policy",
         "ledger_max_keys",
         "link_address",
         "log_file",
--- a/camphorchute/cli/settings_table.py
+++ b/camphorchute/cli/settings_table.py
@@ -145,6 +145,7 @@
     ("overdue", "spread", "Runs that are stopped as overdue and started elsewhere"),
     ("ejection", "outlier", "Workers that are given no tasks for a while"),
     ("readiness", "can-place", "When this process reports itself ready"),
+    ("interference", "off", "Whether tasks that slow each other down are kept apart"),
 )
 
 SETTINGS = (
--- a/camphorchute/policies/decision_policies.py
+++ b/camphorchute/policies/decision_policies.py
@@ -2,6 +2,7 @@
 
 from camphorchute.policies.admission import ADMISSION_POLICIES
 from camphorchute.policies.ejection import EJECTION_POLICIES
+from camphorchute.policies.interference import INTERFERENCE_POLICIES
 from camphorchute.policies.overdue import OVERDUE_POLICIES
 from camphorchute.policies.readiness import READINESS_POLICIES
 from camphorchute.policies.task_order import TASK_ORDER_POLICIES
@@ -16,6 +17,7 @@
     "overdue": OVERDUE_POLICIES,
     "ejection": EJECTION_POLICIES,
     "readiness": READINESS_POLICIES,
+    "interference": INTERFERENCE_POLICIES,
 }
 
 
@@ -29,6 +31,7 @@
         overdue: name of the overdue policy.
         ejection: name of the ejection policy.
         readiness: name of the readiness policy.
+        interference: name of the interference policy.
 
     Raises:
         ValueError: a name is not known; the message lists those that are.
@@ -40,6 +43,8 @@
         overdue: returns whether a run is overdue.
         ejection: returns whether a worker is ejected.
         readiness: returns whether this process is ready.
+        interference: returns new estimates of which kinds of tasks slow each other down, None if
+            nothing is learned.
 
     Examples:
         >>> DecisionPolicies().admission.__name__
@@ -60,6 +65,7 @@
         overdue: str = "spread",
         ejection: str = "outlier",
         readiness: str = "can-place",
+        interference: str = "off",
     ) -> None:
         self.admission = ADMISSION_POLICIES.find(admission)
         self.task_order = TASK_ORDER_POLICIES.find(task_order)
@@ -67,3 +73,4 @@
         self.overdue = OVERDUE_POLICIES.find(overdue)
         self.ejection = EJECTION_POLICIES.find(ejection)
         self.readiness = READINESS_POLICIES.find(readiness)
+        self.interference = INTERFERENCE_POLICIES.find(interference)
