Keep tasks that slow each other down on different workers

Cause: the choice of a worker knows its speed and free capacity, but not which tasks run on it already.

Change: the supervisor records which kinds ran beside a run, from the runs that ended on its worker since the oldest active one started, and passes them to the estimates. The choice of a worker prefers one without a conflicting kind among those that are as good in the first criterion. The speed of a worker is not learned from runs that a known neighbour explains. Counters runs.kept_apart, runs.interference_found and runs.interference_forgotten, a log line for each change. With the policy off, nothing is tracked.

--- a/camphorchute/runs/group_scheduler.py
+++ b/camphorchute/runs/group_scheduler.py
@@ -115,7 +115,10 @@
         self.superseded_groups.discard(name)
         group = self._groups.get(name)
         if group is None:
-            self._groups[name] = WorkerGroup(name, service, fence, self._policies)
+            interference = self._supervisor.interference
+            self._groups[name] = WorkerGroup(
+                name, service, fence, self._policies, interference, self._count
+            )
             return
         group.fence = fence
         group.rejecting_worker_ids.clear()
--- a/camphorchute/runs/run_supervisor.py
+++ b/camphorchute/runs/run_supervisor.py
@@ -7,14 +7,17 @@
 from camphorchute.hosting import RunOutcome
 from camphorchute.policies import DecisionPolicies
 from camphorchute.policies.failures import FailureTracker
+from camphorchute.policies.interference import InterferenceChange
 from camphorchute.policies.overdue import RunAge, RunTimeSpread, expected_run_ms
 from camphorchute.policies.retry_budget import RetryBudget
 from camphorchute.runs.leased_worker import LeasedWorker
+from camphorchute.runs.neighbours import NeighbourHistory
 from camphorchute.runs.run import Run, RunState, job_of
 
 __all__ = ["RunSupervisor"]
 
 RESTART_BUDGET_RATIO = 0.1
+OBSERVED_PART_MIN = 0.9  # of a run; otherwise the times of its neighbours are not known either
 KINDS_MAX = 1000
 MS_PER_S = 1000.0
 
@@ -28,15 +31,20 @@
     Args:
         policies: the policies for overdue runs and ejection.
         count: adds to a named counter.
+
+    Attributes:
+        interference: which kinds of tasks slow each other down, None if nothing is learned.
     """
 
-    __slots__ = ("_policies", "_count", "_spreads", "_budget")
+    __slots__ = ("interference", "_neighbours", "_policies", "_count", "_spreads", "_budget")
 
     def __init__(self, policies: DecisionPolicies, count: Callable[..., None]) -> None:
         self._policies = policies
         self._count = count
         self._spreads: dict[str, RunTimeSpread] = {}
         self._budget = RetryBudget(RESTART_BUDGET_RATIO)
+        self.interference = policies.interference()
+        self._neighbours = NeighbourHistory()
 
     def record_start(self) -> None:
         """Record that a run was started, which adds to the budget for restarts."""
@@ -53,17 +61,51 @@
             outcome: how the run ended.
             workers: all workers of the group.
         """
-        if outcome is RunOutcome.DONE and not run.was_adopted:
-            elapsed_ms = run.observed_ms(time.monotonic())
+        now_s = time.monotonic()
+        is_sample = outcome is RunOutcome.DONE and not run.was_adopted
+        is_slowed = self.interference is not None and self._learn(worker, run, is_sample, now_s)
+        if is_sample:
+            elapsed_ms = run.observed_ms(now_s)
             estimate_ms = run.task.message.estimate_ms
             ratio = elapsed_ms / expected_run_ms(estimate_ms, worker.speed.value)
             self._spread_of(run).record_ratio(ratio)
             run.task.job_tasks.record_ratio(ratio)
-            worker.speed.record_run(estimate_ms, elapsed_ms)
+            if not is_slowed:
+                worker.speed.record_run(estimate_ms, elapsed_ms)
             self._record_outcome(worker, run, True, workers)
         elif outcome is RunOutcome.FAILED:
             self._record_outcome(worker, run, False, workers)
 
+    def _learn(self, worker: LeasedWorker, run: Run, is_sample: bool, now_s: float) -> bool:
+        """Learn from the neighbours of a run; return whether they are known to slow it down."""
+        message = run.task.message
+        neighbours = self._neighbours.record_end(
+            worker.entry.worker_id,
+            message.kind,
+            run.start_sent_s,
+            now_s,
+            expected_run_ms(message.estimate_ms, worker.speed.value) / MS_PER_S,
+            [(other.task.message.kind, other.start_sent_s) for other in worker.runs.values()],
+        )
+        if not is_sample or neighbours is None:
+            return False
+        is_slowed = self.interference.is_explained(message.kind, neighbours)
+        elapsed_ms = run.observed_ms(now_s)
+        if elapsed_ms < OBSERVED_PART_MIN * (now_s - run.start_sent_s) * MS_PER_S:
+            return is_slowed
+        for change in self.interference.record_run(
+            message.kind,
+            worker.entry.worker_id,
+            elapsed_ms,
+            message.estimate_ms,
+            neighbours,
+            1 / max(1, len(message.tasks)),
+            now_s * MS_PER_S,
+        ):
+            self._count(f"runs.interference_{'found' if change.is_found else 'forgotten'}")
+            _log_interference(change)
+        return is_slowed
+
     def stop_overdue_runs(self, workers: Iterable[LeasedWorker], now_s: float) -> None:
         """Stop the overdue runs of a group whose tasks can still be in time for their callers.
 
@@ -159,6 +201,19 @@
         return self._spreads.setdefault(kind, RunTimeSpread())
 
 
+def _log_interference(change: InterferenceChange) -> None:
+    log_decision(
+        "runs",
+        "interference is found" if change.is_found else "interference is forgotten",
+        slowed=change.kind,
+        neighbour=change.neighbour,
+        ratio_beside=round(change.beside_ratio, 2),
+        ratio_otherwise=round(change.other_ratio, 2),
+        runs_beside=round(change.beside_runs),
+        runs_otherwise=round(change.other_runs),
+    )
+
+
 def _expected_ms(worker: LeasedWorker, run: Run) -> float:
     """Return the expected time of an active run, by which it is judged."""
     return expected_run_ms(
--- a/camphorchute/runs/worker_group.py
+++ b/camphorchute/runs/worker_group.py
@@ -1,11 +1,14 @@
 """Worker group: the workers that one scheduler starts tasks on, with their backlog."""
 
 import time
+from collections.abc import Callable
 
 from camphorchute.contracts.resources import Resources
 from camphorchute.contracts.run_messages import GroupFreeCapacity, WorkerFreeCapacity
 from camphorchute.hosting import RunOutcome
 from camphorchute.policies import DecisionPolicies
+from camphorchute.policies.anti_affinity import keep_apart
+from camphorchute.policies.interference import LearnedInterference
 from camphorchute.policies.worker_choice import WorkerCandidate
 from camphorchute.runs.backlog import Backlog
 from camphorchute.runs.earlier_run import EarlierRun
@@ -43,6 +46,8 @@
         service: the service that its workers belong to.
         fence: fencing token of the group's claim.
         policies: the policies for the order of tasks and the choice of workers.
+        interference: which kinds of tasks are kept apart, None if none are.
+        count: adds to a named counter.
 
     Attributes:
         name: name of the group.
@@ -61,9 +66,19 @@
         "backlog",
         "rejecting_worker_ids",
         "_policies",
+        "_interference",
+        "_count",
     )
 
-    def __init__(self, name: str, service: str, fence: int, policies: DecisionPolicies) -> None:
+    def __init__(
+        self,
+        name: str,
+        service: str,
+        fence: int,
+        policies: DecisionPolicies,
+        interference: LearnedInterference | None = None,
+        count: Callable[..., None] = lambda name: None,
+    ) -> None:
         self.name = name
         self.service = service
         self.fence = fence
@@ -71,6 +86,8 @@
         self.backlog = Backlog(policies.task_order)
         self.rejecting_worker_ids: set[str] = set()
         self._policies = policies
+        self._interference = interference
+        self._count = count
 
     def adopt_run(self, task: PendingTask) -> bool:
         """Adopt a run of a task that an earlier scheduler started; return whether there was one.
@@ -167,16 +184,23 @@
         if not candidates:
             return None
         message = task.message
-        return min(
-            candidates,
-            key=lambda worker: (
+
+        def rank(worker: LeasedWorker) -> tuple:
+            return (
                 worker.entry.worker_id == task.avoided_worker_id,
                 self._policies.worker_choice(
                     WorkerCandidate(worker.speed.value), message.estimate_ms, message.limits
                 ),
                 worker.free_capacity.cpu_millicores,
-            ),
-        )
+            )
+
+        chosen = min(candidates, key=rank)
+        if self._interference is not None:
+            conflicts = self._interference.conflicting_kinds(message.kind)
+            first, chosen = chosen, keep_apart(conflicts, candidates, chosen, rank, _active_kinds)
+            if chosen is not first:
+                self._count("runs.kept_apart")
+        return chosen
 
     def free_capacity(self, now_s: float) -> GroupFreeCapacity:
         """Return the free capacity and the backlog of the group.
@@ -201,6 +225,10 @@
         )
 
 
+def _active_kinds(worker: LeasedWorker) -> list[str]:
+    return [run.task.message.kind for run in worker.runs.values()]
+
+
 def _is_earlier_run_ruled_out(worker: LeasedWorker, task: PendingTask) -> bool:
     """Return whether a worker has ruled out the last run of a task; ask it the first time."""
     if task.earlier_run is None or task.earlier_run.worker is not worker:
