Add load patterns with and without interference between tasks

Cause: no load pattern plays tasks that share a worker and slow each other down, so the interference policy could not be compared with others.

Change: the model of the load patterns ends a run by the work that it has done at the speed that its neighbours leave it, where a pattern states an effect; the other patterns are played as before.

--- a/bench/patterns/model.py
+++ b/bench/patterns/model.py
@@ -6,6 +6,7 @@
 
 from bench.patterns.job import JobKind, ModelJob
 from bench.patterns.outcome import PatternOutcome
+from bench.patterns.sharing import WorkerSharing
 from camphorchute.contracts.batch_job import BatchStep
 from camphorchute.contracts.resources import Resources
 from camphorchute.contracts.run_messages import GroupFreeCapacity, StartTasks, TaskToStart
@@ -21,6 +22,7 @@
 
 SWEEP_INTERVAL_S = 0.02
 STOP_S = 0.06
+TAIL_FACTOR = 7.0
 FAILURE_S = 0.01
 CORES_PER_TASK = 14
 DEADLINE_FACTOR, DEADLINE_ADDED_MS = 3.0, 1000.0
@@ -76,6 +78,8 @@
         workers: the workers.
         cut_zone: zone whose workers and callers are partitioned from the others, empty if none.
         has_schedulers: whether schedulers are known; without them jobs wait.
+        sharing: the runs that share workers, and the interference policy.
+        tail_share: share of the jobs whose tasks take :data:`TAIL_FACTOR` times as long.
         outcome: the outcome so far.
     """
 
@@ -99,6 +103,8 @@
         ]
         self.cut_zone = ""
         self.has_schedulers = True
+        self.sharing = WorkerSharing(policies, self.at, lambda: self.now_s)
+        self.tail_share = 0.0
         self.outcome = PatternOutcome()
         self._estimate_error = estimate_error
         self._backlogs = {zone: Backlog(policies.task_order) for zone in zones}
@@ -142,6 +148,8 @@
     def _draw_job(self, kind: JobKind, submitted_s: float) -> ModelJob:
         work_ms = self.random.lognormvariate(0.0, 0.3) * kind.work_ms
         estimate_ms = work_ms * self.random.lognormvariate(0.0, self._estimate_error)
+        if self.tail_share and self.random.random() < self.tail_share:
+            work_ms *= TAIL_FACTOR
         zone = self.random.choice(self.zones)
         width = max(1, round(self.random.gauss(kind.width, kind.width * 0.3)))
         return ModelJob(kind, zone, submitted_s, work_ms, estimate_ms, width)
@@ -258,7 +266,9 @@
             backlog.remove(task)
             if job.over:
                 continue
-            worker = min(free, key=lambda worker, job=job: self._rank(worker, job, True))
+            worker = self.sharing.choose(
+                task, free, lambda worker, job=job: self._rank(worker, job, True)
+            )
             self._start(worker, task, job)
 
     def _start(self, worker: ModelWorker, task: PendingTask, job: ModelJob) -> None:
@@ -269,13 +279,15 @@
         if worker.fails:
             self.at(started_s + FAILURE_S, lambda: self._end(worker, task, started_s, False))
         elif worker.speed > 0:
-            duration_s = job.work_ms / worker.speed / MS_PER_S
-            self.at(started_s + duration_s, lambda: self._end(worker, task, started_s, True))
+            self.sharing.start_run(
+                worker, task, job.work_ms, lambda: self._end(worker, task, started_s, True)
+            )
 
     def _end(self, worker: ModelWorker, task: PendingTask, started_s: float, ok: bool) -> None:
         if worker.runs.get(task) != started_s or not worker.is_up:
             return
-        job = self._release(worker, task)
+        job = self._jobs[task]
+        is_slowed = self._release(worker, task, ok)
         elapsed_ms = (self.now_s - started_s) * MS_PER_S
         self._record_outcome(worker, task, started_s, ok)
         if not ok:
@@ -287,7 +299,8 @@
             ratio = elapsed_ms / expected_run_ms(job.estimate_ms, worker.learned.value)
             self._spread(job).record_ratio(ratio)
             job.tasks.record_ratio(ratio)
-            worker.learned.record_run(job.estimate_ms, elapsed_ms)
+            if not is_slowed:
+                worker.learned.record_run(job.estimate_ms, elapsed_ms)
             job.open -= 1
             if not job.open and not job.over:
                 job.over = True
@@ -296,11 +309,11 @@
                 self.outcome.record_done(took_ms, job.work_ms, target_ms)
         self._place(worker.zone)
 
-    def _release(self, worker: ModelWorker, task: PendingTask) -> ModelJob:
-        """End a run of a task on a worker, and return the task's job."""
+    def _release(self, worker: ModelWorker, task: PendingTask, ok: bool = False) -> bool:
+        """End a run of a task; return whether a neighbour is known to have slowed it down."""
         started_s = worker.runs.pop(task)
         self.outcome.core_s += CORES_PER_TASK * (self.now_s - started_s)
-        return self._jobs[task]
+        return self.sharing.end_run(worker, task, self._jobs[task], started_s, ok)
 
     def _requeue(self, task: PendingTask, job: ModelJob) -> None:
         task.start_by_s = task.finish_by_s
