Test that a scheduler records the neighbours of its runs

The other tests use fake workers. This one runs a scheduler with the policy `learned` on stand-in workers: every run is recorded, and no history is left once the last run has ended.

--- a/camphorchute/runs/tests/scheduler_site.py
+++ b/camphorchute/runs/tests/scheduler_site.py
@@ -80,7 +80,7 @@
         self.schedulers = []
         self._platform = make_platform("fleet", self.fleet.store.address, self._count)
 
-    def add_scheduler(self, fence, worker_ids=None):
+    def add_scheduler(self, fence, worker_ids=None, policies=None):
         """Start a scheduler of the group with a fencing token and return it.
 
         Its group has the workers with the given ids, all of them if none are given.
@@ -88,7 +88,9 @@
         entries = self.entries()
         if worker_ids is not None:
             entries = {worker_id: entries[worker_id] for worker_id in worker_ids}
-        scheduler = GroupScheduler(self._platform.open_worker_client, self._notify, self._count)
+        scheduler = GroupScheduler(
+            self._platform.open_worker_client, self._notify, self._count, policies
+        )
         scheduler.start()
         scheduler.acquire_group(GROUP, SERVICE_NAME, fence)
         scheduler.set_workers(GROUP, entries)
--- a/camphorchute/runs/tests/test_neighbours.py
+++ b/camphorchute/runs/tests/test_neighbours.py
@@ -15,7 +15,7 @@
 from camphorchute.runs.neighbours import ENDED_RUNS_MAX, NeighbourHistory
 from camphorchute.runs.run import PendingTask, Run
 from camphorchute.runs.run_supervisor import RunSupervisor
-from camphorchute.runs.tests.scheduler_site import start_message
+from camphorchute.runs.tests.scheduler_site import GROUP, start_message, wait_until
 from camphorchute.runs.worker_group import WorkerGroup
 
 DEMAND = Resources(8000, 64)
@@ -203,3 +203,14 @@
     del worker.runs[slow.task.name]
     site.supervisor.record_end(worker, slow, RunOutcome.DONE, [worker])
     assert worker.speed.runs == runs_before
+
+
+def test_scheduler_records_the_neighbours_of_runs_on_its_workers(open_site):
+    site = open_site(workers=1, run_ms=20.0)
+    scheduler = site.add_scheduler(7, policies=DecisionPolicies(interference="learned"))
+    assert wait_until(lambda: any(w.synced for w in scheduler.group(GROUP).workers.values()))
+    site.dispatch_tasks(scheduler, tasks=12, finish_within_ms=9000.0, start_within_ms=9000.0)
+    assert wait_until(lambda: len(site.results) == 12)
+    supervisor = scheduler._supervisor
+    assert supervisor.interference._kinds["checks"].runs == 12
+    assert len(supervisor._neighbours) == 0
