Keep which zones are evacuated, from the store and from peers

Cause: operators have no way to stop starts in an availability zone. Change: ZoneEvacuations keeps for each zone the revision of its last change under op/evacuate/ and whether it is evacuated. Heartbeats carry this state and the revision up to which it is complete, so that a member without an entry for a zone can still correct a peer that has missed the removal. Nothing acts on the state yet.

--- a/camphorchute/cluster/cluster_view.py
+++ b/camphorchute/cluster/cluster_view.py
@@ -1,7 +1,7 @@
 """Cluster view: the members, workers, claims and queues as this process last read them."""
 
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 
 import msgspec
 from eliot import log_message
@@ -9,6 +9,7 @@
 
 from camphorchute.cluster.group_followers import GroupFollowers
 from camphorchute.cluster.worker_groups import WorkerGroups
+from camphorchute.cluster.zone_evacuations import ZoneEvacuations
 from camphorchute.contracts.member import Member
 from camphorchute.hosting import HostingPlatform, QueueTable, StoredValue, WorkerEntry
 
@@ -42,6 +43,7 @@
     Args:
         platform: decodes the stored values.
         count: adds to a named counter.
+        zone_evacuations: receives the operators' keys that evacuate zones.
 
     Attributes:
         members: the registered members, by id.
@@ -49,6 +51,7 @@
         claims: the claims, by worker group.
         queues: the queue configuration in force, None until one is known.
         changed: event that is set whenever a part of the view may have changed.
+        zone_evacuations: which zones are evacuated.
     """
 
     __slots__ = (
@@ -57,6 +60,7 @@
         "claims",
         "queues",
         "changed",
+        "zone_evacuations",
         "_platform",
         "_count",
         "_missing_since_s",
@@ -67,12 +71,20 @@
         "_ring",
     )
 
-    def __init__(self, platform: HostingPlatform, count: Callable[..., None]) -> None:
+    def __init__(
+        self,
+        platform: HostingPlatform,
+        count: Callable[..., None],
+        zone_evacuations: ZoneEvacuations | None = None,
+    ) -> None:
         self.members: dict[str, Member] = {}
         self.workers: dict[str, WorkerEntry] = {}
         self.claims: dict[str, Claim] = {}
         self.queues: QueueTable | None = None
         self.changed = Event()
+        self.zone_evacuations = zone_evacuations or ZoneEvacuations(
+            platform.decode_evacuated_zone, count
+        )
         self._platform = platform
         self._count = count
         self._missing_since_s: dict[str, float] = {}
@@ -90,13 +102,19 @@
         """
         return self._tables_by_prefix.setdefault(prefix, {})
 
-    def apply_listing(self, listed_prefix: str, values: list[StoredValue]) -> None:
+    def apply_listing(
+        self, listed_prefix: str, values: list[StoredValue], revision: int = 0
+    ) -> None:
         """Apply a complete listing of a prefix; known keys that it lacks are treated as deleted.
 
         Args:
             listed_prefix: start of the keys that were listed.
             values: every value under the prefix.
+            revision: store revision of the listing.
         """
+        if listed_prefix == self._platform.operator_prefix:
+            self.zone_evacuations.apply_listing(values, revision)
+            values = [value for value in values if value.key == self._platform.configuration_key]
         listed_keys = {value.key for value in values}
         worker_prefix = self._platform.worker_prefix
         known_keys = [f"{worker_prefix}{name}" for name in self.workers]
@@ -115,6 +133,8 @@
         if key == self._platform.configuration_key:
             if change.value is not None:
                 self.apply_newer_queues(change.value)
+        elif key.startswith(self._platform.operator_prefix):
+            self.zone_evacuations.apply_change(change)
         elif key.startswith(self._platform.worker_prefix):
             self._apply_worker(key, change.value)
         elif key.startswith(MEMBER_PREFIX):
@@ -159,6 +179,10 @@
         """Return whether a worker of a service is listed."""
         return any(entry.service == service for entry in self.workers.values())
 
+    def zones_of(self, service: str) -> Collection[str]:
+        """Return the zones in which a worker of a service is listed."""
+        return self._worker_groups.zones_of(service)
+
     def groups(self) -> dict[str, dict[str, WorkerEntry]]:
         """Return the workers of each worker group, by group name and worker id."""
         return dict(self._worker_groups.by_name)
--- a/camphorchute/cluster/heartbeats.py
+++ b/camphorchute/cluster/heartbeats.py
@@ -1,4 +1,4 @@
-"""Heartbeats on the links between members, which also spread the queue configuration."""
+"""Heartbeats on the links between members, which also spread what operators have written."""
 
 import random
 import time
@@ -23,10 +23,28 @@
 LINK_SILENT_MAX_MS = 1100.0  # less than the 1.3 s after which a caller submits a job again
 CONNECT_INTERVAL_MS = 500.0
 RING_DISTANCE_MAX = 2
+EVACUATIONS_INTERVAL_MS = 500.0  # peers are to know of an evacuation within 1 s
 LINK_UNUSED_MS = 10_000.0
 MS_PER_S = 1000.0
 
 
+class _SentState:
+    """The last heartbeat that was sent to a member.
+
+    Attributes:
+        link: the link that it was sent on; another one to the member has not carried it.
+        versions: versions of the queue configuration and of the evacuations that it carried.
+        sent_s: monotonic time at which it was sent, in seconds.
+    """
+
+    __slots__ = ("link", "versions", "sent_s")
+
+    def __init__(self, link: Link, versions: tuple[int, int], sent_s: float) -> None:
+        self.link = link
+        self.versions = versions
+        self.sent_s = sent_s
+
+
 class Heartbeats:
     """Sends heartbeats, connects to neighbours and closes unresponsive or unused links.
 
@@ -35,7 +53,8 @@
     the number of heartbeats does not grow with the square of the number of members.
 
     A heartbeat carries the version of the sender's queue configuration, so that a member with an
-    older one can fetch it from the sender.
+    older one can fetch it from the sender. It also carries what the sender knows of evacuated
+    zones, for members that the store rejects.
 
     Args:
         peers: the links to other members.
@@ -49,7 +68,7 @@
         "_view",
         "_configuration_fetch",
         "_count",
-        "_sent_versions",
+        "_sent_states",
         "_greenlets",
     )
 
@@ -64,7 +83,7 @@
         self._view = view
         self._configuration_fetch = configuration_fetch
         self._count = count
-        self._sent_versions: dict[str, int] = {}
+        self._sent_states: dict[str, _SentState] = {}
         self._greenlets: list[gevent.Greenlet] = []
 
     def start(self) -> None:
@@ -80,7 +99,10 @@
 
     @handles(MemberBeat, nonblocking=True)
     def handle_heartbeat(self, peer: Member, message: MemberBeat) -> None:
-        """Record which version of the queue configuration the sender has."""
+        """Record which version of the queue configuration the sender has, and its evacuations."""
+        self._view.zone_evacuations.apply_heartbeat(
+            message.evacuations, message.evacuations_revision
+        )
         self._configuration_fetch.offer(peer, message.queues_version)
 
     def is_isolated(self) -> bool:
@@ -92,10 +114,16 @@
     def _queues_version(self) -> int:
         return self._view.queues.version if self._view.queues else 0
 
+    def _make_heartbeat(self) -> MemberBeat:
+        evacuations = self._view.zone_evacuations
+        return MemberBeat(
+            self._queues_version(), evacuations.states(), evacuations.complete_revision
+        )
+
     def _check_links(self) -> None:
         """Close unresponsive and unused links and send heartbeats on the others."""
         while True:
-            message = MemberBeat(self._queues_version())
+            message = self._make_heartbeat()
             neighbours = {member.member_id for member in self._ring_neighbours(RING_DISTANCE_MAX)}
             now_s = time.monotonic()
             for link in self._peers.links():
@@ -121,19 +149,27 @@
         return observed_ms > LINK_UNRESPONSIVE_MS or silent_ms > LINK_SILENT_MAX_MS
 
     def _is_heartbeat_due(self, link: Link, now_s: float) -> bool:
-        """Return whether a heartbeat is needed on a link, and record the version that it carries.
+        """Return whether a heartbeat is needed on a link, and record the state that it carries.
 
-        It is not needed while other messages are sent often enough and the peer has been sent
-        the present queue version.
+        It is not needed while other messages are sent often enough and the present state has been
+        sent on this link. A state with evacuations is repeated all the same.
         """
-        sent_version = self._sent_versions.get(link.peer.member_id)
-        version = self._queues_version()
+        evacuations = self._view.zone_evacuations
+        state = _SentState(link, (self._queues_version(), evacuations.version), now_s)
+        sent = self._sent_states.get(link.peer.member_id)
+        is_repeat_due = sent is not None and (
+            bool(evacuations.states())
+            and (now_s - sent.sent_s) * MS_PER_S >= EVACUATIONS_INTERVAL_MS
+        )
         if (
-            sent_version == version
+            sent is not None
+            and sent.link is link
+            and sent.versions == state.versions
+            and not is_repeat_due
             and (now_s - link.last_sent_s) * MS_PER_S < HEARTBEAT_INTERVAL_MS
         ):
             return False
-        self._sent_versions[link.peer.member_id] = version
+        self._sent_states[link.peer.member_id] = state
         return True
 
     def _ring_neighbours(self, distance_max: int) -> list[Member]:
@@ -157,5 +193,5 @@
             own_id = self._peers.member.member_id
             for member in self._ring_neighbours(RING_DISTANCE_MAX):
                 if own_id < member.member_id and not self._peers.is_linked(member.member_id):
-                    gevent.spawn(self._peers.send, member, MemberBeat(self._queues_version()))
+                    gevent.spawn(self._peers.send, member, self._make_heartbeat())
             gevent.sleep(random.uniform(0.5, 1.0) * CONNECT_INTERVAL_MS / MS_PER_S)
--- a/camphorchute/cluster/store_follower.py
+++ b/camphorchute/cluster/store_follower.py
@@ -90,7 +90,7 @@
 
     def _read_all_keys(self) -> None:
         listing = self._store.list(self._prefix)
-        self._view.apply_listing(self._prefix, list(listing.values))
+        self._view.apply_listing(self._prefix, list(listing.values), listing.revision)
         self._revision = listing.revision
         self._record_answer()
 
--- a/camphorchute/cluster/tests/test_heartbeats.py
+++ b/camphorchute/cluster/tests/test_heartbeats.py
@@ -5,6 +5,7 @@
 
 from camphorchute.cluster import heartbeats as module
 from camphorchute.cluster.heartbeats import Heartbeats
+from camphorchute.cluster.zone_evacuations import ZoneEvacuations
 from camphorchute.contracts.member import Member
 from camphorchute.contracts.run_messages import MemberBeat
 
@@ -50,6 +51,7 @@
     def __init__(self, members):
         self.members = {member.member_id: member for member in members}
         self.queues = None
+        self.zone_evacuations = ZoneEvacuations(lambda key: key, lambda name: None)
 
     def member_ring(self):
         return sorted(self.members.values(), key=lambda member: member.member_id)
--- a/camphorchute/cluster/worker_groups.py
+++ b/camphorchute/cluster/worker_groups.py
@@ -1,6 +1,6 @@
 """The listed workers by worker group, kept up to date with each change of one worker."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 
 from camphorchute.hosting import WorkerEntry
 from camphorchute.runs import group_count, group_of
@@ -33,13 +33,22 @@
         {}
     """
 
-    __slots__ = ("by_name", "group_by_worker", "_on_names_changed", "_entries_by_pool")
+    __slots__ = ("by_name", "group_by_worker", "_on_names_changed", "_entries_by_pool", "_zones")
 
     def __init__(self, on_names_changed: Callable[[], None] = lambda: None) -> None:
         self.by_name: dict[str, dict[str, WorkerEntry]] = {}
         self.group_by_worker: dict[str, str] = {}
         self._on_names_changed = on_names_changed
         self._entries_by_pool: dict[tuple[str, str], dict[str, WorkerEntry]] = {}
+        self._zones: dict[str, set[str]] = {}
+
+    def zones_of(self, service: str) -> Collection[str]:
+        """Return the zones in which a worker of a service is listed.
+
+        Args:
+            service: name of the service.
+        """
+        return self._zones.get(service, ())
 
     def set_worker(self, entry: WorkerEntry) -> None:
         """Add a worker or replace its entry."""
@@ -51,6 +60,7 @@
             return
         self.remove_worker(entry.worker_id)
         entries = self._entries_by_pool.setdefault(pool, {})
+        self._zones.setdefault(entry.service, set()).add(entry.zone)
         earlier_count = group_count(len(entries))
         entries[entry.worker_id] = entry
         count = group_count(len(entries))
@@ -71,6 +81,7 @@
         del entries[worker_id]
         if not entries:
             del self._entries_by_pool[pool]
+            self._zones[entry.service].discard(entry.zone)
         self._remove_from_group(worker_id)
         if entries and group_count(len(entries)) != earlier_count:
             self._distribute(pool)
--- a/camphorchute/contracts/run_messages.py
+++ b/camphorchute/contracts/run_messages.py
@@ -26,6 +26,7 @@
     "TaskToStart",
     "TasksFinished",
     "WorkerFreeCapacity",
+    "ZoneEvacuation",
 ]
 
 
@@ -201,14 +202,33 @@
     groups: list[GroupFreeCapacity]
 
 
+class ZoneEvacuation(msgspec.Struct, array_like=True, frozen=True):
+    """Last known state of one availability zone.
+
+    Attributes:
+        zone: name of the zone.
+        revision: store revision of the change that led to this state.
+        is_evacuated: whether operators have evacuated the zone.
+    """
+
+    zone: str
+    revision: int
+    is_evacuated: bool
+
+
 class MemberBeat(msgspec.Struct, tag="member_beat"):
     """Heartbeat of a member, sent at intervals on every link; one way.
 
     Attributes:
         queues_version: version of the queue configuration in force at the sender, 0 if none is.
+        evacuations: what the sender knows of evacuated zones, at most one entry for each zone.
+        evacuations_revision: store revision up to which the sender knows all evacuations, so that
+            a zone without an entry is not evacuated; 0 if it has not read the operators' keys.
     """
 
     queues_version: int
+    evacuations: list[ZoneEvacuation] = []
+    evacuations_revision: int = 0
 
 
 class FetchQueues(msgspec.Struct, tag="fetch_queues"):
--- a/camphorchute/durable_jobs/shard.py
+++ b/camphorchute/durable_jobs/shard.py
@@ -161,7 +161,7 @@
                 queued[run.queue.name] = queued.get(run.queue.name, 0) + 1
         return queued
 
-    def apply_listing(self, prefix: str, values: list[StoredValue]) -> None:
+    def apply_listing(self, prefix: str, values: list[StoredValue], revision: int = 0) -> None:
         """Apply a complete listing of the shard's job records.
 
         An open job that the listing lacks was accepted after the listing was read, so it stays.
@@ -170,6 +170,7 @@
         Args:
             prefix: prefix of the listed keys.
             values: the stored records.
+            revision: store revision of the listing.
         """
         listed_keys = {value.key for value in values}
         for job_id in [job_id for job_id in self._ended_jobs if job_key(job_id) not in listed_keys]:
--- a/camphorchute/hosting/platform.py
+++ b/camphorchute/hosting/platform.py
@@ -50,6 +50,14 @@
             ValueError: the configuration is malformed.
         """
 
+    @abstractmethod
+    def decode_evacuated_zone(self, key: str) -> str | None:
+        """Return the zone that a store key evacuates, None for any other or a malformed key.
+
+        Args:
+            key: a store key that operators write.
+        """
+
     @abstractmethod
     def open_worker_client(self, entry: WorkerEntry) -> WorkerClient:
         """Return a client for a worker, without connecting to the worker yet."""
--- a/camphorchute/platform/fleet_platform.py
+++ b/camphorchute/platform/fleet_platform.py
@@ -1,5 +1,6 @@
 """Adapter for the fleet platform: its store keys, the decoding of its values and its requests."""
 
+import re
 from collections.abc import Callable
 
 import msgspec
@@ -17,6 +18,8 @@
 
 __all__ = ["FleetPlatform"]
 
+EVACUATION_PREFIX = "op/evacuate/"
+ZONE_NAME_PATTERN = re.compile(r"[a-z0-9-]{1,32}")  # as the settings zone and zones
 USABLE_WORKER_STATES = ("ready", "draining")
 UNSUPPORTED_STEP_FIELDS = (
     "gang",
@@ -83,6 +86,16 @@
         services = [service.name for service in configuration.services]
         return QueueTable(configuration.version, queues, services, value)
 
+    def decode_evacuated_zone(self, key: str) -> str | None:
+        """Return the zone that a store key evacuates, None for any other or a malformed key."""
+        if not key.startswith(EVACUATION_PREFIX):
+            return None
+        zone = key.removeprefix(EVACUATION_PREFIX)
+        if not ZONE_NAME_PATTERN.fullmatch(zone):
+            self._count("platform.evacuation_malformed")
+            return None
+        return zone
+
     def open_worker_client(self, entry: WorkerEntry) -> WorkerClient:
         """Return a client for a worker, without connecting to the worker yet."""
         return FencedWorker(entry, self._answer_times)
