Start nothing on workers of an evacuated zone

Cause: a scheduler knows nothing of evacuations. Change: a scheduler asks a ZoneAvailability how much of a group it may offer. While the zone is evacuated, pending tasks return to their owners as NOT_STARTED, also after a failed run, and reports show no usable capacity; runs continue and are adopted. A zone that is taken back offers a growing share of its workers, in an order by worker ids. Before the operators' keys are known nothing is started or reported.

--- a/camphorchute/runs/group_scheduler.py
+++ b/camphorchute/runs/group_scheduler.py
@@ -21,6 +21,7 @@
 from camphorchute.pause_watch import PauseWatch
 from camphorchute.policies import DecisionPolicies
 from camphorchute.runs.durable_tasks import DurableTasks
+from camphorchute.runs.evacuated_groups import EvacuatedGroups
 from camphorchute.runs.group_membership import GroupMembership
 from camphorchute.runs.leased_worker import LeasedWorker
 from camphorchute.runs.open_tasks import OpenTasks
@@ -30,6 +31,7 @@
 from camphorchute.runs.run_supervisor import RunSupervisor
 from camphorchute.runs.task_places import TaskPlaces
 from camphorchute.runs.worker_group import WorkerGroup
+from camphorchute.runs.zone_availability import ZoneAvailability
 
 __all__ = ["GroupScheduler"]
 
@@ -55,6 +57,7 @@
             acknowledged after a while.
         is_durable_job: returns whether the job with an id may be durable.
         durable_tasks: handles the messages of shard owners about durable jobs.
+        zone_availability: which zones are evacuated; set before the first group is acquired.
         pause_watch: tells whether the process has just been paused; nothing is started then.
     """
 
@@ -69,6 +72,7 @@
         self.on_capacity_changed: Callable[[], None] = lambda: None
         self.may_discard_completions: Callable[[], bool] = lambda: True
         self.is_durable_job: Callable[[str], bool] = lambda job_id: True
+        self.zone_availability = ZoneAvailability()
         self._open_worker_client = open_worker_client
         self._count = count
         self._policies = policies or DecisionPolicies()
@@ -81,6 +85,7 @@
         self._events = RunEvents(self, self._open_tasks, self._supervisor, count)
         self._arrival_count = 0
         self._membership = GroupMembership(self, self._open_worker, count)
+        self._evacuated_groups = EvacuatedGroups(self, count)
         self.pause_watch = PauseWatch()
         self._greenlet: gevent.Greenlet | None = None
 
@@ -115,7 +120,9 @@
         self.superseded_groups.discard(name)
         group = self._groups.get(name)
         if group is None:
-            self._groups[name] = WorkerGroup(name, service, fence, self._policies)
+            self._groups[name] = WorkerGroup(
+                name, service, fence, self._policies, self.zone_availability
+            )
             return
         group.fence = fence
         group.rejecting_worker_ids.clear()
@@ -149,7 +156,13 @@
             self._membership.set_workers(group, entries, group_by_worker)
 
     def free_capacity_report(self) -> list[GroupFreeCapacity]:
-        """Return the free capacity and the backlog of each group."""
+        """Return the free capacity and the backlog of each group.
+
+        No group is reported before it is known which zones are evacuated, so that owners wait for
+        the scheduler as for one that has just started.
+        """
+        if not self.zone_availability.is_known():
+            return []
         now_s = time.monotonic()
         return [group.free_capacity(now_s) for group in self._groups.values()]
 
@@ -245,6 +258,8 @@
         """Start the pending tasks that fit into the free capacity."""
         if not self.pause_watch.is_settled():
             return
+        if self.zone_availability.is_evacuated(group.zone):
+            self._evacuated_groups.return_tasks(group)
         placement = group.place_pending(time.monotonic())
         for task in placement.started:
             self._supervisor.record_start()
@@ -312,6 +327,8 @@
                 self._count("runs.process_paused")
                 continue
             now_s = time.monotonic()
+            if self._evacuated_groups.has_offer_changed(self._groups.values()):
+                self.on_capacity_changed()
             for group in list(self._groups.values()):
                 self._return_expired(group, now_s)
                 self._supervisor.stop_overdue_runs(group.workers.values(), now_s)
--- a/camphorchute/runs/worker_group.py
+++ b/camphorchute/runs/worker_group.py
@@ -1,6 +1,9 @@
 """Worker group: the workers that one scheduler starts tasks on, with their backlog."""
 
 import time
+from collections.abc import Collection
+
+import xxhash
 
 from camphorchute.contracts.resources import Resources
 from camphorchute.contracts.run_messages import GroupFreeCapacity, WorkerFreeCapacity
@@ -9,8 +12,10 @@
 from camphorchute.policies.worker_choice import WorkerCandidate
 from camphorchute.runs.backlog import Backlog
 from camphorchute.runs.earlier_run import EarlierRun
+from camphorchute.runs.group_names import zone_of_group
 from camphorchute.runs.leased_worker import LeasedWorker
 from camphorchute.runs.run import PendingTask
+from camphorchute.runs.zone_availability import ZoneAvailability
 
 __all__ = ["WorkerGroup"]
 
@@ -43,9 +48,11 @@
         service: the service that its workers belong to.
         fence: fencing token of the group's claim.
         policies: the policies for the order of tasks and the choice of workers.
+        zone_availability: how much of the group's zone may be offered.
 
     Attributes:
         name: name of the group.
+        zone: availability zone of its workers.
         service: the service that its workers belong to.
         fence: fencing token of the group's claim.
         workers: its workers by id.
@@ -55,22 +62,56 @@
 
     __slots__ = (
         "name",
+        "zone",
         "service",
         "fence",
         "workers",
         "backlog",
         "rejecting_worker_ids",
         "_policies",
+        "_zone_availability",
     )
 
-    def __init__(self, name: str, service: str, fence: int, policies: DecisionPolicies) -> None:
+    def __init__(
+        self,
+        name: str,
+        service: str,
+        fence: int,
+        policies: DecisionPolicies,
+        zone_availability: ZoneAvailability,
+    ) -> None:
         self.name = name
+        self.zone = zone_of_group(name)
         self.service = service
         self.fence = fence
         self.workers: dict[str, LeasedWorker] = {}
         self.backlog = Backlog(policies.task_order)
         self.rejecting_worker_ids: set[str] = set()
         self._policies = policies
+        self._zone_availability = zone_availability
+
+    def offered_count(self, now_s: float) -> int | None:
+        """Return how many workers may be offered, None if the zone is in full service.
+
+        Args:
+            now_s: time of the monotonic clock in seconds.
+        """
+        share = self._zone_availability.offered_share(self.zone, now_s)
+        return None if share >= 1.0 else int(share * len(self.workers))
+
+    def offered_workers(self, now_s: float) -> Collection[LeasedWorker]:
+        """Return the workers that tasks may be started on.
+
+        While the zone returns to service, their order depends on the worker ids only, so that a
+        change of scheduler offers no other workers.
+
+        Args:
+            now_s: time of the monotonic clock in seconds.
+        """
+        count = self.offered_count(now_s)
+        if count is None:
+            return self.workers.values()
+        return [self.workers[name] for name in sorted(self.workers, key=_return_order)[:count]]
 
     def adopt_run(self, task: PendingTask) -> bool:
         """Adopt a run of a task that an earlier scheduler started; return whether there was one.
@@ -163,7 +204,7 @@
             task: the task.
             now_s: time of the monotonic clock in seconds.
         """
-        candidates = [worker for worker in self.workers.values() if worker.can_start(task, now_s)]
+        candidates = [w for w in self.offered_workers(now_s) if w.can_start(task, now_s)]
         if not candidates:
             return None
         message = task.message
@@ -185,10 +226,12 @@
             now_s: time of the monotonic clock in seconds.
         """
         workers, capacity = [], Resources(0)
+        offered = set(self.offered_workers(now_s))
         for worker in self.workers.values():
-            speed = round(worker.speed.value, 3)
-            workers.append(WorkerFreeCapacity(worker.usable_capacity(now_s), speed))
-            if worker.synced and not worker.entry.is_draining:
+            is_offered = worker in offered
+            usable = worker.usable_capacity(now_s) if is_offered else Resources(0)
+            workers.append(WorkerFreeCapacity(usable, round(worker.speed.value, 3)))
+            if is_offered and worker.synced and not worker.entry.is_draining:
                 capacity = capacity.plus(worker.entry.capacity)
         return GroupFreeCapacity(
             self.name,
@@ -201,6 +244,11 @@
         )
 
 
+def _return_order(worker_id: str) -> tuple[int, str]:
+    """Return the place of a worker in the order in which the workers of a zone are taken back."""
+    return xxhash.xxh32_intdigest(worker_id.encode()), worker_id
+
+
 def _is_earlier_run_ruled_out(worker: LeasedWorker, task: PendingTask) -> bool:
     """Return whether a worker has ruled out the last run of a task; ask it the first time."""
     if task.earlier_run is None or task.earlier_run.worker is not worker:
