Plan no tasks in evacuated zones and refuse jobs if none is left

Cause: an owner whose tasks return from an evacuated zone would plan them there again, and hold jobs that no zone can run. Change: the free-capacity view leaves out groups of evacuated zones. If every zone with workers of a service is evacuated, jobs are refused at once with the new code 209 evacuated; an accepted job without a started task is refused as soon as its tasks are back. The setting evacuation_return_ms is the time of the gradual return.

--- a/camphorchute/cli/settings.py
+++ b/camphorchute/cli/settings.py
@@ -42,6 +42,7 @@
         "body_max_bytes",
         "clock_skew_ms",
         "drain_ms",
+        "evacuation_return_ms",
         "ejection_policy",
         "heartbeat_ms",
         "host",
--- a/camphorchute/cli/settings_table.py
+++ b/camphorchute/cli/settings_table.py
@@ -248,6 +248,12 @@
         _integer_parser(0, _HOUR_MS),
         "Longest time to wait for running work when this process stops.",
     ),
+    SettingInfo(
+        "evacuation_return_ms",
+        "3000",
+        _integer_parser(0, _HOUR_MS),
+        "Time in which a zone returns to service after its evacuation; only with platform fleet.",
+    ),
     SettingInfo(
         "body_max_bytes",
         "2000000",
--- a/camphorchute/contracts/codes.py
+++ b/camphorchute/contracts/codes.py
@@ -60,6 +60,7 @@
     NO_WORKER = 206
     CANCELLED_BEFORE_START = 207
     NOT_STORED = 208
+    EVACUATED = 209
 
     OWNER_UNREACHABLE = 301
     RECORDS_LOST = 302
@@ -216,6 +217,14 @@
         "The job could not be stored, so it was not accepted.",
         _RETRY_LATER,
     ),
+    (
+        _C.EVACUATED,
+        503,
+        _NOT_RUN,
+        True,
+        "Operators have evacuated every zone that has a usable worker of the service.",
+        _RETRY_LATER,
+    ),
     (
         _C.OWNER_UNREACHABLE,
         503,
--- a/camphorchute/durable_jobs/shard_owner.py
+++ b/camphorchute/durable_jobs/shard_owner.py
@@ -18,6 +18,7 @@
 from camphorchute.links import LinkLost, handles
 from camphorchute.loops import spawn_loop
 from camphorchute.queues import FreeCapacityView
+from camphorchute.queues.service_zones import make_evacuated_refusal
 from camphorchute.retry_after import spread_retry_after_ms
 from camphorchute.runs import shard_of
 
@@ -198,7 +199,12 @@
     def _find_refusal(self, job: BatchJob, queue: Queue) -> Refusal | None:
         """Return the refusal of a job that cannot finish in time, None if it may."""
         service = queue.service
+        zones = self._capacity_view.service_zones
+        if zones.is_evacuated(service):
+            return make_evacuated_refusal(service)
         if not all(self._capacity_view.can_ever_run(service, step.demand) for step in job.steps):
+            if zones.is_reduced(service):
+                return make_evacuated_refusal(service)
             return Refusal(ResultCode.NO_WORKER, f"service {service}", spread_retry_after_ms())
         first_step = job.steps[0]
         plan = self._capacity_view.plan(service, first_step, first_step.tasks, queue.limits)
--- a/camphorchute/durable_jobs/tests/test_shard_owner.py
+++ b/camphorchute/durable_jobs/tests/test_shard_owner.py
@@ -10,6 +10,7 @@
 from camphorchute.durable_jobs.shard_markers import NEVER_OWNED, OWNED, SHARD_MARKER_KEY_PREFIX
 from camphorchute.durable_jobs.tests.fakes import FakeLease, FakePeers, FakeQueueOwner, FakeStore
 from camphorchute.hosting import Queue, StoreUnavailable, SwapUnknown
+from camphorchute.queues import ServiceZones
 from camphorchute.queues.free_capacity_view import PlacementPlan
 from camphorchute.runs import shard_of
 
@@ -22,6 +23,8 @@
 class FreeView:
     """A free-capacity view in which every task has capacity at once."""
 
+    service_zones = ServiceZones()
+
     def can_ever_run(self, service, demand):
         return True
 
--- a/camphorchute/entry/hosted_process.py
+++ b/camphorchute/entry/hosted_process.py
@@ -17,6 +17,7 @@
     Heartbeats,
     MembershipLease,
     StoreFollower,
+    ZoneEvacuations,
 )
 from camphorchute.contracts import Refusal, ResultCode
 from camphorchute.contracts.member import Member
@@ -32,7 +33,7 @@
 from camphorchute.loops import spawn_loop
 from camphorchute.policies import POLICY_REGISTRIES, DecisionPolicies
 from camphorchute.policies.readiness import ServingState
-from camphorchute.queues import FreeCapacityReports, FreeCapacityView, QueueOwner
+from camphorchute.queues import FreeCapacityReports, FreeCapacityView, QueueOwner, ServiceZones
 from camphorchute.retry_after import spread_retry_after_ms
 from camphorchute.runs import GroupScheduler
 
@@ -76,8 +77,11 @@
         self._peers = Peers(
             self._member, sorted(settings.zones), self._handlers, settings.link_address
         )
-        self._view = ClusterView(self._platform, count)
         platform = self._platform
+        zone_evacuations = ZoneEvacuations(
+            platform.decode_evacuated_zone, count, settings.zones, settings.evacuation_return_ms
+        )
+        self._view = ClusterView(platform, count, zone_evacuations)
         self._followers = [
             StoreFollower(store, OWN_PREFIX, self._view, count, CLUSTER_CHANGES_BATCH_MS),
             StoreFollower(store, platform.operator_prefix, self._view, count),
@@ -92,7 +96,9 @@
         self._scheduler = GroupScheduler(
             self._platform.open_worker_client, self._peers.send_if_linked, count, self._policies
         )
+        self._scheduler.zone_availability = zone_evacuations
         self._capacity_view = FreeCapacityView(settings.zone, self._policies.worker_choice)
+        self._capacity_view.service_zones = ServiceZones(self._view.zones_of, zone_evacuations)
         self._claims = GroupClaims(
             store,
             self._view,
--- a/camphorchute/queues/__init__.py
+++ b/camphorchute/queues/__init__.py
@@ -4,6 +4,7 @@
 from camphorchute.queues.free_capacity_view import FreeCapacityView
 from camphorchute.queues.job_run import JobOutcome, JobRun, TaskProgress, TaskState
 from camphorchute.queues.queue_owner import QueueOwner
+from camphorchute.queues.service_zones import ServiceZones
 
 __all__ = [
     "JobOutcome",
@@ -11,6 +12,7 @@
     "QueueOwner",
     "FreeCapacityReports",
     "FreeCapacityView",
+    "ServiceZones",
     "TaskProgress",
     "TaskState",
 ]
--- a/camphorchute/queues/free_capacity_view.py
+++ b/camphorchute/queues/free_capacity_view.py
@@ -15,6 +15,7 @@
     rank_own_zone_first,
 )
 from camphorchute.queues.group_wait import GroupWait
+from camphorchute.queues.service_zones import ServiceZones
 from camphorchute.runs.group_names import zone_of_group
 
 __all__ = ["PlacementPlan", "FreeCapacityView"]
@@ -77,14 +78,16 @@
 
     Attributes:
         report_received: event that is set when a report arrives; cleared by who waits for it.
+        service_zones: which zones are evacuated; no tasks are planned there.
     """
 
-    __slots__ = ("report_received", "_zone", "_worker_choice", "_reports")
+    __slots__ = ("report_received", "service_zones", "_zone", "_worker_choice", "_reports")
 
     def __init__(
         self, zone: str = "", worker_choice: WorkerChoicePolicy = rank_own_zone_first
     ) -> None:
         self.report_received = Event()
+        self.service_zones = ServiceZones()
         self._zone = zone
         self._worker_choice = worker_choice
         self._reports: dict[str, _ReceivedReport] = {}
@@ -207,7 +210,11 @@
         return [
             received
             for received in self._reports.values()
-            if received.free_capacity.service == service and received.received_s >= oldest_s
+            if received.free_capacity.service == service
+            and received.received_s >= oldest_s
+            and not self.service_zones.is_zone_evacuated(
+                zone_of_group(received.free_capacity.group)
+            )
         ]
 
     def _rank_workers(
--- a/camphorchute/queues/job_admission.py
+++ b/camphorchute/queues/job_admission.py
@@ -12,6 +12,7 @@
 from camphorchute.policies.admission import AdmissionPolicy, JobTimes, is_admitted
 from camphorchute.queues.free_capacity_view import FreeCapacityView
 from camphorchute.queues.job_run import JobRun
+from camphorchute.queues.service_zones import make_evacuated_refusal
 from camphorchute.queues.wait_errors import WaitErrors
 from camphorchute.retry_after import spread_retry_after_ms
 
@@ -69,9 +70,12 @@
             caller_gone: event that is set when the caller has closed its connection.
 
         Raises:
-            Refusal: no worker group can ever run the job, its first tasks would wait too long, or
-                the caller has gone.
+            Refusal: every zone of the service is evacuated, no worker group can ever run the job,
+                its first tasks would wait too long, or the caller has gone.
         """
+        zones = self._capacity_view.service_zones
+        if zones.is_evacuated(queue.service):
+            raise self._refuse_evacuated(queue.service)
         work_ms = job.longest_chain_ms()
         limits = queue.limits
         start_limit_ms = self._start_limit_ms(
@@ -80,6 +84,8 @@
         run = JobRun(job, queue, finish_by_s(deadline_ms), start_limit_ms)
         self._wait_for_group(job, queue.service, start_limit_ms)
         if not self._can_ever_run(job, queue.service):
+            if zones.is_reduced(queue.service):
+                raise self._refuse_evacuated(queue.service)
             self._count("queues.refused.no_worker")
             log_decision("queues", "refused, no worker", job=job.job_id, service=queue.service)
             raise Refusal(ResultCode.NO_WORKER, f"service {queue.service}", spread_retry_after_ms())
@@ -125,10 +131,18 @@
         Args:
             run: the job.
         """
+        if self._capacity_view.service_zones.is_evacuated(run.queue.service):
+            return self._refuse_evacuated(run.queue.service)
         first = run.job.steps[0]
         plan = self._capacity_view.plan(run.queue.service, first, first.tasks, run.step_limits)
         return self.make_overload_refusal("no room in time", plan.wait_ms)
 
+    def _refuse_evacuated(self, service: str) -> Refusal:
+        """Count and return the refusal of a job for which evacuations have left no worker."""
+        self._count("queues.refused.evacuated")
+        log_decision("queues", "refused, zones are evacuated", service=service)
+        return make_evacuated_refusal(service)
+
     def _wait_for_group(self, job: BatchJob, service: str, start_limit_ms: float) -> None:
         """Wait until a group can run a job, while one may be between two schedulers.
 
--- a/camphorchute/queues/task_dispatcher.py
+++ b/camphorchute/queues/task_dispatcher.py
@@ -95,9 +95,14 @@
     def _is_hopeless(self, run: JobRun, plan: PlacementPlan) -> bool:
         """Return whether a job without a started task is expected to wait for too long.
 
+        That holds for any job that a caller waits for while every zone of its service is evacuated.
         Jobs whose tasks a full group returned wait among those that were accepted since.
         """
-        if not plan.pending or run.any_may_have_started():
+        if run.any_may_have_started():
+            return False
+        if self._capacity_view.service_zones.is_evacuated(run.queue.service):
+            return run.term is None
+        if not plan.pending:
             return False
         waited_ms = (time.monotonic() - run.started_s) * MS_PER_S
         return not is_admitted(waited_ms + plan.wait_ms, run.start_limit_ms)
