Evacuate a zone on real processes while the store rejects one

Cause: no test shows that the parts of an evacuation work together. Change: the stand-ins can evacuate a zone and reject the calls of one process.

--- a/bench/hosted_fleet.py
+++ b/bench/hosted_fleet.py
@@ -32,14 +32,16 @@
     Attributes:
         zone: availability zone of the process.
         host: loopback address that stands for its VM.
+        store_address: ``IP:port`` at which it calls the store.
         process: the running or last process; None before the first start.
     """
 
-    __slots__ = ("zone", "host", "process")
+    __slots__ = ("zone", "host", "store_address", "process")
 
-    def __init__(self, zone: str, host: str) -> None:
+    def __init__(self, zone: str, host: str, store_address: str) -> None:
         self.zone = zone
         self.host = host
+        self.store_address = store_address
         self.process: subprocess.Popen | None = None
 
     @property
@@ -85,15 +87,16 @@
         self._run_ms = run_ms
         self._callers = ThreadPoolExecutor(CALLER_THREADS)
 
-    def add_entry(self, zone: str, number: int) -> HostedEntry:
+    def add_entry(self, zone: str, number: int, store_address: str = "") -> HostedEntry:
         """Start an entry process on a new VM.
 
         Args:
             zone: availability zone.
             number: last byte of the VM's loopback address.
+            store_address: ``IP:port`` at which it calls the store, empty for the usual one.
         """
         host = f"127.{self._base}.{self._zones.index(zone) + 1}.{number}"
-        entry = HostedEntry(zone, host)
+        entry = HostedEntry(zone, host, store_address or self.site.store.address)
         self.entries.append(entry)
         self.start_entry(entry)
         return entry
@@ -107,7 +110,7 @@
             "HTTP_ADDRESS": entry.http_address,
             "READY_ADDRESS": entry.ready_address,
             "LINK_ADDRESS": f"{entry.host}:{LINK_PORT}",
-            "STORE_URL": f"http://{self.site.store.address}",
+            "STORE_URL": f"http://{entry.store_address}",
             "DRAIN_MS": str(DRAIN_MS),
         }
         environment = {f"CAMPHORCHUTE_{name}": value for name, value in settings.items()}
--- a/bench/standins/fleet_site.py
+++ b/bench/standins/fleet_site.py
@@ -1,9 +1,10 @@
 """Stand-ins of a complete hosted platform in one process: store, workers and configuration."""
 
 import json
+import math
 
 from bench.standins.fleet_store import FleetStore
-from bench.standins.fleet_worker import FleetWorker
+from bench.standins.fleet_worker import FleetWorker, RunRecord
 
 __all__ = [
     "QUEUE_HOST",
@@ -18,6 +19,7 @@
 QUEUE_PATH_PREFIX = "/checks/"
 SERVICE_NAME = "flags"
 TIMEOUT_MS = 1500
+EVACUATION_PREFIX = "op/evacuate/"
 
 
 class FleetSite:
@@ -89,6 +91,33 @@
         value = {"version": version, "routes": routes, "services": [{"name": SERVICE_NAME}]}
         self.store.put("op/config", json.dumps(value).encode())
 
+    def evacuate(self, zone: str) -> None:
+        """Evacuate a zone as an operator does.
+
+        Args:
+            zone: the availability zone.
+        """
+        self.store.put(EVACUATION_PREFIX + zone, b"{}")
+
+    def take_back(self, zone: str) -> None:
+        """End the evacuation of a zone as an operator does.
+
+        Args:
+            zone: the availability zone.
+        """
+        self.store.remove(EVACUATION_PREFIX + zone)
+
+    def started_in(self, zone: str, after_s: float, until_s: float = math.inf) -> list[RunRecord]:
+        """Return the runs that workers of a zone started within a time, by their own record.
+
+        Args:
+            zone: the availability zone.
+            after_s: monotonic time from which on runs are listed, in seconds.
+            until_s: monotonic time until which runs are listed, in seconds.
+        """
+        runs = [run for worker in self.workers if worker.zone == zone for run in worker.runs]
+        return [run for run in runs if after_s < run.started_s < until_s]
+
     def started_tasks(self) -> list[str]:
         """Return the task of every run that was started, with repetitions."""
         return [run.task for worker in self.workers for run in worker.runs]
--- a/bench/standins/fleet_store.py
+++ b/bench/standins/fleet_store.py
@@ -8,7 +8,7 @@
 
 from bench.standins.server import ConnectionDropped, Faults, Reply, Request, Standin
 
-__all__ = ["FleetStore", "FleetStoreFaults"]
+__all__ = ["FleetStore", "FleetStoreFaults", "FleetStoreGate"]
 
 MAX_HISTORY_EVENTS = 5000
 MAX_PAGE_ITEMS = 500
@@ -154,6 +154,10 @@
             return Reply({})
         return super().handle_unrouted_request(request)
 
+    def serve(self, request: Request) -> Reply:
+        """Answer a request that arrived at another address of the store."""
+        return self._handle_request(request)
+
     def _handle_request(self, request: Request) -> Reply:
         if self.faults.busy and request.path.startswith("/kv-"):
             return Reply({"error": "busy"}, 503)
@@ -251,3 +255,26 @@
             for lease_id, lease in list(self._leases.items()):
                 if now_s > lease.expires_s:
                     self._end_lease(lease_id)
+
+
+class FleetStoreGate(Standin):
+    """A second address of a store, whose calls can be rejected while those of others are served.
+
+    Args:
+        address: ``ip:port`` to listen on.
+        store: the store.
+
+    Attributes:
+        is_rejecting: whether every call is answered with status 503.
+    """
+
+    def __init__(self, address: str, store: FleetStore) -> None:
+        super().__init__(address)
+        self.is_rejecting = False
+        self._store = store
+
+    def _handle_request(self, request: Request) -> Reply:
+        if self.is_rejecting:
+            return Reply({"error": "busy"}, 503)
+        reply = self._store.serve(request)
+        return Reply({"error": "busy"}, 503) if self.is_rejecting else reply
--- a/camphorchute/cluster/tests/test_heartbeats.py
+++ b/camphorchute/cluster/tests/test_heartbeats.py
@@ -7,7 +7,7 @@
 from camphorchute.cluster.heartbeats import Heartbeats
 from camphorchute.cluster.zone_evacuations import ZoneEvacuations
 from camphorchute.contracts.member import Member
-from camphorchute.contracts.run_messages import MemberBeat
+from camphorchute.contracts.run_messages import MemberBeat, ZoneEvacuation
 
 
 def make_member(number):
@@ -155,3 +155,32 @@
     heartbeats.handle_heartbeat(make_member(3), MemberBeat(17))
     heartbeats.close()
     assert heartbeats._configuration_fetch.offers == [("m03", 17)]
+
+
+def test_heartbeats_repeat_evacuations_on_busy_links_and_pass_them_on(monkeypatch):
+    """A peer that the store rejects would miss a change if the one message with it was lost."""
+    monkeypatch.setattr(module, "LINK_CHECK_INTERVAL_MS", 10.0)
+    monkeypatch.setattr(module, "EVACUATIONS_INTERVAL_MS", 100.0)
+    link = FakeLink(make_member(11))
+    heartbeats, _ = start_heartbeats(10, 42, [link])
+    state = ZoneEvacuation("south", 7, True)
+    heartbeats.handle_heartbeat(make_member(3), MemberBeat(0, [state], 9))
+    for _ in range(30):
+        link.last_sent_s = time.monotonic()
+        gevent.sleep(0.01)
+    heartbeats.close()
+    assert link.sent.count(MemberBeat(0, [state], 9)) >= 2
+
+
+def test_first_message_on_a_new_link_is_a_heartbeat(monkeypatch):
+    """What was sent on a link that was lost counted as sent on the next one."""
+    monkeypatch.setattr(module, "LINK_CHECK_INTERVAL_MS", 10.0)
+    links = [FakeLink(make_member(11))]
+    heartbeats, _ = start_heartbeats(10, 42, links)
+    gevent.sleep(0.03)
+    links[0].close()
+    links.append(FakeLink(make_member(11)))
+    links[1].last_sent_s = time.monotonic()
+    gevent.sleep(0.05)
+    heartbeats.close()
+    assert links[1].sent == [MemberBeat(0)]
--- a/camphorchute/durable_jobs/tests/test_shard_owner.py
+++ b/camphorchute/durable_jobs/tests/test_shard_owner.py
@@ -13,6 +13,7 @@
 from camphorchute.queues import ServiceZones
 from camphorchute.queues.free_capacity_view import PlacementPlan
 from camphorchute.runs import shard_of
+from camphorchute.runs.zone_availability import ZoneAvailability
 
 JOB_ID = "5c0e7a21d94b36f8"
 MARKER_KEY = f"{SHARD_MARKER_KEY_PREFIX}{shard_of(JOB_ID):02}"
@@ -116,3 +117,21 @@
     assert site.owner.cancel(JOB_ID)
     gevent.sleep(0)
     assert site.owner.job_state(JOB_ID) == "cancelled"
+
+
+class EvacuatedZones(ZoneAvailability):
+    """Zones that are all evacuated."""
+
+    def is_evacuated(self, zone):
+        return True
+
+
+def test_durable_job_is_refused_while_every_zone_is_evacuated(site, monkeypatch):
+    """A stored job counts as accepted, and would wait for as long as the evacuation lasts."""
+    zones = ServiceZones(lambda service: ["north"], EvacuatedZones())
+    monkeypatch.setattr(FreeView, "service_zones", zones)
+    with pytest.raises(Refusal) as refused:
+        site.owner.submit(JOB, QUEUE)
+    assert refused.value.code is ResultCode.EVACUATED
+    assert site.counts["keeping.refused.evacuated"] == 1
+    assert job_key(JOB_ID) not in site.store.items
