Check that a rejected process learns of an evacuation from its peers

Cause: with heartbeats that carry no evacuations the test still passed, since the rejected scheduler lost its claim within 5 s. Change: the test reads the counters of the rejected process.

--- a/bench/tests/test_evacuated_zone.py
+++ b/bench/tests/test_evacuated_zone.py
@@ -4,6 +4,7 @@
 import signal
 import time
 from threading import Event, Thread
+from urllib.request import urlopen
 
 import pytest
 
@@ -58,7 +59,10 @@
 
 
 def test_no_task_starts_in_an_evacuated_zone_and_its_callers_are_served(fleet):
-    """A process that missed the evacuation would start tasks in the zone."""
+    """A process that missed the evacuation would start tasks in the zone.
+
+    The rejected process is the scheduler of the zone; it learns of the changes from its peers only.
+    """
     site = fleet.site
     gate = FleetStoreGate(f"127.{BASE}.0.1:0", site.store)
     gate.start()
@@ -81,6 +85,7 @@
         fleet.start_entry(restarted)
         effective_s = acknowledged_s + EFFECTIVE_WITHIN_S
         time.sleep(EFFECTIVE_WITHIN_S + STAYS_EVACUATED_S)
+        assert has_counted(rejected, "roster.evacuation_begun")
         site.take_back(NORTH)
         taken_back_s = time.monotonic()
         assert site.started_in(NORTH, effective_s, taken_back_s) == []
@@ -89,6 +94,7 @@
             statuses = load.statuses(entry, effective_s, taken_back_s - 1.0)
             assert statuses
             assert set(statuses) == {200}
+        assert wait_until(lambda: has_counted(rejected, "roster.evacuation_ended"))
         gate.is_rejecting = False
         assert wait_until(lambda: site.started_in(NORTH, taken_back_s))
     finally:
@@ -114,6 +120,13 @@
     assert wait_until(lambda: fleet.submit(entries[1], f"back{time.monotonic_ns()}")[0] == 200)
 
 
+def has_counted(entry, name):
+    """Return whether a counter of an entry process is above zero."""
+    with urlopen(f"http://{entry.ready_address}/metrics", timeout=5) as reply:
+        counters = dict(line.split() for line in reply.read().decode().splitlines())
+    return int(counters.get(name, 0)) > 0
+
+
 def wait_until(condition):
     """Return whether the condition became true within RETURN_TIMEOUT_S."""
     deadline_s = time.monotonic() + RETURN_TIMEOUT_S
