--- a/camphorchute/queues/job_admission.py
+++ b/camphorchute/queues/job_admission.py
@@ -75,7 +75,7 @@
         """
         zones = self._capacity_view.service_zones
         if zones.is_evacuated(queue.service):
-            raise self._refuse_evacuated(queue.service)
+            raise self._refuse_evacuated(job, queue.service)
         work_ms = job.longest_chain_ms()
         limits = queue.limits
         start_limit_ms = self._start_limit_ms(
@@ -85,7 +85,7 @@
         self._wait_for_group(job, queue.service, start_limit_ms)
         if not self._can_ever_run(job, queue.service):
             if zones.is_reduced(queue.service):
-                raise self._refuse_evacuated(queue.service)
+                raise self._refuse_evacuated(job, queue.service)
             self._count("queues.refused.no_worker")
             log_decision("queues", "refused, no worker", job=job.job_id, service=queue.service)
             raise Refusal(ResultCode.NO_WORKER, f"service {queue.service}", spread_retry_after_ms())
@@ -132,15 +132,15 @@
             run: the job.
         """
         if self._capacity_view.service_zones.is_evacuated(run.queue.service):
-            return self._refuse_evacuated(run.queue.service)
+            return self._refuse_evacuated(run.job, run.queue.service)
         first = run.job.steps[0]
         plan = self._capacity_view.plan(run.queue.service, first, first.tasks, run.step_limits)
         return self.make_overload_refusal("no room in time", plan.wait_ms)
 
-    def _refuse_evacuated(self, service: str) -> Refusal:
+    def _refuse_evacuated(self, job: BatchJob, service: str) -> Refusal:
         """Count and return the refusal of a job for which evacuations have left no worker."""
         self._count("queues.refused.evacuated")
-        log_decision("queues", "refused, zones are evacuated", service=service)
+        log_decision("queues", "refused, zones are evacuated", job=job.job_id, service=service)
         return make_evacuated_refusal(service)
 
     def _wait_for_group(self, job: BatchJob, service: str, start_limit_ms: float) -> None:
