Forget what was sent on closed links to members that have left

Cause: the last heartbeat to each member is remembered with its link, and each restart of a member leaves one behind. Change: entries without an open link are dropped. Result: the tests of the heartbeats pass.

--- a/camphorchute/cluster/heartbeats.py
+++ b/camphorchute/cluster/heartbeats.py
@@ -3,7 +3,7 @@
 import random
 import time
 from bisect import bisect_left
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 import gevent
 
@@ -126,7 +126,10 @@
             message = self._make_heartbeat()
             neighbours = {member.member_id for member in self._ring_neighbours(RING_DISTANCE_MAX)}
             now_s = time.monotonic()
-            for link in self._peers.links():
+            links = self._peers.links()
+            if len(self._sent_states) > len(links):
+                self._forget_closed_links(links)
+            for link in links:
                 unused_ms = (now_s - link.last_activity_s) * MS_PER_S
                 if self._is_unresponsive(link, now_s):
                     self._count("roster.link_silent")
@@ -138,6 +141,11 @@
                     link.send(message)
             gevent.sleep(until_next_tick_s(LINK_CHECK_INTERVAL_MS))
 
+    def _forget_closed_links(self, links: Iterable[Link]) -> None:
+        """Forget what was sent on other links, since members that restart get new ids."""
+        linked_ids = {link.peer.member_id for link in links}
+        self._sent_states = {k: v for k, v in self._sent_states.items() if k in linked_ids}
+
     def _is_unresponsive(self, link: Link, now_s: float) -> bool:
         """Return whether nothing was received on a link for too long.
 
@@ -155,7 +163,7 @@
         sent on this link. A state with evacuations is repeated all the same.
         """
         evacuations = self._view.zone_evacuations
-        state = _SentState(link, (self._queues_version(), evacuations.version), now_s)
+        versions = (self._queues_version(), evacuations.version)
         sent = self._sent_states.get(link.peer.member_id)
         is_repeat_due = sent is not None and (
             bool(evacuations.states())
@@ -164,12 +172,12 @@
         if (
             sent is not None
             and sent.link is link
-            and sent.versions == state.versions
+            and sent.versions == versions
             and not is_repeat_due
             and (now_s - link.last_sent_s) * MS_PER_S < HEARTBEAT_INTERVAL_MS
         ):
             return False
-        self._sent_states[link.peer.member_id] = state
+        self._sent_states[link.peer.member_id] = _SentState(link, versions, now_s)
         return True
 
     def _ring_neighbours(self, distance_max: int) -> list[Member]:
