--- a/camphorchute/runs/leased_worker.py
+++ b/camphorchute/runs/leased_worker.py
@@ -280,8 +280,7 @@
         waiting for the next completion, so polls need a pause here.
         """
         if not (self.runs or self.orphans):
-            idle_s = IDLE_POLL_INTERVAL_S if self.completions else None
-            wait_for_event(self._poll_requested, idle_s)
+            wait_for_event(self._poll_requested, IDLE_POLL_INTERVAL_S if self.completions else None)
         elif self.completions:
             wait_for_event(self._poll_requested, UNACKNOWLEDGED_POLL_INTERVAL_MS / MS_PER_S)
 
--- a/camphorchute/runs/tests/test_neighbours.py
+++ b/camphorchute/runs/tests/test_neighbours.py
@@ -17,6 +17,7 @@
 from camphorchute.runs.run_supervisor import RunSupervisor
 from camphorchute.runs.tests.scheduler_site import GROUP, start_message, wait_until
 from camphorchute.runs.worker_group import WorkerGroup
+from camphorchute.runs.zone_availability import ZoneAvailability
 
 DEMAND = Resources(8000, 64)
 DECLARED_MS = 100.0
@@ -94,7 +95,9 @@
         policies = DecisionPolicies(interference=policy)
         self.supervisor = RunSupervisor(policies, self.count)
         interference = self.supervisor.interference
-        self.group = WorkerGroup("g", "service", 1, policies, interference, self.count)
+        self.group = WorkerGroup(
+            "g/service/0", "service", 1, policies, ZoneAvailability(), interference, self.count
+        )
         speeds = (0.8, 1.0, 1.25)
         for number in range(workers):
             worker = Worker(number, speeds[number % 3])
