Do less at the scheduler for each event of a run

Cause: each event of a worker searched all groups for it; a poll answer placed tasks with an empty backlog; a backlog of one task was sorted; the only worker with capacity was ranked all the same. The answer to a start command that came after the end of the run led to a poll that could say nothing new.

Change: a worker's listener knows its group. Free capacity is compared first, a rank is computed only for a choice between several workers, and a start command is followed by a poll only while its run is active here.

--- a/camphorchute/runs/backlog.py
+++ b/camphorchute/runs/backlog.py
@@ -65,7 +65,8 @@
         Args:
             now_s: time of the monotonic clock in seconds.
         """
-        self._tasks.sort(key=lambda task: self._order(_urgency(task, now_s)))
+        if len(self._tasks) > 1:
+            self._tasks.sort(key=lambda task: self._order(_urgency(task, now_s)))
 
     def expired(self, now_s: float) -> list[PendingTask]:
         """Return the tasks that are past the time by which they had to start.
--- a/camphorchute/runs/group_scheduler.py
+++ b/camphorchute/runs/group_scheduler.py
@@ -78,7 +78,6 @@
         self.durable_tasks = DurableTasks(self._groups.values, count)
         self._open_tasks = OpenTasks()
         self._places = TaskPlaces(self._groups.values, count)
-        self._events = RunEvents(self, self._open_tasks, self._supervisor, count)
         self._arrival_count = 0
         self._membership = GroupMembership(self, self._open_worker, count)
         self.pause_watch = PauseWatch()
@@ -198,7 +197,8 @@
 
     def _open_worker(self, group: WorkerGroup, entry: WorkerEntry) -> LeasedWorker:
         client = self._open_worker_client(entry)
-        worker = LeasedWorker(entry, client, lambda: group.fence, self._events, self._count)
+        events = RunEvents(self, group, self._open_tasks, self._supervisor, self._count)
+        worker = LeasedWorker(entry, client, lambda: group.fence, events, self._count)
         worker.may_discard_completions = lambda: self.may_discard_completions()
         worker.is_durable_job = lambda job_id: self.is_durable_job(job_id)
         worker.start()
--- a/camphorchute/runs/run_commands.py
+++ b/camphorchute/runs/run_commands.py
@@ -87,7 +87,8 @@
         elif run.end_evidence not in (None, EndEvidence.LISTED):
             self._count("runs.late_answer")
             self.send_stop(run.task.name, run.number)
-        self._worker.request_poll()
+        if self._worker.holds(run):
+            self._worker.request_poll()
 
     def _handle_start_refusal(self, run: Run, reason: RefusalReason) -> None:
         """Give a run up that the worker has not started.
--- a/camphorchute/runs/run_events.py
+++ b/camphorchute/runs/run_events.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from typing import TYPE_CHECKING
 
 import gevent
@@ -24,27 +24,30 @@
 
 
 class RunEvents:
-    """The listener of every worker of a scheduler, see :class:`RunListener`.
+    """The listener of workers of one group, see :class:`RunListener`.
 
     A run that is reported was taken from its worker, so each report decides about its task once.
 
     Args:
         scheduler: the scheduler.
+        group: the group.
         open_tasks: the tasks that it has not returned.
         supervisor: learns from the ends of runs.
         count: adds to a named counter.
     """
 
-    __slots__ = ("_scheduler", "_open_tasks", "_supervisor", "_count")
+    __slots__ = ("_scheduler", "_group", "_open_tasks", "_supervisor", "_count")
 
     def __init__(
         self,
         scheduler: GroupScheduler,
+        group: WorkerGroup,
         open_tasks: OpenTasks,
         supervisor: RunSupervisor,
         count: Callable[..., None],
     ) -> None:
         self._scheduler = scheduler
+        self._group = group
         self._open_tasks = open_tasks
         self._supervisor = supervisor
         self._count = count
@@ -107,7 +110,7 @@
         if is_usable_now:
             self._scheduler.on_capacity_changed()
         group = self._group_with(worker)
-        if group is not None:
+        if group is not None and group.backlog:
             group.adopt_pending()
             self._scheduler.place_pending(group)
 
@@ -134,15 +137,16 @@
         self._scheduler.release_group(group.name)
         self._scheduler.superseded_groups.add(group.name)
 
-    def _workers_beside(self, worker: LeasedWorker) -> list[LeasedWorker]:
+    def _workers_beside(self, worker: LeasedWorker) -> Collection[LeasedWorker]:
         """Return the workers of the group of a worker."""
         group = self._group_with(worker)
-        return [worker] if group is None else list(group.workers.values())
+        return [worker] if group is None else group.workers.values()
 
     def _group_with(self, worker: LeasedWorker) -> WorkerGroup | None:
-        """Return the group that a worker belongs to, None if it was removed."""
-        groups = (self._scheduler.group(name) for name in self._scheduler.groups())
-        return next((group for group in groups if worker in group.workers.values()), None)
+        """Return the group of a worker, None if one of them was removed."""
+        group = self._group
+        is_held = self._scheduler.group(group.name) is group
+        return group if is_held and group.workers.get(worker.entry.worker_id) is worker else None
 
 
 def _result_of(task: PendingTask, outcome: RunOutcome) -> TaskResultKind | None:
--- a/camphorchute/runs/worker_group.py
+++ b/camphorchute/runs/worker_group.py
@@ -163,9 +163,14 @@
             task: the task.
             now_s: time of the monotonic clock in seconds.
         """
-        candidates = [worker for worker in self.workers.values() if worker.can_start(task, now_s)]
-        if not candidates:
-            return None
+        demand = task.message.demand
+        candidates = [
+            worker
+            for worker in self.workers.values()
+            if worker.free_capacity.can_hold(demand) and worker.can_start(task, now_s)
+        ]
+        if len(candidates) < 2:
+            return candidates[0] if candidates else None
         message = task.message
         return min(
             candidates,
