Count the exchanges with workers in the job profile

Cause: the profile gave the time of a job, but not how many commands and polls it took.

Change: bench.job_profile prints start commands, polls and stop commands for each task, as the stand-ins have received them.

--- a/bench/job_profile.py
+++ b/bench/job_profile.py
@@ -12,6 +12,7 @@
 import signal  # noqa: E402
 import tempfile  # noqa: E402
 import time  # noqa: E402
+from collections import Counter  # noqa: E402
 from concurrent.futures import ThreadPoolExecutor  # noqa: E402
 from pathlib import Path  # noqa: E402
 
@@ -86,7 +87,7 @@
     time.sleep(IDLE_S)
     idle_s = (total_usage(pids).cpu_s - before.cpu_s) / len(pids)
     click.echo(f"{100 * idle_s / IDLE_S:.2f} % of a core for each idle process")
-    before = total_usage(pids)
+    before, calls = total_usage(pids), _worker_calls(fleet)
     began_s = time.monotonic()
     with ThreadPoolExecutor(callers) as pool:
         until_s = began_s + duration_s
@@ -98,6 +99,17 @@
         f"{done} jobs in {seconds:.1f} s, {done / seconds:.0f}/s;"
         f" {1000 * used_s / max(1, done):.2f} ms of processor time each"
     )
+    calls = _worker_calls(fleet) - calls
+    shares = (f"{path} {number / max(1, done * tasks):.2f}" for path, number in calls.items())
+    click.echo(f"exchanges with workers for each task: {', '.join(sorted(shares))}")
+
+
+def _worker_calls(fleet: HostedFleet) -> Counter[str]:
+    """Return the number of requests that the workers have received, by path."""
+    total: Counter[str] = Counter()
+    for worker in fleet.site.workers:
+        total.update(worker.calls)
+    return total
 
 
 if __name__ == "__main__":
--- a/camphorchute/workers/http_answer.py
+++ b/camphorchute/workers/http_answer.py
@@ -17,12 +17,12 @@
 
 # Statuses without a body, repeated lengths, and headers that change framing or reuse do not match.
 _HEADER_LINE = (
-    rb"(?!content-length:|transfer-encoding:|upgrade:|proxy-connection:"
-    rb"|connection:(?! ?keep-alive\r\n))[a-z0-9-]+:[\t -~]*\r\n"
+    rb"(?![ctup](?:ontent-length:|ransfer-encoding:|pgrade:|roxy-connection:"
+    rb"|onnection:(?! ?keep-alive\r\n)))[a-z0-9-]++:[\t -~]*+\r\n"
 )
 _PLAIN_HEAD = re.compile(
-    rb"HTTP/1\.1 (?!204|304)([2-5][0-9][0-9]) [ -~]*\r\n"
-    rb"(?i:(?:%b)*content-length: ?([0-9]{1,9})\r\n(?:%b)*)\r\n" % (_HEADER_LINE, _HEADER_LINE)
+    rb"HTTP/1\.1 (?!204|304)([2-5][0-9][0-9]) [ -~]*+\r\n"
+    rb"(?i:(?:%b)*+content-length: ?([0-9]{1,9})\r\n(?:%b)*+)\r\n" % (_HEADER_LINE, _HEADER_LINE)
 )
 
 
