Weight the lag of the event loop by the time it took

Cause: a process whose loop is late rarely but long has many timers that are in time, so the mean of all timers was near zero, while most requests and messages arrive during a delay. Jobs were accepted that ended at their deadline.

Change: job_delay_ms() uses a mean in which each lag counts with its duration, with a memory of a second; arrival_delay_ms() states it for one pass. average_ms, which decides on claims and readiness, is unchanged.

Result: the new test (a lag of 500 ms at every tenth timer) has an average below 60 ms and a job delay above 300 ms; three times the average would be below 180 ms. Needs nothing else.

--- a/camphorchute/entry/loop_lag.py
+++ b/camphorchute/entry/loop_lag.py
@@ -1,5 +1,6 @@
 """Measurement of how far the event loop of this process is behind."""
 
+import math
 import time
 from collections.abc import Callable
 
@@ -13,6 +14,7 @@
 
 SAMPLE_MAX_MS = 500.0
 SAMPLE_WEIGHT = 0.1
+DELAY_MEMORY_MS = 1000.0
 BEHIND_THRESHOLD_MS = 120.0
 CAUGHT_UP_THRESHOLD_MS = 40.0
 BEHIND_MIN_DURATION_MS = 5000.0
@@ -44,11 +46,19 @@
         True
     """
 
-    __slots__ = ("average_ms", "is_behind", "_count", "_behind_since_s", "_greenlet")
+    __slots__ = (
+        "average_ms",
+        "is_behind",
+        "_delay_ms",
+        "_count",
+        "_behind_since_s",
+        "_greenlet",
+    )
 
     def __init__(self, count: Callable[..., None]) -> None:
         self.average_ms = 0.0
         self.is_behind = False
+        self._delay_ms = 0.0
         self._count = count
         self._behind_since_s = 0.0
         self._greenlet: gevent.Greenlet | None = None
@@ -65,11 +75,22 @@
 
     def job_delay_ms(self) -> float:
         """Return how long a job waits in this process until its event loop has come to it."""
-        return PASSES_OF_A_JOB * self.average_ms
+        return PASSES_OF_A_JOB * self._delay_ms
+
+    def arrival_delay_ms(self) -> float:
+        """Return how long a message or request waits until it is read.
+
+        Each lag counts with the time that it took: a loop that is late rarely but long has many
+        timers that are in time, while most of what arrives does so during a delay.
+        """
+        return self._delay_ms
 
     def add_sample(self, lag_ms: float) -> None:
         """Add the lag of one timer to the average, in milliseconds."""
-        self.average_ms += SAMPLE_WEIGHT * (min(SAMPLE_MAX_MS, lag_ms) - self.average_ms)
+        sample_ms = min(SAMPLE_MAX_MS, lag_ms)
+        self.average_ms += SAMPLE_WEIGHT * (sample_ms - self.average_ms)
+        weight = 1 - math.exp(-(TICK_INTERVAL_MS + sample_ms) / DELAY_MEMORY_MS)
+        self._delay_ms += weight * (sample_ms - self._delay_ms)
         now_s = time.monotonic()
         if not self.is_behind and self.average_ms > BEHIND_THRESHOLD_MS:
             self._set_behind(True, now_s)
--- a/camphorchute/entry/tests/test_loop_lag.py
+++ b/camphorchute/entry/tests/test_loop_lag.py
@@ -60,3 +60,13 @@
     for _ in range(200):
         lag.add_sample(lag_ms)
     assert lag.job_delay_ms() == pytest.approx(delay_ms, rel=0.01)
+
+
+def test_rare_long_lags_count_with_the_time_that_they_take():
+    """Jobs met a late event loop most of the time, but hardly any of its timers was late."""
+    lag = LoopLag(lambda name: None)
+    for _ in range(20):
+        for sample_ms in (500.0, *[0.0] * 9):
+            lag.add_sample(sample_ms)
+    assert lag.average_ms < 60.0
+    assert lag.job_delay_ms() > 3 * 100.0
