Predict the time of a job with the delay of processes

Cause: the expected time of a job covered the wait for workers only. On small fleets the delay in event loops, messages and schedulers is longer than that, and is often another process's.

Change: TaskResult has waited_ms and run_ms, None from an older version or where a run was adopted. Admission compares wait and process delay with the start limit. Tasks go to late schedulers after others that have room, and the free-capacity view adds the delay when it spreads tasks that wait. Predicted and actual times are counted for each queue.

Not measured on a fleet.

--- a/camphorchute/contracts/run_messages.py
+++ b/camphorchute/contracts/run_messages.py
@@ -141,6 +141,10 @@
         worker_id: the worker that the task may still run on, empty if there is none.
         group: the group that this worker belongs to now, empty if it has not changed.
         dispatch: number of the dispatch that the result is for, 0 if it had none.
+        waited_ms: time from the arrival of the task at the scheduler to the start command of its
+            last run, or to its return without one; None if it is not known.
+        run_ms: time from that start command to the end as observed at the scheduler, without the
+            time for which the scheduler itself was late, 0 without a run; None if it is not known.
     """
 
     step: int
@@ -150,6 +154,8 @@
     worker_id: str = ""
     group: str = ""
     dispatch: int = 0
+    waited_ms: float | None = None
+    run_ms: float | None = None
 
 
 class TasksFinished(msgspec.Struct, tag="tasks_finished"):
--- a/camphorchute/queues/free_capacity_view.py
+++ b/camphorchute/queues/free_capacity_view.py
@@ -1,6 +1,7 @@
 """Free-capacity view: free resources of worker groups as their schedulers last reported them."""
 
 import time
+from collections.abc import Callable
 
 from gevent.event import Event
 
@@ -20,6 +21,7 @@
 __all__ = ["PlacementPlan", "FreeCapacityView"]
 
 REPORT_STALE_MS = 2000.0
+SCHEDULER_DELAY_STEP_MS = 50.0  # smaller differences are noise, and must not outweigh the zone
 MS_PER_S = 1000.0
 
 
@@ -77,14 +79,16 @@
 
     Attributes:
         report_received: event that is set when a report arrives; cleared by who waits for it.
+        scheduler_delay_ms: returns the delay of jobs at a scheduler, by its member id.
     """
 
-    __slots__ = ("report_received", "_zone", "_worker_choice", "_reports")
+    __slots__ = ("report_received", "scheduler_delay_ms", "_zone", "_worker_choice", "_reports")
 
     def __init__(
         self, zone: str = "", worker_choice: WorkerChoicePolicy = rank_own_zone_first
     ) -> None:
         self.report_received = Event()
+        self.scheduler_delay_ms: Callable[[str], float] = lambda member_id: 0.0
         self._zone = zone
         self._worker_choice = worker_choice
         self._reports: dict[str, _ReceivedReport] = {}
@@ -220,9 +224,22 @@
             for worker in received.free_capacity.workers
             if worker.free.can_hold(step.demand)
         ]
-        eligible.sort(key=lambda row: self._rank(row[0], row[1].speed, step, limits))
+        delays_ms = self._scheduler_delays_ms(reports)
+        eligible.sort(
+            key=lambda row: (
+                delays_ms[row[0]] // SCHEDULER_DELAY_STEP_MS,
+                self._rank(row[0], row[1].speed, step, limits),
+            )
+        )
         return eligible
 
+    def _scheduler_delays_ms(self, reports: list[_ReceivedReport]) -> dict[str, float]:
+        """Return the delay of jobs at the scheduler of each group, in milliseconds."""
+        return {
+            received.free_capacity.group: self.scheduler_delay_ms(received.scheduler.member_id)
+            for received in reports
+        }
+
     def _rank(self, group: str, speed: float, step: BatchStep, limits: QueueLimits) -> tuple:
         candidate = WorkerCandidate(speed, zone_of_group(group) == self._zone)
         return self._worker_choice(candidate, step.estimate_ms, limits)
@@ -249,8 +266,9 @@
         chosen: dict[str, int] = {}
         if not waits:
             return chosen, 0.0
+        delays_ms = self._scheduler_delays_ms(reports)
         for _ in range(tasks):
-            group = min(waits, key=lambda name: waits[name].cost_ms())
+            group = min(waits, key=lambda name: waits[name].cost_ms() + delays_ms[name])
             waits[group].add_task()
             chosen[group] = chosen.get(group, 0) + 1
         return chosen, max(waits[group].expected_ms() for group in chosen)
--- a/camphorchute/queues/job_admission.py
+++ b/camphorchute/queues/job_admission.py
@@ -10,8 +10,9 @@
 from camphorchute.decision_log import log_decision
 from camphorchute.hosting import Queue
 from camphorchute.policies.admission import AdmissionPolicy, JobTimes, is_admitted
-from camphorchute.queues.free_capacity_view import FreeCapacityView
+from camphorchute.queues.free_capacity_view import FreeCapacityView, PlacementPlan
 from camphorchute.queues.job_run import JobRun
+from camphorchute.queues.process_delay import ProcessDelay
 from camphorchute.queues.wait_errors import WaitErrors
 from camphorchute.retry_after import spread_retry_after_ms
 
@@ -34,12 +35,14 @@
     Attributes:
         has_workers: returns whether service discovery lists workers of a service.
         own_delay_ms: returns the delay that a job has in this process itself, in milliseconds.
+        process_delay: the delay that jobs had beyond their waits and runs.
         wait_errors: counts how far the expected waits were from those that jobs had.
     """
 
     __slots__ = (
         "has_workers",
         "own_delay_ms",
+        "process_delay",
         "wait_errors",
         "_capacity_view",
         "_start_limit_ms",
@@ -54,8 +57,10 @@
     ) -> None:
         self.has_workers: Callable[[str], bool] = lambda service: False
         self.own_delay_ms: Callable[[], float] = lambda: 0.0
+        self.process_delay = ProcessDelay(count)
         self.wait_errors = WaitErrors(count)
         self._capacity_view = capacity_view
+        capacity_view.scheduler_delay_ms = self.process_delay.scheduler_ms
         self._start_limit_ms = start_limit_ms
         self._count = count
 
@@ -88,7 +93,8 @@
         first = job.steps[0]
         plan = self._capacity_view.plan(queue.service, first, first.tasks, run.step_limits)
         own_delay_ms = self.own_delay_ms()
-        wait_ms = plan.wait_ms + own_delay_ms
+        process_delay_ms = self._process_delay_ms(plan, own_delay_ms, job)
+        wait_ms = plan.wait_ms + process_delay_ms
         if not is_admitted(wait_ms, start_limit_ms):
             if is_admitted(plan.wait_ms, start_limit_ms):
                 self._count("queues.refused.process_saturated")
@@ -99,6 +105,7 @@
                 queue=queue.name,
                 wait_ms=round(plan.wait_ms),
                 own_delay_ms=round(own_delay_ms),
+                process_delay_ms=round(process_delay_ms),
                 limit_ms=round(start_limit_ms),
                 tasks=first.tasks,
                 without_room=plan.pending_count,
@@ -106,9 +113,23 @@
             )
             raise self.make_overload_refusal(f"{wait_ms:.0f} ms to wait", wait_ms)
         report_age_ms = self._capacity_view.report_age_ms(queue.service)
-        self.wait_errors.record_admitted(job.job_id, plan.wait_ms, first.estimate_ms, report_age_ms)
+        run.expected_wait_ms = plan.wait_ms
+        self.wait_errors.record_admitted(
+            job.job_id, plan.wait_ms, first.estimate_ms, report_age_ms, wait_ms + work_ms
+        )
         return run
 
+    def _process_delay_ms(self, plan: PlacementPlan, own_delay_ms: float, job: BatchJob) -> float:
+        """Return the delay that a job is expected to have beyond its wait and its run.
+
+        It is the larger of what earlier jobs had at the same schedulers, for each step, and what
+        the event loop of this process shows.
+        """
+        schedulers = map(self._capacity_view.scheduler_of, {**plan.placed, **plan.pending})
+        scheduler_ids = {scheduler.member_id for scheduler in schedulers if scheduler}
+        step_delay_ms = self.process_delay.expected_ms(scheduler_ids)
+        return max(own_delay_ms, job.longest_chain_steps() * step_delay_ms)
+
     def make_overload_refusal(self, detail: str, wait_ms: float) -> Refusal:
         """Return the refusal of a job for which there is no capacity in time.
 
--- a/camphorchute/queues/job_run.py
+++ b/camphorchute/queues/job_run.py
@@ -53,9 +53,18 @@
         run: lower bound of the number of its next run.
         worker_id: id of the worker on which it may still run, empty if unknown.
         dispatch: number of its last dispatch, 0 before the first.
+        dispatched_s: monotonic time of its last dispatch, 0 before the first.
     """
 
-    __slots__ = ("state", "group", "scheduler_id", "run", "worker_id", "dispatch")
+    __slots__ = (
+        "state",
+        "group",
+        "scheduler_id",
+        "run",
+        "worker_id",
+        "dispatch",
+        "dispatched_s",
+    )
 
     def __init__(self) -> None:
         self.state = TaskState.WAITING
@@ -64,6 +73,7 @@
         self.run = 1
         self.worker_id = ""
         self.dispatch = 0
+        self.dispatched_s = 0.0
 
 
 class JobRun:
@@ -88,6 +98,7 @@
             started.
         start_limit_ms: time from then within which the first tasks must start; infinite for a job
             that no caller waits for.
+        expected_wait_ms: the wait for workers that it was admitted with, in milliseconds.
         steps: progress of the tasks, by step.
         outcome: outcome of the job, None while it is under way.
         was_dispatched_with_capacity: whether a task was dispatched to a scheduler with free
@@ -107,6 +118,7 @@
         "finish_by_s",
         "worth_finishing_by_s",
         "start_limit_ms",
+        "expected_wait_ms",
         "steps",
         "outcome",
         "was_dispatched_with_capacity",
@@ -130,6 +142,7 @@
         self.started_s = time.monotonic()
         self.finish_by_s = finish_by_s
         self.start_limit_ms = start_limit_ms
+        self.expected_wait_ms = 0.0
         useful_ms = useful_time_ms(
             queue.limits.target_time_ms(job.longest_chain_ms()),
             (finish_by_s - self.started_s) * MS_PER_S,
--- a/camphorchute/queues/queue_owner.py
+++ b/camphorchute/queues/queue_owner.py
@@ -157,6 +157,7 @@
             member_id: member id of the scheduler.
         """
         self._capacity_view.forget_member(member_id)
+        self.admission.process_delay.forget_scheduler(member_id)
         for run in list(self._jobs.values()):
             for step in run.steps:
                 for task in step:
@@ -180,6 +181,7 @@
         if run is None:
             return
         self.admission.wait_errors.record_results(message.job_id, message.results)
+        self.admission.process_delay.record_results(run, peer.member_id, message.results)
         did_change = [self._apply_result(run, peer, result) for result in message.results]
         run.capacity_returns += any(
             result.end is TaskResultKind.NO_ROOM for result in message.results
@@ -253,7 +255,11 @@
         if run.outcome is not None:
             return
         run.outcome = outcome
-        self.admission.wait_errors.forget(run.job.job_id)
+        self.admission.wait_errors.record_end(
+            run.job.job_id, run.queue.name, outcome is JobOutcome.DONE
+        )
+        if outcome in (JobOutcome.LOST, JobOutcome.NOT_RUN):
+            self.admission.process_delay.record_given_up(run)
         if outcome is JobOutcome.DONE and run.term is None:
             self._done_jobs.add(run.queue.name, run.job)
         self._count(f"queues.ended.{outcome.name.lower()}")
--- a/camphorchute/queues/task_dispatcher.py
+++ b/camphorchute/queues/task_dispatcher.py
@@ -166,7 +166,7 @@
         ]
         for task in tasks:
             task.state, task.group, task.scheduler_id = TaskState.HANDED, group, scheduler.member_id
-            task.dispatch = self._last_dispatch
+            task.dispatch, task.dispatched_s = self._last_dispatch, now_s
         if self._peers.send_or_open(scheduler, message):
             run.was_dispatched_with_capacity = (
                 run.was_dispatched_with_capacity or options.has_capacity
--- a/camphorchute/runs/group_scheduler.py
+++ b/camphorchute/runs/group_scheduler.py
@@ -248,6 +248,7 @@
         placement = group.place_pending(time.monotonic())
         for task in placement.started:
             self._supervisor.record_start()
+            task.last_run = task.run
             if task.next_run > FIRST_RUN + 1:
                 self._places.log_restart(task)
         for task in placement.not_found:
@@ -300,7 +301,14 @@
         if outcome is TaskResultKind.MAY_RUN and not group and task.group != task.message.group:
             group = task.group
         result = TaskResult(
-            task.message.step, task.index, run, outcome, worker_id, group, task.dispatch
+            task.message.step,
+            task.index,
+            run,
+            outcome,
+            worker_id,
+            group,
+            task.dispatch,
+            *task.times_here_ms(time.monotonic()),
         )
         self._results.add(task.owner_id, task.message.job_id, result)
 
--- a/camphorchute/runs/run.py
+++ b/camphorchute/runs/run.py
@@ -126,6 +126,8 @@
         orphaned: whether the link to its owner was lost.
         overdue_stops: how often a run of it was stopped as overdue.
         job_tasks: the tasks of its job here, set when it is accepted.
+        last_run: the last run that was started here, None before.
+        timed_from_s: time of the arrival of the only dispatch, None after a second one.
     """
 
     __slots__ = (
@@ -153,6 +155,8 @@
         "orphaned",
         "overdue_stops",
         "job_tasks",
+        "last_run",
+        "timed_from_s",
     )
 
     def __init__(
@@ -182,6 +186,8 @@
         self.orphaned = False
         self.overdue_stops = 0
         self.job_tasks: JobTasks | None = None
+        self.last_run: Run | None = None
+        self.timed_from_s: float | None = now_s
 
     @property
     def is_durable(self) -> bool:
@@ -196,6 +202,7 @@
         """
         self.owner_id, self.message, self.dispatch = newer.owner_id, newer.message, newer.dispatch
         self.cancelled = self.orphaned = False
+        self.timed_from_s = None
         self.finish_by_s = newer.finish_by_s
         self.next_run = max(self.next_run, newer.next_run)
         self.failures = max(self.failures, newer.failures)
@@ -204,6 +211,21 @@
             if newer.may_run:
                 self.mark_may_run(newer.worker_id, newer.may_run_since_s)
 
+    def times_here_ms(self, now_s: float) -> tuple[float, float] | tuple[None, None]:
+        """Return for how long it has waited and run here; None for both if that is not known.
+
+        That is the case for a run that an earlier scheduler started, and after a second dispatch.
+
+        Args:
+            now_s: time of the monotonic clock in seconds, at which it ends.
+        """
+        if self.timed_from_s is None or (self.started and self.last_run is None):
+            return None, None
+        if self.last_run is None:
+            return round((now_s - self.timed_from_s) * MS_PER_S), 0
+        waited_ms = (self.last_run.start_sent_s - self.timed_from_s) * MS_PER_S
+        return round(waited_ms), round(self.last_run.observed_ms(now_s))
+
     def mark_may_run(self, worker_id: str, now_s: float) -> None:
         """Record that its last run may be active on a worker.
 
--- a/camphorchute/runs/tests/test_group_scheduler.py
+++ b/camphorchute/runs/tests/test_group_scheduler.py
@@ -275,3 +275,40 @@
     elif cause == "group released":
         scheduler.release_group(GROUP)
     assert wait_until(lambda: outcome in [result.end for result in site.results])
+
+
+def test_results_state_how_long_a_task_has_waited_and_run(open_site):
+    """The owner of a job could not tell the wait for a worker from delays of processes."""
+    site = open_site(workers=1, run_ms=150.0)
+    scheduler = site.add_scheduler(7)
+    assert wait_until(lambda: scheduler.group(GROUP).workers["north-w0"].synced)
+    site.dispatch_tasks(scheduler, tasks=3)
+    assert wait_until(lambda: len(site.results) == 3)
+    waits = sorted(result.waited_ms for result in site.results)
+    assert max(waits[:2]) < 100 <= waits[2]
+    assert all(result.run_ms >= 100 for result in site.results)
+
+
+def test_task_returned_without_a_start_has_waited_only(open_site):
+    site = open_site(workers=1, run_ms=500.0)
+    scheduler = site.add_scheduler(7)
+    assert wait_until(lambda: site.fleet.workers[0].fence == 7)
+    site.dispatch_tasks(scheduler, tasks=3, start_within_ms=100.0)
+    assert wait_until(lambda: site.results)
+    assert site.results[0].waited_ms >= 100
+    assert site.results[0].run_ms == 0
+
+
+def test_run_of_an_earlier_scheduler_has_no_known_times(open_site):
+    """The run time since its adoption would have been taken for that of the whole run."""
+    site = open_site(workers=1, run_ms=300.0)
+    first = site.add_scheduler(7)
+    assert wait_until(lambda: first.group(GROUP).workers["north-w0"].synced)
+    site.dispatch_tasks(first)
+    assert wait_until(lambda: site.fleet.started_tasks())
+    first.release_group(GROUP)
+    assert wait_until(lambda: site.results)
+    second = site.add_scheduler(8)
+    site.redispatch_returned(second)
+    assert wait_until(lambda: site.results)
+    assert (site.results[0].waited_ms, site.results[0].run_ms) == (None, None)
