Withdraw jobs that nobody has started by their start limit

Cause: a job whose tasks were dispatched but not started was held until its deadline and answered as perhaps run, as the owner cannot tell tasks in the backlog of a scheduler, or on their way to it, from those that run.

Change: at the start limit the owner sends WithdrawTasks to the schedulers that have tasks of the job. They return tasks without a start command as NOT_STARTED, bar their dispatches, and state how many they have started. If all are back, the caller gets 503 "not run" with Retry-After at once; if one has started, the job continues. Nothing of a job is dispatched while an answer is missing, and a missing answer proves nothing.

Not measured on a fleet.

--- a/camphorchute/contracts/run_messages.py
+++ b/camphorchute/contracts/run_messages.py
@@ -25,6 +25,7 @@
     "TaskResultKind",
     "TaskToStart",
     "TasksFinished",
+    "WithdrawTasks",
     "WorkerFreeCapacity",
 ]
 
@@ -129,6 +130,22 @@
     term: ShardTerm | None = None
 
 
+class WithdrawTasks(msgspec.Struct, tag="withdraw_tasks"):
+    """Request of a job's owner to return the tasks that no start command was sent for; one way.
+
+    The scheduler returns them as ``NOT_STARTED`` and answers with the number of those that it has
+    started, in :class:`TasksFinished`.
+
+    Attributes:
+        job_id: the job.
+        dispatch: number of the owner's last dispatch of the job to the scheduler; this one and
+            earlier ones are not started any more, also if they arrive later.
+    """
+
+    job_id: str
+    dispatch: int
+
+
 class TaskResult(msgspec.Struct, array_like=True):
     """The result of one task.
 
@@ -159,10 +176,18 @@
 
 
 class TasksFinished(msgspec.Struct, tag="tasks_finished"):
-    """Results of tasks of one job, from a scheduler to the owner of the job; one way."""
+    """Results of tasks of one job, from a scheduler to the owner of the job; one way.
+
+    Attributes:
+        job_id: the job.
+        results: the results.
+        started_tasks: in the answer to :class:`WithdrawTasks`, the number of open tasks of the job
+            that the scheduler has started; otherwise None.
+    """
 
     job_id: str
     results: list[TaskResult]
+    started_tasks: int | None = None
 
 
 class WorkerFreeCapacity(msgspec.Struct, array_like=True):
@@ -246,5 +271,12 @@
 
 
 RunMessage = (
-    StartTasks | StopTasks | TasksFinished | RoomReport | MemberBeat | FetchQueues | QueuesPart
+    StartTasks
+    | StopTasks
+    | WithdrawTasks
+    | TasksFinished
+    | RoomReport
+    | MemberBeat
+    | FetchQueues
+    | QueuesPart
 )
--- a/camphorchute/queues/job_run.py
+++ b/camphorchute/queues/job_run.py
@@ -104,6 +104,8 @@
         was_dispatched_with_capacity: whether a task was dispatched to a scheduler with free
             capacity for it, and so may have started.
         had_to_wait: whether a task was dispatched to a group without free capacity for it.
+        withdrawing_from: schedulers whose answer to the withdrawal of the job is missing, None
+            before it is withdrawn.
         capacity_returns: how often schedulers immediately returned tasks for lack of capacity.
         changed: event that is set when the job may have to be acted on.
         ended: event that is set when the outcome is known.
@@ -123,6 +125,7 @@
         "outcome",
         "was_dispatched_with_capacity",
         "had_to_wait",
+        "withdrawing_from",
         "capacity_returns",
         "changed",
         "ended",
@@ -154,6 +157,7 @@
         self.outcome: JobOutcome | None = None
         self.was_dispatched_with_capacity = False
         self.had_to_wait = False
+        self.withdrawing_from: set[str] | None = None
         self.capacity_returns = 0
         self.changed = Event()
         self.ended = Event()
@@ -191,7 +195,26 @@
 
     def may_dispatch(self) -> bool:
         """Return whether tasks may be dispatched to schedulers now."""
-        return True
+        return not self.withdrawing_from
+
+    def needs_withdrawal(self, now_s: float) -> bool:
+        """Return whether no task is known to have started and the start limit has passed.
+
+        Args:
+            now_s: the current monotonic time.
+        """
+        is_past_limit = now_s >= self._start_limit_s() and self.withdrawing_from is None
+        return is_past_limit and not self.is_known_to_have_started()
+
+    def next_check_s(self, now_s: float) -> float:
+        """Return the monotonic time at which the job has to be checked next without a change.
+
+        Args:
+            now_s: the current monotonic time.
+        """
+        start_limit_s = self._start_limit_s()
+        is_to_withdraw = self.withdrawing_from is None and now_s < start_limit_s
+        return min(self.finish_by_s, start_limit_s) if is_to_withdraw else self.finish_by_s
 
     def current_outcome(self, now_s: float) -> JobOutcome | None:
         """Return the outcome of the job, None while it continues.
@@ -210,6 +233,10 @@
         """Return the monotonic time after which no task can start in time for the caller."""
         if self.any_may_have_started():
             return self.worth_finishing_by_s
+        return self._start_limit_s()
+
+    def _start_limit_s(self) -> float:
+        """Return the monotonic time until which the first task must start."""
         return self.started_s + self.start_limit_ms / MS_PER_S
 
     def _has_tasks_to_start(self) -> bool:
@@ -246,10 +273,32 @@
 
     def any_may_have_started(self) -> bool:
         """Return whether any task has started or may still start; pending tasks do not count."""
+        if self.is_known_to_have_started():
+            return True
+        return any(task.state is TaskState.HANDED for step in self.steps for task in step)
+
+    def is_known_to_have_started(self) -> bool:
+        """Return whether a task has or may have started that was not merely dispatched."""
         if any(task.run > 1 for step in self.steps for task in step):
             return True
         states = {task.state for step in self.steps for task in step}
-        return bool(states & {TaskState.DONE, TaskState.MAY_RUN, TaskState.HANDED})
+        return bool(states & {TaskState.DONE, TaskState.MAY_RUN})
+
+    def last_dispatch_to(self, scheduler_id: str) -> int:
+        """Return the number of the last dispatch of a task to a scheduler, 0 if there was none.
+
+        Args:
+            scheduler_id: member id of the scheduler.
+        """
+        return max(
+            (
+                task.dispatch
+                for step in self.steps
+                for task in step
+                if task.scheduler_id == scheduler_id
+            ),
+            default=0,
+        )
 
     def find_task(self, step: int, index: int) -> TaskProgress | None:
         """Return the progress of a task, None if the job has no such task."""
--- a/camphorchute/queues/queue_owner.py
+++ b/camphorchute/queues/queue_owner.py
@@ -24,6 +24,7 @@
 from camphorchute.queues.free_capacity_view import FreeCapacityView
 from camphorchute.queues.job_admission import JobAdmission, finish_by_s
 from camphorchute.queues.job_run import JobOutcome, JobRun, TaskProgress, TaskState
+from camphorchute.queues.job_withdrawals import JobWithdrawals
 from camphorchute.queues.task_dispatcher import TaskDispatcher
 
 __all__ = ["QueueOwner"]
@@ -59,6 +60,7 @@
         "_peers",
         "_count",
         "_dispatcher",
+        "_withdrawals",
         "_jobs",
         "_done_jobs",
     )
@@ -77,6 +79,7 @@
         self._peers = peers
         self._count = count
         self._dispatcher = TaskDispatcher(capacity_view, claim_holder, peers, self.end_job, count)
+        self._withdrawals = JobWithdrawals(peers, count)
         self._jobs: dict[str, JobRun] = {}
         self._done_jobs = DoneJobs()
 
@@ -173,6 +176,7 @@
                         task.state = TaskState.MAY_RUN
                         task.worker_id = ""
                         run.changed.set()
+            self._withdrawals.check(run)
 
     @handles(TasksFinished, nonblocking=True)
     def handle_tasks_finished(self, peer: Member, message: TasksFinished) -> None:
@@ -186,7 +190,10 @@
         run.capacity_returns += any(
             result.end is TaskResultKind.NO_ROOM for result in message.results
         )
-        if any(did_change):
+        self._withdrawals.check(run)
+        if message.started_tasks is not None:
+            self._withdrawals.record_answer(run, peer.member_id, message.started_tasks)
+        elif any(did_change):
             run.changed.set()
         else:
             gevent.spawn_later(RETRY_INTERVAL_MS / MS_PER_S, run.changed.set)
@@ -234,8 +241,10 @@
             if outcome is not None:
                 self.end_job(run, outcome)
                 continue
+            if run.needs_withdrawal(now_s):
+                self._withdrawals.begin(run)
             is_incomplete = not run.may_dispatch() or self._dispatch_ready_tasks(run)
-            remaining_s = min(POLL_INTERVAL_MAX_S, max(0.0, run.finish_by_s - now_s))
+            remaining_s = min(POLL_INTERVAL_MAX_S, max(0.0, run.next_check_s(now_s) - now_s))
             run.changed.wait(
                 min(remaining_s, RETRY_INTERVAL_MS / MS_PER_S) if is_incomplete else remaining_s
             )
@@ -262,6 +271,8 @@
             self.admission.process_delay.record_given_up(run)
         if outcome is JobOutcome.DONE and run.term is None:
             self._done_jobs.add(run.queue.name, run.job)
+        if outcome is JobOutcome.NOT_RUN:
+            self._withdrawals.record_not_run(run)
         self._count(f"queues.ended.{outcome.name.lower()}")
         took_ms = (time.monotonic() - run.started_s) * MS_PER_S
         self._count(f"queues.job_ms.under_{1 << max(0, int(took_ms)).bit_length()}")
--- a/camphorchute/runs/group_scheduler.py
+++ b/camphorchute/runs/group_scheduler.py
@@ -13,6 +13,7 @@
     TaskResult,
     TaskResultKind,
     TasksFinished,
+    WithdrawTasks,
 )
 from camphorchute.decision_log import log_decision
 from camphorchute.hosting import WorkerClient, WorkerEntry
@@ -29,6 +30,7 @@
 from camphorchute.runs.run_events import RunEvents
 from camphorchute.runs.run_supervisor import RunSupervisor
 from camphorchute.runs.task_places import TaskPlaces
+from camphorchute.runs.withdrawn_jobs import WithdrawnJobs
 from camphorchute.runs.worker_group import WorkerGroup
 
 __all__ = ["GroupScheduler"]
@@ -70,6 +72,7 @@
         self.may_discard_completions: Callable[[], bool] = lambda: True
         self.is_durable_job: Callable[[str], bool] = lambda job_id: True
         self._open_worker_client = open_worker_client
+        self._notify = notify
         self._count = count
         self._policies = policies or DecisionPolicies()
         self._supervisor = RunSupervisor(self._policies, count)
@@ -77,6 +80,7 @@
         self._groups: dict[str, WorkerGroup] = {}
         self.durable_tasks = DurableTasks(self._groups.values, count)
         self._open_tasks = OpenTasks()
+        self._withdrawn_jobs = WithdrawnJobs()
         self._places = TaskPlaces(self._groups.values, count)
         self._events = RunEvents(self, self._open_tasks, self._supervisor, count)
         self._arrival_count = 0
@@ -177,7 +181,10 @@
         for command in message.tasks:
             self._arrival_count += 1
             task = PendingTask(peer.member_id, message, command, now_s, self._arrival_count)
-            if group is None:
+            if self._withdrawn_jobs.includes(peer.member_id, message.job_id, command.dispatch):
+                self._count("runs.withdrawn")
+                self.finish_task(task, command.run - 1, TaskResultKind.NOT_STARTED)
+            elif group is None:
                 self._count("runs.not_home")
                 self.finish_task(task, command.run - 1, task.outcome_without_group())
             else:
@@ -196,6 +203,27 @@
             if task.owner_id == peer.member_id or task.is_durable:
                 self._stop_task(task)
 
+    @handles(WithdrawTasks, nonblocking=True)
+    def withdraw_tasks(self, peer: Member, message: WithdrawTasks) -> None:
+        """Return the tasks of a job without a start command to its owner, and bar their dispatch.
+
+        The results are sent before the answer, so that the owner has all of them when it arrives.
+        """
+        self._withdrawn_jobs.add(peer.member_id, message.job_id, message.dispatch)
+        started_tasks = 0
+        for task in self._open_tasks.of_job(message.job_id):
+            if task.owner_id != peer.member_id:
+                continue
+            group = self._groups.get(task.group)
+            if task.started or task.may_run or group is None or task not in group.backlog:
+                started_tasks += 1
+                continue
+            group.backlog.remove(task)
+            self._count("runs.withdrawn")
+            self._return_task(task)
+        self._results.send()
+        self._notify(peer.member_id, TasksFinished(message.job_id, [], started_tasks))
+
     def _open_worker(self, group: WorkerGroup, entry: WorkerEntry) -> LeasedWorker:
         client = self._open_worker_client(entry)
         worker = LeasedWorker(entry, client, lambda: group.fence, self._events, self._count)
