Return tasks that a late scheduler reads after their start limit

Cause: limits of a dispatch count from the moment at which a scheduler reads it.

Change: the limits are shortened by the delay of the event loop, and tasks that are past them are returned as NOT_STARTED as they are read (runs.read_too_late). Expired tasks are returned before others are placed. Durable tasks are not concerned.

Not measured on a fleet. Needs LoopLag.arrival_delay_ms.

--- a/camphorchute/entry/loop_lag.py
+++ b/camphorchute/entry/loop_lag.py
@@ -50,6 +50,7 @@
         "average_ms",
         "is_behind",
         "_delay_ms",
+        "_due_s",
         "_count",
         "_behind_since_s",
         "_greenlet",
@@ -59,6 +60,7 @@
         self.average_ms = 0.0
         self.is_behind = False
         self._delay_ms = 0.0
+        self._due_s = math.inf
         self._count = count
         self._behind_since_s = 0.0
         self._greenlet: gevent.Greenlet | None = None
@@ -78,12 +80,14 @@
         return PASSES_OF_A_JOB * self._delay_ms
 
     def arrival_delay_ms(self) -> float:
-        """Return how long a message or request waits until it is read.
+        """Return how long a message or request that is read now has waited.
 
+        It is the larger of the present lag of the loop and the usual one of the last second.
         Each lag counts with the time that it took: a loop that is late rarely but long has many
         timers that are in time, while most of what arrives does so during a delay.
         """
-        return self._delay_ms
+        present_ms = (time.monotonic() - self._due_s) * MS_PER_S
+        return max(self._delay_ms, min(SAMPLE_MAX_MS, present_ms))
 
     def add_sample(self, lag_ms: float) -> None:
         """Add the lag of one timer to the average, in milliseconds."""
@@ -107,7 +111,7 @@
     def _measure(self) -> None:
         while True:
             pause_s = until_next_tick_s(TICK_INTERVAL_MS)
-            due_s = time.monotonic() + pause_s
+            due_s = self._due_s = time.monotonic() + pause_s
             gevent.sleep(pause_s)
             observation_clock.tick()
             self.add_sample(max(0.0, time.monotonic() - due_s) * MS_PER_S)
--- a/camphorchute/entry/tests/test_loop_lag.py
+++ b/camphorchute/entry/tests/test_loop_lag.py
@@ -70,3 +70,12 @@
             lag.add_sample(sample_ms)
     assert lag.average_ms < 60.0
     assert lag.job_delay_ms() > 3 * 100.0
+
+
+def test_what_is_read_right_after_a_delay_has_waited_for_it():
+    lag = LoopLag(lambda name: None)
+    lag.start()
+    gevent.sleep(0.01)
+    keep_busy(0.3)
+    assert lag.arrival_delay_ms() > 150.0
+    lag.close()
--- a/camphorchute/runs/group_scheduler.py
+++ b/camphorchute/runs/group_scheduler.py
@@ -53,6 +53,7 @@
     Attributes:
         superseded_groups: groups with a worker that has seen a higher fencing token.
         on_capacity_changed: called when the free capacity has changed.
+        arrival_delay_ms: returns how long a message that is read now has waited in this process.
         may_discard_completions: returns whether completions that no task has claimed may be
             acknowledged after a while.
         is_durable_job: returns whether the job with an id may be durable.
@@ -69,6 +70,7 @@
     ) -> None:
         self.superseded_groups: set[str] = set()
         self.on_capacity_changed: Callable[[], None] = lambda: None
+        self.arrival_delay_ms: Callable[[], float] = lambda: 0.0
         self.may_discard_completions: Callable[[], bool] = lambda: True
         self.is_durable_job: Callable[[str], bool] = lambda job_id: True
         self._open_worker_client = open_worker_client
@@ -178,12 +180,25 @@
             return
         group = self._groups.get(message.group)
         now_s = time.monotonic()
+        delay_ms = self.arrival_delay_ms() if message.term is None else 0.0
         for command in message.tasks:
             self._arrival_count += 1
             task = PendingTask(peer.member_id, message, command, now_s, self._arrival_count)
+            task.shorten_limits(delay_ms)
             if self._withdrawn_jobs.includes(peer.member_id, message.job_id, command.dispatch):
                 self._count("runs.withdrawn")
                 self.finish_task(task, command.run - 1, TaskResultKind.NOT_STARTED)
+            elif now_s >= task.start_by_s and not task.may_run and not task.is_durable:
+                self._count("runs.read_too_late")
+                log_decision(
+                    "runs",
+                    "task read too late",
+                    task=task.name,
+                    group=message.group,
+                    start_within_ms=round(message.start_within_ms),
+                    delay_ms=round(delay_ms),
+                )
+                self.finish_task(task, command.run - 1, TaskResultKind.NOT_STARTED)
             elif group is None:
                 self._count("runs.not_home")
                 self.finish_task(task, command.run - 1, task.outcome_without_group())
@@ -273,7 +288,9 @@
         """Start the pending tasks that fit into the free capacity."""
         if not self.pause_watch.is_settled():
             return
-        placement = group.place_pending(time.monotonic())
+        now_s = time.monotonic()
+        self._return_expired(group, now_s)
+        placement = group.place_pending(now_s)
         for task in placement.started:
             self._supervisor.record_start()
             task.last_run = task.run
--- a/camphorchute/runs/run.py
+++ b/camphorchute/runs/run.py
@@ -194,6 +194,15 @@
         """Whether its job is durable: completions are saved before the worker may drop them."""
         return self.message.term is not None
 
+    def shorten_limits(self, delay_ms: float) -> None:
+        """Shorten the times until which it must start by the time that its dispatch has waited.
+
+        Args:
+            delay_ms: how long the message waited in this process before it was read.
+        """
+        self.in_time_until_s -= delay_ms / MS_PER_S
+        self.start_by_s -= delay_ms / MS_PER_S
+
     def apply_dispatch(self, newer: PendingTask) -> None:
         """Take over what a later dispatch of the task says.
 
--- a/camphorchute/runs/tests/test_group_scheduler.py
+++ b/camphorchute/runs/tests/test_group_scheduler.py
@@ -312,3 +312,42 @@
     site.redispatch_returned(second)
     assert wait_until(lambda: site.results)
     assert (site.results[0].waited_ms, site.results[0].run_ms) == (None, None)
+
+
+@pytest.mark.parametrize(
+    ("delay_ms", "fields", "is_started"),
+    [
+        (300.0, {"start_within_ms": 200.0}, False),
+        (300.0, {"start_within_ms": 900.0}, True),
+        (0.0, {"start_within_ms": 200.0}, True),
+        (300.0, {"start_within_ms": 200.0, "term": ShardTerm(0, 1)}, True),
+    ],
+)
+def test_late_scheduler_returns_what_it_reads_after_its_time(
+    open_site, delay_ms, fields, is_started
+):
+    """A scheduler whose event loop was late started tasks that nobody waited for any more."""
+    site = open_site(workers=1)
+    scheduler = site.add_scheduler(7)
+    scheduler.arrival_delay_ms = lambda: delay_ms
+    assert wait_until(lambda: scheduler.group(GROUP).workers["north-w0"].synced)
+    site.dispatch_tasks(scheduler, **fields)
+    assert wait_until(lambda: site.results)
+    assert bool(site.fleet.started_tasks()) == is_started
+    assert (site.results[0].end is TaskResultKind.NOT_STARTED) != is_started
+    assert site.counts.get("runs.read_too_late", 0) == (not is_started)
+
+
+def test_tasks_whose_time_passed_during_a_delay_are_returned_before_others_are_started(open_site):
+    """After a delay of the event loop, free workers were given to the tasks that came first."""
+    site = open_site(workers=1, run_ms=100.0)
+    scheduler = site.add_scheduler(7)
+    group = scheduler.group(GROUP)
+    assert wait_until(lambda: group.workers["north-w0"].synced)
+    site.dispatch_tasks(scheduler, tasks=4, start_within_ms=900.0)
+    for task in group.backlog:
+        task.start_by_s = 0.0
+    message = start_message()
+    message.tasks[0].index = 9
+    scheduler.start_tasks(OWNER, message)
+    assert [task.index for task in group.backlog] == [9]
