Limit the open tasks of a process that is saturated

Cause: a process without processor time to spare accepts nearly every job, as workers are free, and serves none in time.

Change: policy concurrency_limit (--concurrency-limit-policy, adaptive or none). OpenTaskLimit follows additive increase and multiplicative decrease (Chiu and Jain, 1989) on the share of tasks that the process delay alone makes late, with floors by queue, priorities above them, and the task as unit. A job above the limit is refused from host and path alone, before its body is decoded, unless it is open or done here or its queue has durable jobs. Without a result, three declared run times are no delay.

Not measured on a fleet.

--- a/camphorchute/cli/settings.py
+++ b/camphorchute/cli/settings.py
@@ -36,6 +36,7 @@
 
     __slots__ = (
         "admission_policy",
+        "concurrency_limit_policy",
         "advertise_http_address",
         "advertise_link_address",
         "answer_retention_s",
--- a/camphorchute/entry/hosted_process.py
+++ b/camphorchute/entry/hosted_process.py
@@ -112,6 +112,7 @@
             self._peers,
             count,
             self._policies.admission,
+            self._policies.concurrency_limit,
         )
         self._owner.admission.has_workers = self._view.has_workers
         self._owner.admission.own_delay_ms = lambda: self._loop_lag.job_delay_ms()
--- a/camphorchute/entry/queue_endpoints.py
+++ b/camphorchute/entry/queue_endpoints.py
@@ -54,6 +54,7 @@
         queue = self._find_queue(request)
         self._refuse_not_serving()
         job_id = _parse_job_id(request, queue)
+        self._owner.refuse_over_limit(queue, job_id)
         try:
             job = self._platform.decode_job(job_id, request.body)
         except ValueError as error:
@@ -61,6 +62,7 @@
         except UnsupportedFeature as error:
             raise Refusal(ResultCode.NOT_OFFERED, str(error)) from error
         if job.kept:
+            self._owner.admission.open_tasks.exempt(queue.name, queue.limits.priority)
             self._shard_owner.submit(job, queue)
             return self._state_response(ACCEPTED_JOB_STATE)
         return self._run_attached(request, job, queue)
--- a/camphorchute/policies/decision_policies.py
+++ b/camphorchute/policies/decision_policies.py
@@ -1,6 +1,7 @@
 """The policies that a process decides by."""
 
 from camphorchute.policies.admission import ADMISSION_POLICIES
+from camphorchute.policies.concurrency_limit import CONCURRENCY_LIMIT_POLICIES
 from camphorchute.policies.ejection import EJECTION_POLICIES
 from camphorchute.policies.overdue import OVERDUE_POLICIES
 from camphorchute.policies.readiness import READINESS_POLICIES
@@ -16,6 +17,7 @@
     "overdue": OVERDUE_POLICIES,
     "ejection": EJECTION_POLICIES,
     "readiness": READINESS_POLICIES,
+    "concurrency_limit": CONCURRENCY_LIMIT_POLICIES,
 }
 
 
@@ -29,6 +31,7 @@
         overdue: name of the overdue policy.
         ejection: name of the ejection policy.
         readiness: name of the readiness policy.
+        concurrency_limit: name of the concurrency limit policy.
 
     Raises:
         ValueError: a name is not known; the message lists those that are.
@@ -40,6 +43,7 @@
         overdue: returns whether a run is overdue.
         ejection: returns whether a worker is ejected.
         readiness: returns whether this process is ready.
+        concurrency_limit: returns how many tasks the jobs of this process may have open.
 
     Examples:
         >>> DecisionPolicies().admission.__name__
@@ -60,6 +64,7 @@
         overdue: str = "spread",
         ejection: str = "outlier",
         readiness: str = "can-place",
+        concurrency_limit: str = "adaptive",
     ) -> None:
         self.admission = ADMISSION_POLICIES.find(admission)
         self.task_order = TASK_ORDER_POLICIES.find(task_order)
@@ -67,3 +72,4 @@
         self.overdue = OVERDUE_POLICIES.find(overdue)
         self.ejection = EJECTION_POLICIES.find(ejection)
         self.readiness = READINESS_POLICIES.find(readiness)
+        self.concurrency_limit = CONCURRENCY_LIMIT_POLICIES.find(concurrency_limit)
--- a/camphorchute/queues/done_jobs.py
+++ b/camphorchute/queues/done_jobs.py
@@ -1,5 +1,6 @@
 """The jobs that were done here a short time ago, for callers that submit one again."""
 
+import math
 import time
 from collections import OrderedDict
 
@@ -46,6 +47,16 @@
                 return
             del self._done[oldest]
 
+    def includes_id(self, queue: str, job_id: str) -> bool:
+        """Return whether a job with an id was done a short time ago, whatever its content.
+
+        Args:
+            queue: name of the queue that it is submitted to.
+            job_id: id of the job.
+        """
+        _, done_s = self._done.get((queue, job_id), (0, -math.inf))
+        return time.monotonic() - done_s < RETENTION_S
+
     def includes(self, queue: str, job: BatchJob) -> bool:
         """Return whether the same job, with the same content, was done a short time ago.
 
--- a/camphorchute/queues/job_admission.py
+++ b/camphorchute/queues/job_admission.py
@@ -10,8 +10,10 @@
 from camphorchute.decision_log import log_decision
 from camphorchute.hosting import Queue
 from camphorchute.policies.admission import AdmissionPolicy, JobTimes, is_admitted
+from camphorchute.policies.concurrency_limit import ConcurrencyLimitPolicy, set_no_limit
 from camphorchute.queues.free_capacity_view import FreeCapacityView, PlacementPlan
 from camphorchute.queues.job_run import JobRun
+from camphorchute.queues.open_task_limit import OpenTaskLimit
 from camphorchute.queues.process_delay import ProcessDelay
 from camphorchute.queues.wait_errors import WaitErrors
 from camphorchute.retry_after import spread_retry_after_ms
@@ -31,10 +33,12 @@
         capacity_view: the free capacity of the groups that this process follows.
         start_limit_ms: returns the time within which a job must start.
         count: adds to a named counter.
+        concurrency_limit: returns how many tasks may be open.
 
     Attributes:
         has_workers: returns whether service discovery lists workers of a service.
         own_delay_ms: returns the delay that a job has in this process itself, in milliseconds.
+        open_tasks: limits the open tasks of the jobs of this process.
         process_delay: the delay that jobs had beyond their waits and runs.
         wait_errors: counts how far the expected waits were from those that jobs had.
     """
@@ -42,6 +46,7 @@
     __slots__ = (
         "has_workers",
         "own_delay_ms",
+        "open_tasks",
         "process_delay",
         "wait_errors",
         "_capacity_view",
@@ -54,10 +59,13 @@
         capacity_view: FreeCapacityView,
         start_limit_ms: AdmissionPolicy,
         count: Callable[..., None],
+        concurrency_limit: ConcurrencyLimitPolicy = set_no_limit,
     ) -> None:
         self.has_workers: Callable[[str], bool] = lambda service: False
         self.own_delay_ms: Callable[[], float] = lambda: 0.0
+        self.open_tasks = OpenTaskLimit(concurrency_limit)
         self.process_delay = ProcessDelay(count)
+        self.process_delay.on_sample = self._record_delay
         self.wait_errors = WaitErrors(count)
         self._capacity_view = capacity_view
         capacity_view.scheduler_delay_ms = self.process_delay.scheduler_ms
@@ -130,6 +138,54 @@
         step_delay_ms = self.process_delay.expected_ms(scheduler_ids)
         return max(own_delay_ms, job.longest_chain_steps() * step_delay_ms)
 
+    def refuse_over_limit(self, queue: Queue, job_id: str) -> None:
+        """Refuse a job whose body is not decoded yet if the open tasks are at their limit.
+
+        Args:
+            queue: the queue that it is submitted to.
+            job_id: id of the job.
+
+        Raises:
+            Refusal: there are too many open tasks.
+        """
+        limit = self.open_tasks
+        if limit.is_open_to(queue.name, queue.limits.priority, time.monotonic()):
+            return
+        self._count("queues.refused.concurrency_limit")
+        log_decision(
+            "queues",
+            "refused, too many open tasks",
+            job=job_id,
+            queue=queue.name,
+            limit=round(limit.limit),
+            open_tasks=limit.open_tasks,
+            open_tasks_of_queue=limit.open_tasks_of(queue.name),
+            late_share=round(limit.late_share, 2),
+        )
+        raise self.make_overload_refusal("too many open tasks", 0.0)
+
+    def record_opened(self, run: JobRun) -> None:
+        """Record that an admitted job is open."""
+        tasks, now_s = _task_count(run), time.monotonic()
+        self.open_tasks.add_job(run.queue.name, run.queue.limits.priority, tasks, now_s)
+
+    def record_ended(self, run: JobRun, took_ms: float, is_in_time: bool) -> None:
+        """Record that a job that was opened has ended.
+
+        Args:
+            run: the job.
+            took_ms: its time since the submission, in milliseconds.
+            is_in_time: whether it was done within its target time.
+        """
+        tasks = _task_count(run)
+        self.open_tasks.remove_job(run.queue.name, tasks, took_ms / MS_PER_S, is_in_time)
+
+    def _record_delay(self, run: JobRun, delay_ms: float, tasks: int) -> None:
+        """Record whether the delay of a step, in each of them, makes a job late by itself."""
+        job_delay_ms = run.job.longest_chain_steps() * delay_ms
+        is_late = job_delay_ms > run.queue.limits.slack_ms(run.job.longest_chain_ms())
+        self.open_tasks.record_delay(tasks, is_late, time.monotonic())
+
     def make_overload_refusal(self, detail: str, wait_ms: float) -> Refusal:
         """Return the refusal of a job for which there is no capacity in time.
 
@@ -176,6 +232,10 @@
         return all(self._capacity_view.can_ever_run(service, step.demand) for step in job.steps)
 
 
+def _task_count(run: JobRun) -> int:
+    return sum(map(len, run.steps))
+
+
 def finish_by_s(deadline_ms: float) -> float:
     """Return the monotonic time by which a job must end for its caller to be answered in time."""
     return time.monotonic() + max(0.0, deadline_ms - ANSWER_MARGIN_MS) / MS_PER_S
--- a/camphorchute/queues/process_delay.py
+++ b/camphorchute/queues/process_delay.py
@@ -13,6 +13,7 @@
 QUANTILE = 0.75
 KNOWN_WEIGHT_MIN = 1.0
 COMPUTE_INTERVAL_MS = 20.0
+LONG_RUN_FACTOR = 3.0  # without a result, a run that takes several times as long looks like a delay
 SCHEDULERS_MAX = 64
 CLOCK_TOLERANCE_MS = 5.0  # figures are rounded to milliseconds
 CLOCK_TOLERANCE_SHARE = 0.02
@@ -136,15 +137,15 @@
     def record_given_up(self, run: JobRun) -> None:
         """Learn from a job that ends without the results of tasks that were dispatched.
 
-        The delay is at least the time that each had beyond its expected wait and its declared run.
-        A job that ends before that, as its caller has left, says nothing.
+        The delay is at least the time that each had beyond its expected wait and a long run. A job
+        that ends before that, as its caller has left, says nothing.
 
         Args:
             run: the job.
         """
         now_s = time.monotonic()
         for step, tasks in zip(run.job.steps, run.steps, strict=True):
-            expected_ms = run.expected_wait_ms + step.estimate_ms
+            expected_ms = run.expected_wait_ms + LONG_RUN_FACTOR * step.estimate_ms
             by_scheduler: dict[str, list[float]] = {}
             for task in tasks:
                 delay_ms = (now_s - task.dispatched_s) * MS_PER_S - expected_ms
--- a/camphorchute/queues/queue_owner.py
+++ b/camphorchute/queues/queue_owner.py
@@ -20,6 +20,7 @@
     AdmissionPolicy,
     start_while_useful,
 )
+from camphorchute.policies.concurrency_limit import ConcurrencyLimitPolicy, set_no_limit
 from camphorchute.queues.done_jobs import DoneJobs
 from camphorchute.queues.free_capacity_view import FreeCapacityView
 from camphorchute.queues.job_admission import JobAdmission, finish_by_s
@@ -46,6 +47,7 @@
         peers: the links to the schedulers.
         count: adds to a named counter.
         start_limit_ms: returns the time within which a job must start.
+        concurrency_limit: returns how many tasks the jobs of callers may have open.
 
     Attributes:
         admission: accepts or refuses the jobs that callers submit.
@@ -72,8 +74,9 @@
         peers: Peers,
         count: Callable[..., None],
         start_limit_ms: AdmissionPolicy = start_while_useful,
+        concurrency_limit: ConcurrencyLimitPolicy = set_no_limit,
     ) -> None:
-        self.admission = JobAdmission(capacity_view, start_limit_ms, count)
+        self.admission = JobAdmission(capacity_view, start_limit_ms, count, concurrency_limit)
         self.is_settled: Callable[[], bool] = lambda: True
         self._capacity_view = capacity_view
         self._peers = peers
@@ -101,6 +104,21 @@
             if run.queue.name == queue and run.term is None and not run.was_dispatched_with_capacity
         )
 
+    def refuse_over_limit(self, queue: Queue, job_id: str) -> None:
+        """Refuse a job before its body is decoded if this process has too many open tasks.
+
+        A job that is open here or was done a short time ago is never refused.
+
+        Args:
+            queue: the queue that it is submitted to.
+            job_id: id of the job.
+
+        Raises:
+            Refusal: there are too many open tasks.
+        """
+        if job_id not in self._jobs and not self._done_jobs.includes_id(queue.name, job_id):
+            self.admission.refuse_over_limit(queue, job_id)
+
     def run(
         self, job: BatchJob, queue: Queue, deadline_ms: float, caller_gone: gevent.event.Event
     ) -> JobOutcome:
@@ -123,6 +141,7 @@
             accepted = self.admission.admit(job, queue, deadline_ms, caller_gone)
             run = self._jobs.setdefault(job.job_id, accepted)
             if run is accepted:
+                self.admission.record_opened(run)
                 self._dispatch_ready_tasks(run)
                 gevent.spawn(self._dispatch_until_ended, run)
         if run.waiting_requests:
@@ -277,6 +296,9 @@
         took_ms = (time.monotonic() - run.started_s) * MS_PER_S
         self._count(f"queues.job_ms.under_{1 << max(0, int(took_ms)).bit_length()}")
         target_ms = run.queue.limits.target_time_ms(run.job.longest_chain_ms())
+        if run.term is None:
+            is_in_time = outcome is JobOutcome.DONE and took_ms <= target_ms
+            self.admission.record_ended(run, took_ms, is_in_time)
         if outcome is JobOutcome.DONE and took_ms > target_ms and run.term is None:
             self._count("queues.done_late")
             log_decision(
