Ask refused callers to return one after the other

Cause: all callers that were refused together returned within two seconds or the expected wait, however few jobs the process works off.

Change: ReturnTimes gives each refused caller a place in a virtual queue that is served at half the rate at which jobs end here, 10 s long at most. Where the process itself is the reason, the expected time until its open tasks are worked off is the earliest time (5 s if nothing ends). Without a rate, times are spread as before.

Not measured on a fleet.

--- a/camphorchute/queues/job_admission.py
+++ b/camphorchute/queues/job_admission.py
@@ -15,6 +15,7 @@
 from camphorchute.queues.job_run import JobRun
 from camphorchute.queues.open_task_limit import OpenTaskLimit
 from camphorchute.queues.process_delay import ProcessDelay
+from camphorchute.queues.return_times import ReturnTimes
 from camphorchute.queues.wait_errors import WaitErrors
 from camphorchute.retry_after import spread_retry_after_ms
 
@@ -40,6 +41,7 @@
         own_delay_ms: returns the delay that a job has in this process itself, in milliseconds.
         open_tasks: limits the open tasks of the jobs of this process.
         process_delay: the delay that jobs had beyond their waits and runs.
+        return_times: the times after which refused callers are asked to return.
         wait_errors: counts how far the expected waits were from those that jobs had.
     """
 
@@ -48,6 +50,7 @@
         "own_delay_ms",
         "open_tasks",
         "process_delay",
+        "return_times",
         "wait_errors",
         "_capacity_view",
         "_start_limit_ms",
@@ -65,6 +68,7 @@
         self.own_delay_ms: Callable[[], float] = lambda: 0.0
         self.open_tasks = OpenTaskLimit(concurrency_limit)
         self.process_delay = ProcessDelay(count)
+        self.return_times = ReturnTimes()
         self.process_delay.on_sample = self._record_delay
         self.wait_errors = WaitErrors(count)
         self._capacity_view = capacity_view
@@ -104,7 +108,8 @@
         process_delay_ms = self._process_delay_ms(plan, own_delay_ms, job)
         wait_ms = plan.wait_ms + process_delay_ms
         if not is_admitted(wait_ms, start_limit_ms):
-            if is_admitted(plan.wait_ms, start_limit_ms):
+            is_saturated = is_admitted(plan.wait_ms, start_limit_ms)
+            if is_saturated:
                 self._count("queues.refused.process_saturated")
             log_decision(
                 "queues",
@@ -119,7 +124,8 @@
                 without_room=plan.pending_count,
                 room_age_ms=self._capacity_view.report_age_ms(queue.service),
             )
-            raise self.make_overload_refusal(f"{wait_ms:.0f} ms to wait", wait_ms)
+            return_ms = max(wait_ms, self._drain_ms()) if is_saturated else wait_ms
+            raise self.make_overload_refusal(f"{wait_ms:.0f} ms to wait", return_ms)
         report_age_ms = self._capacity_view.report_age_ms(queue.service)
         run.expected_wait_ms = plan.wait_ms
         self.wait_errors.record_admitted(
@@ -162,7 +168,7 @@
             open_tasks_of_queue=limit.open_tasks_of(queue.name),
             late_share=round(limit.late_share, 2),
         )
-        raise self.make_overload_refusal("too many open tasks", 0.0)
+        raise self.make_overload_refusal("too many open tasks", self._drain_ms())
 
     def record_opened(self, run: JobRun) -> None:
         """Record that an admitted job is open."""
@@ -178,6 +184,7 @@
             is_in_time: whether it was done within its target time.
         """
         tasks = _task_count(run)
+        self.return_times.record_ended(tasks, time.monotonic())
         self.open_tasks.remove_job(run.queue.name, tasks, took_ms / MS_PER_S, is_in_time)
 
     def _record_delay(self, run: JobRun, delay_ms: float, tasks: int) -> None:
@@ -194,7 +201,13 @@
             wait_ms: how long the job is expected to wait for capacity, in milliseconds.
         """
         self._count("queues.refused.overloaded")
-        return Refusal(ResultCode.OVERLOADED, detail, spread_retry_after_ms(wait_ms))
+        return Refusal(
+            ResultCode.OVERLOADED, detail, self.return_times.next_ms(wait_ms, time.monotonic())
+        )
+
+    def _drain_ms(self) -> float:
+        """Return the expected time until the open tasks are worked off, in milliseconds."""
+        return self.return_times.drain_ms(self.open_tasks.open_tasks, time.monotonic())
 
     def make_late_start_refusal(self, run: JobRun) -> Refusal:
         """Return the refusal of an admitted job of which no task was started in time.
--- a/camphorchute/queues/tests/test_open_task_limit.py
+++ b/camphorchute/queues/tests/test_open_task_limit.py
@@ -129,7 +129,7 @@
     with pytest.raises(Refusal) as raised:
         site.owner.refuse_over_limit(QUEUE, "job2")
     assert raised.value.code is ResultCode.OVERLOADED
-    assert raised.value.retry_after_ms > 0
+    assert raised.value.retry_after_ms >= 5000  # nothing has ended yet
     assert site.counts["queues.refused.concurrency_limit"] == 1
 
 
