--- a/camphorchute/contracts/run_messages.py
+++ b/camphorchute/contracts/run_messages.py
@@ -25,6 +25,7 @@
     "TaskResultKind",
     "TaskToStart",
     "TasksFinished",
+    "WithdrawTasks",
     "WorkerFreeCapacity",
     "ZoneEvacuation",
 ]
@@ -130,6 +131,22 @@
     term: ShardTerm | None = None
 
 
+class WithdrawTasks(msgspec.Struct, tag="withdraw_tasks"):
+    """Request of a job's owner to return the tasks that no start command was sent for; one way.
+
+    The scheduler returns them as ``NOT_STARTED`` and answers with the number of those that it has
+    started, in :class:`TasksFinished`.
+
+    Attributes:
+        job_id: the job.
+        dispatch: number of the owner's last dispatch of the job to the scheduler; this one and
+            earlier ones are not started any more, also if they arrive later.
+    """
+
+    job_id: str
+    dispatch: int
+
+
 class TaskResult(msgspec.Struct, array_like=True):
     """The result of one task.
 
@@ -142,6 +159,10 @@
         worker_id: the worker that the task may still run on, empty if there is none.
         group: the group that this worker belongs to now, empty if it has not changed.
         dispatch: number of the dispatch that the result is for, 0 if it had none.
+        waited_ms: time from the arrival of the task at the scheduler to the start command of its
+            last run, or to its return without one; None if it is not known.
+        run_ms: time from that start command to the end as observed at the scheduler, without the
+            time for which the scheduler itself was late, 0 without a run; None if it is not known.
     """
 
     step: int
@@ -151,13 +172,23 @@
     worker_id: str = ""
     group: str = ""
     dispatch: int = 0
+    waited_ms: float | None = None
+    run_ms: float | None = None
 
 
 class TasksFinished(msgspec.Struct, tag="tasks_finished"):
-    """Results of tasks of one job, from a scheduler to the owner of the job; one way."""
+    """Results of tasks of one job, from a scheduler to the owner of the job; one way.
+
+    Attributes:
+        job_id: the job.
+        results: the results.
+        started_tasks: in the answer to :class:`WithdrawTasks`, the number of open tasks of the job
+            that the scheduler has started; otherwise None.
+    """
 
     job_id: str
     results: list[TaskResult]
+    started_tasks: int | None = None
 
 
 class WorkerFreeCapacity(msgspec.Struct, array_like=True):
@@ -260,5 +291,12 @@
 
 
 RunMessage = (
-    StartTasks | StopTasks | TasksFinished | RoomReport | MemberBeat | FetchQueues | QueuesPart
+    StartTasks
+    | StopTasks
+    | WithdrawTasks
+    | TasksFinished
+    | RoomReport
+    | MemberBeat
+    | FetchQueues
+    | QueuesPart
 )
--- a/camphorchute/entry/hosted_process.py
+++ b/camphorchute/entry/hosted_process.py
@@ -118,6 +118,7 @@
             self._peers,
             count,
             self._policies.admission,
+            self._policies.concurrency_limit,
         )
         self._owner.admission.has_workers = self._view.has_workers
         self._owner.admission.own_delay_ms = lambda: self._loop_lag.job_delay_ms()
@@ -232,6 +233,7 @@
         self._claims.can_act_in_time = self._shard_claims.can_act_in_time = (
             lambda: not self._loop_lag.is_behind
         )
+        self._scheduler.arrival_delay_ms = self._loop_lag.arrival_delay_ms
         self._scheduler.may_discard_completions = self._shard_owner.may_discard_completions
         self._scheduler.is_durable_job = self._shard_owner.is_durable
         self._claims.is_isolated = self._heartbeats.is_isolated
--- a/camphorchute/policies/decision_policies.py
+++ b/camphorchute/policies/decision_policies.py
@@ -1,6 +1,7 @@
 """The policies that a process decides by."""
 
 from camphorchute.policies.admission import ADMISSION_POLICIES
+from camphorchute.policies.concurrency_limit import CONCURRENCY_LIMIT_POLICIES
 from camphorchute.policies.ejection import EJECTION_POLICIES
 from camphorchute.policies.interference import INTERFERENCE_POLICIES
 from camphorchute.policies.overdue import OVERDUE_POLICIES
@@ -18,6 +19,7 @@
     "ejection": EJECTION_POLICIES,
     "readiness": READINESS_POLICIES,
     "interference": INTERFERENCE_POLICIES,
+    "concurrency_limit": CONCURRENCY_LIMIT_POLICIES,
 }
 
 
@@ -32,6 +34,7 @@
         ejection: name of the ejection policy.
         readiness: name of the readiness policy.
         interference: name of the interference policy.
+        concurrency_limit: name of the concurrency limit policy.
 
     Raises:
         ValueError: a name is not known; the message lists those that are.
@@ -45,6 +48,7 @@
         readiness: returns whether this process is ready.
         interference: returns new estimates of which kinds of tasks slow each other down, None if
             nothing is learned.
+        concurrency_limit: returns how many tasks the jobs of this process may have open.
 
     Examples:
         >>> DecisionPolicies().admission.__name__
@@ -66,6 +70,7 @@
         ejection: str = "outlier",
         readiness: str = "can-place",
         interference: str = "off",
+        concurrency_limit: str = "adaptive",
     ) -> None:
         self.admission = ADMISSION_POLICIES.find(admission)
         self.task_order = TASK_ORDER_POLICIES.find(task_order)
@@ -74,3 +79,4 @@
         self.ejection = EJECTION_POLICIES.find(ejection)
         self.readiness = READINESS_POLICIES.find(readiness)
         self.interference = INTERFERENCE_POLICIES.find(interference)
+        self.concurrency_limit = CONCURRENCY_LIMIT_POLICIES.find(concurrency_limit)
--- a/camphorchute/queues/job_admission.py
+++ b/camphorchute/queues/job_admission.py
@@ -11,8 +11,12 @@
 from camphorchute.hosting import Queue
 from camphorchute.loops import wait_for_event
 from camphorchute.policies.admission import AdmissionPolicy, JobTimes, is_admitted
-from camphorchute.queues.free_capacity_view import FreeCapacityView
+from camphorchute.policies.concurrency_limit import ConcurrencyLimitPolicy, set_no_limit
+from camphorchute.queues.free_capacity_view import FreeCapacityView, PlacementPlan
 from camphorchute.queues.job_run import JobRun
+from camphorchute.queues.open_task_limit import OpenTaskLimit
+from camphorchute.queues.process_delay import ProcessDelay
+from camphorchute.queues.return_times import ReturnTimes
 from camphorchute.queues.service_zones import make_evacuated_refusal
 from camphorchute.queues.wait_errors import WaitErrors
 from camphorchute.retry_after import spread_retry_after_ms
@@ -32,16 +36,23 @@
         capacity_view: the free capacity of the groups that this process follows.
         start_limit_ms: returns the time within which a job must start.
         count: adds to a named counter.
+        concurrency_limit: returns how many tasks may be open.
 
     Attributes:
         has_workers: returns whether service discovery lists workers of a service.
         own_delay_ms: returns the delay that a job has in this process itself, in milliseconds.
+        open_tasks: limits the open tasks of the jobs of this process.
+        process_delay: the delay that jobs had beyond their waits and runs.
+        return_times: the times after which refused callers are asked to return.
         wait_errors: counts how far the expected waits were from those that jobs had.
     """
 
     __slots__ = (
         "has_workers",
         "own_delay_ms",
+        "open_tasks",
+        "process_delay",
+        "return_times",
         "wait_errors",
         "_capacity_view",
         "_start_limit_ms",
@@ -53,11 +64,17 @@
         capacity_view: FreeCapacityView,
         start_limit_ms: AdmissionPolicy,
         count: Callable[..., None],
+        concurrency_limit: ConcurrencyLimitPolicy = set_no_limit,
     ) -> None:
         self.has_workers: Callable[[str], bool] = lambda service: False
         self.own_delay_ms: Callable[[], float] = lambda: 0.0
+        self.open_tasks = OpenTaskLimit(concurrency_limit)
+        self.process_delay = ProcessDelay(count)
+        self.return_times = ReturnTimes()
+        self.process_delay.on_sample = self._record_delay
         self.wait_errors = WaitErrors(count)
         self._capacity_view = capacity_view
+        capacity_view.scheduler_delay_ms = self.process_delay.scheduler_ms
         self._start_limit_ms = start_limit_ms
         self._count = count
 
@@ -95,9 +112,11 @@
         first = job.steps[0]
         plan = self._capacity_view.plan(queue.service, first, first.tasks, run.step_limits)
         own_delay_ms = self.own_delay_ms()
-        wait_ms = plan.wait_ms + own_delay_ms
+        process_delay_ms = self._process_delay_ms(plan, own_delay_ms, job)
+        wait_ms = plan.wait_ms + process_delay_ms
         if not is_admitted(wait_ms, start_limit_ms):
-            if is_admitted(plan.wait_ms, start_limit_ms):
+            is_saturated = is_admitted(plan.wait_ms, start_limit_ms)
+            if is_saturated:
                 self._count("queues.refused.process_saturated")
             log_decision(
                 "queues",
@@ -106,16 +125,81 @@
                 queue=queue.name,
                 wait_ms=round(plan.wait_ms),
                 own_delay_ms=round(own_delay_ms),
+                process_delay_ms=round(process_delay_ms),
                 limit_ms=round(start_limit_ms),
                 tasks=first.tasks,
                 without_room=plan.pending_count,
                 room_age_ms=self._capacity_view.report_age_ms(queue.service),
             )
-            raise self.make_overload_refusal(f"{wait_ms:.0f} ms to wait", wait_ms)
+            return_ms = max(wait_ms, self._drain_ms()) if is_saturated else wait_ms
+            raise self.make_overload_refusal(f"{wait_ms:.0f} ms to wait", return_ms)
         report_age_ms = self._capacity_view.report_age_ms(queue.service)
-        self.wait_errors.record_admitted(job.job_id, plan.wait_ms, first.estimate_ms, report_age_ms)
+        run.expected_wait_ms = plan.wait_ms
+        self.wait_errors.record_admitted(
+            job.job_id, plan.wait_ms, first.estimate_ms, report_age_ms, wait_ms + work_ms
+        )
         return run
 
+    def _process_delay_ms(self, plan: PlacementPlan, own_delay_ms: float, job: BatchJob) -> float:
+        """Return the delay that a job is expected to have beyond its wait and its run.
+
+        It is the larger of what earlier jobs had at the same schedulers, for each step, and what
+        the event loop of this process shows.
+        """
+        schedulers = map(self._capacity_view.scheduler_of, {**plan.placed, **plan.pending})
+        scheduler_ids = {scheduler.member_id for scheduler in schedulers if scheduler}
+        step_delay_ms = self.process_delay.expected_ms(scheduler_ids)
+        return max(own_delay_ms, job.longest_chain_steps() * step_delay_ms)
+
+    def refuse_over_limit(self, queue: Queue, job_id: str) -> None:
+        """Refuse a job whose body is not decoded yet if the open tasks are at their limit.
+
+        Args:
+            queue: the queue that it is submitted to.
+            job_id: id of the job.
+
+        Raises:
+            Refusal: there are too many open tasks.
+        """
+        limit = self.open_tasks
+        if limit.is_open_to(queue.name, queue.limits.priority, time.monotonic()):
+            return
+        self._count("queues.refused.concurrency_limit")
+        log_decision(
+            "queues",
+            "refused, too many open tasks",
+            job=job_id,
+            queue=queue.name,
+            limit=round(limit.limit),
+            open_tasks=limit.open_tasks,
+            open_tasks_of_queue=limit.open_tasks_of(queue.name),
+            late_share=round(limit.late_share, 2),
+        )
+        raise self.make_overload_refusal("too many open tasks", self._drain_ms())
+
+    def record_opened(self, run: JobRun) -> None:
+        """Record that an admitted job is open."""
+        tasks, now_s = _task_count(run), time.monotonic()
+        self.open_tasks.add_job(run.queue.name, run.queue.limits.priority, tasks, now_s)
+
+    def record_ended(self, run: JobRun, took_ms: float, is_in_time: bool) -> None:
+        """Record that a job that was opened has ended.
+
+        Args:
+            run: the job.
+            took_ms: its time since the submission, in milliseconds.
+            is_in_time: whether it was done within its target time.
+        """
+        tasks = _task_count(run)
+        self.return_times.record_ended(tasks, time.monotonic())
+        self.open_tasks.remove_job(run.queue.name, tasks, took_ms / MS_PER_S, is_in_time)
+
+    def _record_delay(self, run: JobRun, delay_ms: float, tasks: int) -> None:
+        """Record whether the delay of a step, in each of them, makes a job late by itself."""
+        job_delay_ms = run.job.longest_chain_steps() * delay_ms
+        is_late = job_delay_ms > run.queue.limits.slack_ms(run.job.longest_chain_ms())
+        self.open_tasks.record_delay(tasks, is_late, time.monotonic())
+
     def make_overload_refusal(self, detail: str, wait_ms: float) -> Refusal:
         """Return the refusal of a job for which there is no capacity in time.
 
@@ -124,7 +208,13 @@
             wait_ms: how long the job is expected to wait for capacity, in milliseconds.
         """
         self._count("queues.refused.overloaded")
-        return Refusal(ResultCode.OVERLOADED, detail, spread_retry_after_ms(wait_ms))
+        return Refusal(
+            ResultCode.OVERLOADED, detail, self.return_times.next_ms(wait_ms, time.monotonic())
+        )
+
+    def _drain_ms(self) -> float:
+        """Return the expected time until the open tasks are worked off, in milliseconds."""
+        return self.return_times.drain_ms(self.open_tasks.open_tasks, time.monotonic())
 
     def make_late_start_refusal(self, run: JobRun) -> Refusal:
         """Return the refusal of an admitted job of which no task was started in time.
@@ -170,6 +260,10 @@
         return all(self._capacity_view.can_ever_run(service, step.demand) for step in job.steps)
 
 
+def _task_count(run: JobRun) -> int:
+    return sum(map(len, run.steps))
+
+
 def finish_by_s(deadline_ms: float) -> float:
     """Return the monotonic time by which a job must end for its caller to be answered in time."""
     return time.monotonic() + max(0.0, deadline_ms - ANSWER_MARGIN_MS) / MS_PER_S
--- a/camphorchute/queues/queue_owner.py
+++ b/camphorchute/queues/queue_owner.py
@@ -21,10 +21,12 @@
     AdmissionPolicy,
     start_while_useful,
 )
+from camphorchute.policies.concurrency_limit import ConcurrencyLimitPolicy, set_no_limit
 from camphorchute.queues.done_jobs import DoneJobs
 from camphorchute.queues.free_capacity_view import FreeCapacityView
 from camphorchute.queues.job_admission import JobAdmission, finish_by_s
 from camphorchute.queues.job_run import JobOutcome, JobRun, TaskProgress, TaskState
+from camphorchute.queues.job_withdrawals import JobWithdrawals
 from camphorchute.queues.task_dispatcher import TaskDispatcher
 
 __all__ = ["QueueOwner"]
@@ -46,6 +48,7 @@
         peers: the links to the schedulers.
         count: adds to a named counter.
         start_limit_ms: returns the time within which a job must start.
+        concurrency_limit: returns how many tasks the jobs of callers may have open.
 
     Attributes:
         admission: accepts or refuses the jobs that callers submit.
@@ -60,6 +63,7 @@
         "_peers",
         "_count",
         "_dispatcher",
+        "_withdrawals",
         "_jobs",
         "_done_jobs",
     )
@@ -71,13 +75,15 @@
         peers: Peers,
         count: Callable[..., None],
         start_limit_ms: AdmissionPolicy = start_while_useful,
+        concurrency_limit: ConcurrencyLimitPolicy = set_no_limit,
     ) -> None:
-        self.admission = JobAdmission(capacity_view, start_limit_ms, count)
+        self.admission = JobAdmission(capacity_view, start_limit_ms, count, concurrency_limit)
         self.is_settled: Callable[[], bool] = lambda: True
         self._capacity_view = capacity_view
         self._peers = peers
         self._count = count
         self._dispatcher = TaskDispatcher(capacity_view, claim_holder, peers, self.end_job, count)
+        self._withdrawals = JobWithdrawals(peers, count)
         self._jobs: dict[str, JobRun] = {}
         self._done_jobs = DoneJobs()
 
@@ -99,6 +105,21 @@
             if run.queue.name == queue and run.term is None and not run.was_dispatched_with_capacity
         )
 
+    def refuse_over_limit(self, queue: Queue, job_id: str) -> None:
+        """Refuse a job before its body is decoded if this process has too many open tasks.
+
+        A job that is open here or was done a short time ago is never refused.
+
+        Args:
+            queue: the queue that it is submitted to.
+            job_id: id of the job.
+
+        Raises:
+            Refusal: there are too many open tasks.
+        """
+        if job_id not in self._jobs and not self._done_jobs.includes_id(queue.name, job_id):
+            self.admission.refuse_over_limit(queue, job_id)
+
     def run(
         self, job: BatchJob, queue: Queue, deadline_ms: float, caller_gone: gevent.event.Event
     ) -> JobOutcome:
@@ -121,6 +142,7 @@
             accepted = self.admission.admit(job, queue, deadline_ms, caller_gone)
             run = self._jobs.setdefault(job.job_id, accepted)
             if run is accepted:
+                self.admission.record_opened(run)
                 self._dispatch_ready_tasks(run)
                 gevent.spawn(self._dispatch_until_ended, run)
         if run.waiting_requests:
@@ -158,6 +180,7 @@
             member_id: member id of the scheduler.
         """
         self._capacity_view.forget_member(member_id)
+        self.admission.process_delay.forget_scheduler(member_id)
         for run in list(self._jobs.values()):
             for step in run.steps:
                 for task in step:
@@ -173,6 +196,7 @@
                         task.state = TaskState.MAY_RUN
                         task.worker_id = ""
                         run.changed.set()
+            self._withdrawals.check(run)
 
     @handles(TasksFinished, nonblocking=True)
     def handle_tasks_finished(self, peer: Member, message: TasksFinished) -> None:
@@ -181,11 +205,15 @@
         if run is None:
             return
         self.admission.wait_errors.record_results(message.job_id, message.results)
+        self.admission.process_delay.record_results(run, peer.member_id, message.results)
         did_change = [self._apply_result(run, peer, result) for result in message.results]
         run.capacity_returns += any(
             result.end is TaskResultKind.NO_ROOM for result in message.results
         )
-        if any(did_change):
+        self._withdrawals.check(run)
+        if message.started_tasks is not None:
+            self._withdrawals.record_answer(run, peer.member_id, message.started_tasks)
+        elif any(did_change):
             run.changed.set()
         else:
             gevent.spawn_later(RETRY_INTERVAL_MS / MS_PER_S, run.changed.set)
@@ -233,8 +261,10 @@
             if outcome is not None:
                 self.end_job(run, outcome)
                 continue
+            if run.needs_withdrawal(now_s):
+                self._withdrawals.begin(run)
             is_incomplete = not run.may_dispatch() or self._dispatch_ready_tasks(run)
-            remaining_s = min(POLL_INTERVAL_MAX_S, max(0.0, run.finish_by_s - now_s))
+            remaining_s = min(POLL_INTERVAL_MAX_S, max(0.0, run.next_check_s(now_s) - now_s))
             if is_incomplete:
                 remaining_s = min(remaining_s, RETRY_INTERVAL_MS / MS_PER_S)
             wait_for_event(run.changed, remaining_s)
@@ -254,13 +284,22 @@
         if run.outcome is not None:
             return
         run.outcome = outcome
-        self.admission.wait_errors.forget(run.job.job_id)
+        self.admission.wait_errors.record_end(
+            run.job.job_id, run.queue.name, outcome is JobOutcome.DONE
+        )
+        if outcome in (JobOutcome.LOST, JobOutcome.NOT_RUN):
+            self.admission.process_delay.record_given_up(run)
         if outcome is JobOutcome.DONE and run.term is None:
             self._done_jobs.add(run.queue.name, run.job)
+        if outcome is JobOutcome.NOT_RUN:
+            self._withdrawals.record_not_run(run)
         self._count(f"queues.ended.{outcome.name.lower()}")
         took_ms = (time.monotonic() - run.started_s) * MS_PER_S
         self._count(f"queues.job_ms.under_{1 << max(0, int(took_ms)).bit_length()}")
         target_ms = run.queue.limits.target_time_ms(run.job.longest_chain_ms())
+        if run.term is None:
+            is_in_time = outcome is JobOutcome.DONE and took_ms <= target_ms
+            self.admission.record_ended(run, took_ms, is_in_time)
         if outcome is JobOutcome.DONE and took_ms > target_ms and run.term is None:
             self._count("queues.done_late")
             log_decision(
--- a/camphorchute/runs/group_scheduler.py
+++ b/camphorchute/runs/group_scheduler.py
@@ -13,6 +13,7 @@
     TaskResult,
     TaskResultKind,
     TasksFinished,
+    WithdrawTasks,
 )
 from camphorchute.decision_log import log_decision
 from camphorchute.hosting import WorkerClient, WorkerEntry
@@ -30,6 +31,7 @@
 from camphorchute.runs.run_events import RunEvents
 from camphorchute.runs.run_supervisor import RunSupervisor
 from camphorchute.runs.task_places import TaskPlaces
+from camphorchute.runs.withdrawn_jobs import WithdrawnJobs
 from camphorchute.runs.worker_group import WorkerGroup
 from camphorchute.runs.zone_availability import ZoneAvailability
 
@@ -53,6 +55,7 @@
     Attributes:
         superseded_groups: groups with a worker that has seen a higher fencing token.
         on_capacity_changed: called when the free capacity has changed.
+        arrival_delay_ms: returns how long a message that is read now has waited in this process.
         may_discard_completions: returns whether completions that no task has claimed may be
             acknowledged after a while.
         is_durable_job: returns whether the job with an id may be durable.
@@ -70,10 +73,12 @@
     ) -> None:
         self.superseded_groups: set[str] = set()
         self.on_capacity_changed: Callable[[], None] = lambda: None
+        self.arrival_delay_ms: Callable[[], float] = lambda: 0.0
         self.may_discard_completions: Callable[[], bool] = lambda: True
         self.is_durable_job: Callable[[str], bool] = lambda job_id: True
         self.zone_availability = ZoneAvailability()
         self._open_worker_client = open_worker_client
+        self._notify = notify
         self._count = count
         self._policies = policies or DecisionPolicies()
         self._supervisor = RunSupervisor(self._policies, count)
@@ -81,6 +86,7 @@
         self._groups: dict[str, WorkerGroup] = {}
         self.durable_tasks = DurableTasks(self._groups.values, count)
         self._open_tasks = OpenTasks()
+        self._withdrawn_jobs = WithdrawnJobs()
         self._places = TaskPlaces(self._groups.values, count)
         self._arrival_count = 0
         self._membership = GroupMembership(self, self._open_worker, count)
@@ -192,10 +198,26 @@
             return
         group = self._groups.get(message.group)
         now_s = time.monotonic()
+        delay_ms = self.arrival_delay_ms() if message.term is None else 0.0
         for command in message.tasks:
             self._arrival_count += 1
             task = PendingTask(peer.member_id, message, command, now_s, self._arrival_count)
-            if group is None:
+            task.shorten_limits(delay_ms)
+            if self._withdrawn_jobs.includes(peer.member_id, message.job_id, command.dispatch):
+                self._count("runs.withdrawn")
+                self.finish_task(task, command.run - 1, TaskResultKind.NOT_STARTED)
+            elif now_s >= task.start_by_s and not task.may_run and not task.is_durable:
+                self._count("runs.read_too_late")
+                log_decision(
+                    "runs",
+                    "task read too late",
+                    task=task.name,
+                    group=message.group,
+                    start_within_ms=round(message.start_within_ms),
+                    delay_ms=round(delay_ms),
+                )
+                self.finish_task(task, command.run - 1, TaskResultKind.NOT_STARTED)
+            elif group is None:
                 self._count("runs.not_home")
                 self.finish_task(task, command.run - 1, task.outcome_without_group())
             else:
@@ -214,6 +236,27 @@
             if task.owner_id == peer.member_id or task.is_durable:
                 self._stop_task(task)
 
+    @handles(WithdrawTasks, nonblocking=True)
+    def withdraw_tasks(self, peer: Member, message: WithdrawTasks) -> None:
+        """Return the tasks of a job without a start command to its owner, and bar their dispatch.
+
+        The results are sent before the answer, so that the owner has all of them when it arrives.
+        """
+        self._withdrawn_jobs.add(peer.member_id, message.job_id, message.dispatch)
+        started_tasks = 0
+        for task in self._open_tasks.of_job(message.job_id):
+            if task.owner_id != peer.member_id:
+                continue
+            group = self._groups.get(task.group)
+            if task.started or task.may_run or group is None or task not in group.backlog:
+                started_tasks += 1
+                continue
+            group.backlog.remove(task)
+            self._count("runs.withdrawn")
+            self._return_task(task)
+        self._results.send()
+        self._notify(peer.member_id, TasksFinished(message.job_id, [], started_tasks))
+
     def _open_worker(self, group: WorkerGroup, entry: WorkerEntry) -> LeasedWorker:
         client = self._open_worker_client(entry)
         events = RunEvents(self, group, self._open_tasks, self._supervisor, self._count)
@@ -266,9 +309,12 @@
             return
         if self.zone_availability.is_evacuated(group.zone):
             self._evacuated_groups.return_tasks(group)
-        placement = group.place_pending(time.monotonic())
+        now_s = time.monotonic()
+        self._return_expired(group, now_s)
+        placement = group.place_pending(now_s)
         for task in placement.started:
             self._supervisor.record_start()
+            task.last_run = task.run
             if task.next_run > FIRST_RUN + 1:
                 self._places.log_restart(task)
         for task in placement.not_found:
@@ -321,7 +367,14 @@
         if outcome is TaskResultKind.MAY_RUN and not group and task.group != task.message.group:
             group = task.group
         result = TaskResult(
-            task.message.step, task.index, run, outcome, worker_id, group, task.dispatch
+            task.message.step,
+            task.index,
+            run,
+            outcome,
+            worker_id,
+            group,
+            task.dispatch,
+            *task.times_here_ms(time.monotonic()),
         )
         self._results.add(task.owner_id, task.message.job_id, result)
 
