Write the messages of one loop pass together and read them without the generic protocol

Cause: each message on a link woke a greenlet with a time-out object, took a system call of its own, passed through the websocket library's state machine on both sides, and carried its field names.

Change: an outbox writes what one pass of the event loop queued with one call from a loop callback; a greenlet is used only for what the socket does not take. Whole binary messages in one frame are read and written directly, all other frames go through the library's protocol as before. The frequent messages are encoded as arrays. A message that lacks a field is dropped and counted, or refused if it is a request, and no longer closes its link.

--- a/camphorchute/contracts/run_messages.py
+++ b/camphorchute/contracts/run_messages.py
@@ -1,7 +1,8 @@
 """Messages about the runs of batch jobs and about queues, between entry processes.
 
 The owner of a job sends commands to the schedulers of worker groups, which report the results and
-their free capacity.
+their free capacity. The frequent messages are encoded as arrays, without the names of their fields:
+a new field goes to the end and has a default.
 """
 
 from enum import IntEnum
@@ -76,7 +77,7 @@
     number: int
 
 
-class StartTasks(msgspec.Struct, tag="start_tasks"):
+class StartTasks(msgspec.Struct, tag="start_tasks", array_like=True):
     """Start command of a job's owner for tasks of one step, to the scheduler of a group; one way.
 
     Attributes:
@@ -117,7 +118,7 @@
     has_job_started: bool = False
 
 
-class StopTasks(msgspec.Struct, tag="stop_tasks"):
+class StopTasks(msgspec.Struct, tag="stop_tasks", array_like=True):
     """Stop command of a job's owner for all tasks of the job; one way.
 
     Attributes:
@@ -152,7 +153,7 @@
     dispatch: int = 0
 
 
-class TasksFinished(msgspec.Struct, tag="tasks_finished"):
+class TasksFinished(msgspec.Struct, tag="tasks_finished", array_like=True):
     """Results of tasks of one job, from a scheduler to the owner of the job; one way."""
 
     job_id: str
@@ -195,13 +196,13 @@
     late_wait_ms: float = 0.0
 
 
-class RoomReport(msgspec.Struct, tag="room_report"):
+class RoomReport(msgspec.Struct, tag="room_report", array_like=True):
     """Free-capacity report of a scheduler to the members that follow its groups; one way."""
 
     groups: list[GroupFreeCapacity]
 
 
-class MemberBeat(msgspec.Struct, tag="member_beat"):
+class MemberBeat(msgspec.Struct, tag="member_beat", array_like=True):
     """Heartbeat of a member, sent at intervals on every link; one way.
 
     Attributes:
--- a/camphorchute/links/link.py
+++ b/camphorchute/links/link.py
@@ -6,7 +6,6 @@
 
 import gevent
 from gevent.event import AsyncResult
-from gevent.queue import Full, Queue
 
 from camphorchute.contracts.codes import ResultCode
 from camphorchute.contracts.errors import Refusal
@@ -17,17 +16,16 @@
     FRAME_MAX_BYTES,
     Frame,
     FrameKind,
+    IncompleteMessage,
     decode_frame,
     encode_frame,
 )
 from camphorchute.links.handlers import Handlers
+from camphorchute.links.outbox import Outbox
 from camphorchute.links.web_socket import WebSocket
 from camphorchute.observation_clock import observation_clock
 
-__all__ = ["Link", "LinkLost", "OUTBOX_MAX_FRAMES"]
-
-OUTBOX_MAX_FRAMES = 10_000
-WRITE_BATCH_BYTES = 16_384
+__all__ = ["Link", "LinkLost"]
 
 
 class LinkLost(Exception):  # noqa: N818
@@ -37,7 +35,8 @@
 class Link:
     """A websocket connection to one peer.
 
-    One greenlet reads and one writes. Requests are numbered, so several may be pending at a time.
+    One greenlet reads; an :class:`Outbox` writes. Requests are numbered, so several may be pending
+    at a time.
 
     Args:
         socket_: an open websocket connection.
@@ -76,7 +75,6 @@
         "_pending_replies",
         "_last_request_number",
         "_open",
-        "_writer",
     )
 
     def __init__(
@@ -98,11 +96,10 @@
         self._socket = socket_
         self._handlers = handlers
         self._on_closed = on_closed
-        self._outbox: Queue = Queue(OUTBOX_MAX_FRAMES)
+        self._outbox = Outbox(socket_, self.close)
         self._pending_replies: dict[int, AsyncResult] = {}
         self._last_request_number = 0
         self._open = True
-        self._writer = None
 
     @property
     def is_open(self) -> bool:
@@ -110,8 +107,8 @@
         return self._open
 
     def start_writer(self) -> None:
-        """Start the greenlet that writes queued frames; :meth:`read_frames` reads."""
-        self._writer = gevent.spawn(self._write_frames)
+        """Start to write queued frames; :meth:`read_frames` reads."""
+        self._outbox.start()
 
     def read_frames(self) -> None:
         """Read and dispatch frames until the link closes."""
@@ -133,11 +130,27 @@
             self.close()
 
     def _read_frame(self, data: bytes) -> None:
-        frame = decode_frame(data)
+        try:
+            frame = decode_frame(data)
+        except IncompleteMessage as error:
+            self._answer_incomplete(error)
+            return
         if not isinstance(frame.message, MemberBeat):
             self.last_activity_s = self.last_received_s
         self._dispatch_frame(frame)
 
+    def _answer_incomplete(self, error: IncompleteMessage) -> None:
+        """Drop a message that lacks a field; a request is refused, and so is one whose reply it is.
+
+        The link stays open, as its loss would stop all tasks of the peer.
+        """
+        self._handlers.count("links.incomplete_message")
+        refused = Refused(int(error.code), error.detail)
+        if error.kind is FrameKind.REQUEST:
+            self._enqueue_frame(Frame(FrameKind.REPLY, error.number, refused))
+        elif error.kind is FrameKind.REPLY:
+            self._dispatch_frame(Frame(FrameKind.REPLY, error.number, refused))
+
     def send(self, message: Message) -> bool:
         """Send a one-way message; return whether it was queued.
 
@@ -195,8 +208,7 @@
         gevent.spawn(self._close_socket)
 
     def _close_socket(self) -> None:
-        if self._writer is not None:
-            self._writer.kill(block=False)
+        self._outbox.close()
         try:
             self._socket.socket.shutdown(socket.SHUT_RDWR)
         except OSError:
@@ -218,9 +230,7 @@
 
     def _enqueue_encoded(self, data: bytes) -> bool:
         self.last_sent_s = self.last_activity_s = time.monotonic()
-        try:
-            self._outbox.put_nowait(data)
-        except Full:
+        if not self._outbox.put(data):
             self._handlers.count("links.outbox_full")
             self.close()
             return False
@@ -239,19 +249,6 @@
             raise refusal
         return False
 
-    def _write_frames(self) -> None:
-        """Write the queued frames, those that are queued together with one write."""
-        try:
-            while self._open:
-                batch = [self._outbox.get()]
-                size_bytes = len(batch[0])
-                while size_bytes < WRITE_BATCH_BYTES and not self._outbox.empty():
-                    batch.append(self._outbox.get_nowait())
-                    size_bytes += len(batch[-1])
-                self._socket.send(*batch)
-        except OSError:
-            self.close()
-
     def _dispatch_frame(self, frame: Frame) -> None:
         if frame.kind is FrameKind.REPLY:
             result = self._pending_replies.get(frame.number)
--- a/camphorchute/links/peers.py
+++ b/camphorchute/links/peers.py
@@ -1,12 +1,12 @@
 """The links of one process to its peers, opened on first use."""
 
 import time
+from collections import deque
 from collections.abc import Callable
 
 import gevent
 from gevent import socket
 from gevent.lock import RLock
-from gevent.queue import Queue
 
 from camphorchute.contracts.codes import ResultCode
 from camphorchute.contracts.errors import Refusal
@@ -53,6 +53,7 @@
         "_open_locks",
         "_listener",
         "_own_messages",
+        "_is_delivering",
         "_greenlets",
     )
 
@@ -69,7 +70,8 @@
         self._open_locks: dict[str, RLock] = {}
         self._opening_ids: set[str] = set()
         self._listener: socket.socket | None = None
-        self._own_messages: Queue = Queue()
+        self._own_messages: deque[Message] = deque()
+        self._is_delivering = False
         self._greenlets: list = []
 
     def start(self) -> None:
@@ -79,7 +81,6 @@
             (host.strip("[]"), int(port)), backlog=PENDING_CONNECTIONS_MAX
         )
         self._greenlets.append(gevent.spawn(self._accept_connections))
-        self._greenlets.append(gevent.spawn(self._deliver_own_messages))
 
     def close(self) -> None:
         """Stop accepting links and close all open ones."""
@@ -117,7 +118,7 @@
     def send(self, member: Member, message: Message) -> bool:
         """Send a one-way message, opening a link if there is none; return whether it was queued."""
         if member.member_id == self.member.member_id:
-            self._own_messages.put(message)
+            self._queue_own_message(message)
             return True
         try:
             return self._get_or_open_link(member).send(message)
@@ -156,7 +157,7 @@
             if link is not None:
                 link.send_encoded(data)
             elif member.member_id == self.member.member_id:
-                self._own_messages.put(message)
+                self._queue_own_message(message)
             else:
                 gevent.spawn(self.send, member, message)
 
@@ -186,10 +187,19 @@
         except OSError:
             self._handlers.count("links.no_greeting")
 
+    def _queue_own_message(self, message: Message) -> None:
+        self._own_messages.append(message)
+        if not self._is_delivering:
+            self._is_delivering = True
+            gevent.spawn(self._deliver_own_messages)
+
     def _deliver_own_messages(self) -> None:
         """Handle one-way messages to this process in order, outside the sender's greenlet."""
-        while True:
-            self._handlers.handle_one_way(self.member, self._own_messages.get())
+        try:
+            while self._own_messages:
+                self._handlers.handle_one_way(self.member, self._own_messages.popleft())
+        finally:
+            self._is_delivering = False
 
     def _handle_own_request(self, message: Message) -> Message:
         reply = self._handlers.handle_request(self.member, message)
--- a/camphorchute/links/tests/test_codec.py
+++ b/camphorchute/links/tests/test_codec.py
@@ -1,5 +1,6 @@
 from types import NoneType, UnionType
 
+import cbor2
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
@@ -9,6 +10,7 @@
 from camphorchute.contracts.job import JobSpec, TaskSpec
 from camphorchute.contracts.messages import Done, Message
 from camphorchute.links import Frame, FrameKind, decode_frame, encode_frame
+from camphorchute.links.codec import IncompleteMessage
 
 MESSAGE_TYPES = Message.__args__
 NAMES = st.text("abc0", min_size=1, max_size=5)
@@ -110,3 +112,25 @@
 )
 def test_hostile_bytes_are_refused_or_decoded(data):
     check_decode(data)
+
+
+@pytest.mark.parametrize(
+    ("message", "is_complete"),
+    [
+        (["member_beat"], False),
+        (["member_beat", 3, [], "a later field"], True),
+        (["stop_tasks"], False),
+        ({"type": "ask_record"}, False),
+        ({"type": "ask_record", "zone": "north", "later": 1}, True),
+    ],
+)
+def test_unknown_fields_are_ignored_and_missing_ones_are_told_from_malformed_data(
+    message, is_complete
+):
+    data = cbor2.dumps([1, 7, message])
+    if is_complete:
+        assert decode_frame(data).number == 7
+        return
+    with pytest.raises(IncompleteMessage) as raised:
+        decode_frame(data)
+    assert (raised.value.kind, raised.value.number) == (FrameKind.REQUEST, 7)
--- a/camphorchute/links/tests/test_peers.py
+++ b/camphorchute/links/tests/test_peers.py
@@ -3,6 +3,7 @@
 import socket
 import time
 
+import cbor2
 import gevent
 import pytest
 from gevent.selectors import GeventSelector
@@ -310,3 +311,51 @@
         assert closed_descriptors_still_watched() == set()
     finally:
         gc.enable()
+
+
+def test_messages_of_one_pass_of_the_loop_are_written_together_and_in_order(pair):
+    """Each message woke the writer and took a system call of its own."""
+    first, second = pair
+    first.request(second)
+    connection = first.link(second)._socket
+    writes = []
+    send = connection.socket.send
+    connection.socket = SocketWithSend(connection.socket, lambda *a: writes.append(1) or send(*a))
+    keys = [str(number) for number in range(20)]
+    assert all(first.peers.send(second.member, CancelTasks(key)) for key in keys)
+    wait_until(lambda: len(second.received) == 20)
+    assert [key for _, key in second.received] == keys
+    assert len(writes) == 1
+
+
+def test_messages_queued_behind_a_full_socket_arrive_in_order(pair):
+    first, second = pair
+    first.request(second)
+    keys = [str(number) + "x" * 3_000_000 for number in range(4)] + ["small"]
+    for key in keys:
+        assert first.peers.send(second.member, CancelTasks(key))
+        gevent.sleep(0)
+    wait_until(lambda: len(second.received) == 5)
+    assert [key for _, key in second.received] == keys
+
+
+def test_message_that_lacks_a_field_does_not_close_the_link(pair):
+    """The loss of a link stops all tasks of the peer."""
+    first, second = pair
+    first.request(second)
+    link = first.link(second)
+    for kind, number in ((FrameKind.ONE_WAY, 0), (FrameKind.REQUEST, 99), (FrameKind.REPLY, 99)):
+        assert link.send_encoded(cbor2.dumps([int(kind), number, {"type": "ask_record"}]))
+    assert first.request(second).record == b"x"
+    assert link.is_open and second.counts["links.incomplete_message"] == 3
+
+
+class SocketWithSend:
+    """Passes everything on to a socket but the writes that do not wait."""
+
+    def __init__(self, sock, send):
+        self._sock = sock
+        self.send = send
+
+    def __getattr__(self, name):
+        return getattr(self._sock, name)
--- a/camphorchute/links/tests/test_web_socket.py
+++ b/camphorchute/links/tests/test_web_socket.py
@@ -129,3 +129,29 @@
         protocol.send_binary(b"early")
         sock.sendall(b"".join(protocol.data_to_send()))
         assert receive(accepted.get(timeout=2), 1) == [b"early"]
+
+
+def test_frames_in_pieces_are_put_together(pair):
+    client, server = pair
+    for byte in client._encode((b"one", b"x" * 300, b"three")):
+        client.socket.sendall(bytes([byte]))
+        gevent.sleep(0)
+    assert receive(server, 3) == [b"one", b"x" * 300, b"three"]
+
+
+def test_message_in_one_frame_does_not_pass_through_the_protocol(pair):
+    """The generic protocol cost as much for each frame as the decoding of its message."""
+    client, server = pair
+    server._protocol.receive_data = None
+    client.send(b"one", b"two")
+    assert receive(server, 2) == [b"one", b"two"]
+
+
+def test_bytes_that_the_socket_does_not_take_are_returned_without_a_wait(pair):
+    client, server = pair
+    message = b"x" * 8_000_000
+    rest = client.send_now(message)
+    assert rest
+    sending = gevent.spawn(client.send_rest, rest)
+    assert receive(server, 1) == [message]
+    sending.join()
