Do nothing for worker entries and heartbeats that say nothing new

Cause: each heartbeat of a worker copied its group and set off a check of all claims; claims and the workers of all groups were gone through ten times a second in any case; a heartbeat was encoded for each link, decoded each time, and read after a recv() in vain.

Change: an entry that is equal to the known one changes nothing. Claims are checked after a change of the view, while a group is vacant or superseded, when a holder that this process follows in its zone begins or stops to serve, and otherwise every 500 ms. A heartbeat is encoded once for all links, and the same one decoded once for each link. A link waits until there is something to read.

Tests count checks, encodes and decodes.

--- a/camphorchute/cluster/claims.py
+++ b/camphorchute/cluster/claims.py
@@ -19,6 +19,7 @@
 
 CHECK_INTERVAL_MS = 100.0
 CHANGE_TICK_MS = 50.0
+UNCHANGED_CHECK_INTERVAL_MS = 500.0
 RANK_DELAY_MS = 200.0
 OTHER_ZONE_DELAY_MS = 1500.0
 RECLAIM_INTERVAL_MS = 500.0
@@ -70,6 +71,9 @@
         "_vacant_since_s",
         "_claim_attempted_s",
         "_released_all_s",
+        "_checked_s",
+        "_watched_groups",
+        "_served_groups",
         "_greenlet",
     )
 
@@ -99,6 +103,9 @@
         self._vacant_since_s: dict[str, float] = {}
         self._claim_attempted_s: dict[str, float] = {}
         self._released_all_s = 0.0
+        self._checked_s = 0.0
+        self._watched_groups: list[str] = []
+        self._served_groups: list[str] = []
         self._greenlet: gevent.Greenlet | None = None
 
     def start(self) -> None:
@@ -134,15 +141,47 @@
             self._view.remove_expired_workers()
             if not self.can_act_in_time():
                 self._release_all_groups()
+            if not self._is_check_due():
+                continue
+            self._checked_s = time.monotonic()
+            self._view.changed.clear()
             groups = self._view.groups()
+            self._watched_groups = [
+                group
+                for group in self._view.followers().followed_by(self._member)
+                if zone_of_group(group) == self._member.zone
+            ]
+            self._served_groups = self._list_served_groups()
             group_by_worker = self._view.group_by_worker()
             for group in [name for name in self._held_revisions if name not in groups]:
                 self._scheduler.set_workers(group, {}, group_by_worker)
                 self._release_claim(group, self._held_revisions[group])
+            for group in [name for name in self._vacant_since_s if name not in groups]:
+                del self._vacant_since_s[group]
             for group, workers in groups.items():
                 self._check_group(group)
                 self._scheduler.set_workers(group, workers, group_by_worker)
 
+    def _is_check_due(self) -> bool:
+        """Return whether the outcome of a check may differ from that of the last one.
+
+        That is the case after a change of the view, while a group is vacant or its workers reject
+        the fencing token, and when a holder that this process follows in its zone has begun or
+        stopped to serve. What else depends on time only is checked at a longer interval, so that
+        an idle process does not go through all groups ten times a second.
+        """
+        unchecked_ms = (time.monotonic() - self._checked_s) * MS_PER_S
+        return (
+            self._view.changed.is_set()
+            or not self._held_revisions.keys() >= self._vacant_since_s.keys()
+            or bool(self._scheduler.superseded_groups)
+            or unchecked_ms >= UNCHANGED_CHECK_INTERVAL_MS
+            or self._served_groups != self._list_served_groups()
+        )
+
+    def _list_served_groups(self) -> list[str]:
+        return [group for group in self._watched_groups if self._is_served(group)]
+
     def _wait_for_change(self) -> None:
         """Wait until the view has changed, at most for CHECK_INTERVAL_MS.
 
@@ -153,7 +192,6 @@
             gevent.sleep(until_next_tick_s(CHANGE_TICK_MS))
             if self._view.changed.is_set():
                 break
-        self._view.changed.clear()
 
     def _release_all_groups(self) -> None:
         """Release every group, so that a process that keeps up with its work can acquire it."""
--- a/camphorchute/cluster/cluster_view.py
+++ b/camphorchute/cluster/cluster_view.py
@@ -48,7 +48,7 @@
         workers: the workers, by id.
         claims: the claims, by worker group.
         queues: the queue configuration in force, None until one is known.
-        changed: event that is set whenever a part of the view may have changed.
+        changed: event that is set when members, workers, claims or the queues have changed.
     """
 
     __slots__ = (
@@ -116,14 +116,16 @@
             if change.value is not None:
                 self.apply_newer_queues(change.value)
         elif key.startswith(self._platform.worker_prefix):
-            self._apply_worker(key, change.value)
+            if self._apply_worker(key, change.value):
+                self.changed.set()
         elif key.startswith(MEMBER_PREFIX):
             self._apply_member(key.removeprefix(MEMBER_PREFIX), change)
+            self.changed.set()
         elif key.startswith(CLAIM_PREFIX):
             self._apply_claim(key.removeprefix(CLAIM_PREFIX), change)
+            self.changed.set()
         else:
             self._apply_to_table(change)
-        self.changed.set()
 
     def apply_newer_queues(self, source: bytes) -> None:
         """Apply a queue configuration if its version is higher than that of the one in force.
@@ -212,15 +214,24 @@
             elif change.key not in table or table[change.key].mod_revision < change.mod_revision:
                 table[change.key] = change
 
-    def _apply_worker(self, key: str, value: bytes | None) -> None:
+    def _apply_worker(self, key: str, value: bytes | None) -> bool:
+        """Apply the entry of a worker; return whether it says anything new.
+
+        Each heartbeat of a worker writes its entry again, mostly with another sequence number only.
+        """
         worker_id = key.removeprefix(self._platform.worker_prefix)
         entry = None if value is None else self._platform.decode_worker_entry(key, value)
         if entry is not None:
-            self._missing_since_s.pop(worker_id, None)
+            if self._missing_since_s:
+                self._missing_since_s.pop(worker_id, None)
+            if entry.is_equal(self.workers.get(worker_id)):
+                return False
             self.workers[worker_id] = entry
             self._worker_groups.set_worker(entry)
-        elif worker_id in self.workers:
+            return True
+        if worker_id in self.workers:
             self._missing_since_s.setdefault(worker_id, time.monotonic())
+        return False
 
     def _apply_member(self, member_id: str, change: StoredValue) -> None:
         """Apply the registration of a member.
--- a/camphorchute/cluster/heartbeats.py
+++ b/camphorchute/cluster/heartbeats.py
@@ -95,30 +95,26 @@
     def _check_links(self) -> None:
         """Close unresponsive and unused links and send heartbeats on the others."""
         while True:
-            message = MemberBeat(self._queues_version())
-            neighbours = {member.member_id for member in self._ring_neighbours(RING_DISTANCE_MAX)}
-            now_s = time.monotonic()
+            now_s, observed_s = time.monotonic(), observation_clock.now_s()
+            due_links: list[Link] = []
             for link in self._peers.links():
-                unused_ms = (now_s - link.last_activity_s) * MS_PER_S
-                if self._is_unresponsive(link, now_s):
+                if _is_unresponsive(link, now_s, observed_s):
                     self._count("roster.link_silent")
                     link.close()
-                elif unused_ms > LINK_UNUSED_MS and link.peer.member_id not in neighbours:
+                elif self._is_unused(link, now_s):
                     self._count("roster.link_unused")
                     link.close()
                 elif self._is_heartbeat_due(link, now_s):
-                    link.send(message)
+                    due_links.append(link)
+            self._peers.send_heartbeat(due_links, MemberBeat(self._queues_version()))
             gevent.sleep(until_next_tick_s(LINK_CHECK_INTERVAL_MS))
 
-    def _is_unresponsive(self, link: Link, now_s: float) -> bool:
-        """Return whether nothing was received on a link for too long.
-
-        Time in which this process could not hear counts only once the tasks of a lost owner have
-        to be stopped, before its caller submits their job again.
-        """
-        observed_ms = (observation_clock.now_s() - link.last_observed_s) * MS_PER_S
-        silent_ms = (now_s - link.last_received_s) * MS_PER_S
-        return observed_ms > LINK_UNRESPONSIVE_MS or silent_ms > LINK_SILENT_MAX_MS
+    def _is_unused(self, link: Link, now_s: float) -> bool:
+        """Return whether a link to a member other than a neighbour has not been used for long."""
+        if (now_s - link.last_activity_s) * MS_PER_S <= LINK_UNUSED_MS:
+            return False
+        neighbours = self._ring_neighbours(RING_DISTANCE_MAX)
+        return all(member.member_id != link.peer.member_id for member in neighbours)
 
     def _is_heartbeat_due(self, link: Link, now_s: float) -> bool:
         """Return whether a heartbeat is needed on a link, and record the version that it carries.
@@ -159,3 +155,19 @@
                 if own_id < member.member_id and not self._peers.is_linked(member.member_id):
                     gevent.spawn(self._peers.send, member, MemberBeat(self._queues_version()))
             gevent.sleep(random.uniform(0.5, 1.0) * CONNECT_INTERVAL_MS / MS_PER_S)
+
+
+def _is_unresponsive(link: Link, now_s: float, observed_s: float) -> bool:
+    """Return whether nothing was received on a link for too long.
+
+    Time in which this process could not hear counts only once the tasks of a lost owner have to be
+    stopped, before its caller submits their job again.
+
+    Args:
+        link: the link.
+        now_s: monotonic time in seconds.
+        observed_s: time of the observation clock in seconds.
+    """
+    observed_ms = (observed_s - link.last_observed_s) * MS_PER_S
+    silent_ms = (now_s - link.last_received_s) * MS_PER_S
+    return observed_ms > LINK_UNRESPONSIVE_MS or silent_ms > LINK_SILENT_MAX_MS
--- a/camphorchute/cluster/tests/test_claims.py
+++ b/camphorchute/cluster/tests/test_claims.py
@@ -275,3 +275,18 @@
     gevent.sleep(0.2)
     process.scheduler.workers.clear()
     assert wait_until(lambda: GROUP in process.scheduler.workers, 1.0)
+
+
+def test_unchanged_groups_are_seldom_checked(make_process, monkeypatch):
+    """An idle process went through all groups of the fleet ten times a second."""
+    process = make_process(1)
+    assert wait_until(lambda: len(process.scheduler.held) == 2, 6.0)
+    gevent.sleep(0.3)
+    checked = []
+    monkeypatch.setattr(GroupClaims, "_check_group", lambda claims, group: checked.append(group))
+    gevent.sleep(1.1)
+    assert checked.count(GROUP) <= 3
+    process.view.changed.set()
+    checked.clear()
+    gevent.sleep(0.15)
+    assert checked.count(GROUP) == 1
--- a/camphorchute/cluster/tests/test_cluster_view.py
+++ b/camphorchute/cluster/tests/test_cluster_view.py
@@ -166,3 +166,18 @@
     names = {m.member_id for group in view.group_names() for m in before.followers_of(group)}
     if not is_computed_again:
         assert names == set(view.members)
+
+
+@pytest.mark.parametrize(
+    ("fields", "is_news"),
+    [({"seq": 2}, False), ({"state": "draining"}, True), ({"capacity": {"cpu": 8000}}, True)],
+)
+def test_entry_that_differs_in_its_sequence_number_only_changes_nothing(view, fields, is_news):
+    """Each heartbeat of a worker made every process copy a group and check all of its claims."""
+    apply_value(view, WORKER_KEY, json.dumps({**WORKER_ENTRY, "seq": 1}).encode())
+    groups_before, entry_before = view.groups(), view.workers["w1"]
+    view.changed.clear()
+    apply_value(view, WORKER_KEY, json.dumps({**WORKER_ENTRY, **fields}).encode())
+    assert view.changed.is_set() is is_news
+    assert (view.workers["w1"] is entry_before) is not is_news
+    assert (view.groups()["north/flags/0"] is groups_before["north/flags/0"]) is not is_news
--- a/camphorchute/cluster/tests/test_heartbeats.py
+++ b/camphorchute/cluster/tests/test_heartbeats.py
@@ -45,6 +45,10 @@
     def send(self, peer, message):
         self.connected_to.append(peer.member_id)
 
+    def send_heartbeat(self, links, message):
+        for link in links:
+            link.send(message)
+
 
 class FakeView:
     def __init__(self, members):
--- a/camphorchute/hosting/worker_entry.py
+++ b/camphorchute/hosting/worker_entry.py
@@ -53,6 +53,12 @@
     def __repr__(self) -> str:
         return f"WorkerEntry({self.worker_id!r}, {self.incarnation}, {self.address!r})"
 
+    def is_equal(self, other: "WorkerEntry | None") -> bool:
+        """Whether both entries say the same of the worker."""
+        return other is not None and all(
+            getattr(self, name) == getattr(other, name) for name in self.__slots__
+        )
+
     def is_same_incarnation(self, other: "WorkerEntry") -> bool:
         """Whether both entries show the same incarnation at the same address."""
         return (self.incarnation, self.address) == (other.incarnation, other.address)
--- a/camphorchute/links/link.py
+++ b/camphorchute/links/link.py
@@ -74,6 +74,7 @@
         "_outbox",
         "_pending_replies",
         "_last_request_number",
+        "_last_heartbeat",
         "_open",
     )
 
@@ -99,6 +100,7 @@
         self._outbox = Outbox(socket_, self.close)
         self._pending_replies: dict[int, AsyncResult] = {}
         self._last_request_number = 0
+        self._last_heartbeat: tuple[bytes, Frame | None] = (b"", None)
         self._open = True
 
     @property
@@ -130,13 +132,17 @@
             self.close()
 
     def _read_frame(self, data: bytes) -> None:
-        try:
-            frame = decode_frame(data)
-        except IncompleteMessage as error:
-            self._answer_incomplete(error)
-            return
-        if not isinstance(frame.message, MemberBeat):
-            self.last_activity_s = self.last_received_s
+        last_data, frame = self._last_heartbeat
+        if data != last_data:
+            try:
+                frame = decode_frame(data)
+            except IncompleteMessage as error:
+                self._answer_incomplete(error)
+                return
+            if isinstance(frame.message, MemberBeat):
+                self._last_heartbeat = (data, frame)
+            else:
+                self.last_activity_s = self.last_received_s
         self._dispatch_frame(frame)
 
     def _answer_incomplete(self, error: IncompleteMessage) -> None:
@@ -162,6 +168,13 @@
         """Send an encoded one-way frame; return whether it was queued."""
         return self._open and self._enqueue_encoded(data)
 
+    def send_encoded_heartbeat(self, data: bytes) -> bool:
+        """Send an encoded heartbeat, which is no use of the link; return whether it was queued."""
+        activity_s = self.last_activity_s
+        queued = self.send_encoded(data)
+        self.last_activity_s = activity_s
+        return queued
+
     def request(self, message: Message, timeout_ms: float) -> Message:
         """Send a request and return its reply.
 
--- a/camphorchute/links/peers.py
+++ b/camphorchute/links/peers.py
@@ -161,6 +161,13 @@
             else:
                 gevent.spawn(self.send, member, message)
 
+    def send_heartbeat(self, links: list[Link], message: Message) -> None:
+        """Send a heartbeat on open links, encoded once; it does not count as use of the links."""
+        if links:
+            data = encode_frame(Frame(FrameKind.ONE_WAY, 0, message))
+            for link in links:
+                link.send_encoded_heartbeat(data)
+
     def send_if_linked(self, member_id: str, message: Message) -> bool:
         """Send a one-way message if a link is open; return whether it was queued."""
         link = self._links.get(member_id)
--- a/camphorchute/links/tests/test_peers.py
+++ b/camphorchute/links/tests/test_peers.py
@@ -19,6 +19,7 @@
     RecordIs,
     Welcome,
 )
+from camphorchute.contracts.run_messages import MemberBeat
 from camphorchute.links import (
     Frame,
     FrameKind,
@@ -30,6 +31,7 @@
     encode_frame,
     handles,
 )
+from camphorchute.links import link as link_module
 from camphorchute.links import peers as peers_module
 from camphorchute.links.web_socket import connect_web_socket
 from camphorchute.zones.tests.fakes import Counts
@@ -350,6 +352,28 @@
     assert link.is_open and second.counts["links.incomplete_message"] == 3
 
 
+def test_heartbeat_is_encoded_once_and_the_same_one_decoded_once(start, monkeypatch):
+    first, second, third = start("a"), start("b"), start("c")
+    for other in (second, third):
+        first.request(other)
+    beats, encoded, decoded = [], [], []
+    second.handlers._handlers[MemberBeat] = (lambda peer, beat: beats.append(beat), True)
+    monkeypatch.setattr(
+        peers_module, "encode_frame", lambda frame: encoded.append(frame) or encode_frame(frame)
+    )
+    monkeypatch.setattr(
+        link_module, "decode_frame", lambda data: decoded.append(data) or decode_frame(data)
+    )
+    used_s = second.link(first).last_activity_s
+    for version in (1, 1, 2):
+        first.peers.send_heartbeat(first.peers.links(), MemberBeat(version))
+    wait_until(lambda: len(beats) == 3)
+    gevent.sleep(0.01)
+    assert [beat.queues_version for beat in beats] == [1, 1, 2]
+    assert (len(encoded), len(decoded)) == (3, 4)
+    assert second.link(first).last_activity_s == used_s
+
+
 class SocketWithSend:
     """Passes everything on to a socket but the writes that do not wait."""
 
--- a/camphorchute/links/web_socket.py
+++ b/camphorchute/links/web_socket.py
@@ -173,6 +173,10 @@
         if self._unread and not self._needed_bytes:
             data = b""  # frames that arrived with the handshake
         else:
+            if self.socket.timeout is None:
+                # Mostly nothing has arrived yet; recv() would first try in vain, with a system call
+                # and an exception.
+                self.socket._wait(self.socket._read_event)
             data = self.socket.recv(READ_BLOCK_BYTES)
             if not data:
                 self._pass_to_protocol(bytes(self._unread))
