Report changes of free capacity only, and plan without ranking a worker twice

Cause: each report carried every worker and was decoded into objects by each receiver; a plan made a candidate object and a rank for each worker, and reserve() ranked them again; a job was planned for its admission and again for its dispatch.

Change: reports carry a number and the workers that have changed; a complete one follows for a new follower, after a change of the workers, and every 500 ms at the latest. A receiver that misses one ignores the changes until then (counter queues.report_missed). A plan ranks each speed and zone once, ends once all tasks have a worker, and is kept for the reservation and the dispatch that follow.

--- a/camphorchute/contracts/resources.py
+++ b/camphorchute/contracts/resources.py
@@ -41,6 +41,10 @@
             self.gpus + other.gpus,
         )
 
+    def times(self, count: int) -> "Resources":
+        """Return the amount that a number of tasks with this demand needs."""
+        return Resources(self.cpu_millicores * count, self.memory_mb * count, self.gpus * count)
+
     def minus(self, other: "Resources") -> "Resources":
         """Return this amount less the other; negative where the other one is larger."""
         return Resources(
--- a/camphorchute/contracts/run_messages.py
+++ b/camphorchute/contracts/run_messages.py
@@ -14,6 +14,7 @@
 
 __all__ = [
     "FetchQueues",
+    "GroupChange",
     "GroupFreeCapacity",
     "MemberBeat",
     "QueuesPart",
@@ -196,10 +197,38 @@
     late_wait_ms: float = 0.0
 
 
+class GroupChange(msgspec.Struct, array_like=True):
+    """What has changed in one worker group since the last report of its scheduler.
+
+    Attributes:
+        group: name of the worker group.
+        waiting_core_ms: as in a complete report.
+        oldest_wait_ms: as in a complete report.
+        late_wait_ms: as in a complete report.
+        workers: the free capacity of the workers that have changed, by their index in the last
+            complete report.
+    """
+
+    group: str
+    waiting_core_ms: dict[int, float]
+    oldest_wait_ms: dict[int, float]
+    late_wait_ms: float
+    workers: dict[int, WorkerFreeCapacity] = {}
+
+
 class RoomReport(msgspec.Struct, tag="room_report", array_like=True):
-    """Free-capacity report of a scheduler to the members that follow its groups; one way."""
+    """Free-capacity report of a scheduler to the members that follow its groups; one way.
+
+    Attributes:
+        groups: all groups of the scheduler in a complete report, none in one of changes.
+        number: number of the report at its sender; it rises by one with each.
+        changes: one change for each group, which applies to the report with the number before;
+            empty in a complete report.
+    """
 
     groups: list[GroupFreeCapacity]
+    number: int = 0
+    changes: list[GroupChange] = []
 
 
 class MemberBeat(msgspec.Struct, tag="member_beat", array_like=True):
--- a/camphorchute/entry/hosted_process.py
+++ b/camphorchute/entry/hosted_process.py
@@ -92,7 +92,7 @@
         self._scheduler = GroupScheduler(
             self._platform.open_worker_client, self._peers.send_if_linked, count, self._policies
         )
-        self._capacity_view = FreeCapacityView(settings.zone, self._policies.worker_choice)
+        self._capacity_view = FreeCapacityView(settings.zone, self._policies.worker_choice, count)
         self._claims = GroupClaims(
             store,
             self._view,
--- a/camphorchute/queues/free_capacity_reports.py
+++ b/camphorchute/queues/free_capacity_reports.py
@@ -11,6 +11,7 @@
 from camphorchute.contracts.run_messages import GroupFreeCapacity, RoomReport
 from camphorchute.links import Peers
 from camphorchute.loops import spawn_loop
+from camphorchute.queues.capacity_changes import find_changes
 from camphorchute.runs import GroupScheduler
 
 __all__ = ["FreeCapacityReports"]
@@ -19,6 +20,7 @@
 REPORT_INTERVAL_PER_MEMBER_MS = 3.0
 REPORT_INTERVAL_MAX_MS = 500.0
 MINOR_CHANGE_INTERVAL_MS = 150.0
+COMPLETE_REPORT_AFTER_MS = 300.0  # a report of minor changes may follow 170 ms later
 MINOR_CHANGE_SHARE = 0.3
 MS_PER_S = 1000.0
 
@@ -74,6 +76,9 @@
         "_last_receivers",
         "_last_summaries",
         "_reported_s",
+        "_last_report",
+        "_last_number",
+        "_complete_s",
         "_greenlet",
     )
 
@@ -88,6 +93,9 @@
         self._last_receivers: dict[str, Member] = {}
         self._last_summaries: dict[str, _Summary] = {}
         self._reported_s = 0.0
+        self._last_report: list[GroupFreeCapacity] = []
+        self._last_number = 0
+        self._complete_s = 0.0
         self._greenlet: gevent.Greenlet | None = None
         scheduler.on_capacity_changed = self._changed.set
 
@@ -101,9 +109,14 @@
             self._greenlet.kill(block=False)
 
     def _report_changes(self) -> None:
-        """Report on every change that matters, and at the latest after REPORT_INTERVAL_MAX_MS."""
+        """Report on every change that matters.
+
+        A complete report follows at the latest REPORT_INTERVAL_MAX_MS after the one before.
+        """
         while True:
-            has_changed = self._changed.wait(REPORT_INTERVAL_MAX_MS / MS_PER_S)
+            complete_ms = (time.monotonic() - self._complete_s) * MS_PER_S
+            remaining_ms = max(REPORT_INTERVAL_MIN_MS, REPORT_INTERVAL_MAX_MS - complete_ms)
+            has_changed = self._changed.wait(min(REPORT_INTERVAL_MAX_MS, remaining_ms) / MS_PER_S)
             self._changed.clear()
             report = self._scheduler.free_capacity_report()
             pause_ms = REPORT_INTERVAL_MIN_MS
@@ -136,13 +149,37 @@
         """
         receivers_now = self._find_receivers()
         receivers = {**self._last_receivers, **receivers_now}
+        has_new_receiver = not receivers_now.keys() <= self._last_receivers.keys()
         self._last_receivers = receivers_now
         self._last_summaries = {group.group: _Summary(group) for group in report}
         self._reported_s = time.monotonic()
         if receivers:
-            self._peers.send_to_all(list(receivers.values()), RoomReport(report))
+            message = self._make_message(report, has_new_receiver)
+            self._peers.send_to_all(list(receivers.values()), message)
+        else:
+            self._complete_s = self._reported_s
         return len(receivers)
 
+    def _make_message(self, report: list[GroupFreeCapacity], is_complete: bool) -> RoomReport:
+        """Return a report of what has changed since the last one, or a complete one if it is due.
+
+        A receiver that missed a report waits for the next complete one, which follows within
+        REPORT_INTERVAL_MAX_MS.
+
+        Args:
+            report: the free capacity of each group.
+            is_complete: whether a receiver has no earlier report.
+        """
+        now_s = time.monotonic()
+        changes = find_changes(self._last_report, report)
+        is_complete |= (now_s - self._complete_s) * MS_PER_S >= COMPLETE_REPORT_AFTER_MS
+        self._last_report = report
+        self._last_number += 1
+        if is_complete or not changes:
+            self._complete_s = now_s
+            return RoomReport(report, self._last_number)
+        return RoomReport([], self._last_number, changes)
+
     def _find_receivers(self) -> dict[str, Member]:
         """Return this process and the members that follow one of its groups, by member id.
 
--- a/camphorchute/queues/free_capacity_view.py
+++ b/camphorchute/queues/free_capacity_view.py
@@ -1,13 +1,20 @@
 """Free-capacity view: free resources of worker groups as their schedulers last reported them."""
 
 import time
+from collections.abc import Callable, Iterator
+from heapq import heapify, heapreplace
 
 from gevent.event import Event
 
 from camphorchute.contracts.batch_job import BatchStep, QueueLimits
 from camphorchute.contracts.member import Member
 from camphorchute.contracts.resources import Resources
-from camphorchute.contracts.run_messages import GroupFreeCapacity, RoomReport, WorkerFreeCapacity
+from camphorchute.contracts.run_messages import (
+    GroupChange,
+    GroupFreeCapacity,
+    RoomReport,
+    WorkerFreeCapacity,
+)
 from camphorchute.links import handles
 from camphorchute.policies.worker_choice import (
     WorkerCandidate,
@@ -15,6 +22,8 @@
     rank_own_zone_first,
 )
 from camphorchute.queues.group_wait import GroupWait
+from camphorchute.queues.placement_plan import PlacementPlan, PlanMemo
+from camphorchute.queues.received_report import ReceivedReport
 from camphorchute.runs.group_names import zone_of_group
 
 __all__ = ["PlacementPlan", "FreeCapacityView"]
@@ -23,49 +32,6 @@
 MS_PER_S = 1000.0
 
 
-class _ReceivedReport:
-    """The last free-capacity report of a worker group.
-
-    Attributes:
-        scheduler: the member that sent it.
-        free_capacity: what it says, less the tasks that were planned since.
-        received_s: monotonic time at which it was received.
-    """
-
-    __slots__ = ("scheduler", "free_capacity", "received_s")
-
-    def __init__(
-        self, scheduler: Member, free_capacity: GroupFreeCapacity, received_s: float
-    ) -> None:
-        self.scheduler = scheduler
-        self.free_capacity = free_capacity
-        self.received_s = received_s
-
-
-class PlacementPlan:
-    """Planned placement of tasks of one step.
-
-    Attributes:
-        placed: number of tasks that a group has free capacity for, by group.
-        pending: number of tasks that have to wait in a group, by group.
-        wait_ms: expected waiting time of the last pending task, in milliseconds.
-    """
-
-    __slots__ = ("placed", "pending", "wait_ms")
-
-    def __init__(
-        self, placed: dict[str, int], pending: dict[str, int], wait_ms: float = 0.0
-    ) -> None:
-        self.placed = placed
-        self.pending = pending
-        self.wait_ms = wait_ms
-
-    @property
-    def pending_count(self) -> int:
-        """Number of tasks that have to wait."""
-        return sum(self.pending.values())
-
-
 class FreeCapacityView:
     """Plans the placement of tasks from free-capacity reports.
 
@@ -74,39 +40,80 @@
     Args:
         zone: availability zone of this process.
         worker_choice: returns the rank of a worker for a task.
+        count: adds to a named counter.
 
     Attributes:
         report_received: event that is set when a report arrives; cleared by who waits for it.
     """
 
-    __slots__ = ("report_received", "_zone", "_worker_choice", "_reports")
+    __slots__ = (
+        "report_received",
+        "_zone",
+        "_worker_choice",
+        "_reports",
+        "_generation",
+        "_last_plan",
+        "_count",
+    )
 
     def __init__(
-        self, zone: str = "", worker_choice: WorkerChoicePolicy = rank_own_zone_first
+        self,
+        zone: str = "",
+        worker_choice: WorkerChoicePolicy = rank_own_zone_first,
+        count: Callable[..., None] = lambda name, n=1: None,
     ) -> None:
         self.report_received = Event()
         self._zone = zone
         self._worker_choice = worker_choice
-        self._reports: dict[str, _ReceivedReport] = {}
+        self._reports: dict[str, ReceivedReport] = {}
+        self._generation = 0
+        self._last_plan: PlanMemo | None = None
+        self._count = count
 
     @handles(RoomReport, nonblocking=True)
     def handle_report(self, peer: Member, report: RoomReport) -> None:
-        """Replace the sender's reports; it no longer schedules groups that its report lacks."""
+        """Apply a report; the sender no longer schedules groups that a complete one lacks."""
+        self._generation += 1
         now_s = time.monotonic()
+        if report.changes:
+            if not all(
+                self._apply_change(peer, change, report, now_s) for change in report.changes
+            ):
+                self._count("queues.report_missed")
+            self.report_received.set()
+            return
         reported_groups = {free_capacity.group for free_capacity in report.groups}
         for group, received in list(self._reports.items()):
             if received.scheduler.member_id == peer.member_id and group not in reported_groups:
                 del self._reports[group]
         for free_capacity in report.groups:
-            self._reports[free_capacity.group] = _ReceivedReport(peer, free_capacity, now_s)
+            is_own_zone = zone_of_group(free_capacity.group) == self._zone
+            self._reports[free_capacity.group] = ReceivedReport(
+                peer, free_capacity, report.number, now_s, is_own_zone
+            )
         self.report_received.set()
 
+    def _apply_change(
+        self, peer: Member, change: GroupChange, report: RoomReport, now_s: float
+    ) -> bool:
+        """Apply a change to the report of a group; return whether it follows the last report."""
+        received = self._reports.get(change.group)
+        if (
+            received is None
+            or received.scheduler.member_id != peer.member_id
+            or received.number != report.number - 1
+        ):
+            return False
+        received.apply(change, report.number, now_s)
+        return True
+
     def forget_member(self, member_id: str) -> None:
         """Remove all reports of a member.
 
         Args:
             member_id: id of the member.
         """
+        self._generation += 1
         for group, received in list(self._reports.items()):
             if received.scheduler.member_id == member_id:
                 del self._reports[group]
@@ -154,19 +161,30 @@
             tasks: number of tasks to place.
             limits: limits of the queue for the step, which rank the workers.
         """
-        reports = self._fresh_reports(service)
+        memo = self._last_plan
+        if memo is not None and memo.is_for(service, step, tasks, limits, self._generation):
+            return memo.plan
+        plan = self._make_plan(self._fresh_reports(service), step, tasks, limits)
+        self._last_plan = PlanMemo(plan, service, step, tasks, limits, self._generation)
+        return plan
+
+    def _make_plan(
+        self, reports: list[ReceivedReport], step: BatchStep, tasks: int, limits: QueueLimits
+    ) -> PlacementPlan:
         chosen: dict[str, int] = {}
+        workers: list[tuple[GroupFreeCapacity, int, int]] = []
         remaining = tasks
-        for group, _, copies in self._rank_workers(reports, step, limits):
-            if not remaining:
-                break
+        for free_capacity, index, copies in self._workers_by_rank(reports, step, limits):
             count = min(copies, remaining)
-            chosen[group] = chosen.get(group, 0) + count
+            chosen[free_capacity.group] = chosen.get(free_capacity.group, 0) + count
+            workers.append((free_capacity, index, count))
             remaining -= count
+            if not remaining:
+                break
         if not remaining or not reports:
-            return PlacementPlan(chosen, {})
+            return PlacementPlan(chosen, {}, 0.0, workers)
         pending, wait_ms = self._spread_pending(reports, step, remaining, limits)
-        return PlacementPlan(chosen, pending, wait_ms)
+        return PlacementPlan(chosen, pending, wait_ms, workers)
 
     def reserve(self, plan: PlacementPlan, step: BatchStep, limits: QueueLimits) -> None:
         """Subtract the capacity of planned tasks until the schedulers report again.
@@ -176,11 +194,22 @@
             step: the step of the tasks.
             limits: the limits that the plan was made with.
         """
-        for group in {**plan.placed, **plan.pending}:
+        self._generation += 1
+        for free_capacity, index, tasks in plan.workers:
+            received = self._reports.get(free_capacity.group)
+            if received is not None and received.free_capacity is free_capacity:
+                worker = free_capacity.workers[index]
+                free = worker.free.minus(step.demand.times(tasks))
+                free_capacity.workers[index] = WorkerFreeCapacity(free, worker.speed)
+                received.touched.add(index)
+        for group, tasks in plan.pending.items():
             received = self._reports.get(group)
             if received is not None:
-                tasks = plan.placed.get(group, 0) + plan.pending.get(group, 0)
-                self._reserve_in_group(received.free_capacity, step, tasks, limits)
+                core_ms = step.demand.cpu_millicores / 1000 * step.estimate_ms * tasks
+                backlog_core_ms = received.free_capacity.waiting_core_ms
+                backlog_core_ms[limits.priority] = (
+                    backlog_core_ms.get(limits.priority, 0.0) + core_ms
+                )
 
     def mark_group_full(self, group: str, demand: Resources) -> None:
         """Treat the workers of a group that could hold a demand as full until it reports again.
@@ -192,16 +221,14 @@
         received = self._reports.get(group)
         if received is None:
             return
-        received.free_capacity.workers[:] = [
-            (
-                WorkerFreeCapacity(Resources(0), worker.speed)
-                if worker.free.can_hold(demand)
-                else worker
-            )
-            for worker in received.free_capacity.workers
-        ]
-
-    def _fresh_reports(self, service: str) -> list[_ReceivedReport]:
+        self._generation += 1
+        workers = received.free_capacity.workers
+        for index, worker in enumerate(workers):
+            if worker.free.can_hold(demand):
+                workers[index] = WorkerFreeCapacity(Resources(0), worker.speed)
+                received.touched.add(index)
+
+    def _fresh_reports(self, service: str) -> list[ReceivedReport]:
         """Return the reports of a service's groups that are recent enough for placement."""
         oldest_s = _oldest_valid_s()
         return [
@@ -210,25 +237,39 @@
             if received.free_capacity.service == service and received.received_s >= oldest_s
         ]
 
-    def _rank_workers(
-        self, reports: list[_ReceivedReport], step: BatchStep, limits: QueueLimits
-    ) -> list[tuple[str, WorkerFreeCapacity, int]]:
-        """Return group, worker and number of tasks that fit, for each worker, best worker first."""
-        eligible = [
-            (received.free_capacity.group, worker, worker.free.count_fitting(step.demand))
-            for received in reports
-            for worker in received.free_capacity.workers
-            if worker.free.can_hold(step.demand)
-        ]
-        eligible.sort(key=lambda row: self._rank(row[0], row[1].speed, step, limits))
-        return eligible
+    def _workers_by_rank(
+        self, reports: list[ReceivedReport], step: BatchStep, limits: QueueLimits
+    ) -> Iterator[tuple[GroupFreeCapacity, int, int]]:
+        """Yield the report, the index and the number of tasks that fit of each worker, best first.
 
-    def _rank(self, group: str, speed: float, step: BatchStep, limits: QueueLimits) -> tuple:
-        candidate = WorkerCandidate(speed, zone_of_group(group) == self._zone)
-        return self._worker_choice(candidate, step.estimate_ms, limits)
+        A rank is computed once for all workers of one speed in the own zone or in others.
+        """
+        demand = step.demand
+        needed_cpu, needed_mb, needed_gpus = demand.cpu_millicores, demand.memory_mb, demand.gpus
+        by_kind: dict[tuple[float, bool], list[tuple[GroupFreeCapacity, int]]] = {}
+        for received in reports:
+            free_capacity, is_own_zone = received.free_capacity, received.is_own_zone
+            for index, worker in enumerate(free_capacity.workers):
+                free = worker.free
+                if (
+                    free.cpu_millicores >= needed_cpu
+                    and free.memory_mb >= needed_mb
+                    and free.gpus >= needed_gpus
+                ):
+                    kind = (worker.speed, is_own_zone)
+                    by_kind.setdefault(kind, []).append((free_capacity, index))
+        kinds = sorted(by_kind, key=lambda kind: self._rank(*kind, step, limits))
+        for kind in kinds:
+            for free_capacity, index in by_kind[kind]:
+                copies = free_capacity.workers[index].free.count_fitting(demand)
+                if copies:
+                    yield free_capacity, index, copies
+
+    def _rank(self, speed: float, is_own_zone: bool, step: BatchStep, limits: QueueLimits) -> tuple:
+        return self._worker_choice(WorkerCandidate(speed, is_own_zone), step.estimate_ms, limits)
 
     def _spread_pending(
-        self, reports: list[_ReceivedReport], step: BatchStep, tasks: int, limits: QueueLimits
+        self, reports: list[ReceivedReport], step: BatchStep, tasks: int, limits: QueueLimits
     ) -> tuple[dict[str, int], float]:
         """Spread tasks that have to wait over the groups with the shortest expected waits.
 
@@ -236,45 +277,30 @@
             The number of tasks by group, and the expected waiting time of the last one in
             milliseconds.
         """
-        waits = {
-            received.free_capacity.group: GroupWait(
-                received.free_capacity,
-                step,
-                limits,
-                zone_of_group(received.free_capacity.group) == self._zone,
-            )
+        waits = [
+            GroupWait(received.free_capacity, step, limits, received.is_own_zone)
+            for received in reports
+            if received.free_capacity.capacity.can_hold(step.demand)
+        ]
+        groups = [
+            received.free_capacity.group
             for received in reports
             if received.free_capacity.capacity.can_hold(step.demand)
-        }
+        ]
         chosen: dict[str, int] = {}
         if not waits:
             return chosen, 0.0
+        costs = [(wait.cost_ms(), number) for number, wait in enumerate(waits)]
+        heapify(costs)
         for _ in range(tasks):
-            group = min(waits, key=lambda name: waits[name].cost_ms())
-            waits[group].add_task()
-            chosen[group] = chosen.get(group, 0) + 1
-        return chosen, max(waits[group].expected_ms() for group in chosen)
-
-    def _reserve_in_group(
-        self, free_capacity: GroupFreeCapacity, step: BatchStep, tasks: int, limits: QueueLimits
-    ) -> None:
-        """Subtract tasks from the free workers of a group, and add the others to its backlog."""
-        ranked = sorted(
-            range(len(free_capacity.workers)),
-            key=lambda index: self._rank(
-                free_capacity.group, free_capacity.workers[index].speed, step, limits
-            ),
+            number = costs[0][1]
+            waits[number].add_task()
+            heapreplace(costs, (waits[number].cost_ms(), number))
+            chosen[groups[number]] = chosen.get(groups[number], 0) + 1
+        expected_ms = (
+            wait.expected_ms() for wait, group in zip(waits, groups, strict=True) if group in chosen
         )
-        for worker_number in ranked:
-            worker = free_capacity.workers[worker_number]
-            while tasks and worker.free.can_hold(step.demand):
-                worker = WorkerFreeCapacity(worker.free.minus(step.demand), worker.speed)
-                tasks -= 1
-            free_capacity.workers[worker_number] = worker
-        if tasks:
-            core_ms = step.demand.cpu_millicores / 1000 * step.estimate_ms * tasks
-            backlog_core_ms = free_capacity.waiting_core_ms
-            backlog_core_ms[limits.priority] = backlog_core_ms.get(limits.priority, 0.0) + core_ms
+        return chosen, max(expected_ms)
 
 
 def _oldest_valid_s() -> float:
--- a/camphorchute/queues/tests/test_free_capacity_reports.py
+++ b/camphorchute/queues/tests/test_free_capacity_reports.py
@@ -1,3 +1,5 @@
+import time
+
 import gevent
 import pytest
 
@@ -39,10 +41,12 @@
     def __init__(self, member):
         self.member = member
         self.receivers_by_report = []
+        self.messages = []
         self.linked = set()
 
     def send_to_all(self, members, message):
         self.receivers_by_report.append(sorted(member.member_id for member in members))
+        self.messages.append(message)
 
     def is_linked(self, member_id):
         return member_id in self.linked
@@ -157,3 +161,48 @@
         site.scheduler.on_capacity_changed()
         gevent.sleep(0.01)
     assert len(site.peers.receivers_by_report) <= 6
+
+
+def test_only_changes_are_reported_between_complete_reports(make_site):
+    site = make_site([GROUPS[0]])
+    for free_cores in ((32, 32, 16), (32, 0, 16), (32, 0, 32)):
+        site.scheduler.free_capacity_report = lambda free=free_cores: [group_report(free)]
+        site.next_receivers()
+    site.scheduler.free_capacity_report = lambda: [group_report((32, 0, 32, 32))]
+    site.next_receivers()
+    messages = site.peers.messages
+    assert [len(message.groups) for message in messages] == [1, 0, 0, 1]
+    assert [message.number for message in messages] == [1, 2, 3, 4]
+    assert [list(message.changes[0].workers) for message in messages[1:3]] == [[1], [2]]
+
+
+def test_new_follower_gets_a_complete_report(make_site):
+    site = make_site([GROUPS[0]])
+    for member_id in ("north00", "north00", "south99"):
+        site.view.members[member_id] = Member(member_id, member_id[:5], "", "", "", "")
+        site.scheduler.free_capacity_report = lambda: [group_report((32, 0, 16))]
+        site.next_receivers()
+        if member_id == "south99":
+            assert len(site.peers.receivers_by_report[-1]) > 12
+    assert [len(message.groups) for message in site.peers.messages] == [1, 0, 1]
+
+
+def test_complete_report_follows_within_500_ms(make_site, monkeypatch):
+    """A receiver that missed a report knows the capacity of its groups again by then."""
+    monkeypatch.setattr(module, "REPORT_INTERVAL_MAX_MS", 500.0)
+    site = make_site([GROUPS[0]])
+    complete_s = []
+    send = site.peers.send_to_all
+    site.peers.send_to_all = lambda members, message: (
+        send(members, message),
+        message.groups and complete_s.append(time.monotonic()),
+    )
+    for round_number in range(150):
+        free = (32, 32, 16) if round_number % 2 else (32, 0, 16)
+        site.scheduler.free_capacity_report = lambda free=free: [group_report(free)]
+        if round_number % 50 < 25:
+            site.scheduler.on_capacity_changed()
+        gevent.sleep(0.01)
+    pauses_s = [later - earlier for earlier, later in zip(complete_s, complete_s[1:], strict=False)]
+    assert len(site.peers.messages) > 2 * len(complete_s)
+    assert max(pauses_s) < 0.5 + 0.05
--- a/camphorchute/queues/tests/test_free_capacity_view.py
+++ b/camphorchute/queues/tests/test_free_capacity_view.py
@@ -3,7 +3,12 @@
 from camphorchute.contracts.batch_job import BatchStep, QueueLimits
 from camphorchute.contracts.member import Member
 from camphorchute.contracts.resources import Resources
-from camphorchute.contracts.run_messages import GroupFreeCapacity, RoomReport, WorkerFreeCapacity
+from camphorchute.contracts.run_messages import (
+    GroupChange,
+    GroupFreeCapacity,
+    RoomReport,
+    WorkerFreeCapacity,
+)
 from camphorchute.queues import FreeCapacityView
 
 LIMITS = QueueLimits(1, 4, 1.6, 60.0)
@@ -105,3 +110,48 @@
 def test_task_can_run_only_where_a_group_has_the_capacity(service, cpu, can_run):
     view = make_view(make_group("g0", [(FULL, 1.0)]))
     assert view.can_ever_run(service, Resources(cpu)) is can_run
+
+
+def make_change(group, workers, waiting_core_ms=None):
+    changed = {index: WorkerFreeCapacity(free, 1.0) for index, free in workers.items()}
+    return GroupChange(group, waiting_core_ms or {}, {}, 0.0, changed)
+
+
+@pytest.mark.parametrize(
+    ("number", "sender", "is_applied"), [(6, "m0", True), (7, "m0", False), (6, "m1", False)]
+)
+def test_change_is_applied_to_the_report_before_it_only(number, sender, is_applied):
+    counts = []
+    view = FreeCapacityView(count=lambda name, n=1: counts.append(name))
+    scheduler = make_member("m0")
+    view.handle_report(scheduler, RoomReport([make_group("g0", [(FULL, 1.0), (FULL, 1.0)])], 5))
+    step = make_step(2)
+    view.reserve(view.plan("flags", step, 2, LIMITS), step, LIMITS)
+    change = make_change("g0", {1: EMPTY}, {0: 3200.0})
+    view.handle_report(make_member(sender), RoomReport([], number, [change]))
+    plan = view.plan("flags", make_step(4), 4, LIMITS)
+    assert plan.placed == {"g0": 2}
+    assert (plan.wait_ms > 50) is is_applied
+    assert (counts == []) is is_applied
+    view.handle_report(scheduler, RoomReport([make_group("g0", [(FULL, 1.0), (FULL, 1.0)])], 8))
+    assert view.plan("flags", make_step(4), 4, LIMITS).placed == {"g0": 4}
+
+
+def test_plan_ranks_each_kind_of_worker_once_and_is_used_for_the_dispatch():
+    ranks = []
+
+    def rank(candidate, estimate_ms, limits):
+        ranks.append(candidate.speed)
+        return (candidate.speed,)
+
+    view = FreeCapacityView("g0", rank)
+    group = make_group("g0/flags/0", [(FULL, 1.0)] * 6 + [(FULL, 0.8)] * 6)
+    view.handle_report(make_member("m0"), RoomReport([group]))
+    step = make_step(4)
+    plan = view.plan("flags", step, 4, LIMITS)
+    assert sorted(ranks) == [0.8, 1.0]
+    assert view.plan("flags", step, 4, LIMITS) is plan
+    view.reserve(plan, step, LIMITS)
+    assert len(ranks) == 2
+    assert view.plan("flags", step, 4, LIMITS) is not plan
+    assert [worker.free.cpu_millicores for worker in group.workers] == [32_000] * 12
