Read plain request headers without the parser for e-mail messages

Cause: gevent's request handler parses headers with the parser for e-mail messages, and each job started and killed a greenlet that waited for the end of its caller's connection.

The connection is watched by the event loop; a greenlet runs only once there is something to read.

--- a/camphorchute/entry/http_server.py
+++ b/camphorchute/entry/http_server.py
@@ -11,10 +11,10 @@
 from gevent.event import Event
 from gevent.pool import Pool
 from gevent.pywsgi import WSGIHandler, WSGIServer
-from gevent.socket import wait_read
 
 from camphorchute.contracts import Refusal, ResultCode
 from camphorchute.entry.problem import Response, problem_response
+from camphorchute.entry.request_headers import read_headers
 
 __all__ = ["HttpServer", "Request", "route"]
 
@@ -23,6 +23,7 @@
 IDLE_TIMEOUT_MS = 60_000.0
 LINE_TOO_LONG_STATUS = "414"
 SOCKET_KEY = "camphorchute.socket"
+READABLE = 1  # event mask of the event loop
 
 
 def route(method: str, path: str) -> Callable:
@@ -118,25 +119,34 @@
         disconnected: event that is set when the connection is closed or reset.
     """
 
-    __slots__ = ("disconnected", "_socket", "_greenlet")
+    __slots__ = ("disconnected", "_socket", "_watcher")
 
     def __init__(self, sock: socket.socket) -> None:
         self.disconnected = Event()
         self._socket = sock
-        self._greenlet: gevent.Greenlet | None = None
+        self._watcher: object | None = None
 
     def start(self) -> None:
-        """Start watching the connection."""
-        self._greenlet = gevent.spawn(self._watch)
+        """Start watching the connection; a greenlet runs only once there is something to read."""
+        if self._socket.fileno() < 0:
+            self.disconnected.set()
+            return
+        self._watcher = gevent.get_hub().loop.io(self._socket.fileno(), READABLE)
+        self._watcher.start(self._handle_readable)
 
     def close(self) -> None:
         """Stop watching the connection."""
-        if self._greenlet is not None:
-            self._greenlet.kill(block=False)
+        if self._watcher is not None:
+            self._watcher.stop()
+            self._watcher.close()
+            self._watcher = None
 
-    def _watch(self) -> None:
+    def _handle_readable(self) -> None:
+        self.close()
+        gevent.spawn(self._check)
+
+    def _check(self) -> None:
         try:
-            wait_read(self._socket.fileno())
             if not self._socket.recv(1, socket.MSG_PEEK):
                 self.disconnected.set()
         except OSError:
@@ -286,6 +296,9 @@
         with gevent.Timeout(IDLE_TIMEOUT_MS / 1000, _HeadersTooSlow):
             return super().read_request(raw_requestline)
 
+    def MessageClass(self, stream: object, *_: object) -> object:  # noqa: N802 - name in gevent
+        return read_headers(stream)
+
     def _handle_client_error(self, ex: Exception) -> object:
         if isinstance(ex, _HeadersTooSlow):
             return self._refuse_and_close(
--- a/camphorchute/entry/tests/test_http_server.py
+++ b/camphorchute/entry/tests/test_http_server.py
@@ -190,3 +190,31 @@
     assert head.startswith("HTTP/1.1 500")
     assert f'"code":{int(ResultCode.INTERNAL)}'.encode() in body
     assert "http.fault" in running.counted
+
+
+@pytest.mark.parametrize(("data", "is_gone"), [(b"", True), (b"GET / HTTP/1.1", False)])
+def test_caller_watch_detects_the_end_of_a_connection_without_a_greenlet(
+    data, is_gone, monkeypatch
+):
+    """A greenlet for each request cost as much as the reading of its body."""
+    spawned = []
+    monkeypatch.setattr(
+        http_server.gevent,
+        "spawn",
+        lambda *args: spawned.append(args) or gevent.Greenlet.spawn(*args),
+    )
+    ours, theirs = gevent_socket.socketpair()
+    watch = http_server.CallerWatch(ours)
+    watch.start()
+    gevent.sleep(0.01)
+    assert not spawned and not watch.disconnected.is_set()
+    if data:
+        theirs.sendall(data)
+    else:
+        theirs.close()
+    gevent.sleep(0.02)
+    assert watch.disconnected.is_set() is is_gone
+    assert len(spawned) == 1
+    watch.close()
+    for sock in (ours, theirs):
+        sock.close()
