--- a/camphorchute/contracts/run_messages.py
+++ b/camphorchute/contracts/run_messages.py
@@ -1,7 +1,8 @@
 """Messages about the runs of batch jobs and about queues, between entry processes.
 
 The owner of a job sends commands to the schedulers of worker groups, which report the results and
-their free capacity.
+their free capacity. The frequent messages are encoded as arrays, without the names of their fields:
+a new field goes to the end and has a default.
 """
 
 from enum import IntEnum
@@ -13,6 +14,7 @@
 
 __all__ = [
     "FetchQueues",
+    "GroupChange",
     "GroupFreeCapacity",
     "MemberBeat",
     "QueuesPart",
@@ -78,7 +80,7 @@
     number: int
 
 
-class StartTasks(msgspec.Struct, tag="start_tasks"):
+class StartTasks(msgspec.Struct, tag="start_tasks", array_like=True):
     """Start command of a job's owner for tasks of one step, to the scheduler of a group; one way.
 
     Attributes:
@@ -119,7 +121,7 @@
     has_job_started: bool = False
 
 
-class StopTasks(msgspec.Struct, tag="stop_tasks"):
+class StopTasks(msgspec.Struct, tag="stop_tasks", array_like=True):
     """Stop command of a job's owner for all tasks of the job; one way.
 
     Attributes:
@@ -176,7 +178,7 @@
     run_ms: float | None = None
 
 
-class TasksFinished(msgspec.Struct, tag="tasks_finished"):
+class TasksFinished(msgspec.Struct, tag="tasks_finished", array_like=True):
     """Results of tasks of one job, from a scheduler to the owner of the job; one way.
 
     Attributes:
@@ -227,10 +229,38 @@
     late_wait_ms: float = 0.0
 
 
-class RoomReport(msgspec.Struct, tag="room_report"):
-    """Free-capacity report of a scheduler to the members that follow its groups; one way."""
+class GroupChange(msgspec.Struct, array_like=True):
+    """What has changed in one worker group since the last report of its scheduler.
+
+    Attributes:
+        group: name of the worker group.
+        waiting_core_ms: as in a complete report.
+        oldest_wait_ms: as in a complete report.
+        late_wait_ms: as in a complete report.
+        workers: the free capacity of the workers that have changed, by their index in the last
+            complete report.
+    """
+
+    group: str
+    waiting_core_ms: dict[int, float]
+    oldest_wait_ms: dict[int, float]
+    late_wait_ms: float
+    workers: dict[int, WorkerFreeCapacity] = {}
+
+
+class RoomReport(msgspec.Struct, tag="room_report", array_like=True):
+    """Free-capacity report of a scheduler to the members that follow its groups; one way.
+
+    Attributes:
+        groups: all groups of the scheduler in a complete report, none in one of changes.
+        number: number of the report at its sender; it rises by one with each.
+        changes: one change for each group, which applies to the report with the number before;
+            empty in a complete report.
+    """
 
     groups: list[GroupFreeCapacity]
+    number: int = 0
+    changes: list[GroupChange] = []
 
 
 class ZoneEvacuation(msgspec.Struct, array_like=True, frozen=True):
@@ -247,7 +277,7 @@
     is_evacuated: bool
 
 
-class MemberBeat(msgspec.Struct, tag="member_beat"):
+class MemberBeat(msgspec.Struct, tag="member_beat", array_like=True):
     """Heartbeat of a member, sent at intervals on every link; one way.
 
     Attributes:
