Take the checks of arriving tasks out of the scheduler of groups

Change: ArrivalChecks decides which tasks are returned as they arrive; a group takes a pending task over from another one itself. Nothing is decided otherwise.

--- a/camphorchute/runs/group_scheduler.py
+++ b/camphorchute/runs/group_scheduler.py
@@ -21,6 +21,7 @@
 from camphorchute.loops import spawn_loop, until_next_tick_s
 from camphorchute.pause_watch import PauseWatch
 from camphorchute.policies import DecisionPolicies
+from camphorchute.runs.arrival_checks import ArrivalChecks
 from camphorchute.runs.durable_tasks import DurableTasks
 from camphorchute.runs.evacuated_groups import EvacuatedGroups
 from camphorchute.runs.group_membership import GroupMembership
@@ -31,7 +32,6 @@
 from camphorchute.runs.run_events import RunEvents
 from camphorchute.runs.run_supervisor import RunSupervisor
 from camphorchute.runs.task_places import TaskPlaces
-from camphorchute.runs.withdrawn_jobs import WithdrawnJobs
 from camphorchute.runs.worker_group import WorkerGroup
 from camphorchute.runs.zone_availability import ZoneAvailability
 
@@ -55,7 +55,7 @@
     Attributes:
         superseded_groups: groups with a worker that has seen a higher fencing token.
         on_capacity_changed: called when the free capacity has changed.
-        arrival_delay_ms: returns how long a message that is read now has waited in this process.
+        arrival_checks: decides which tasks are returned as they arrive.
         may_discard_completions: returns whether completions that no task has claimed may be
             acknowledged after a while.
         is_durable_job: returns whether the job with an id may be durable.
@@ -73,7 +73,7 @@
     ) -> None:
         self.superseded_groups: set[str] = set()
         self.on_capacity_changed: Callable[[], None] = lambda: None
-        self.arrival_delay_ms: Callable[[], float] = lambda: 0.0
+        self.arrival_checks = ArrivalChecks(count)
         self.may_discard_completions: Callable[[], bool] = lambda: True
         self.is_durable_job: Callable[[str], bool] = lambda job_id: True
         self.zone_availability = ZoneAvailability()
@@ -86,7 +86,6 @@
         self._groups: dict[str, WorkerGroup] = {}
         self.durable_tasks = DurableTasks(self._groups.values, count)
         self._open_tasks = OpenTasks()
-        self._withdrawn_jobs = WithdrawnJobs()
         self._places = TaskPlaces(self._groups.values, count)
         self._arrival_count = 0
         self._membership = GroupMembership(self, self._open_worker, count)
@@ -148,9 +147,8 @@
             return
         for task in list(group.backlog):
             self._return_task(task)
-        for worker in group.workers.values():
+        for worker_id, worker in group.workers.items():
             for run in worker.take_all_runs():
-                worker_id = worker.entry.worker_id
                 self.finish_task(run.task, run.number, TaskResultKind.MAY_RUN, worker_id)
             worker.close()
         self.on_capacity_changed()
@@ -198,24 +196,10 @@
             return
         group = self._groups.get(message.group)
         now_s = time.monotonic()
-        delay_ms = self.arrival_delay_ms() if message.term is None else 0.0
         for command in message.tasks:
             self._arrival_count += 1
             task = PendingTask(peer.member_id, message, command, now_s, self._arrival_count)
-            task.shorten_limits(delay_ms)
-            if self._withdrawn_jobs.includes(peer.member_id, message.job_id, command.dispatch):
-                self._count("runs.withdrawn")
-                self.finish_task(task, command.run - 1, TaskResultKind.NOT_STARTED)
-            elif now_s >= task.start_by_s and not task.may_run and not task.is_durable:
-                self._count("runs.read_too_late")
-                log_decision(
-                    "runs",
-                    "task read too late",
-                    task=task.name,
-                    group=message.group,
-                    start_within_ms=round(message.start_within_ms),
-                    delay_ms=round(delay_ms),
-                )
+            if self.arrival_checks.must_return(task, now_s):
                 self.finish_task(task, command.run - 1, TaskResultKind.NOT_STARTED)
             elif group is None:
                 self._count("runs.not_home")
@@ -242,7 +226,7 @@
 
         The results are sent before the answer, so that the owner has all of them when it arrives.
         """
-        self._withdrawn_jobs.add(peer.member_id, message.job_id, message.dispatch)
+        self.arrival_checks.bar(peer.member_id, message)
         started_tasks = 0
         for task in self._open_tasks.of_job(message.job_id):
             if task.owner_id != peer.member_id:
@@ -271,20 +255,12 @@
         if known_task is not None:
             self._count("runs.owner_changed")
             known_task.apply_dispatch(task)
-            self._move_to_group(known_task, group)
+            group.take_pending(known_task, self._groups.get(known_task.group))
             return
         self._open_tasks.add(task)
         if not group.adopt_run(task):
             group.backlog.add(task)
 
-    def _move_to_group(self, task: PendingTask, group: WorkerGroup) -> None:
-        """Move a pending task to the group that it was dispatched to now; a run stays."""
-        earlier_group = self._groups.get(task.group)
-        if task.run is None and earlier_group is not None and earlier_group is not group:
-            earlier_group.backlog.remove(task)
-            group.backlog.add(task)
-            task.group = group.name
-
     def requeue(self, task: PendingTask) -> None:
         """Put an open task without a run back into the backlog of its group.
 
--- a/camphorchute/runs/tests/test_group_scheduler.py
+++ b/camphorchute/runs/tests/test_group_scheduler.py
@@ -329,7 +329,7 @@
     """A scheduler whose event loop was late started tasks that nobody waited for any more."""
     site = open_site(workers=1)
     scheduler = site.add_scheduler(7)
-    scheduler.arrival_delay_ms = lambda: delay_ms
+    scheduler.arrival_checks.loop_delay_ms = lambda: delay_ms
     assert wait_until(lambda: scheduler.group(GROUP).workers["north-w0"].synced)
     site.dispatch_tasks(scheduler, **fields)
     assert wait_until(lambda: site.results)
--- a/camphorchute/runs/worker_group.py
+++ b/camphorchute/runs/worker_group.py
@@ -165,6 +165,18 @@
             return False
         return all(worker.synced or worker.unlisted_ms() > 0 for worker in self.workers.values())
 
+    def take_pending(self, task: PendingTask, earlier_group: "WorkerGroup | None") -> None:
+        """Move a pending task here from the group that it was dispatched to before; a run stays.
+
+        Args:
+            task: the task.
+            earlier_group: that group, None if it is no longer scheduled here.
+        """
+        if task.run is None and earlier_group is not None and earlier_group is not self:
+            earlier_group.backlog.remove(task)
+            self.backlog.add(task)
+            task.group = self.name
+
     def adopt_pending(self) -> None:
         """Adopt earlier runs of pending tasks that may already be running."""
         for task in [task for task in self.backlog if task.may_run]:
