Dispatch no step after another has ended the job as not run

Cause: if the plan of one step ended a job as not run, the steps after it that depend on no other were still planned. One with free capacity was dispatched although the caller had been told "not run", and nothing stopped its tasks, since the job had ended. Change: no further step is looked at once the job has an outcome. Measured: the new test fails without the change (one start command after the refusal) and passes with it.

--- a/camphorchute/queues/task_dispatcher.py
+++ b/camphorchute/queues/task_dispatcher.py
@@ -55,6 +55,8 @@
         """Dispatch every task that is ready; return whether some could not be dispatched."""
         is_incomplete = False
         for step_number in range(len(run.steps)):
+            if run.outcome is not None:  # an earlier step has ended the job as not run
+                return False
             if run.is_step_ready(step_number):
                 is_incomplete |= self._dispatch_step(run, step_number)
                 is_incomplete |= self._redispatch_lost_tasks(run, step_number)
--- a/camphorchute/queues/tests/test_queue_owner.py
+++ b/camphorchute/queues/tests/test_queue_owner.py
@@ -168,6 +168,21 @@
     assert site.outcome.retry_after_ms > 0
 
 
+def test_no_step_is_dispatched_after_another_has_ended_the_job_as_not_run():
+    """The caller was told "not run", and a task of the second step started after that."""
+    site = Site(start_limit_ms=150.0, h0=3)
+    site.submit(4, 1)
+    gevent.sleep(0.06)
+    site.take_start_commands()
+    site.report("h0", 1)
+    results = [TaskResult(0, index, 0, TaskResultKind.NOT_STARTED) for index in range(4)]
+    results.append(TaskResult(1, 0, 0, TaskResultKind.NOT_STARTED))
+    site.owner.handle_tasks_finished(make_member("h0"), TasksFinished("job1", results))
+    assert wait_until(lambda: site.outcome is not None, 0.1)
+    assert site.outcome.code is ResultCode.OVERLOADED
+    assert site.take_start_commands() == []
+
+
 def test_task_returned_before_its_time_is_dispatched_again():
     """A job was refused although its scheduler had only handed its group over."""
     site = Site(h0=1, h1=1)
