Count a run that a lost scheduler may have started when its zone is evacuated

Cause: a task whose scheduler was lost is dispatched to the next one as perhaps running. In an evacuated zone it came back as not started with run 0 once no earlier run was found, also if its run had ended and was acknowledged. Its owner then ended the job as not run. Change: such a task is returned with 1 as the number of its last run at least. Measured: the new test fails without the change (run 0) and passes with it; test_evacuated_groups passes.

--- a/camphorchute/runs/evacuated_groups.py
+++ b/camphorchute/runs/evacuated_groups.py
@@ -15,6 +15,8 @@
 
 __all__ = ["EvacuatedGroups"]
 
+FIRST_RUN = 1
+
 
 class EvacuatedGroups:
     """Returns the pending tasks of evacuated zones, and notices when a group offers more or less.
@@ -48,8 +50,13 @@
                 self._return_task(task)
 
     def _return_task(self, task: PendingTask) -> None:
+        """Return a task; its first run counts as started if a lost scheduler may have started it.
+
+        Only the number of the run shows its owner that the job is not one that was not run.
+        """
         self._count("runs.returned.evacuated")
-        self._scheduler.finish_task(task, task.next_run - 1, TaskResultKind.NOT_STARTED)
+        last_run = max(task.next_run - 1, FIRST_RUN) if task.may_run else task.next_run - 1
+        self._scheduler.finish_task(task, last_run, TaskResultKind.NOT_STARTED)
 
     def has_offer_changed(self, groups: Iterable[WorkerGroup]) -> bool:
         """Return whether a group offers another part of its workers than at the last call.
--- a/camphorchute/runs/tests/test_evacuated_groups.py
+++ b/camphorchute/runs/tests/test_evacuated_groups.py
@@ -122,6 +122,18 @@
     assert site.fleet.started_tasks() == []
 
 
+def test_first_run_that_a_lost_scheduler_may_have_started_is_never_returned_as_not_run(open_site):
+    """The run had ended and was acknowledged; its job was refused as not run."""
+    site = open_site(run_ms=40.0)
+    scheduler, _ = start_scheduler(site, share=0.0)
+    site.dispatch_tasks(scheduler, tasks=1, run=1, may_run=True, start_within_ms=4000.0)
+    assert wait_until(lambda: site.results)
+    assert [(result.end, result.run) for result in site.results] == [
+        (TaskResultKind.NOT_STARTED, 1)
+    ]
+    assert site.fleet.started_tasks() == []
+
+
 def test_scheduler_that_does_not_know_the_operators_keys_starts_and_reports_nothing(open_site):
     site = open_site()
     scheduler, availability = start_scheduler(site, is_known=False)
