Drop the limit of open tasks after an idle time

Cause: the limit is decided by results only. A process that was limited and then had no jobs kept its low limit for any time, and refused most of the next burst although no delay exceeded the target times. Change: the limit is dropped at a request if no queue had an open task or a request for 3 s before it.

--- a/camphorchute/queues/open_task_limit.py
+++ b/camphorchute/queues/open_task_limit.py
@@ -98,6 +98,9 @@
         tasks = self._queues.get(queue)
         if tasks is None or math.isinf(self.limit) or tasks.may_be_durable:
             return True
+        if not self._active(now_s):
+            self._forget(now_s)
+            return True
         tasks.seen_s = now_s
         active = self._active(now_s)
         floors = {id(other): self._floor(other, len(active)) for other in active}
@@ -180,6 +183,12 @@
     def _floor(self, entry: _QueueTasks, active_count: int) -> float:
         return max(1.0, FLOOR_SHARE * self.limit / active_count)
 
+    def _forget(self, now_s: float) -> None:
+        """Drop the limit of a process that was idle, as the delays of then say nothing any more."""
+        self.limit = math.inf
+        self.late_share = 0.0
+        self._start_period(now_s)
+
     def _decide(self, now_s: float) -> None:
         """Set the limit from what was measured since the last time, if that is enough."""
         elapsed_s = now_s - self._decided_s
--- a/camphorchute/queues/tests/test_open_task_limit.py
+++ b/camphorchute/queues/tests/test_open_task_limit.py
@@ -108,6 +108,25 @@
     assert math.isinf(limit.limit)
 
 
+@pytest.mark.parametrize(
+    ("open_tasks", "idle_s", "is_limited"), [(0, 60.0, False), (0, 1.0, True), (2, 60.0, True)]
+)
+def test_limit_is_forgotten_after_an_idle_time(open_tasks, idle_s, is_limited):
+    """The first burst after a quiet hour was refused, though nothing was late any more."""
+    limit = make_limit()
+    limit.add_job("urgent", 0, 50, 10.0)
+    for number in range(20):
+        record(limit, 11.0 + 0.3 * number, late_tasks=9)
+    limit.is_open_to("urgent", 0, 17.0)
+    limit.remove_job("urgent", 50 - open_tasks, 1.0, False)
+    now_s = 17.0 + idle_s
+    opened = 0
+    while opened < 30 and limit.is_open_to("urgent", 0, now_s):
+        limit.add_job("urgent", 0, 8, now_s)
+        opened += 1
+    assert (opened < 30) == is_limited
+
+
 def test_policy_none_sets_no_limit_whatever_is_measured():
     limit = make_limit(policy=set_no_limit)
     fill(limit, *WIDTHS)
