Give tasks time to start after a withdrawal in vain

Cause: the owner did not keep that a withdrawal had shown a started task. If every task had been planned to wait, the returned ones were dispatched with the start limit of a job that has not started, which was over. The scheduler returned them at once as read too late, and they went to and fro without a pause until the job was given up. Change: a job whose withdrawal was in vain counts as started.

--- a/camphorchute/queues/job_run.py
+++ b/camphorchute/queues/job_run.py
@@ -265,7 +265,12 @@
         return any(task.run > 2 for step in self.steps for task in step)
 
     def has_started_tasks(self) -> bool:
-        """Return whether a task has probably started, so that work would be lost with the job."""
+        """Return whether a task has probably started, so that work would be lost with the job.
+
+        That is also so after a withdrawal that has not ended the job.
+        """
+        if self.withdrawing_from is not None:
+            return True
         states = {task.state for step in self.steps for task in step}
         has_run = any(task.run > 1 for step in self.steps for task in step)
         is_placed = self.was_dispatched_with_capacity and TaskState.HANDED in states
--- a/camphorchute/queues/tests/test_job_withdrawals.py
+++ b/camphorchute/queues/tests/test_job_withdrawals.py
@@ -18,9 +18,9 @@
 LIMIT_MS = 60.0
 
 
-def open_withdrawn_site(tasks, **schedulers):
+def open_withdrawn_site(tasks, limit_ms=LIMIT_MS, **schedulers):
     """Return a site with a job that its owner has just withdrawn from its schedulers."""
-    site = Site(start_limit_ms=LIMIT_MS, **schedulers)
+    site = Site(start_limit_ms=limit_ms, **schedulers)
     site.submit(tasks)
     assert wait_until(lambda: withdrawals(site), 0.5)
     return site
@@ -89,6 +89,26 @@
     assert site.counts["queues.withdrawn_in_vain"] == 1
 
 
+@pytest.mark.parametrize("event", ["one has started", "link lost"])
+def test_tasks_that_are_dispatched_after_a_withdrawal_in_vain_have_time_to_start(event):
+    """They had the start limit, which is over, and were sent to and fro until the deadline."""
+    site = open_withdrawn_site(4, limit_ms=150.0, h0=0, h1=0)
+    (run,) = site.owner._jobs.values()
+    given_back = [n for n, task in enumerate(run.steps[0]) if task.scheduler_id == "h0"]
+    give_back(site, "h0", *given_back)
+    answer(site, "h0", 0)
+    site.peers.sent.clear()
+    if event == "link lost":
+        site.owner.mark_scheduler_lost("h1")
+    else:
+        answer(site, "h1", 1)
+    assert wait_until(lambda: site.peers.sent, 0.5)
+    messages = [message for _, message in site.peers.sent]
+    assert sorted(task.index for message in messages for task in message.tasks) == given_back
+    assert all(message.start_within_ms > LIMIT_MS for message in messages)
+    assert all(message.has_job_started for message in messages)
+
+
 @pytest.mark.parametrize("event", ["nothing", "link lost", "answer only", "old result"])
 def test_missing_results_never_prove_that_a_job_was_not_run(event):
     site = open_withdrawn_site(1, h0=1)
