Give tasks time to start while the scheduler of others is lost

Cause: a job with a task at a lost scheduler cannot end as not run, but its other tasks were still dispatched with the start limit of a job that has not started. After that limit they were returned and dispatched again without a pause until the group of the lost scheduler had another one. Change: a task that may run at a lost scheduler counts as started. Measured: the new test fails without the change (start_within_ms 0.0) and passes with it.

--- a/camphorchute/queues/job_run.py
+++ b/camphorchute/queues/job_run.py
@@ -267,14 +267,15 @@
     def has_started_tasks(self) -> bool:
         """Return whether a task has probably started, so that work would be lost with the job.
 
-        That is also so after a withdrawal that has not ended the job.
+        That is also so after a withdrawal that has not ended the job, and if a scheduler that may
+        have started a task is lost.
         """
         if self.withdrawing_from is not None:
             return True
         states = {task.state for step in self.steps for task in step}
         has_run = any(task.run > 1 for step in self.steps for task in step)
         is_placed = self.was_dispatched_with_capacity and TaskState.HANDED in states
-        return has_run or is_placed or TaskState.DONE in states
+        return has_run or is_placed or bool(states & {TaskState.DONE, TaskState.MAY_RUN})
 
     def any_may_have_started(self) -> bool:
         """Return whether any task has started or may still start; pending tasks do not count."""
--- a/camphorchute/queues/tests/test_job_withdrawals.py
+++ b/camphorchute/queues/tests/test_job_withdrawals.py
@@ -109,6 +109,23 @@
     assert all(message.has_job_started for message in messages)
 
 
+def test_tasks_that_come_back_after_another_scheduler_was_lost_have_time_to_start():
+    """They went to and fro without a pause until the group of the lost scheduler had another."""
+    site = Site(start_limit_ms=150.0, h0=0, h1=0)
+    site.submit(4)
+    site.owner.mark_scheduler_lost("h0")
+    (run,) = site.owner._jobs.values()
+    returned = [n for n, task in enumerate(run.steps[0]) if task.scheduler_id == "h1"]
+    gevent.sleep(0.16)
+    site.peers.sent.clear()
+    give_back(site, "h1", *returned)
+    assert wait_until(lambda: site.peers.sent, 0.5)
+    assert withdrawals(site) == []
+    ((_, message),) = site.peers.sent
+    assert [task.index for task in message.tasks] == returned
+    assert message.start_within_ms > LIMIT_MS
+
+
 @pytest.mark.parametrize("event", ["nothing", "link lost", "answer only", "old result"])
 def test_missing_results_never_prove_that_a_job_was_not_run(event):
     site = open_withdrawn_site(1, h0=1)
