Cancel the check of a caller's connection once its request is done

Cause: when a request ends in the pass of the event loop in which its connection became readable, the check that CallerWatch has spawned runs after the request. If the reader of the next request has taken the bytes by then, the check waits on the socket, and the reader fails with ConcurrentObjectUseError. Change: the watch keeps the greenlet of its check and cancels it when it is closed. Measured: the new test fails without the change and passes with it.

--- a/camphorchute/entry/http_server.py
+++ b/camphorchute/entry/http_server.py
@@ -119,12 +119,13 @@
         disconnected: event that is set when the connection is closed or reset.
     """
 
-    __slots__ = ("disconnected", "_socket", "_watcher")
+    __slots__ = ("disconnected", "_socket", "_watcher", "_greenlet")
 
     def __init__(self, sock: socket.socket) -> None:
         self.disconnected = Event()
         self._socket = sock
         self._watcher: object | None = None
+        self._greenlet: gevent.Greenlet | None = None
 
     def start(self) -> None:
         """Start watching the connection; a greenlet runs only once there is something to read."""
@@ -135,15 +136,24 @@
         self._watcher.start(self._handle_readable)
 
     def close(self) -> None:
-        """Stop watching the connection."""
+        """Stop watching the connection.
+
+        A check that has not begun is cancelled. It would otherwise compete for the socket with the
+        reader of the next request.
+        """
+        self._close_watcher()
+        if self._greenlet is not None:
+            self._greenlet.kill(block=False)
+
+    def _close_watcher(self) -> None:
         if self._watcher is not None:
             self._watcher.stop()
             self._watcher.close()
             self._watcher = None
 
     def _handle_readable(self) -> None:
-        self.close()
-        gevent.spawn(self._check)
+        self._close_watcher()
+        self._greenlet = gevent.spawn(self._check)
 
     def _check(self) -> None:
         try:
--- a/camphorchute/entry/tests/test_http_server.py
+++ b/camphorchute/entry/tests/test_http_server.py
@@ -218,3 +218,20 @@
     watch.close()
     for sock in (ours, theirs):
         sock.close()
+
+
+def test_closed_caller_watch_leaves_the_socket_to_the_next_request():
+    """Its check waited on the socket, and the reader of the next request failed."""
+    ours, theirs = gevent_socket.socketpair()
+    watch = http_server.CallerWatch(ours)
+    watch.start()
+    gevent.spawn(theirs.sendall, b"next request")
+    gevent_socket.wait_read(ours.fileno())
+    watch.close()
+    assert ours.recv(100) == b"next request"
+    gevent.sleep(0.01)
+    ours.settimeout(0.01)
+    with pytest.raises(TimeoutError):
+        ours.recv(1)
+    for sock in (ours, theirs):
+        sock.close()
