Apply the changes of all groups though one group was taken over

Cause: a report of changes was applied up to the first group whose change does not follow the last report, for example a group that another scheduler has reported since. The changes of the groups behind it were dropped, and all later ones until the next complete report. Change: each change of a report is applied for itself; the report is counted as missed once. Measured: the new test fails without the change and passes with it.

--- a/camphorchute/queues/free_capacity_view.py
+++ b/camphorchute/queues/free_capacity_view.py
@@ -84,9 +84,10 @@
         self._generation += 1
         now_s = time.monotonic()
         if report.changes:
-            if not all(
+            were_applied = [
                 self._apply_change(peer, change, report, now_s) for change in report.changes
-            ):
+            ]
+            if not all(were_applied):
                 self._count("queues.report_missed")
             self.report_received.set()
             return
--- a/camphorchute/queues/tests/test_free_capacity_view.py
+++ b/camphorchute/queues/tests/test_free_capacity_view.py
@@ -137,6 +137,19 @@
     assert view.plan("flags", make_step(4), 4, LIMITS).placed == {"g0": 4}
 
 
+def test_change_of_a_group_taken_over_does_not_hide_those_of_other_groups():
+    """The other groups of the earlier scheduler were planned by old figures meanwhile."""
+    counts = []
+    view = FreeCapacityView(count=lambda name, n=1: counts.append(name))
+    groups = [make_group(name, [(FULL, 1.0)]) for name in ("g0", "g1")]
+    view.handle_report(make_member("m0"), RoomReport(groups, 5))
+    view.handle_report(make_member("m1"), RoomReport([make_group("g0", [(FULL, 1.0)])], 1))
+    changes = [make_change(name, {0: EMPTY}) for name in ("g0", "g1")]
+    view.handle_report(make_member("m0"), RoomReport([], 6, changes))
+    assert view.plan("flags", make_step(4), 4, LIMITS).placed == {"g0": 2}
+    assert counts == ["queues.report_missed"]
+
+
 def test_plan_ranks_each_kind_of_worker_once_and_is_used_for_the_dispatch():
     ranks = []
 
