Treat an answer with the start of another one behind it as lost

Cause: if a receiver sent a second answer and only its head and a part of its body arrived with the first one, the part of the body was appended to that of the first, which counted as complete. Change: an answer that begins behind a complete one makes both lost, as a complete second one does.

--- a/camphorchute/workers/http_answer.py
+++ b/camphorchute/workers/http_answer.py
@@ -63,9 +63,14 @@
 
 
 class _Response(HTTPSocketResponse):
-    """Counts complete answers, so that a second one is not taken for content of the first."""
+    """Counts complete answers, so that a further one is not taken for content of the first."""
 
     complete_answers = 0
+    has_further_answer = False
+
+    def _on_message_begin(self) -> None:
+        self.has_further_answer |= self.complete_answers > 0
+        super()._on_message_begin()
 
     def _on_message_complete(self) -> None:
         if self.get_code() >= FINAL_STATUS_MIN:
@@ -119,9 +124,9 @@
     """Read an answer as :func:`read_answer` does, with the parser only."""
     response = _Response(reader, READ_BLOCK_BYTES, method)
     content = response.read()
-    if response.complete_answers != 1:
+    if response.complete_answers != 1 or response.has_further_answer:
         reader.close()
-        raise HTTPParseError(f"{response.complete_answers} answers to a request, not 1")
+        raise HTTPParseError(f"{response.complete_answers} complete answers, expected one only")
     answer = HttpAnswer(response.status_code, dict(response.headers), bytes(content))
     return answer, not response.should_close()
 
--- a/camphorchute/workers/tests/test_http_answer.py
+++ b/camphorchute/workers/tests/test_http_answer.py
@@ -117,3 +117,12 @@
     )
     outcome(read_answer, blocks, "POST")
     assert (not parsed) == is_plain
+
+
+@pytest.mark.parametrize("size_bytes", [1, 17, len(PLAIN) - 1, len(PLAIN)])
+@pytest.mark.parametrize("first", [PLAIN, PLAIN.replace(b"CONTENT-length:2", b"Content-Length:0")])
+def test_answer_with_the_start_of_another_one_is_lost(first, size_bytes):
+    """The body of the second answer was taken for the end of the first one's."""
+    first = first if b"length:2" in first else first[:-2]
+    with pytest.raises(HTTPParseError):
+        read_answer(Blocks([first + PLAIN[:size_bytes]]), "POST")
