Reproduce durable tasks that crash worker after worker without end

Cause: a run that is lost with its worker counts as an expired lease, and no count of them exists; a durable job has no deadline that would end it.

Change: stand-in workers can crash under the tasks with a given payload and come back under the same or another id.

--- a/bench/standins/fleet_site.py
+++ b/bench/standins/fleet_site.py
@@ -142,19 +142,20 @@
         return [task for task, task_spans in spans.items() if _has_overlap(sorted(task_spans))]
 
 
-def durable_job_body(*task_counts: int, estimate_ms: float = 40.0) -> dict:
+def durable_job_body(*task_counts: int, estimate_ms: float = 40.0, payload: str = "check") -> dict:
     """Return the request body of a durable job whose steps run one after the other.
 
     Args:
         task_counts: number of tasks of each step.
         estimate_ms: estimated run time of every task, in milliseconds.
+        payload: text that each task is started with.
     """
     steps = [
         {"count": count, "cpu": 14_000, "mem-mb": 64, "estimate-ms": estimate_ms}
         | ({"after": [number - 1]} if number else {})
         for number, count in enumerate(task_counts)
     ]
-    return {"spec": "check", "steps": steps}
+    return {"spec": payload, "steps": steps}
 
 
 def job_body(tasks: int = 1, estimate_ms: float = 40.0, **fields: object) -> dict:
--- a/bench/standins/fleet_worker.py
+++ b/bench/standins/fleet_worker.py
@@ -16,6 +16,7 @@
 MAX_LEASE_MS = 1000.0
 MS_PER_S = 1000
 TICK_INTERVAL_MS = 2.0
+ENTRY_EXPIRY_MS = 1000.0
 SLOT_CPU_MILLICORES = 14_000
 EXPECTED_WORKER_HEADER = "Camphorchute-Expect-Instance"
 
@@ -134,6 +135,21 @@
         self._server.start()
         self.register("ready")
 
+    def _crash_under(self, run: RunRecord) -> None:
+        """Crash if a run is still active; an earlier id leaves service discovery some time later.
+
+        Args:
+            run: the run.
+        """
+        if run.ended_s or not self.is_up:
+            return
+        earlier_id = self._worker_id
+        new_id = f"{earlier_id}n" if self.faults.crash_renames else ""
+        self.restart(self.faults.crash_down_ms, new_id)
+        if new_id:
+            gevent.sleep(ENTRY_EXPIRY_MS / MS_PER_S)
+            self._store.remove(f"servers/{earlier_id}")
+
     def before_request(self, request: Request) -> None:
         """Count the request and apply the faults to it."""
         self.calls[request.path] = self.calls.get(request.path, 0) + 1
@@ -255,6 +271,8 @@
         new_run = RunRecord(task, run, expires_s, self._worker_id, self.born)
         self._active_runs[task] = new_run
         self.runs.append(new_run)
+        if self.faults.crash_payload and body["spec"] == self.faults.crash_payload:
+            gevent.spawn_later(self.faults.crash_after_ms / MS_PER_S, self._crash_under, new_run)
         return self._reply({})
 
     def _stop_run(self, request: Request) -> Reply:
--- a/bench/tests/test_durable_jobs.py
+++ b/bench/tests/test_durable_jobs.py
@@ -2,13 +2,19 @@
 
 import signal
 import time
-from http.client import HTTPException
 
 import pytest
 
-from bench.fleet import call
 from bench.hosted_fleet import HostedFleet
-from bench.standins.fleet_site import QUEUE_HOST, QUEUE_PATH_PREFIX, durable_job_body
+from bench.standins.fleet_site import durable_job_body
+from bench.tests.durable_fleet import (
+    all_done,
+    call_entry,
+    job_state,
+    runs_of_job,
+    submit,
+    wait_until,
+)
 from camphorchute.durable_jobs import JOB_KEY_PREFIX
 from camphorchute.durable_jobs.shard_claims import SHARD_OWNER_KEY_PREFIX
 from camphorchute.runs import shard_of
@@ -35,16 +41,6 @@
         fleet.close()
 
 
-def wait_until(condition, timeout_s):
-    """Return whether the condition became true within the timeout."""
-    deadline_s = time.monotonic() + timeout_s
-    while not condition():
-        if time.monotonic() > deadline_s:
-            return False
-        time.sleep(0.05)
-    return True
-
-
 def stored_keys(fleet, prefix):
     """Return the keys in the store that begin with a prefix."""
     return [key for key in fleet.site.store.items if key.startswith(prefix)]
@@ -56,37 +52,6 @@
     return {int(key.removeprefix(SHARD_OWNER_KEY_PREFIX)) for key in keys}
 
 
-def call_entry(entry, method, job_id, body=None):
-    """Return status and body of a call, or 0 and the error if there is no answer."""
-    try:
-        return call(
-            entry.http_address, method, QUEUE_PATH_PREFIX + job_id, body, {"Host": QUEUE_HOST}
-        )
-    except (OSError, HTTPException) as error:
-        return 0, repr(error)
-
-
-def submit(entry, job_id, *tasks):
-    return call_entry(entry, "POST", job_id, durable_job_body(*tasks))[0]
-
-
-def job_state(entry, job_id):
-    """Return the state of a job, or the HTTP status if that is not 200."""
-    status, body = call_entry(entry, "GET", job_id)
-    return body["state"] if status == 200 else status
-
-
-def all_done(fleet, jobs, entries=None):
-    """Whether every one of the entry processes, by default all, reports all jobs as done."""
-    queried = entries or fleet.entries
-    return all(job_state(entry, job) == "done" for entry in queried for job in jobs)
-
-
-def runs_of_job(fleet, job):
-    """Return the runs of the tasks of a job that the workers recorded."""
-    return [r for w in fleet.site.workers for r in w.runs if r.task.startswith(f"{job}.")]
-
-
 def assert_run_once(fleet, jobs, tasks):
     """Assert that each task is done, has no overlapping runs and was not started again."""
     assert fleet.site.overlapping_tasks() == []
