Tell a crash of a worker from its silence, and a run that was alone

Cause: a run whose worker stopped answering looks the same after a crash, a partition and a pause, and nothing says which other runs were lost with it, so the log cannot tell the hypotheses on crashing tasks apart.

Change: WorkerFates tells from service discovery whether the same incarnation was heard of again or another one has its address. The log line of a run that is not done has the incarnation and whether the run was alone. No decision depends on them yet.

--- a/camphorchute/cluster/__init__.py
+++ b/camphorchute/cluster/__init__.py
@@ -7,6 +7,7 @@
 from camphorchute.cluster.heartbeats import Heartbeats
 from camphorchute.cluster.membership_lease import MembershipLease
 from camphorchute.cluster.store_follower import StoreFollower
+from camphorchute.cluster.worker_fates import WorkerFate, WorkerFates
 from camphorchute.cluster.zone_evacuations import ZoneEvacuations
 
 __all__ = [
@@ -19,5 +20,7 @@
     "Heartbeats",
     "MembershipLease",
     "StoreFollower",
+    "WorkerFate",
+    "WorkerFates",
     "ZoneEvacuations",
 ]
--- a/camphorchute/cluster/cluster_view.py
+++ b/camphorchute/cluster/cluster_view.py
@@ -9,6 +9,7 @@
 from gevent.event import Event
 
 from camphorchute.cluster.group_followers import GroupFollowers
+from camphorchute.cluster.worker_fates import WorkerFates
 from camphorchute.cluster.worker_groups import WorkerGroups
 from camphorchute.cluster.zone_evacuations import ZoneEvacuations
 from camphorchute.contracts.member import Member
@@ -54,6 +55,7 @@
         queues: the queue configuration in force, None until one is known.
         changed: event that is set when members, workers, claims or the queues have changed.
         zone_evacuations: which zones are evacuated.
+        worker_fates: what became of workers that stopped answering.
     """
 
     __slots__ = (
@@ -64,6 +66,7 @@
         "queues",
         "changed",
         "zone_evacuations",
+        "worker_fates",
         "_platform",
         "_count",
         "_missing_since_s",
@@ -89,6 +92,7 @@
         self.zone_evacuations = zone_evacuations or ZoneEvacuations(
             platform.decode_evacuated_zone, count
         )
+        self.worker_fates = WorkerFates()
         self._platform = platform
         self._count = count
         self._missing_since_s: dict[str, float] = {}
@@ -140,7 +144,7 @@
         elif key.startswith(self._platform.operator_prefix):
             self.zone_evacuations.apply_change(change)
         elif key.startswith(self._platform.worker_prefix):
-            if self._apply_worker(key, change.value):
+            if self._apply_worker(change):
                 self.changed.set()
         elif key.startswith(MEMBER_PREFIX):
             self._apply_member(key.removeprefix(MEMBER_PREFIX), change)
@@ -176,7 +180,7 @@
         for worker_id, since_s in list(self._missing_since_s.items()):
             if (now_s - since_s) * MS_PER_S > WORKER_EXPIRY_MS:
                 del self._missing_since_s[worker_id]
-                self.workers.pop(worker_id, None)
+                self.worker_fates.forget(self.workers.pop(worker_id))
                 self._worker_groups.remove_worker(worker_id)
                 self._count("roster.worker_gone")
                 self.changed.set()
@@ -253,14 +257,16 @@
             elif change.key not in table or table[change.key].mod_revision < change.mod_revision:
                 table[change.key] = change
 
-    def _apply_worker(self, key: str, value: bytes | None) -> bool:
+    def _apply_worker(self, change: StoredValue) -> bool:
         """Apply the entry of a worker; return whether it says anything new.
 
         Each heartbeat of a worker writes its entry again, mostly with another sequence number only.
         """
+        key, value = change.key, change.value
         worker_id = key.removeprefix(self._platform.worker_prefix)
         entry = None if value is None else self._platform.decode_worker_entry(key, value)
         if entry is not None:
+            self.worker_fates.record(entry, change.mod_revision)
             if self._missing_since_s:
                 self._missing_since_s.pop(worker_id, None)
             if entry.is_equal(self.workers.get(worker_id)):
--- /dev/null
+++ b/camphorchute/cluster/tests/test_worker_fates.py
@@ -0,0 +1,50 @@
+import time
+
+import pytest
+
+from camphorchute.cluster import WorkerFate, WorkerFates
+from camphorchute.contracts.resources import Resources
+from camphorchute.contracts.run_messages import RunPlace
+from camphorchute.hosting import WorkerEntry
+
+PLACE = RunPlace("w1", 100, "10.0.0.1:80", 1)
+
+
+def make_entry(worker_id="w1", incarnation=100, address="10.0.0.1:80"):
+    return WorkerEntry(worker_id, incarnation, address, "flags", "north", Resources(1))
+
+
+@pytest.mark.parametrize(
+    ("entries", "expected"),
+    [
+        ([], WorkerFate.UNKNOWN),
+        ([make_entry()], WorkerFate.ALIVE),
+        ([make_entry(incarnation=105)], WorkerFate.CRASHED),
+        ([make_entry("w2", 105)], WorkerFate.CRASHED),
+        ([make_entry("w2", 105), make_entry()], WorkerFate.CRASHED),
+        ([make_entry("w0", 95)], WorkerFate.UNKNOWN),
+        ([make_entry("w2", 105, "10.0.0.2:80")], WorkerFate.UNKNOWN),
+    ],
+)
+def test_fate_follows_from_the_entries_written_since(entries, expected):
+    fates, since_s = WorkerFates(), time.monotonic()
+    for revision, entry in enumerate(entries, 7):
+        fates.record(entry, revision)
+    assert fates.fate_of(PLACE, since_s) is expected
+
+
+def test_entry_that_was_not_written_since_is_no_sign_of_life():
+    fates = WorkerFates()
+    fates.record(make_entry(), 7)
+    since_s = time.monotonic()
+    fates.record(make_entry(), 7)
+    assert fates.fate_of(PLACE, since_s) is WorkerFate.UNKNOWN
+    fates.record(make_entry(), 8)
+    assert fates.fate_of(PLACE, since_s) is WorkerFate.ALIVE
+
+
+def test_removed_entry_says_nothing_of_a_crash():
+    fates, since_s = WorkerFates(), time.monotonic()
+    fates.record(make_entry("w2", 105), 7)
+    fates.forget(make_entry("w2", 105))
+    assert fates.fate_of(PLACE, since_s) is WorkerFate.UNKNOWN
--- a/camphorchute/contracts/run_messages.py
+++ b/camphorchute/contracts/run_messages.py
@@ -20,6 +20,7 @@
     "QueuesPart",
     "RoomReport",
     "RunMessage",
+    "RunPlace",
     "ShardTerm",
     "StartTasks",
     "StopTasks",
@@ -48,6 +49,24 @@
     NOT_FOUND = 5
 
 
+class RunPlace(msgspec.Struct, array_like=True, frozen=True):
+    """Where a run was.
+
+    Attributes:
+        worker_id: id of the worker, empty if it is not known.
+        incarnation: incarnation of the worker.
+        address: ``IP:port`` of the worker.
+        run: number of the run.
+        was_alone: whether no other run was active on the worker at the same time.
+    """
+
+    worker_id: str
+    incarnation: int
+    address: str
+    run: int
+    was_alone: bool = False
+
+
 class TaskToStart(msgspec.Struct, array_like=True):
     """One task of a start command.
 
--- a/camphorchute/runs/leased_worker.py
+++ b/camphorchute/runs/leased_worker.py
@@ -230,6 +230,9 @@
         """Enter a run of a task and reserve its capacity."""
         run = Run(task, self, number, time.monotonic())
         task.run = run
+        run.was_alone = not (self.runs or self.orphans)
+        for other in self.runs.values():
+            other.was_alone = False
         self._earlier_runs.forget(task.name)
         self.leases.record_active()
         task.started = True
--- a/camphorchute/runs/run.py
+++ b/camphorchute/runs/run.py
@@ -7,7 +7,12 @@
 
 import xxhash
 
-from camphorchute.contracts.run_messages import StartTasks, TaskResultKind, TaskToStart
+from camphorchute.contracts.run_messages import (
+    RunPlace,
+    StartTasks,
+    TaskResultKind,
+    TaskToStart,
+)
 from camphorchute.observation_clock import observation_clock
 from camphorchute.runs.earlier_run import EarlierRun
 
@@ -270,6 +275,7 @@
         stop_requested: whether a stop was requested.
         was_adopted: whether an earlier scheduler started it, so that its start time is not known.
         end_evidence: why it counts as ended, None while it is active.
+        was_alone: whether no other run was active on the worker since its start.
     """
 
     __slots__ = (
@@ -283,6 +289,7 @@
         "stop_requested",
         "was_adopted",
         "end_evidence",
+        "was_alone",
         "_unobserved_before_s",
     )
 
@@ -299,8 +306,16 @@
         self.stop_requested = False
         self.was_adopted = False
         self.end_evidence: EndEvidence | None = None
+        self.was_alone = True
         self._unobserved_before_s = observation_clock.unobserved_s()
 
+    def place(self) -> RunPlace:
+        """Return where the run is or was."""
+        entry = self.worker.entry
+        return RunPlace(
+            entry.worker_id, entry.incarnation, entry.address, self.number, self.was_alone
+        )
+
     def observed_ms(self, now_s: float) -> float:
         """Return the time since the start command in which this process could have seen the end.
 
--- a/camphorchute/runs/run_events.py
+++ b/camphorchute/runs/run_events.py
@@ -173,6 +173,8 @@
         worker=worker.entry.worker_id,
         how=outcome.value,
         evidence=run.end_evidence.value,
+        incarnation=worker.entry.incarnation,
+        alone=run.was_alone,
         failures=run.task.failures,
         ordered_stop=run.stop_requested,
     )
