--- a/camphorchute/cli/settings.py
+++ b/camphorchute/cli/settings.py
@@ -37,6 +37,7 @@
     __slots__ = (
         "admission_policy",
         "concurrency_limit_policy",
+        "crash_limit_policy",
         "advertise_http_address",
         "advertise_link_address",
         "answer_retention_s",
--- a/camphorchute/cli/settings_table.py
+++ b/camphorchute/cli/settings_table.py
@@ -144,6 +144,7 @@
     ("worker_choice", "own-zone-first", "Workers that are chosen first"),
     ("overdue", "spread", "Runs that are stopped as overdue and started elsewhere"),
     ("ejection", "outlier", "Workers that are given no tasks for a while"),
+    ("crash_limit", "two-machines", "Tasks that are given up after workers crashed under them"),
     ("concurrency_limit", "adaptive", "Limit of the open tasks of the jobs of this process"),
     ("readiness", "can-place", "When this process reports itself ready"),
     ("interference", "off", "Whether tasks that slow each other down are kept apart"),
--- a/camphorchute/contracts/durable_job_messages.py
+++ b/camphorchute/contracts/durable_job_messages.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from camphorchute.contracts.run_messages import TaskResultKind
+from camphorchute.contracts.run_messages import RunPlace, TaskResultKind
 
 __all__ = [
     "AskKeptJob",
@@ -41,6 +41,7 @@
         run: number of the run; for a pending task, of its next run.
         worker_id: the worker, empty while the task is pending at the scheduler.
         end: outcome of the run, None while it may still be active.
+        place: where an active run is, otherwise None.
     """
 
     task: str
@@ -48,6 +49,7 @@
     run: int
     worker_id: str
     end: TaskResultKind | None = None
+    place: RunPlace | None = None
 
 
 class KeptTasksAre(msgspec.Struct, tag="kept_tasks_are"):
--- a/camphorchute/contracts/run_messages.py
+++ b/camphorchute/contracts/run_messages.py
@@ -39,6 +39,7 @@
 
     ``MAY_RUN`` says that a run may still be active, ``NO_ROOM`` that the group has no free
     capacity, and ``NOT_FOUND`` that no completion of an earlier run of a durable task was found.
+    ``WORKER_LOST`` says that a run has ended with its worker, which may have crashed under it.
     """
 
     DONE = 0
@@ -47,6 +48,7 @@
     MAY_RUN = 3
     NO_ROOM = 4
     NOT_FOUND = 5
+    WORKER_LOST = 6
 
 
 class RunPlace(msgspec.Struct, array_like=True, frozen=True):
@@ -77,6 +79,8 @@
         may_run: whether an earlier run may still be active in the group.
         worker_id: the worker of that run, empty if it is not known.
         dispatch: number of the dispatch at the owner, which the result repeats; 0 if it has none.
+        lost_runs: number of runs of the task that were lost with their workers.
+        last_place: where that run is, or the last lost one was; None if it is not known.
     """
 
     index: int
@@ -85,6 +89,8 @@
     may_run: bool = False
     worker_id: str = ""
     dispatch: int = 0
+    lost_runs: int = 0
+    last_place: RunPlace | None = None
 
 
 class ShardTerm(msgspec.Struct, array_like=True):
@@ -184,6 +190,8 @@
             last run, or to its return without one; None if it is not known.
         run_ms: time from that start command to the end as observed at the scheduler, without the
             time for which the scheduler itself was late, 0 without a run; None if it is not known.
+        place: where the run of a ``MAY_RUN`` or ``WORKER_LOST`` task is or was; None if it is not
+            known.
     """
 
     step: int
@@ -195,6 +203,7 @@
     dispatch: int = 0
     waited_ms: float | None = None
     run_ms: float | None = None
+    place: RunPlace | None = None
 
 
 class TasksFinished(msgspec.Struct, tag="tasks_finished", array_like=True):
--- a/camphorchute/durable_jobs/durable_job_record.py
+++ b/camphorchute/durable_jobs/durable_job_record.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from camphorchute.contracts.batch_job import BatchJob, QueueLimits
+from camphorchute.contracts.run_messages import RunPlace
 from camphorchute.hosting import Queue
 from camphorchute.runs import shard_of
 
@@ -33,6 +34,7 @@
         state: whether the job is open, or its outcome.
         done: indices of the tasks that are done, for each step.
         failed_runs: ``worker:run`` of each failed run, by task as ``step.index``.
+        lost_runs: where the runs were that were lost with their workers, by task likewise.
         term: term of the shard owner that wrote the record; 0 until one has.
 
     Examples:
@@ -52,6 +54,7 @@
     state: DurableJobState = DurableJobState.OPEN
     done: list[list[int]] = []
     failed_runs: dict[str, list[str]] = {}
+    lost_runs: dict[str, list[RunPlace]] = {}
     term: int = 0
 
     @classmethod
--- a/camphorchute/durable_jobs/durable_job_run.py
+++ b/camphorchute/durable_jobs/durable_job_run.py
@@ -5,9 +5,10 @@
 from gevent.event import Event
 
 from camphorchute.contracts.batch_job import BatchStep
-from camphorchute.contracts.run_messages import ShardTerm, TaskResult
+from camphorchute.contracts.run_messages import RunPlace, ShardTerm, TaskResult
 from camphorchute.durable_jobs.durable_job_record import DurableJobRecord, DurableJobState
 from camphorchute.queues import JobOutcome, JobRun, TaskProgress, TaskState
+from camphorchute.queues.lost_runs import LostRuns
 from camphorchute.runs.run import task_name
 
 __all__ = ["DurableJobRun", "UnsavedCompletion"]
@@ -55,6 +56,7 @@
         record: the job with its progress.
         revision: revision of the record as it was last read or written.
         unsaved_completions: completions in the record that are not stored yet.
+        has_unsaved_changes: whether the record has other changes that are not stored yet.
         is_recovered: whether all tasks that earlier owners started are known.
         is_saving: whether a write is in progress or scheduled.
         outcome_known: set when the job has an outcome that must be stored.
@@ -64,6 +66,7 @@
         "record",
         "revision",
         "unsaved_completions",
+        "has_unsaved_changes",
         "is_recovered",
         "is_saving",
         "outcome_known",
@@ -86,6 +89,7 @@
         self.record = record
         self.revision = revision
         self.unsaved_completions: list[UnsavedCompletion] = []
+        self.has_unsaved_changes = False
         self.is_recovered = False
         self.is_saving = False
         self.outcome_known = Event()
@@ -96,6 +100,11 @@
         for step, indices in zip(self.steps, record.done, strict=False):
             for index in indices:
                 step[index].state = TaskState.DONE
+        for name, places in record.lost_runs.items():
+            task = self._task_named(name)
+            for place in places:
+                task.add_lost_run(place)
+            task.lost_runs.stored = len(task.lost_runs)
         self.was_dispatched_with_capacity = any(record.done)
 
     @property
@@ -117,9 +126,13 @@
         self.is_recovered = True
         self.changed.set()
 
+    def must_be_saved(self) -> bool:
+        """Whether the record has changes that no write has taken up."""
+        return bool(self.unsaved_completions) or self.has_unsaved_changes
+
     def is_record_stored(self) -> bool:
         """Whether the store has everything in the record."""
-        return not self.unsaved_completions and not self.is_saving
+        return not self.must_be_saved() and not self.is_saving
 
     def start_within_ms(self, step: BatchStep, now_s: float, must_start_in_time: bool) -> float:
         """Return how long a task may wait at a scheduler, in milliseconds.
@@ -164,10 +177,42 @@
             self.record.state = DurableJobState.FAILED
         self._record_completion(task, result)
 
-    def record_not_found(self, task: TaskProgress) -> None:
-        """Mark a task as unknown, so that all schedulers are queried before it runs again."""
-        task.state = TaskState.UNKNOWN
-        self._schedule_task_query()
+    def record_not_found(self, task: TaskProgress, result: TaskResult) -> None:
+        """Mark a task as unknown, so that all schedulers are queried before it runs again.
+
+        If it lost a worker before, and the scheduler that could tell what became of its next run is
+        lost, too, that run counts as lost.
+        """
+        if task.lost_runs is not None and not task.worker_id:
+            self._add_lost_run(task, result.step, result.index, RunPlace("", 0, "", result.run))
+        self._query_task(task)
+
+    def record_lost_run(self, task: TaskProgress, result: TaskResult) -> None:
+        """Record a lost run and have it stored; the task does not start again before."""
+        self._add_lost_run(task, result.step, result.index, result.place)
+
+    def record_worker_lost(self, task: TaskProgress, result: TaskResult) -> None:
+        """Mark a task as unknown as after :meth:`record_not_found`."""
+        task.worker_id = ""
+        self._query_task(task)
+
+    def record_unaccounted_runs(self) -> None:
+        """Count a run of each pending task that lost a worker before as lost.
+
+        The previous owner may have started it again, and no scheduler knows what became of it.
+        """
+        for step, tasks in enumerate(self.steps):
+            for index, task in enumerate(tasks):
+                if task.state is TaskState.WAITING and task.lost_runs is not None:
+                    number = max(place.run for place in task.lost_runs.places()) + 1
+                    self._add_lost_run(task, step, index, RunPlace("", 0, "", number))
+                    task.run = max(task.run, number + 1)
+
+    def give_up_task(self, step: int, index: int) -> None:
+        """Record the job as failed and have that stored."""
+        self.record.state = DurableJobState.FAILED
+        self.outcome_known.set()
+        self._mark_changed()
 
     def failed_run_count(self, step: int, index: int) -> int:
         """Return how many runs of a task have failed."""
@@ -182,6 +227,16 @@
         for name, runs in record.failed_runs.items():
             known_runs = self.record.failed_runs.setdefault(name, [])
             known_runs += [run for run in runs if run not in known_runs]
+        for name, places in record.lost_runs.items():
+            known_places = self.record.lost_runs.setdefault(name, [])
+            for place in places:
+                if self._task_named(name).add_lost_run(place):
+                    known_places.append(place)
+
+    def lost_run_counts(self) -> list[tuple[LostRuns, int]]:
+        """Return the lost runs of each task with their present number."""
+        tasks = [task for step in self.steps for task in step if task.lost_runs is not None]
+        return [(task.lost_runs, len(task.lost_runs)) for task in tasks]
 
     def record_to_store(self) -> DurableJobRecord:
         """Return the record to write: the complete one while the job is open."""
@@ -195,5 +250,25 @@
         self.unsaved_completions.append(UnsavedCompletion(task.scheduler_id, name, result.run))
         self._schedule_save(self)
 
+    def _add_lost_run(self, task: TaskProgress, step: int, index: int, place: RunPlace) -> None:
+        if not task.add_lost_run(place):
+            return
+        task.lost_runs.stored = task.lost_runs.stored or 0
+        self.record.lost_runs.setdefault(f"{step}.{index}", []).append(place)
+        self._mark_changed()
+
+    def _mark_changed(self) -> None:
+        self.has_unsaved_changes = True
+        self._schedule_save(self)
+
+    def _query_task(self, task: TaskProgress) -> None:
+        task.state = TaskState.UNKNOWN
+        self._schedule_task_query()
+
+    def _task_named(self, name: str) -> TaskProgress:
+        """Return a task by its name in the record."""
+        step, _, index = name.partition(".")
+        return self.steps[int(step)][int(index)]
+
     def _tasks_in(self, state: TaskState) -> list[TaskProgress]:
         return [task for step in self.steps for task in step if task.state is state]
--- a/camphorchute/durable_jobs/shard.py
+++ b/camphorchute/durable_jobs/shard.py
@@ -241,6 +241,7 @@
         elif record.state is not run.record.state:
             run.record.state = record.state
             run.unsaved_completions.clear()
+            run.has_unsaved_changes = False
             self._finish_run(run, record.state)
 
     def _drop_run(self, job_id: str) -> None:
@@ -267,6 +268,7 @@
         self._query_unknown_tasks()
         for run in list(self._runs.values()):
             if not run.is_recovered:
+                run.record_unaccounted_runs()
                 run.mark_recovered()
         open_jobs = len(self._runs)
         log_message(
@@ -376,6 +378,7 @@
         else:
             task.group, task.scheduler_id = reported.group, scheduler.member_id
             task.state, task.worker_id = TaskState.MAY_RUN, reported.worker_id
+            task.place = reported.place
             run.was_dispatched_with_capacity = True
 
     def _stop_leftover_run(self, scheduler: Member, reported: ReportedTask, job_id: str) -> None:
@@ -400,13 +403,19 @@
         Each write waits to batch completions; the outcome of the job is written without waiting.
         """
         try:
-            while run.unsaved_completions and not self._closed and run.job.job_id in self._runs:
+            while run.must_be_saved() and not self._closed and run.job.job_id in self._runs:
                 wait_for_event(run.outcome_known, SAVE_BATCHING_MS / MS_PER_S)
                 completions, run.unsaved_completions = run.unsaved_completions, []
+                run.has_unsaved_changes = False
+                lost_run_counts = run.lost_run_counts()
                 if self._try_store_record(run):
+                    for lost_runs, number in lost_run_counts:
+                        lost_runs.stored = max(lost_runs.stored, number)
+                    run.changed.set()
                     self._report_saved_completions(completions)
                 else:
                     run.unsaved_completions = completions + run.unsaved_completions
+                    run.has_unsaved_changes = True
         finally:
             run.is_saving = False
         state = run.record.state
--- a/camphorchute/durable_jobs/tests/test_shard.py
+++ b/camphorchute/durable_jobs/tests/test_shard.py
@@ -4,7 +4,7 @@
 from camphorchute.contracts.batch_job import BatchJob, BatchStep, QueueLimits
 from camphorchute.contracts.durable_job_messages import EndsSaved, KeptTasksAre, ReportedTask
 from camphorchute.contracts.resources import Resources
-from camphorchute.contracts.run_messages import StopTasks, TaskResult, TaskResultKind
+from camphorchute.contracts.run_messages import RunPlace, StopTasks, TaskResult, TaskResultKind
 from camphorchute.durable_jobs import DurableJobRecord, DurableJobState, JobWriter, job_key
 from camphorchute.durable_jobs import shard as shard_module
 from camphorchute.durable_jobs.shard import JobShard, ShardContext
@@ -26,6 +26,7 @@
 KEY = job_key(JOB_ID)
 WORKERS = ["w1", "w2"]
 TERM = 9
+NOT_FOUND = TaskResult(0, 0, 1, TaskResultKind.NOT_FOUND)
 
 
 def make_record(tasks=2, **fields):
@@ -294,7 +295,7 @@
     site.peers.reply = KeptTasksAre(WORKERS, [reported_task(0, TaskResultKind.DONE)])
     task = site.job_run().steps[0][0]
     task.state = TaskState.HANDED
-    site.job_run().record_not_found(task)
+    site.job_run().record_not_found(task, NOT_FOUND)
     assert task.state is TaskState.UNKNOWN
     assert wait_until(lambda: task.state is TaskState.DONE)
     assert wait_until(lambda: site.stored_record().done == [[0]])
@@ -307,7 +308,7 @@
     assert wait_until(lambda: recovered(site))
     site.store.errors_to_raise = [StoreUnavailable("down")] * 3
     site.peers.reply = KeptTasksAre(["w1"], [reported_task(0, TaskResultKind.DONE)])
-    site.job_run().record_not_found(site.job_run().steps[0][0])
+    site.job_run().record_not_found(site.job_run().steps[0][0], NOT_FOUND)
     gevent.sleep(0.35)
     assert site.counts["keeping.retry.find_tasks"] >= 2
     assert site.saved_tasks() == []
@@ -322,7 +323,7 @@
     assert wait_until(lambda: recovered(site))
     task = site.job_run().steps[0][0]
     site.peers.reply = KeptTasksAre(WORKERS, [reported_task(0, TaskResultKind.DONE)])
-    site.job_run().record_not_found(task)
+    site.job_run().record_not_found(task, NOT_FOUND)
     site.job_run().changed.clear()
     assert wait_until(lambda: task.state is TaskState.DONE)
     assert wait_until(site.job_run().changed.is_set)
@@ -350,3 +351,98 @@
         return writer.write(KEY, value, revision)
     except Exception as error:  # noqa: BLE001 - the test compares its type
         return type(error).__name__
+
+
+def lose_run(site, run=1, worker="w1", index=0):
+    """Report the loss of a run, as a scheduler does, and return the task."""
+    job_run = site.job_run()
+    task = job_run.steps[0][index]
+    place = RunPlace(worker, run, f"{worker}:1", run, True)
+    result = TaskResult(0, index, run, TaskResultKind.WORKER_LOST, place=place)
+    job_run.record_lost_run(task, result)
+    job_run.record_worker_lost(task, result)
+    return task
+
+
+# A new owner of the shard started the task again as if it had never crashed a worker.
+def test_lost_runs_are_known_to_the_next_owner(site):
+    site.put(make_record(1))
+    site.start_shard()
+    assert wait_until(lambda: recovered(site))
+    task = lose_run(site)
+    assert not task.lost_runs.is_stored()
+    assert wait_until(task.lost_runs.is_stored)
+    assert [place.worker_id for place in site.stored_record().lost_runs["0.0"]] == ["w1"]
+    site.shards.pop().close()
+    site.start_shard(TERM + 1)
+    assert wait_until(lambda: recovered(site) and site.job_run().steps[0][0] is not task)
+    assert [p.worker_id for p in site.job_run().steps[0][0].lost_runs.places()] == ["w1", ""]
+
+
+def test_lost_run_that_is_not_stored_yet_is_stored_again_after_an_error(site):
+    site.put(make_record(1))
+    site.start_shard()
+    assert wait_until(lambda: recovered(site))
+    site.store.errors_to_raise = [StoreUnavailable("down"), StoreUnavailable("down")]
+    task = lose_run(site)
+    gevent.sleep(0.25)
+    assert not task.lost_runs.is_stored()
+    assert wait_until(task.lost_runs.is_stored)
+    assert task.state is TaskState.WAITING
+
+
+# The worker had only been silent; its completion was acknowledged though it was not stored.
+def test_stored_loss_of_a_run_acknowledges_no_completion(site):
+    site.put(make_record(1))
+    site.start_shard()
+    assert wait_until(lambda: recovered(site))
+    assert wait_until(lose_run(site).lost_runs.is_stored)
+    gevent.sleep(0.1)
+    assert site.saved_tasks() == []
+
+
+def test_loss_that_is_reported_twice_counts_once(site):
+    site.put(make_record(1))
+    site.start_shard()
+    assert wait_until(lambda: recovered(site))
+    task = [lose_run(site), lose_run(site)][0]
+    assert wait_until(task.lost_runs.is_stored)
+    assert len(task.lost_runs) == len(site.stored_record().lost_runs["0.0"]) == 1
+
+
+@pytest.mark.parametrize(("is_suspect", "expected"), [(True, 2), (False, 0)])
+def test_run_that_is_lost_with_its_scheduler_counts_for_a_task_that_lost_a_worker(
+    site, is_suspect, expected
+):
+    site.put(make_record(1))
+    site.start_shard()
+    assert wait_until(lambda: recovered(site))
+    task = site.job_run().steps[0][0]
+    if is_suspect:
+        lose_run(site)
+    task.worker_id = ""
+    not_found = TaskResult(0, 0, 2, TaskResultKind.NOT_FOUND)
+    site.job_run().record_not_found(task, not_found)
+    assert (len(task.lost_runs) if task.lost_runs else 0) == expected
+
+
+def test_task_that_is_given_up_fails_its_job(site):
+    site.put(make_record(1))
+    site.start_shard()
+    assert wait_until(lambda: recovered(site))
+    assert wait_until(lose_run(site).lost_runs.is_stored)
+    site.job_run().give_up_task(0, 0)
+    assert wait_until(lambda: site.stored_record().state is DurableJobState.FAILED)
+    assert wait_until(lambda: site.shards[0].job_state(JOB_ID) == "failed")
+    assert not site.job_run().may_dispatch()
+
+
+def test_lost_runs_of_another_write_of_the_record_are_merged(site):
+    site.put(make_record(1))
+    site.start_shard()
+    assert wait_until(lambda: recovered(site))
+    lost_runs = {"0.0": [RunPlace("w2", 2, "w2:1", 2)]}
+    site.put(make_record(1, lost_runs=lost_runs, term=TERM))
+    task = site.job_run().steps[0][0]
+    assert wait_until(lambda: task.lost_runs is not None)
+    assert [place.worker_id for place in task.lost_runs.places()] == ["w2"]
--- a/camphorchute/entry/hosted_process.py
+++ b/camphorchute/entry/hosted_process.py
@@ -120,6 +120,8 @@
             self._policies.admission,
             self._policies.concurrency_limit,
         )
+        self._owner.crash_guard.policy = self._policies.crash_limit
+        self._owner.crash_guard.fate_of = self._view.worker_fates.fate_of
         self._owner.admission.has_workers = self._view.has_workers
         self._owner.admission.own_delay_ms = lambda: self._loop_lag.job_delay_ms()
         self._owner.is_settled = self._scheduler.pause_watch.is_settled
--- /dev/null
+++ b/camphorchute/policies/crash_limit.py
@@ -0,0 +1,88 @@
+"""Crash limit policies: whether a task is started again after its workers were lost."""
+
+from collections.abc import Callable
+from enum import Enum
+
+from camphorchute.policies.registry import PolicyRegistry
+
+__all__ = [
+    "CRASH_LIMIT_POLICIES",
+    "CrashDecision",
+    "CrashEvidence",
+    "CrashLimitPolicy",
+    "always_start_again",
+    "give_up_after_two",
+]
+
+CRASHES_MAX = 2
+CRASHES_BESIDE_OTHERS_MAX = 3
+LOST_RUNS_MAX = 4
+UNDECIDED_MAX = 1
+
+
+class CrashDecision(Enum):
+    """What becomes of a task that lost its worker; the values are written to logs."""
+
+    START = "starts again"
+    WAIT = "waits until it is known whether its workers crashed"
+    GIVE_UP = "is given up"
+
+
+class CrashEvidence:
+    """The lost runs of a task whose worker was not heard of again afterwards.
+
+    Attributes:
+        crashed_machines: number of machines on which a worker crashed under the task.
+        crashed_alone: number of these on which no other run was active.
+        lost_runs: number of lost runs, whether the worker is known to have crashed or not.
+        undecided: number of lost runs of which that may still become known.
+    """
+
+    __slots__ = ("crashed_machines", "crashed_alone", "lost_runs", "undecided")
+
+    def __init__(
+        self, crashed_machines: int, crashed_alone: int, lost_runs: int, undecided: int
+    ) -> None:
+        self.crashed_machines = crashed_machines
+        self.crashed_alone = crashed_alone
+        self.lost_runs = lost_runs
+        self.undecided = undecided
+
+
+CrashLimitPolicy = Callable[[CrashEvidence], CrashDecision]
+CRASH_LIMIT_POLICIES: PolicyRegistry[CrashLimitPolicy] = PolicyRegistry("crash limit")
+
+
+@CRASH_LIMIT_POLICIES.register("two-machines")
+def give_up_after_two(evidence: CrashEvidence) -> CrashDecision:
+    """Give a task up once two machines have crashed under it, on one of them without other tasks.
+
+    A task that always ran beside others may have been their victim, so it takes a third crash. One
+    machine that crashes again and again counts once. The total of lost runs is limited as well,
+    since some crashes never become known as such.
+
+    Args:
+        evidence: the lost runs of the task.
+
+    Examples:
+        >>> give_up_after_two(CrashEvidence(1, 0, lost_runs=1, undecided=0)).name
+        'START'
+        >>> give_up_after_two(CrashEvidence(1, 0, lost_runs=2, undecided=1)).name
+        'WAIT'
+        >>> give_up_after_two(CrashEvidence(2, 1, lost_runs=2, undecided=0)).name
+        'GIVE_UP'
+        >>> give_up_after_two(CrashEvidence(2, 0, lost_runs=2, undecided=0)).name
+        'START'
+    """
+    limit = CRASHES_MAX if evidence.crashed_alone else CRASHES_BESIDE_OTHERS_MAX
+    if evidence.crashed_machines >= limit or evidence.lost_runs >= LOST_RUNS_MAX:
+        return CrashDecision.GIVE_UP
+    if evidence.undecided and evidence.lost_runs > UNDECIDED_MAX:
+        return CrashDecision.WAIT
+    return CrashDecision.START
+
+
+@CRASH_LIMIT_POLICIES.register("never")
+def always_start_again(evidence: CrashEvidence) -> CrashDecision:
+    """Start every task again, however many workers crash under it."""
+    return CrashDecision.START
--- a/camphorchute/policies/decision_policies.py
+++ b/camphorchute/policies/decision_policies.py
@@ -2,6 +2,7 @@
 
 from camphorchute.policies.admission import ADMISSION_POLICIES
 from camphorchute.policies.concurrency_limit import CONCURRENCY_LIMIT_POLICIES
+from camphorchute.policies.crash_limit import CRASH_LIMIT_POLICIES
 from camphorchute.policies.ejection import EJECTION_POLICIES
 from camphorchute.policies.interference import INTERFERENCE_POLICIES
 from camphorchute.policies.overdue import OVERDUE_POLICIES
@@ -20,6 +21,7 @@
     "readiness": READINESS_POLICIES,
     "interference": INTERFERENCE_POLICIES,
     "concurrency_limit": CONCURRENCY_LIMIT_POLICIES,
+    "crash_limit": CRASH_LIMIT_POLICIES,
 }
 
 
@@ -35,6 +37,7 @@
         readiness: name of the readiness policy.
         interference: name of the interference policy.
         concurrency_limit: name of the concurrency limit policy.
+        crash_limit: name of the crash limit policy.
 
     Raises:
         ValueError: a name is not known; the message lists those that are.
@@ -49,6 +52,7 @@
         interference: returns new estimates of which kinds of tasks slow each other down, None if
             nothing is learned.
         concurrency_limit: returns how many tasks the jobs of this process may have open.
+        crash_limit: returns whether a task starts again after its workers were lost.
 
     Examples:
         >>> DecisionPolicies().admission.__name__
@@ -71,6 +75,7 @@
         readiness: str = "can-place",
         interference: str = "off",
         concurrency_limit: str = "adaptive",
+        crash_limit: str = "two-machines",
     ) -> None:
         self.admission = ADMISSION_POLICIES.find(admission)
         self.task_order = TASK_ORDER_POLICIES.find(task_order)
@@ -80,3 +85,4 @@
         self.readiness = READINESS_POLICIES.find(readiness)
         self.interference = INTERFERENCE_POLICIES.find(interference)
         self.concurrency_limit = CONCURRENCY_LIMIT_POLICIES.find(concurrency_limit)
+        self.crash_limit = CRASH_LIMIT_POLICIES.find(crash_limit)
--- a/camphorchute/queues/job_run.py
+++ b/camphorchute/queues/job_run.py
@@ -8,9 +8,10 @@
 from gevent.event import Event
 
 from camphorchute.contracts.batch_job import BatchJob, BatchStep
-from camphorchute.contracts.run_messages import ShardTerm, TaskResult
+from camphorchute.contracts.run_messages import RunPlace, ShardTerm, TaskResult
 from camphorchute.hosting import Queue
 from camphorchute.policies.admission import useful_time_ms
+from camphorchute.queues.lost_runs import LostRuns
 
 __all__ = ["JobOutcome", "JobRun", "TaskProgress", "TaskState"]
 
@@ -54,6 +55,8 @@
         worker_id: id of the worker on which it may still run, empty if unknown.
         dispatch: number of its last dispatch, 0 before the first.
         dispatched_s: monotonic time of its last dispatch, 0 before the first.
+        place: where a run that may be active is, None if that is not known.
+        lost_runs: runs that were lost with their workers, None if there are none.
     """
 
     __slots__ = (
@@ -64,6 +67,8 @@
         "worker_id",
         "dispatch",
         "dispatched_s",
+        "place",
+        "lost_runs",
     )
 
     def __init__(self) -> None:
@@ -74,6 +79,24 @@
         self.worker_id = ""
         self.dispatch = 0
         self.dispatched_s = 0.0
+        self.place: RunPlace | None = None
+        self.lost_runs: LostRuns | None = None
+
+    def add_lost_run(self, place: RunPlace) -> bool:
+        """Add a run that was lost with its worker; return whether it was not known before.
+
+        Args:
+            place: where the run was.
+        """
+        if self.lost_runs is None:
+            self.lost_runs = LostRuns()
+        return self.lost_runs.add(place)
+
+    def last_place(self) -> RunPlace | None:
+        """Return where the run that may be active is, or the last lost one was, None if unknown."""
+        if self.state is TaskState.MAY_RUN:
+            return self.place
+        return None if self.lost_runs is None else self.lost_runs.last_place()
 
 
 class JobRun:
@@ -252,10 +275,23 @@
         """Record that a task has failed permanently; return the outcome if the job has ended."""
         return JobOutcome.FAILED
 
-    def record_not_found(self, task: "TaskProgress") -> None:
+    def record_not_found(self, task: "TaskProgress", result: TaskResult) -> None:
         """Record that the scheduler of a task that may run does not know the task."""
         task.state = TaskState.WAITING
 
+    def record_lost_run(self, task: "TaskProgress", result: TaskResult) -> None:
+        """Record that a run was lost with its worker; known ones are recorded once."""
+        task.add_lost_run(result.place)
+
+    def record_worker_lost(self, task: "TaskProgress", result: TaskResult) -> None:
+        """Record that a task has no run any more, since its worker was lost."""
+        task.state = TaskState.WAITING
+        task.worker_id = ""
+
+    def give_up_task(self, step: int, index: int) -> JobOutcome | None:
+        """Record that a task is not started any more; return the outcome if the job has ended."""
+        return JobOutcome.FAILED
+
     def failed_run_count(self, step: int, index: int) -> int:
         """Return how many runs of a task failed before its present scheduler received it."""
         return 0
--- /dev/null
+++ b/camphorchute/queues/lost_runs.py
@@ -0,0 +1,151 @@
+"""Runs of a task that were lost with their workers, and what they say of the task."""
+
+import time
+from collections.abc import Callable
+
+from camphorchute.cluster.worker_fates import WorkerFate
+from camphorchute.contracts.run_messages import RunPlace
+from camphorchute.decision_log import log_decision
+from camphorchute.policies.crash_limit import (
+    CrashDecision,
+    CrashEvidence,
+    CrashLimitPolicy,
+    give_up_after_two,
+)
+
+__all__ = ["CrashGuard", "FateOf", "LostRuns"]
+
+FATE_KNOWN_WITHIN_MS = 6000.0  # a crashed worker is back, or its entry has expired, by then
+MS_PER_S = 1000.0
+
+FateOf = Callable[[RunPlace, float], WorkerFate]
+
+
+class _LostRun:
+    """A lost run, and what became of its worker as far as that is known."""
+
+    __slots__ = ("place", "since_s", "fate")
+
+    def __init__(self, place: RunPlace) -> None:
+        self.place = place
+        self.since_s = time.monotonic()
+        self.fate = WorkerFate.UNKNOWN
+
+    def is_undecided(self) -> bool:
+        """Whether the fate of the worker may still become known."""
+        is_recent = (time.monotonic() - self.since_s) * MS_PER_S < FATE_KNOWN_WITHIN_MS
+        return is_recent and self.fate is WorkerFate.UNKNOWN and bool(self.place.worker_id)
+
+
+class LostRuns:
+    """The lost runs of one task.
+
+    Attributes:
+        stored: number of lost runs that the record of a durable job has in the store; None if the
+            job is not durable.
+        last_decision: number of lost runs at the last decision, and that decision; None before.
+
+    Examples:
+        >>> runs = LostRuns()
+        >>> runs.add(RunPlace("w1", 100, "10.0.0.1:80", 1))
+        True
+        >>> runs.add(RunPlace("w1", 100, "10.0.0.1:80", 1)), len(runs)
+        (False, 1)
+    """
+
+    __slots__ = ("stored", "last_decision", "_runs")
+
+    def __init__(self) -> None:
+        self.stored: int | None = None
+        self.last_decision: tuple[int, CrashDecision] | None = None
+        self._runs: dict[int, _LostRun] = {}
+
+    def __len__(self) -> int:
+        return len(self._runs)
+
+    def add(self, place: RunPlace) -> bool:
+        """Add a lost run; return whether it was not known before.
+
+        Args:
+            place: where the run was.
+        """
+        known = self._runs.get(place.run)
+        if known is not None and (known.place.worker_id or not place.worker_id):
+            return False
+        self._runs[place.run] = _LostRun(place)
+        return known is None
+
+    def places(self) -> list[RunPlace]:
+        """Return where the runs were."""
+        return [lost.place for lost in self._runs.values()]
+
+    def last_place(self) -> RunPlace | None:
+        """Return where the last lost run was, None if there is none."""
+        return self._runs[max(self._runs)].place if self._runs else None
+
+    def is_stored(self) -> bool:
+        """Whether the next process to own the job would know all of the runs."""
+        return self.stored is None or self.stored >= len(self._runs)
+
+    def evidence(self, fate_of: FateOf) -> CrashEvidence:
+        """Return the evidence against the task; a worker that was only silent is none.
+
+        Args:
+            fate_of: returns what became of the worker of a run.
+        """
+        for lost in self._runs.values():
+            if lost.fate is WorkerFate.UNKNOWN:
+                lost.fate = fate_of(lost.place, lost.since_s)
+        against = [lost for lost in self._runs.values() if lost.fate is not WorkerFate.ALIVE]
+        crashes = [lost.place for lost in against if lost.fate is WorkerFate.CRASHED]
+        return CrashEvidence(
+            len({place.address for place in crashes}),
+            len({place.address for place in crashes if place.was_alone}),
+            len(against),
+            sum(lost.is_undecided() for lost in against),
+        )
+
+
+class CrashGuard:
+    """Decides whether tasks that were lost with their workers start again.
+
+    Args:
+        count: adds to a named counter.
+
+    Attributes:
+        policy: the crash limit policy.
+        fate_of: returns what became of the worker of a run.
+    """
+
+    __slots__ = ("policy", "fate_of", "_count")
+
+    def __init__(self, count: Callable[..., None]) -> None:
+        self.policy: CrashLimitPolicy = give_up_after_two
+        self.fate_of: FateOf = lambda place, since_s: WorkerFate.UNKNOWN
+        self._count = count
+
+    def decide(self, task: str, lost_runs: LostRuns) -> CrashDecision:
+        """Return what becomes of a task with lost runs.
+
+        Args:
+            task: name of the task, for the log.
+            lost_runs: its lost runs.
+        """
+        if not lost_runs.is_stored():
+            return CrashDecision.WAIT
+        evidence = lost_runs.evidence(self.fate_of)
+        decision = self.policy(evidence)
+        if lost_runs.last_decision != (len(lost_runs), decision):
+            lost_runs.last_decision = (len(lost_runs), decision)
+            self._count(f"queues.lost_run.{decision.name.lower()}")
+            log_decision(
+                "queues",
+                f"task that lost its worker {decision.value}",
+                task=task,
+                machines=evidence.crashed_machines,
+                alone=evidence.crashed_alone,
+                lost_runs=evidence.lost_runs,
+                undecided=evidence.undecided,
+                workers=[place.worker_id for place in lost_runs.places()],
+            )
+        return decision
--- a/camphorchute/queues/queue_owner.py
+++ b/camphorchute/queues/queue_owner.py
@@ -27,6 +27,7 @@
 from camphorchute.queues.job_admission import JobAdmission, finish_by_s
 from camphorchute.queues.job_run import JobOutcome, JobRun, TaskProgress, TaskState
 from camphorchute.queues.job_withdrawals import JobWithdrawals
+from camphorchute.queues.lost_runs import CrashGuard
 from camphorchute.queues.task_dispatcher import TaskDispatcher
 
 __all__ = ["QueueOwner"]
@@ -54,11 +55,13 @@
         admission: accepts or refuses the jobs that callers submit.
         is_settled: returns whether this process was not paused just now; nothing is dispatched
             after a pause until its connections show what has happened.
+        crash_guard: decides whether tasks that were lost with their workers start again.
     """
 
     __slots__ = (
         "admission",
         "is_settled",
+        "crash_guard",
         "_capacity_view",
         "_peers",
         "_count",
@@ -82,7 +85,10 @@
         self._capacity_view = capacity_view
         self._peers = peers
         self._count = count
-        self._dispatcher = TaskDispatcher(capacity_view, claim_holder, peers, self.end_job, count)
+        self.crash_guard = CrashGuard(count)
+        self._dispatcher = TaskDispatcher(
+            capacity_view, claim_holder, peers, self.end_job, self.crash_guard, count
+        )
         self._withdrawals = JobWithdrawals(peers, count)
         self._jobs: dict[str, JobRun] = {}
         self._done_jobs = DoneJobs()
@@ -194,7 +200,7 @@
                             home=member_id,
                         )
                         task.state = TaskState.MAY_RUN
-                        task.worker_id = ""
+                        task.worker_id, task.place = "", None
                         run.changed.set()
             self._withdrawals.check(run)
 
@@ -227,6 +233,8 @@
         if task.state is TaskState.DONE or task.scheduler_id != peer.member_id:
             return False
         task.run = max(task.run, result.run + 1)
+        if result.end is TaskResultKind.WORKER_LOST:
+            run.record_lost_run(task, result)
         if _is_outdated(task, result):
             self._count("queues.late_result")
             return False
@@ -240,7 +248,10 @@
                 self.end_job(run, outcome)
         elif result.end is TaskResultKind.NOT_FOUND:
             self._count("queues.retry.not_found")
-            run.record_not_found(task)
+            run.record_not_found(task, result)
+        elif result.end is TaskResultKind.WORKER_LOST:
+            self._count("queues.retry.worker_lost")
+            run.record_worker_lost(task, result)
         else:
             self._apply_not_started(run, task, result)
         return True
@@ -345,5 +356,6 @@
     """Record where a task may run; return whether the result names a worker or a group."""
     task.state = TaskState.MAY_RUN
     task.worker_id = result.worker_id or task.worker_id
+    task.place = result.place or task.place
     task.group = result.group or task.group
     return bool(result.worker_id or result.group)
--- a/camphorchute/queues/task_dispatcher.py
+++ b/camphorchute/queues/task_dispatcher.py
@@ -7,8 +7,11 @@
 from camphorchute.contracts.run_messages import StartTasks, TaskToStart
 from camphorchute.links import Peers
 from camphorchute.policies.admission import is_admitted
+from camphorchute.policies.crash_limit import CrashDecision
 from camphorchute.queues.free_capacity_view import FreeCapacityView, PlacementPlan
 from camphorchute.queues.job_run import JobOutcome, JobRun, TaskState
+from camphorchute.queues.lost_runs import CrashGuard
+from camphorchute.runs.run import task_name
 
 __all__ = ["TaskDispatcher"]
 
@@ -24,6 +27,7 @@
         claim_holder: returns the member that holds the claim on a group, None if there is none.
         peers: the links to the schedulers.
         end_job: ends a job with an outcome.
+        crash_guard: decides whether tasks that were lost with their workers start again.
         count: adds to a named counter.
     """
 
@@ -32,6 +36,7 @@
         "_claim_holder",
         "_peers",
         "_end_job",
+        "_crash_guard",
         "_count",
         "_last_dispatch",
     )
@@ -42,12 +47,14 @@
         claim_holder: Callable[[str], Member | None],
         peers: Peers,
         end_job: Callable[[JobRun, JobOutcome], None],
+        crash_guard: CrashGuard,
         count: Callable[..., None],
     ) -> None:
         self._capacity_view = capacity_view
         self._claim_holder = claim_holder
         self._peers = peers
         self._end_job = end_job
+        self._crash_guard = crash_guard
         self._count = count
         self._last_dispatch = 0
 
@@ -55,7 +62,7 @@
         """Dispatch every task that is ready; return whether some could not be dispatched."""
         is_incomplete = False
         for step_number in range(len(run.steps)):
-            if run.outcome is not None:  # an earlier step has ended the job as not run
+            if run.outcome is not None or not run.may_dispatch():  # an earlier step has ended it
                 return False
             if run.is_step_ready(step_number):
                 is_incomplete |= self._dispatch_step(run, step_number)
@@ -65,13 +72,15 @@
     def _dispatch_step(self, run: JobRun, step_number: int) -> bool:
         """Dispatch the pending tasks of a step; return whether some could not be dispatched."""
         step = run.job.steps[step_number]
-        indices = [
+        waiting = [
             index
             for index, task in enumerate(run.steps[step_number])
             if task.state is TaskState.WAITING
         ]
-        if not indices:
-            return False
+        indices = [index for index in waiting if self._may_start(run, step_number, index)]
+        is_held = len(indices) < len(waiting)
+        if not indices or run.outcome is not None or not run.may_dispatch():
+            return is_held
         limits = run.step_limits
         plan = self._capacity_view.plan(run.queue.service, step, len(indices), limits)
         if self._is_hopeless(run, plan):
@@ -92,7 +101,21 @@
                     run, step_number, group, scheduler, chosen, options
                 ):
                     indices += chosen
-        return bool(indices)
+        return is_held or bool(indices)
+
+    def _may_start(self, run: JobRun, step_number: int, index: int) -> bool:
+        """Return whether a waiting task may start now; give it up if it crashes its workers."""
+        lost_runs = run.steps[step_number][index].lost_runs
+        if lost_runs is None:
+            return True
+        decision = self._crash_guard.decide(
+            task_name(run.job.job_id, step_number, index), lost_runs
+        )
+        if decision is CrashDecision.GIVE_UP:
+            outcome = run.give_up_task(step_number, index)
+            if outcome is not None:
+                self._end_job(run, outcome)
+        return decision is CrashDecision.START
 
     def _is_hopeless(self, run: JobRun, plan: PlacementPlan) -> bool:
         """Return whether a job without a started task is expected to wait for too long.
@@ -194,6 +217,8 @@
             may_run,
             task.worker_id,
             self._last_dispatch,
+            0 if task.lost_runs is None else len(task.lost_runs),
+            task.last_place(),
         )
 
 
--- a/camphorchute/queues/tests/test_queue_owner.py
+++ b/camphorchute/queues/tests/test_queue_owner.py
@@ -2,6 +2,7 @@
 import pytest
 from gevent.event import Event
 
+from camphorchute.cluster import WorkerFate
 from camphorchute.contracts import Refusal, ResultCode
 from camphorchute.contracts.batch_job import BatchJob, BatchStep, QueueLimits
 from camphorchute.contracts.member import Member
@@ -9,6 +10,7 @@
 from camphorchute.contracts.run_messages import (
     GroupFreeCapacity,
     RoomReport,
+    RunPlace,
     StartTasks,
     StopTasks,
     TaskResult,
@@ -17,7 +19,7 @@
     WorkerFreeCapacity,
 )
 from camphorchute.hosting import Queue
-from camphorchute.queues import FreeCapacityView, JobOutcome, QueueOwner
+from camphorchute.queues import FreeCapacityView, JobOutcome, QueueOwner, TaskState
 from camphorchute.runs.tests.scheduler_site import wait_until
 
 LIMITS = QueueLimits(0, 3, 2.0, 500.0)
@@ -344,3 +346,64 @@
     settled.append(True)
     assert wait_until(lambda: site.peers.sent)
     assert site.take_start_commands() == [("h0", [0], True)]
+
+
+def report_lost_worker(site, scheduler, run, worker, dispatch=0):
+    """Report to the owner that the run of task 0 was lost with its worker."""
+    place = RunPlace(worker, run, f"{worker}:1", run, True)
+    result = TaskResult(0, 0, run, TaskResultKind.WORKER_LOST, dispatch=dispatch, place=place)
+    site.owner.handle_tasks_finished(make_member(scheduler), TasksFinished("job1", [result]))
+    gevent.sleep(0)
+
+
+def start_commands(site):
+    return [message for _, message in site.peers.sent if isinstance(message, StartTasks)]
+
+
+def test_task_that_lost_its_worker_is_dispatched_again_with_what_is_known_of_it():
+    site = Site(h0=2)
+    site.submit(1)
+    report_lost_worker(site, "h0", 1, "w1")
+    assert wait_until(lambda: len(start_commands(site)) == 2)
+    (task,) = start_commands(site)[-1].tasks
+    assert (task.run, task.lost_runs) == (2, 1)
+    assert (task.may_run, task.last_place.worker_id) == (False, "w1")
+
+
+# A best-effort task that crashed its workers was started again until its caller gave up.
+def test_job_of_a_task_that_crashed_two_workers_has_failed():
+    site = Site(h0=2)
+    site.owner.crash_guard.fate_of = lambda place, since_s: WorkerFate.CRASHED
+    site.submit(1)
+    report_lost_worker(site, "h0", 1, "w1")
+    assert wait_until(lambda: len(start_commands(site)) == 2)
+    report_lost_worker(site, "h0", 2, "w2")
+    assert wait_until(lambda: site.outcome is JobOutcome.FAILED)
+    assert len(start_commands(site)) == 2
+
+
+def test_task_waits_until_the_fate_of_its_workers_is_known():
+    site, fates = Site(h0=2), {1: WorkerFate.UNKNOWN, 2: WorkerFate.UNKNOWN}
+    site.owner.crash_guard.fate_of = lambda place, since_s: fates[place.run]
+    site.submit(1)
+    report_lost_worker(site, "h0", 1, "w1")
+    assert wait_until(lambda: len(start_commands(site)) == 2)
+    report_lost_worker(site, "h0", 2, "w2")
+    gevent.sleep(0.2)
+    assert len(start_commands(site)) == 2
+    fates[1] = WorkerFate.ALIVE
+    assert wait_until(lambda: len(start_commands(site)) == 3)
+
+
+# The loss was dropped with the late result, as the task had been dispatched again.
+def test_lost_worker_counts_also_in_a_late_result():
+    site = Site(h0=2)
+    site.submit(1)
+    (first,) = start_commands(site)
+    site.claim_holders["north/flags/h0"] = make_member("h0")
+    site.owner.mark_scheduler_lost("h0")
+    site.report("h0", 1)
+    assert wait_until(lambda: len(start_commands(site)) == 2)
+    report_lost_worker(site, "h0", 1, "w1", first.tasks[0].dispatch)
+    (run,) = site.owner._jobs.values()
+    assert (run.steps[0][0].state, len(run.steps[0][0].lost_runs)) == (TaskState.HANDED, 1)
--- a/camphorchute/runs/durable_tasks.py
+++ b/camphorchute/runs/durable_tasks.py
@@ -84,7 +84,10 @@
     worker_id = worker.entry.worker_id
     run_numbers = {name: run.number for name, run in worker.runs.items()}
     run_numbers |= {name: number for name, (number, _) in worker.orphans.items()}
-    tasks = [ReportedTask(name, group, number, worker_id) for name, number in run_numbers.items()]
+    tasks = [
+        ReportedTask(name, group, number, worker_id, place=worker.place_of(number))
+        for name, number in run_numbers.items()
+    ]
     for completion in worker.completions.older_than(0.0):
         outcome = (
             TaskResultKind.DONE if completion.outcome is RunOutcome.DONE else TaskResultKind.FAILED
--- a/camphorchute/runs/group_membership.py
+++ b/camphorchute/runs/group_membership.py
@@ -129,5 +129,5 @@
         worker_id = worker.entry.worker_id
         new_group = self._group_by_worker[worker_id]
         self._scheduler.finish_task(
-            run.task, run.number, TaskResultKind.MAY_RUN, worker_id, new_group
+            run.task, run.number, TaskResultKind.MAY_RUN, worker_id, new_group, run.place()
         )
--- a/camphorchute/runs/group_scheduler.py
+++ b/camphorchute/runs/group_scheduler.py
@@ -8,6 +8,7 @@
 from camphorchute.contracts.member import Member
 from camphorchute.contracts.run_messages import (
     GroupFreeCapacity,
+    RunPlace,
     StartTasks,
     StopTasks,
     TaskResult,
@@ -149,7 +150,9 @@
             self._return_task(task)
         for worker_id, worker in group.workers.items():
             for run in worker.take_all_runs():
-                self.finish_task(run.task, run.number, TaskResultKind.MAY_RUN, worker_id)
+                self.finish_task(
+                    run.task, run.number, TaskResultKind.MAY_RUN, worker_id, place=run.place()
+                )
             worker.close()
         self.on_capacity_changed()
 
@@ -277,7 +280,8 @@
     def _return_task(self, task: PendingTask) -> None:
         """Return a pending task to its owner, with whether an earlier run may be active."""
         outcome = TaskResultKind.MAY_RUN if task.may_run else TaskResultKind.NOT_STARTED
-        self.finish_task(task, task.next_run - 1, outcome, task.worker_id)
+        place = task.last_place if task.may_run else None
+        self.finish_task(task, task.next_run - 1, outcome, task.worker_id, place=place)
 
     def place_pending(self, group: WorkerGroup) -> None:
         """Start the pending tasks that fit into the free capacity."""
@@ -296,6 +300,11 @@
         for task in placement.not_found:
             self._count("runs.not_found")
             self.finish_task(task, task.next_run - 1, TaskResultKind.NOT_FOUND)
+        for task in placement.lost:
+            self._count("runs.lost_with_worker")
+            self.finish_task(
+                task, task.next_run - 1, TaskResultKind.WORKER_LOST, place=task.last_place
+            )
         if placement.has_changed:
             self.on_capacity_changed()
 
@@ -327,6 +336,7 @@
         outcome: TaskResultKind,
         worker_id: str = "",
         group: str = "",
+        place: RunPlace | None = None,
     ) -> None:
         """Forget a task and queue its result for its owner.
 
@@ -336,6 +346,7 @@
             outcome: how it ended.
             worker_id: the worker that it may still run on.
             group: the group that this worker moved to, empty if it did not move.
+            place: where the run is or was, None if that is not known.
         """
         self._open_tasks.discard(task)
         if task.earlier_run is not None:
@@ -351,6 +362,7 @@
             group,
             task.dispatch,
             *task.times_here_ms(time.monotonic()),
+            place,
         )
         self._results.add(task.owner_id, task.message.job_id, result)
 
--- a/camphorchute/runs/leased_worker.py
+++ b/camphorchute/runs/leased_worker.py
@@ -8,6 +8,7 @@
 from gevent.event import Event
 
 from camphorchute.contracts.resources import Resources
+from camphorchute.contracts.run_messages import RunPlace
 from camphorchute.decision_log import log_decision
 from camphorchute.hosting import (
     CommandRefused,
@@ -66,6 +67,8 @@
         failures: recent outcomes of its runs, and whether it is ejected.
         synced: whether the worker has listed its runs under the fencing token in force.
         free_capacity: capacity of the worker that no run in :attr:`runs` uses.
+        isolated_run: run of a task that lost its worker before, beside which no other is started;
+            None if there is none.
         leases: the leases granted to its runs.
         health: whether the worker answers.
         is_closed: whether it is polled no more, since it was removed or has ended.
@@ -83,6 +86,7 @@
         "failures",
         "synced",
         "free_capacity",
+        "isolated_run",
         "leases",
         "health",
         "has_ended",
@@ -116,6 +120,7 @@
         self.failures = FailureTracker(random.Random())
         self.synced = False
         self.free_capacity = entry.capacity
+        self.isolated_run: Run | None = None
         self.leases = WorkerLeases()
         self.health = WorkerHealth(entry.worker_id, count)
         self.has_ended = False
@@ -192,6 +197,7 @@
             and not self.is_closed
             and self.health.is_responsive
             and not self.orphans
+            and self.isolated_run is None
             and not self.entry.is_draining
             and not self.health.is_paused(now_s)
             and (not self.failures.ejected or self._may_be_probed(now_s))
@@ -230,9 +236,12 @@
         """Enter a run of a task and reserve its capacity."""
         run = Run(task, self, number, time.monotonic())
         task.run = run
+        task.last_place = None
         run.was_alone = not (self.runs or self.orphans)
         for other in self.runs.values():
             other.was_alone = False
+        if task.lost_runs and run.was_alone:
+            self.isolated_run = run
         self._earlier_runs.forget(task.name)
         self.leases.record_active()
         task.started = True
@@ -241,6 +250,11 @@
         self.free_capacity = self.free_capacity.minus(task.message.demand)
         return run
 
+    def place_of(self, number: int, was_alone: bool = False) -> RunPlace:
+        """Return the place of a run with a number on the worker."""
+        entry = self.entry
+        return RunPlace(entry.worker_id, entry.incarnation, entry.address, number, was_alone)
+
     def holds(self, run: Run) -> bool:
         """Whether a run is the present one of its task here; answers about any other are late."""
         return self.runs.get(run.task.name) is run
@@ -252,6 +266,8 @@
             return False
         del self.runs[run.task.name]
         run.task.run = None
+        if self.isolated_run is run:
+            self.isolated_run = None
         self.free_capacity = self.free_capacity.plus(run.task.message.demand)
         return True
 
--- a/camphorchute/runs/run.py
+++ b/camphorchute/runs/run.py
@@ -52,6 +52,11 @@
     WORKER_SILENT = "the worker did not answer until its leases expired"
     WORKER_REMOVED = "the worker was removed and its leases expired"
 
+    @property
+    def is_of_lost_worker(self) -> bool:
+        """Whether the worker may have crashed: it has not said what became of the run."""
+        return self not in (EndEvidence.LISTED, EndEvidence.NOT_LISTED)
+
 
 def task_name(job_id: str, step: int, index: int) -> str:
     """Return the name of a task, as commands to workers and their listings use it.
@@ -130,6 +135,9 @@
         avoided_worker_id: the worker of its last run that did not succeed, empty if none.
         orphaned: whether the link to its owner was lost.
         overdue_stops: how often a run of it was stopped as overdue.
+        lost_runs: number of its runs that were lost with their workers.
+        last_place: where the run that may be active is, or its last lost run was; None if it is
+            not known.
         job_tasks: the tasks of its job here, set when it is accepted.
         last_run: the last run that was started here, None before.
         timed_from_s: time of the arrival of the only dispatch, None after a second one.
@@ -159,6 +167,8 @@
         "avoided_worker_id",
         "orphaned",
         "overdue_stops",
+        "lost_runs",
+        "last_place",
         "job_tasks",
         "last_run",
         "timed_from_s",
@@ -190,6 +200,8 @@
         self.avoided_worker_id = ""
         self.orphaned = False
         self.overdue_stops = 0
+        self.lost_runs = command.lost_runs
+        self.last_place = command.last_place
         self.job_tasks: JobTasks | None = None
         self.last_run: Run | None = None
         self.timed_from_s: float | None = now_s
@@ -220,10 +232,11 @@
         self.finish_by_s = newer.finish_by_s
         self.next_run = max(self.next_run, newer.next_run)
         self.failures = max(self.failures, newer.failures)
+        self.lost_runs = max(self.lost_runs, newer.lost_runs)
         if self.run is None:
             self.start_by_s, self.in_time_until_s = newer.start_by_s, newer.in_time_until_s
             if newer.may_run:
-                self.mark_may_run(newer.worker_id, newer.may_run_since_s)
+                self.mark_may_run(newer.worker_id, newer.may_run_since_s, newer.last_place)
 
     def times_here_ms(self, now_s: float) -> tuple[float, float] | tuple[None, None]:
         """Return for how long it has waited and run here; None for both if that is not known.
@@ -240,17 +253,19 @@
         waited_ms = (self.last_run.start_sent_s - self.timed_from_s) * MS_PER_S
         return round(waited_ms), round(self.last_run.observed_ms(now_s))
 
-    def mark_may_run(self, worker_id: str, now_s: float) -> None:
+    def mark_may_run(self, worker_id: str, now_s: float, place: RunPlace | None) -> None:
         """Record that its last run may be active on a worker.
 
         Args:
             worker_id: the worker.
             now_s: the present time of the monotonic clock in seconds.
+            place: where the run is, None if it is not known.
         """
         self.may_run = True
         self.may_run_since_s = now_s
         self.worker_id = worker_id
         self.earlier_run = None
+        self.last_place = place
 
     def outcome_without_group(self) -> TaskResultKind:
         """Return its outcome at a process that does not schedule its group."""
@@ -311,10 +326,7 @@
 
     def place(self) -> RunPlace:
         """Return where the run is or was."""
-        entry = self.worker.entry
-        return RunPlace(
-            entry.worker_id, entry.incarnation, entry.address, self.number, self.was_alone
-        )
+        return self.worker.place_of(self.number, self.was_alone)
 
     def observed_ms(self, now_s: float) -> float:
         """Return the time since the start command in which this process could have seen the end.
--- a/camphorchute/runs/run_events.py
+++ b/camphorchute/runs/run_events.py
@@ -61,6 +61,12 @@
         task = run.task
         if task not in self._open_tasks:
             return
+        if outcome is RunOutcome.LEASE_EXPIRED and _is_lost_with_worker(worker, run):
+            self._count("runs.lost_with_worker")
+            self._scheduler.finish_task(
+                task, run.number, TaskResultKind.WORKER_LOST, place=run.place()
+            )
+            return
         result = _result_of(task, outcome)
         if result is not None:
             is_known_worker = outcome in (RunOutcome.DONE, RunOutcome.FAILED)
@@ -98,9 +104,11 @@
             return
         group = self._scheduler.group(task.group)
         if group is None or task.cancelled:
-            self._scheduler.finish_task(task, run.number, TaskResultKind.MAY_RUN, worker_id)
+            self._scheduler.finish_task(
+                task, run.number, TaskResultKind.MAY_RUN, worker_id, place=run.place()
+            )
             return
-        task.mark_may_run(worker_id, time.monotonic())
+        task.mark_may_run(worker_id, time.monotonic(), run.place())
         task.start_by_s = task.finish_by_s
         if not group.adopt_run(task):
             self._scheduler.requeue(task)
@@ -164,6 +172,15 @@
     return None
 
 
+def _is_lost_with_worker(worker: LeasedWorker, run: Run) -> bool:
+    """Return whether the owner of a task has to know that its worker was lost.
+
+    A worker that was draining has left as planned.
+    """
+    is_wanted = not run.task.cancelled and not run.task.orphaned
+    return is_wanted and run.end_evidence.is_of_lost_worker and not worker.entry.is_draining
+
+
 def _log_run_not_done(worker: LeasedWorker, run: Run, outcome: RunOutcome) -> None:
     log_decision(
         "runs",
--- a/camphorchute/runs/tests/model_workers.py
+++ b/camphorchute/runs/tests/model_workers.py
@@ -18,7 +18,12 @@
     WorkerEntry,
 )
 from camphorchute.runs import GroupScheduler
-from camphorchute.runs.tests.scheduler_site import GROUP, OWNER, start_message
+from camphorchute.runs.tests.scheduler_site import (
+    GROUP,
+    OWNER,
+    dispatch_lost_tasks,
+    start_message,
+)
 
 __all__ = ["Held", "ModelSite", "ModelWorker"]
 
@@ -242,7 +247,9 @@
         """Start a scheduler that holds one group."""
         number = len(self.schedulers)
         scheduler = GroupScheduler(
-            lambda entry: self._open_client(entry, number), self._notify, self._count
+            lambda entry: self._open_client(entry, number),
+            lambda owner_id, message: self._notify(scheduler, group, message),
+            self._count,
         )
         scheduler.start()
         self.schedulers.append(scheduler)
@@ -300,8 +307,8 @@
         worker = self.workers[entry.worker_id]
         return ModelClient(worker, entry, lambda: worker.is_silent or pair in self._silenced)
 
-    def _notify(self, owner_id, message):
-        self.results.extend(message.results)
+    def _notify(self, scheduler, group, message):
+        self.results.extend(dispatch_lost_tasks(scheduler, message, group))
         return True
 
     def _count(self, name, n=1):
--- a/camphorchute/runs/tests/scheduler_site.py
+++ b/camphorchute/runs/tests/scheduler_site.py
@@ -13,7 +13,15 @@
 from camphorchute.hosting import make_platform
 from camphorchute.runs import GroupScheduler
 
-__all__ = ["GROUP", "JOB_ID", "OWNER", "SchedulerSite", "start_message", "wait_until"]
+__all__ = [
+    "GROUP",
+    "JOB_ID",
+    "OWNER",
+    "SchedulerSite",
+    "dispatch_lost_tasks",
+    "start_message",
+    "wait_until",
+]
 
 GROUP = f"north/{SERVICE_NAME}/0"
 JOB_ID = "5c0e7a21d94b36f8"
@@ -60,13 +68,27 @@
     )
 
 
+def dispatch_lost_tasks(scheduler, message, group=GROUP):
+    """Dispatch tasks again that lost their workers, as their owner does; return other results."""
+    for result in message.results:
+        if result.end is TaskResultKind.WORKER_LOST:
+            again = start_message(run=result.run + 1)
+            again.group, again.job_id = group, message.job_id
+            again.tasks = [
+                TaskToStart(result.index, result.run + 1, lost_runs=1, last_place=result.place)
+            ]
+            gevent.spawn(scheduler.start_tasks, OWNER, again)
+    return [result for result in message.results if result.end is not TaskResultKind.WORKER_LOST]
+
+
 class SchedulerSite:
     """Stand-in workers of one zone and the schedulers that share them.
 
     Attributes:
         run_ms: duration of every run, in milliseconds.
         fleet: the stand-ins.
-        results: every result sent to an owner.
+        results: every result sent to an owner, except for tasks that lost their workers, which
+            are dispatched again.
         counts: the counters, by name.
         schedulers: the schedulers, in the order of their start.
     """
@@ -89,7 +111,10 @@
         if worker_ids is not None:
             entries = {worker_id: entries[worker_id] for worker_id in worker_ids}
         scheduler = GroupScheduler(
-            self._platform.open_worker_client, self._notify, self._count, policies
+            self._platform.open_worker_client,
+            lambda owner_id, message: self._notify(scheduler, message),
+            self._count,
+            policies,
         )
         scheduler.start()
         scheduler.acquire_group(GROUP, SERVICE_NAME, fence)
@@ -140,8 +165,8 @@
             scheduler.close()
         self.fleet.close()
 
-    def _notify(self, owner_id, message):
-        self.results.extend(message.results)
+    def _notify(self, scheduler, message):
+        self.results.extend(dispatch_lost_tasks(scheduler, message))
         return True
 
     def _count(self, name, n=1):
--- a/camphorchute/runs/worker_group.py
+++ b/camphorchute/runs/worker_group.py
@@ -31,14 +31,16 @@
     Attributes:
         started: tasks that were started.
         not_found: durable tasks whose earlier run no worker has.
+        lost: tasks whose earlier run was on a worker that is gone.
         has_changed: whether a task left the backlog.
     """
 
-    __slots__ = ("started", "not_found", "has_changed")
+    __slots__ = ("started", "not_found", "lost", "has_changed")
 
     def __init__(self) -> None:
         self.started: list[PendingTask] = []
         self.not_found: list[PendingTask] = []
+        self.lost: list[PendingTask] = []
         self.has_changed = False
 
 
@@ -199,6 +201,10 @@
         for task in self.backlog:
             demand = task.message.demand
             has_unknown_run = task.may_run and not self.are_earlier_runs_known(task)
+            if task.may_run and not has_unknown_run and self._is_lost_with_worker(task):
+                if not self.adopt_run(task):
+                    placement.lost.append(task)
+                continue
             if task.is_durable and task.may_run and not has_unknown_run:
                 if not self.adopt_run(task):
                     placement.not_found.append(task)
@@ -219,6 +225,14 @@
         self.backlog.replace(remaining)
         return placement
 
+    def _is_lost_with_worker(self, task: PendingTask) -> bool:
+        """Return whether the incarnation that had the earlier run of a task is no longer listed."""
+        place = task.last_place
+        if place is None or task.cancelled:
+            return False
+        worker = self.workers.get(place.worker_id)
+        return worker is None or worker.entry.incarnation != place.incarnation
+
     def choose_worker(self, task: PendingTask, now_s: float) -> LeasedWorker | None:
         """Return the worker that a task should start on now, None if no worker has capacity.
 
@@ -238,7 +252,7 @@
 
         def rank(worker: LeasedWorker) -> tuple:
             return (
-                worker.entry.worker_id == task.avoided_worker_id,
+                _is_avoided(worker, task),
                 self._policies.worker_choice(
                     WorkerCandidate(worker.speed.value), message.estimate_ms, message.limits
                 ),
@@ -278,6 +292,19 @@
         )
 
 
+def _is_avoided(worker: LeasedWorker, task: PendingTask) -> bool | int:
+    """Return whether a task should rather start on another worker, as a rank.
+
+    A task that lost its worker starts on another machine and without others beside it if possible.
+    """
+    if not task.lost_runs:
+        return worker.entry.worker_id == task.avoided_worker_id
+    is_same_machine = task.last_place is not None and (
+        task.last_place.address == worker.entry.address
+    )
+    return 2 * is_same_machine + bool(worker.runs)
+
+
 def _active_kinds(worker: LeasedWorker) -> list[str]:
     return [run.task.message.kind for run in worker.runs.values()]
 
