Carry the failed attempts of a task along when it is returned

Callers of best-effort jobs saw more attempts than their queue allows.

Cause: the failures of a best-effort task are known to its scheduler only; one that returned the task, as its group moved or the task waited too long, did not say them, and the next one counted from zero.

Change: each result has the number of failures, the owner keeps the highest and dispatches the task with it. A scheduler that is killed still takes the failures of best-effort tasks with it; those of durable jobs are stored.

--- a/camphorchute/contracts/run_messages.py
+++ b/camphorchute/contracts/run_messages.py
@@ -190,6 +190,7 @@
             last run, or to its return without one; None if it is not known.
         run_ms: time from that start command to the end as observed at the scheduler, without the
             time for which the scheduler itself was late, 0 without a run; None if it is not known.
+        failures: number of runs of the task that have failed so far.
         place: where the run of a ``MAY_RUN`` or ``WORKER_LOST`` task is or was; None if it is not
             known.
     """
@@ -203,6 +204,7 @@
     dispatch: int = 0
     waited_ms: float | None = None
     run_ms: float | None = None
+    failures: int = 0
     place: RunPlace | None = None
 
 
--- a/camphorchute/queues/job_run.py
+++ b/camphorchute/queues/job_run.py
@@ -55,6 +55,7 @@
         worker_id: id of the worker on which it may still run, empty if unknown.
         dispatch: number of its last dispatch, 0 before the first.
         dispatched_s: monotonic time of its last dispatch, 0 before the first.
+        failures: number of failed runs that schedulers have reported.
         place: where a run that may be active is, None if that is not known.
         lost_runs: runs that were lost with their workers, None if there are none.
     """
@@ -67,6 +68,7 @@
         "worker_id",
         "dispatch",
         "dispatched_s",
+        "failures",
         "place",
         "lost_runs",
     )
@@ -79,6 +81,7 @@
         self.worker_id = ""
         self.dispatch = 0
         self.dispatched_s = 0.0
+        self.failures = 0
         self.place: RunPlace | None = None
         self.lost_runs: LostRuns | None = None
 
@@ -294,7 +297,7 @@
 
     def failed_run_count(self, step: int, index: int) -> int:
         """Return how many runs of a task failed before its present scheduler received it."""
-        return 0
+        return self.steps[step][index].failures
 
     def has_restarted_tasks(self) -> bool:
         """Return whether a task needed more than one run."""
--- a/camphorchute/queues/queue_owner.py
+++ b/camphorchute/queues/queue_owner.py
@@ -233,6 +233,7 @@
         if task.state is TaskState.DONE or task.scheduler_id != peer.member_id:
             return False
         task.run = max(task.run, result.run + 1)
+        task.failures = max(task.failures, result.failures)
         if result.end is TaskResultKind.WORKER_LOST:
             run.record_lost_run(task, result)
         if _is_outdated(task, result):
--- a/camphorchute/queues/tests/test_queue_owner.py
+++ b/camphorchute/queues/tests/test_queue_owner.py
@@ -351,7 +351,9 @@
 def report_lost_worker(site, scheduler, run, worker, dispatch=0):
     """Report to the owner that the run of task 0 was lost with its worker."""
     place = RunPlace(worker, run, f"{worker}:1", run, True)
-    result = TaskResult(0, 0, run, TaskResultKind.WORKER_LOST, dispatch=dispatch, place=place)
+    result = TaskResult(
+        0, 0, run, TaskResultKind.WORKER_LOST, dispatch=dispatch, failures=1, place=place
+    )
     site.owner.handle_tasks_finished(make_member(scheduler), TasksFinished("job1", [result]))
     gevent.sleep(0)
 
@@ -366,7 +368,7 @@
     report_lost_worker(site, "h0", 1, "w1")
     assert wait_until(lambda: len(start_commands(site)) == 2)
     (task,) = start_commands(site)[-1].tasks
-    assert (task.run, task.lost_runs) == (2, 1)
+    assert (task.run, task.failures, task.lost_runs) == (2, 1, 1)
     assert (task.may_run, task.last_place.worker_id) == (False, "w1")
 
 
@@ -407,3 +409,13 @@
     report_lost_worker(site, "h0", 1, "w1", first.tasks[0].dispatch)
     (run,) = site.owner._jobs.values()
     assert (run.steps[0][0].state, len(run.steps[0][0].lost_runs)) == (TaskState.HANDED, 1)
+
+
+def test_failures_of_a_returned_task_go_with_its_next_dispatch():
+    """Attempts were counted from zero again by each scheduler of a best-effort task."""
+    site = Site(h0=2)
+    site.submit(1)
+    result = TaskResult(0, 0, 2, TaskResultKind.NOT_STARTED, failures=2)
+    site.owner.handle_tasks_finished(make_member("h0"), TasksFinished("job1", [result]))
+    assert wait_until(lambda: len(start_commands(site)) == 2)
+    assert start_commands(site)[-1].tasks[0].failures == 2
--- a/camphorchute/runs/group_scheduler.py
+++ b/camphorchute/runs/group_scheduler.py
@@ -362,6 +362,7 @@
             group,
             task.dispatch,
             *task.times_here_ms(time.monotonic()),
+            task.failures,
             place,
         )
         self._results.add(task.owner_id, task.message.job_id, result)
--- a/camphorchute/runs/tests/test_lost_workers.py
+++ b/camphorchute/runs/tests/test_lost_workers.py
@@ -111,6 +111,19 @@
     assert site.results[0].place.worker_id == "w0"
 
 
+def test_failures_of_a_returned_task_are_reported(open_model):
+    """The next scheduler counted the attempts of a task from zero."""
+    site = open_model(workers=1, run_s=5.0)
+    scheduler = site.add_scheduler(7)
+    message = start_message(run=3)
+    message.tasks[0].failures = 2
+    scheduler.start_tasks(OWNER, message)
+    assert wait_until(lambda: site.workers["w0"].active())
+    scheduler.release_group(GROUP)
+    assert wait_until(lambda: site.results)
+    assert site.results[0].failures == 2
+
+
 def test_task_that_lost_its_worker_starts_alone_on_another_machine(open_model):
     site = open_model(workers=3, run_s=1.0)
     scheduler = site.add_scheduler(7)
