Let no more tasks start on a worker than its present capacity holds

Cause: the free capacity of a worker was counted down from the entry with which it was first listed. A later entry of the same incarnation replaced the entry and left the count as it was. Owners took a group whose workers had all shrunk below the demand of a task to hold it together, so its job waited in vain.

Change: the scheduler keeps the capacity in use, and the free one follows from the latest entry; a change is reported to owners at once. Reports name the most that a single worker has, and jobs are admitted by that.

--- a/camphorchute/contracts/resources.py
+++ b/camphorchute/contracts/resources.py
@@ -53,6 +53,27 @@
             self.gpus - other.gpus,
         )
 
+    def remaining_after(self, used: "Resources") -> "Resources":
+        """Return what remains of this amount after use, nothing of what is used up.
+
+        Examples:
+            >>> Resources(14_000, 512).remaining_after(Resources(28_000, 128))
+            Resources(cpu_millicores=0, memory_mb=384, gpus=0)
+        """
+        return Resources(
+            max(0, self.cpu_millicores - used.cpu_millicores),
+            max(0, self.memory_mb - used.memory_mb),
+            max(0, self.gpus - used.gpus),
+        )
+
+    def largest_with(self, other: "Resources") -> "Resources":
+        """Return the larger of both amounts, for each resource by itself."""
+        return Resources(
+            max(self.cpu_millicores, other.cpu_millicores),
+            max(self.memory_mb, other.memory_mb),
+            max(self.gpus, other.gpus),
+        )
+
     def count_fitting(self, demand: "Resources") -> int:
         """Return how many tasks with a demand fit into this amount at the same time.
 
--- a/camphorchute/contracts/run_messages.py
+++ b/camphorchute/contracts/run_messages.py
@@ -248,6 +248,8 @@
         oldest_wait_ms: for how long the oldest of the pending tasks that can still be in time has
             waited, by priority of their queue.
         late_wait_ms: expected time until a task starts that is late already, in milliseconds.
+        largest: the most of each resource that a single worker has, free or not; None if the
+            sender does not say.
     """
 
     group: str
@@ -257,6 +259,11 @@
     workers: list[WorkerFreeCapacity]
     oldest_wait_ms: dict[int, float] = {}
     late_wait_ms: float = 0.0
+    largest: Resources | None = None
+
+    def can_ever_hold(self, demand: Resources) -> bool:
+        """Whether a task with a demand fits on a worker that has no other."""
+        return (self.largest or self.capacity).can_hold(demand)
 
 
 class GroupChange(msgspec.Struct, array_like=True):
--- a/camphorchute/queues/capacity_changes.py
+++ b/camphorchute/queues/capacity_changes.py
@@ -21,6 +21,7 @@
         if (
             before.group != after.group
             or before.capacity != after.capacity
+            or before.largest != after.largest
             or len(before.workers) != len(after.workers)
         ):
             return []
--- a/camphorchute/queues/free_capacity_view.py
+++ b/camphorchute/queues/free_capacity_view.py
@@ -152,12 +152,9 @@
         return bool(self._fresh_reports(service))
 
     def can_ever_run(self, service: str, demand: Resources) -> bool:
-        """Return whether the total capacity of some group of a service suffices for a demand.
-
-        Total capacity is that of all workers of the group, free or in use.
-        """
+        """Return whether some worker of a service has capacity for a demand, free or not."""
         return any(
-            received.free_capacity.capacity.can_hold(demand)
+            received.free_capacity.can_ever_hold(demand)
             for received in self._fresh_reports(service)
         )
 
@@ -296,9 +293,7 @@
             milliseconds.
         """
         able = [
-            received
-            for received in reports
-            if received.free_capacity.capacity.can_hold(step.demand)
+            received for received in reports if received.free_capacity.can_ever_hold(step.demand)
         ]
         groups = [received.free_capacity.group for received in able]
         waits = [
--- a/camphorchute/queues/job_admission.py
+++ b/camphorchute/queues/job_admission.py
@@ -256,7 +256,7 @@
             wait_for_event(self._capacity_view.report_received, remaining_s)
 
     def _can_ever_run(self, job: BatchJob, service: str) -> bool:
-        """Return whether each step has a group with enough total capacity for one of its tasks."""
+        """Return whether some worker has capacity for the tasks of each step, free or not."""
         return all(self._capacity_view.can_ever_run(service, step.demand) for step in job.steps)
 
 
--- a/camphorchute/queues/received_report.py
+++ b/camphorchute/queues/received_report.py
@@ -45,6 +45,7 @@
             list(reported.workers),
             reported.oldest_wait_ms,
             reported.late_wait_ms,
+            reported.largest,
         )
         self.number = number
         self.received_s = received_s
--- a/camphorchute/queues/tests/test_free_capacity_view.py
+++ b/camphorchute/queues/tests/test_free_capacity_view.py
@@ -112,6 +112,17 @@
     assert view.can_ever_run(service, Resources(cpu)) is can_run
 
 
+# Workers that had shrunk below a task's demand were taken to hold it together, and it waited.
+@pytest.mark.parametrize(
+    ("largest", "can_run"), [(10_000, False), (14_000, True), (32_000, True), (None, True)]
+)
+def test_task_can_run_only_where_one_worker_has_the_capacity(largest, can_run):
+    group = make_group("g0", [(FULL, 1.0)] * 4)
+    group.largest = None if largest is None else Resources(largest, 65_536)
+    view = make_view(group)
+    assert view.can_ever_run("flags", Resources(14_000)) is can_run
+
+
 def make_change(group, workers, waiting_core_ms=None):
     changed = {index: WorkerFreeCapacity(free, 1.0) for index, free in workers.items()}
     return GroupChange(group, waiting_core_ms or {}, {}, 0.0, changed)
--- a/camphorchute/runs/group_membership.py
+++ b/camphorchute/runs/group_membership.py
@@ -59,9 +59,11 @@
                 moved to another group from those that left.
         """
         self._group_by_worker = group_by_worker or {}
+        has_changed = False
         for worker_id, worker in list(group.workers.items()):
             entry = entries.get(worker_id)
             if entry is not None and entry.is_same_incarnation(worker.entry):
+                has_changed |= entry.capacity != worker.entry.capacity
                 worker.update_entry(entry)
                 continue
             if entry is None and worker_id in self._group_by_worker:
@@ -76,6 +78,9 @@
         for worker_id, entry in entries.items():
             if worker_id not in group.workers:
                 group.workers[worker_id] = self._open_worker(group, entry)
+        if has_changed:
+            self._count("runs.capacity_changed")
+            self._scheduler.on_capacity_changed()
 
     def _release_worker(self, group: WorkerGroup, worker: LeasedWorker) -> None:
         """Leave a worker and its runs to the scheduler of the group that it moved to."""
--- a/camphorchute/runs/leased_worker.py
+++ b/camphorchute/runs/leased_worker.py
@@ -66,7 +66,7 @@
         speed: speed of the worker, learned from its runs.
         failures: recent outcomes of its runs, and whether it is ejected.
         synced: whether the worker has listed its runs under the fencing token in force.
-        free_capacity: capacity of the worker that no run in :attr:`runs` uses.
+        free_capacity: present capacity of the worker that no run in :attr:`runs` uses.
         isolated_run: run of a task that lost its worker before, beside which no other is started;
             None if there is none.
         leases: the leases granted to its runs.
@@ -96,6 +96,7 @@
         "_count",
         "_commands",
         "_unlisted_since_s",
+        "_used_capacity",
         "_listing_reader",
         "_earlier_runs",
         "_poll_requested",
@@ -132,6 +133,7 @@
         self.is_durable_job: Callable[[str], bool] = lambda job_id: True
         self._commands = RunCommands(self, client, current_fence, listener, count)
         self._unlisted_since_s = 0.0
+        self._used_capacity = Resources(0)
         self._listing_reader = ListingReader(self, count)
         self._earlier_runs = EarlierRuns(self._commands.bar_in_background)
         self._poll_requested = Event()
@@ -150,9 +152,10 @@
         self._client.close()
 
     def update_entry(self, entry: WorkerEntry) -> None:
-        """Replace the entry by a newer one of the same incarnation."""
+        """Replace the entry by a newer one of the same incarnation, whose capacity may differ."""
         self.entry = entry
         self._unlisted_since_s = 0.0
+        self._set_used_capacity(self._used_capacity)
 
     def unlisted_ms(self) -> float:
         """Return for how long service discovery has not listed the worker, 0 if it lists it."""
@@ -247,9 +250,13 @@
         task.started = True
         task.next_run = max(task.next_run, number + 1)
         self.runs[task.name] = run
-        self.free_capacity = self.free_capacity.minus(task.message.demand)
+        self._set_used_capacity(self._used_capacity.plus(task.message.demand))
         return run
 
+    def _set_used_capacity(self, used: Resources) -> None:
+        self._used_capacity = used
+        self.free_capacity = self.entry.capacity.remaining_after(used)
+
     def place_of(self, number: int, was_alone: bool = False) -> RunPlace:
         """Return the place of a run with a number on the worker."""
         entry = self.entry
@@ -268,7 +275,7 @@
         run.task.run = None
         if self.isolated_run is run:
             self.isolated_run = None
-        self.free_capacity = self.free_capacity.plus(run.task.message.demand)
+        self._set_used_capacity(self._used_capacity.minus(run.task.message.demand))
         return True
 
     def take_all_runs(self) -> list[Run]:
--- a/camphorchute/runs/worker_group.py
+++ b/camphorchute/runs/worker_group.py
@@ -273,7 +273,7 @@
         Args:
             now_s: time of the monotonic clock in seconds.
         """
-        workers, capacity = [], Resources(0)
+        workers, capacity, largest = [], Resources(0), Resources(0)
         offered = set(self.offered_workers(now_s))
         for worker in self.workers.values():
             is_offered = worker in offered
@@ -281,6 +281,7 @@
             workers.append(WorkerFreeCapacity(usable, round(worker.speed.value, 3)))
             if is_offered and worker.synced and not worker.entry.is_draining:
                 capacity = capacity.plus(worker.entry.capacity)
+                largest = largest.largest_with(worker.entry.capacity)
         return GroupFreeCapacity(
             self.name,
             self.service,
@@ -289,6 +290,7 @@
             workers,
             self.backlog.oldest_wait_ms(now_s),
             self.backlog.late_wait_ms(now_s, capacity.cpu_millicores / 1000),
+            largest,
         )
 
 
