Blame no task for a crash before its worker acknowledged it

Callers of a durable job saw it failed though one worker only had crashed under its task.

Cause: a start command was under way to a worker that crashed by itself; the next incarnation got the command under the same id, and the run was stopped there. The task was blamed for that crash as well as for an earlier one.

Change: the place of a run says whether that incarnation has acknowledged or listed it; only then is a crash evidence against the task. A loss before that counts to the limit of four only.

--- a/camphorchute/contracts/run_messages.py
+++ b/camphorchute/contracts/run_messages.py
@@ -60,6 +60,8 @@
         address: ``IP:port`` of the worker.
         run: number of the run.
         was_alone: whether no other run was active on the worker at the same time.
+        was_acknowledged: whether that incarnation of the worker has said that it has the run; it
+            may have crashed before the start command arrived otherwise.
     """
 
     worker_id: str
@@ -67,6 +69,7 @@
     address: str
     run: int
     was_alone: bool = False
+    was_acknowledged: bool = False
 
 
 class TaskToStart(msgspec.Struct, array_like=True):
--- a/camphorchute/durable_jobs/tests/test_shard.py
+++ b/camphorchute/durable_jobs/tests/test_shard.py
@@ -357,7 +357,7 @@
     """Report the loss of a run, as a scheduler does, and return the task."""
     job_run = site.job_run()
     task = job_run.steps[0][index]
-    place = RunPlace(worker, run, f"{worker}:1", run, True)
+    place = RunPlace(worker, run, f"{worker}:1", run, True, True)
     result = TaskResult(0, index, run, TaskResultKind.WORKER_LOST, place=place)
     job_run.record_lost_run(task, result)
     job_run.record_worker_lost(task, result)
--- a/camphorchute/queues/lost_runs.py
+++ b/camphorchute/queues/lost_runs.py
@@ -31,10 +31,14 @@
         self.since_s = time.monotonic()
         self.fate = WorkerFate.UNKNOWN
 
+    def is_crash(self) -> bool:
+        """Whether the worker crashed under the run."""
+        return self.fate is WorkerFate.CRASHED and self.place.was_acknowledged
+
     def is_undecided(self) -> bool:
         """Whether the fate of the worker may still become known."""
         is_recent = (time.monotonic() - self.since_s) * MS_PER_S < FATE_KNOWN_WITHIN_MS
-        return is_recent and self.fate is WorkerFate.UNKNOWN and bool(self.place.worker_id)
+        return is_recent and self.fate is WorkerFate.UNKNOWN and self.place.was_acknowledged
 
 
 class LostRuns:
@@ -97,7 +101,7 @@
             if lost.fate is WorkerFate.UNKNOWN:
                 lost.fate = fate_of(lost.place, lost.since_s)
         against = [lost for lost in self._runs.values() if lost.fate is not WorkerFate.ALIVE]
-        crashes = [lost.place for lost in against if lost.fate is WorkerFate.CRASHED]
+        crashes = [lost.place for lost in against if lost.is_crash()]
         return CrashEvidence(
             len({place.address for place in crashes}),
             len({place.address for place in crashes if place.was_alone}),
--- a/camphorchute/queues/tests/test_lost_runs.py
+++ b/camphorchute/queues/tests/test_lost_runs.py
@@ -23,10 +23,11 @@
     def count(self, name, n=1):
         self.counts[name] = self.counts.get(name, 0) + n
 
-    def lose(self, fate, machine, was_alone):
+    def lose(self, fate, machine, was_alone, was_acknowledged=True):
         run = len(self.lost_runs) + 1
         self.fates[run] = fate
-        self.lost_runs.add(RunPlace(f"w{run}", run, f"10.0.0.{machine}:80", run, was_alone))
+        address = f"10.0.0.{machine}:80"
+        self.lost_runs.add(RunPlace(f"w{run}", run, address, run, was_alone, was_acknowledged))
 
     def decide(self):
         return self.guard.decide(TASK, self.lost_runs)
@@ -48,6 +49,9 @@
         ([(ALIVE, 1, True), (ALIVE, 2, True), (ALIVE, 3, True)], START),
         ([(ALIVE, number, True) for number in range(9)], START),
         ([(ALIVE, 1, True), (UNKNOWN, 2, True)], START),
+        ([(CRASHED, 1, True), (CRASHED, 2, True, False)], START),
+        ([(CRASHED, number, True, False) for number in range(3)], START),
+        ([(CRASHED, number, True, False) for number in range(4)], GIVE_UP),
     ],
 )
 def test_decision_follows_from_the_fates_of_the_lost_workers(losses, expected):
--- a/camphorchute/queues/tests/test_queue_owner.py
+++ b/camphorchute/queues/tests/test_queue_owner.py
@@ -350,7 +350,7 @@
 
 def report_lost_worker(site, scheduler, run, worker, dispatch=0):
     """Report to the owner that the run of task 0 was lost with its worker."""
-    place = RunPlace(worker, run, f"{worker}:1", run, True)
+    place = RunPlace(worker, run, f"{worker}:1", run, True, True)
     result = TaskResult(
         0, 0, run, TaskResultKind.WORKER_LOST, dispatch=dispatch, failures=1, place=place
     )
--- a/camphorchute/runs/durable_tasks.py
+++ b/camphorchute/runs/durable_tasks.py
@@ -82,11 +82,14 @@
 def _tasks_of_worker(worker: LeasedWorker, group: str) -> list[ReportedTask]:
     """Return the tasks with an active run or an unacknowledged completion on a worker."""
     worker_id = worker.entry.worker_id
-    run_numbers = {name: run.number for name, run in worker.runs.items()}
-    run_numbers |= {name: number for name, (number, _) in worker.orphans.items()}
+    places = {name: run.place() for name, run in worker.runs.items()}
+    places |= {
+        name: worker.place_of(number, was_alone=False, was_acknowledged=True)
+        for name, (number, _) in worker.orphans.items()
+    }
     tasks = [
-        ReportedTask(name, group, number, worker_id, place=worker.place_of(number))
-        for name, number in run_numbers.items()
+        ReportedTask(name, group, place.run, worker_id, place=place)
+        for name, place in places.items()
     ]
     for completion in worker.completions.older_than(0.0):
         outcome = (
--- a/camphorchute/runs/leased_worker.py
+++ b/camphorchute/runs/leased_worker.py
@@ -257,10 +257,17 @@
         self._used_capacity = used
         self.free_capacity = self.entry.capacity.remaining_after(used)
 
-    def place_of(self, number: int, was_alone: bool = False) -> RunPlace:
-        """Return the place of a run with a number on the worker."""
+    def place_of(self, number: int, was_alone: bool, was_acknowledged: bool) -> RunPlace:
+        """Return the place of a run on the worker; the arguments are fields of the place."""
         entry = self.entry
-        return RunPlace(entry.worker_id, entry.incarnation, entry.address, number, was_alone)
+        return RunPlace(
+            entry.worker_id,
+            entry.incarnation,
+            entry.address,
+            number,
+            was_alone,
+            was_acknowledged,
+        )
 
     def holds(self, run: Run) -> bool:
         """Whether a run is the present one of its task here; answers about any other are late."""
--- a/camphorchute/runs/run.py
+++ b/camphorchute/runs/run.py
@@ -291,6 +291,7 @@
         was_adopted: whether an earlier scheduler started it, so that its start time is not known.
         end_evidence: why it counts as ended, None while it is active.
         was_alone: whether no other run was active on the worker since its start.
+        was_acknowledged: whether the worker has answered the start command.
     """
 
     __slots__ = (
@@ -305,6 +306,7 @@
         "was_adopted",
         "end_evidence",
         "was_alone",
+        "was_acknowledged",
         "_unobserved_before_s",
     )
 
@@ -322,11 +324,14 @@
         self.was_adopted = False
         self.end_evidence: EndEvidence | None = None
         self.was_alone = True
+        self.was_acknowledged = False
         self._unobserved_before_s = observation_clock.unobserved_s()
 
     def place(self) -> RunPlace:
         """Return where the run is or was."""
-        return self.worker.place_of(self.number, self.was_alone)
+        return self.worker.place_of(
+            self.number, self.was_alone, self.was_listed or self.was_acknowledged
+        )
 
     def observed_ms(self, now_s: float) -> float:
         """Return the time since the start command in which this process could have seen the end.
--- a/camphorchute/runs/run_commands.py
+++ b/camphorchute/runs/run_commands.py
@@ -81,6 +81,7 @@
     def _mark_started(self, run: Run) -> None:
         """Record that the worker has started a run; stop a run that was taken as ended before."""
         run.state = RunState.RUNNING
+        run.was_acknowledged = not self._worker.has_ended
         run.start_acknowledged_s = time.monotonic()
         if self._worker.has_ended:
             self._worker.leave_unresolved(run)
--- a/camphorchute/runs/tests/test_lost_workers.py
+++ b/camphorchute/runs/tests/test_lost_workers.py
@@ -6,6 +6,7 @@
 from camphorchute.contracts.run_messages import RunPlace, ShardTerm, TaskResultKind
 from camphorchute.runs import shard_of
 from camphorchute.runs.tests import model_workers
+from camphorchute.runs.tests.model_workers import Held
 from camphorchute.runs.tests.scheduler_site import GROUP, JOB_ID, OWNER, start_message, wait_until
 
 TERM = ShardTerm(shard_of(JOB_ID), 7)
@@ -55,7 +56,7 @@
         worker.restart()
     assert wait_until(lambda: report_lost)
     place = report_lost[0].place
-    assert place == RunPlace(worker.worker_id, 1, f"{worker.worker_id}:1", 1, True)
+    assert place == RunPlace(worker.worker_id, 1, f"{worker.worker_id}:1", 1, True, True)
     gevent.sleep(0.3)
     assert len([run for w in site.workers.values() for run in w.runs]) == 1
 
@@ -94,7 +95,7 @@
     site.workers["w0"].restart()
     scheduler = site.add_scheduler(9, worker_ids=["w0", "w1"] if is_listed else ["w1"])
     message = start_message(run=2, may_run=True, worker_id="w0", term=term, start_within_ms=4000.0)
-    message.tasks[0].last_place = RunPlace("w0", 1, "w0:1", 1, True)
+    message.tasks[0].last_place = RunPlace("w0", 1, "w0:1", 1, True, True)
     scheduler.start_tasks(OWNER, message)
     assert wait_until(lambda: report_lost, 4.0)
     assert (report_lost[0].run, report_lost[0].place) == (1, message.tasks[0].last_place)
@@ -165,3 +166,22 @@
         site.workers["w0"].restart()
         scheduler.set_workers(GROUP, site.entries(), site.groups())
     assert site.counts.get("runs.worker_ejected", 0) == 0
+
+
+# The worker had crashed by itself before the start command arrived, and its task was blamed for it.
+def test_run_that_the_crashed_incarnation_did_not_acknowledge_is_reported_as_such(
+    open_model, report_lost
+):
+    site = open_model(workers=1, run_s=0.3)
+    scheduler, worker, held = site.add_scheduler(7), site.workers["w0"], Held()
+    worker.held["start"].append(held)
+    site.dispatch(scheduler)
+    assert held.sent.wait(1.0)
+    worker.is_silent = True
+    held.release()
+    gevent.sleep(0.1)
+    worker.restart()
+    worker.is_silent = False
+    scheduler.set_workers(GROUP, site.entries(), site.groups())
+    assert wait_until(lambda: report_lost, 4.0)
+    assert not report_lost[0].place.was_acknowledged
