Leave at most a quarter of a group's workers to tasks that lost a worker

Cause: each task that lost its worker could keep one worker to itself. After the loss of a rack, the tasks that ran there would have taken as many workers out of the capacity of their zone as there are tasks.

Change: beyond a quarter of the workers of a group, at least one, such tasks start like any other.

Measured: with four such tasks on four workers, four other tasks waited for the run time of the first in the new test without this change; now three workers take two tasks each.

--- a/camphorchute/runs/leased_worker.py
+++ b/camphorchute/runs/leased_worker.py
@@ -211,9 +211,16 @@
         """Whether one task may show if the worker, which is ejected, completes tasks again."""
         return not self.runs and now_s * MS_PER_S >= self.failures.probe_at_ms
 
-    def start_task(self, task: PendingTask) -> None:
-        """Reserve capacity for a new run of a task and send its start command."""
+    def start_task(self, task: PendingTask, is_isolated: bool = False) -> None:
+        """Reserve capacity for a new run of a task and send its start command.
+
+        Args:
+            task: the task.
+            is_isolated: whether nothing is started beside the run if it is alone now.
+        """
         run = self._add_run(task, task.next_run)
+        if is_isolated and run.was_alone:
+            self.isolated_run = run
         gevent.spawn(self._commands.send_start, run)
 
     def adopt_run(self, task: PendingTask, number: int, outcome: RunOutcome | None = None) -> None:
@@ -243,8 +250,6 @@
         run.was_alone = not (self.runs or self.orphans)
         for other in self.runs.values():
             other.was_alone = False
-        if task.lost_runs and run.was_alone:
-            self.isolated_run = run
         self._earlier_runs.forget(task.name)
         self.leases.record_active()
         task.started = True
--- a/camphorchute/runs/tests/test_lost_workers.py
+++ b/camphorchute/runs/tests/test_lost_workers.py
@@ -25,10 +25,10 @@
     return lost
 
 
-def dispatch_suspect(site, scheduler, **fields):
+def dispatch_suspect(scheduler, job="suspect"):
     """Dispatch one task that lost its worker before."""
-    message = start_message(run=2, **fields)
-    message.job_id = "suspect"
+    message = start_message(run=2)
+    message.job_id = job
     message.tasks[0].lost_runs = 1
     message.tasks[0].last_place = RunPlace("w0", 1, "w0:1", 1)
     scheduler.start_tasks(OWNER, message)
@@ -131,7 +131,7 @@
     site.dispatch(scheduler)
     assert wait_until(lambda: any(w.active() for w in site.workers.values()))
     neighbour = site.busy().worker_id
-    dispatch_suspect(site, scheduler)
+    dispatch_suspect(scheduler)
     assert wait_until(lambda: worker_of(site, "suspect"))
     assert worker_of(site, "suspect") not in ("w0", neighbour)
     for job in ("other1", "other2"):
@@ -149,10 +149,24 @@
     scheduler = site.add_scheduler(7)
     site.dispatch(scheduler)
     assert wait_until(lambda: site.workers["w0"].active())
-    dispatch_suspect(site, scheduler)
+    dispatch_suspect(scheduler)
     assert wait_until(lambda: worker_of(site, "suspect") == "w0", 0.5)
 
 
+# After a rack was lost, each of its tasks would have kept a worker of the zone to itself.
+def test_few_workers_at_a_time_are_left_to_a_single_task(open_model):
+    site = open_model(workers=4, run_s=1.0)
+    scheduler = site.add_scheduler(7)
+    for number in range(4):
+        dispatch_suspect(scheduler, f"suspect{number}")
+    message = start_message(tasks=4)
+    message.job_id = "other"
+    scheduler.start_tasks(OWNER, message)
+    gevent.sleep(0.3)
+    active = [len(worker.active()) for worker in site.workers.values()]
+    assert sorted(active) == [1, 2, 2, 2]
+
+
 # A worker under which a task crashed is in use again as soon as it is back.
 def test_worker_that_crashed_is_used_again_at_once(open_model, report_lost):
     site = open_model(workers=1, run_s=5.0)
--- a/camphorchute/runs/worker_group.py
+++ b/camphorchute/runs/worker_group.py
@@ -21,6 +21,7 @@
 
 __all__ = ["WorkerGroup"]
 
+ISOLATED_SHARE_MAX = 1 / 4
 UNKNOWN_LEASES_EXPIRY_MS = 1900.0  # a lease and the time for which orphans are kept
 MS_PER_S = 1000.0
 
@@ -216,7 +217,7 @@
             if worker is not None:
                 placement.started.append(task)
                 task.job_tasks.has_started = True
-                worker.start_task(task)
+                worker.start_task(task, bool(task.lost_runs) and self._may_isolate())
                 continue
             remaining.append(task)
             if smallest_unplaced is None or smallest_unplaced.can_hold(demand):
@@ -225,6 +226,11 @@
         self.backlog.replace(remaining)
         return placement
 
+    def _may_isolate(self) -> bool:
+        """Whether one more worker may be left to a single task that lost its worker."""
+        isolated = sum(worker.isolated_run is not None for worker in self.workers.values())
+        return isolated < max(1, len(self.workers) * ISOLATED_SHARE_MAX)
+
     def _is_lost_with_worker(self, task: PendingTask) -> bool:
         """Return whether the incarnation that had the earlier run of a task is no longer listed."""
         place = task.last_place
