Count a lost run whichever scheduler reports it, also for the next shard owner

Callers of a durable job: its task could crash further workers uncounted.

Cause: the owner dropped a loss that a scheduler reported after its group had moved, and a loss that followed that of the job's owner was told to nobody.

Change: a loss counts by the number of its run, whoever reports it and when. Schedulers keep the latest losses of durable tasks and report them to the next owner of their shard; that owner counts a run as unaccounted for only if none of them has reported it.

Measured: with the former queue_owner.py, the case h1 of test_lost_worker_counts_also_in_a_late_result fails; with the former durable_tasks.py, run_events.py and group_scheduler.py, both cases of test_lost_run_is_reported_to_the_next_shard_owner fail. All pass now.

--- a/camphorchute/contracts/durable_job_messages.py
+++ b/camphorchute/contracts/durable_job_messages.py
@@ -41,7 +41,7 @@
         run: number of the run; for a pending task, of its next run.
         worker_id: the worker, empty while the task is pending at the scheduler.
         end: outcome of the run, None while it may still be active.
-        place: where an active run is, otherwise None.
+        place: where an active or lost run is or was, otherwise None.
     """
 
     task: str
--- a/camphorchute/durable_jobs/durable_job_run.py
+++ b/camphorchute/durable_jobs/durable_job_run.py
@@ -196,14 +196,19 @@
         task.worker_id = ""
         self._query_task(task)
 
-    def record_unaccounted_runs(self) -> None:
+    def record_unaccounted_runs(self, known_counts: list[tuple[LostRuns, int]]) -> None:
         """Count a run of each pending task that lost a worker before as lost.
 
         The previous owner may have started it again, and no scheduler knows what became of it.
+
+        Args:
+            known_counts: the lost runs of each task with their number before the schedulers were
+                queried; what they have reported since accounts for the last run.
         """
         for step, tasks in enumerate(self.steps):
             for index, task in enumerate(tasks):
-                if task.state is TaskState.WAITING and task.lost_runs is not None:
+                is_unaccounted = (task.lost_runs, len(task.lost_runs or ())) in known_counts
+                if task.state is TaskState.WAITING and is_unaccounted:
                     number = max(place.run for place in task.lost_runs.places()) + 1
                     self._add_lost_run(task, step, index, RunPlace("", 0, "", number))
                     task.run = max(task.run, number + 1)
--- a/camphorchute/durable_jobs/shard.py
+++ b/camphorchute/durable_jobs/shard.py
@@ -265,10 +265,11 @@
         while not self._loaded:
             gevent.sleep(LOADED_CHECK_INTERVAL_MS / MS_PER_S)
         self._write_term_to_records()
+        known_counts = {name: run.lost_run_counts() for name, run in self._runs.items()}
         self._query_unknown_tasks()
-        for run in list(self._runs.values()):
+        for name, run in list(self._runs.items()):
             if not run.is_recovered:
-                run.record_unaccounted_runs()
+                run.record_unaccounted_runs(known_counts.get(name, []))
                 run.mark_recovered()
         open_jobs = len(self._runs)
         log_message(
@@ -360,7 +361,14 @@
             self._context.count("keeping.unknown_task")
             return
         task.run = max(task.run, reported.run + 1)
-        result = TaskResult(int(step), int(index), reported.run, reported.end, reported.worker_id)
+        result = TaskResult(
+            int(step),
+            int(index),
+            reported.run,
+            reported.end,
+            reported.worker_id,
+            place=reported.place,
+        )
         if task.state is TaskState.DONE:
             if reported.end is not None and run.is_record_stored():
                 self._report_saved_completions(
@@ -370,6 +378,8 @@
         if reported.end is TaskResultKind.DONE:
             task.scheduler_id = scheduler.member_id
             run.record_done(task, result)
+        elif reported.end is TaskResultKind.WORKER_LOST:
+            run.record_lost_run(task, result)
         elif task.state is not TaskState.UNKNOWN:
             return
         elif reported.end is TaskResultKind.FAILED:
--- a/camphorchute/durable_jobs/tests/test_shard.py
+++ b/camphorchute/durable_jobs/tests/test_shard.py
@@ -379,6 +379,23 @@
     assert [p.worker_id for p in site.job_run().steps[0][0].lost_runs.places()] == ["w1", ""]
 
 
+# Both the owner and the worker were lost, and the crash was known to the scheduler only.
+@pytest.mark.parametrize("is_known", [True, False])
+def test_lost_run_that_a_scheduler_reports_counts_once(site, is_known):
+    place = RunPlace("w1", 100, "w1:1", 1, True, True)
+    site.put(make_record(1, lost_runs={"0.0": [place]} if is_known else {}))
+    last = RunPlace("w2", 100, "w2:1", 2, True, True) if is_known else place
+    report = reported_task(0, TaskResultKind.WORKER_LOST, last.run, last.worker_id)
+    report.place = last
+    site.peers.reply = KeptTasksAre(WORKERS, [report])
+    site.start_shard()
+    assert wait_until(lambda: recovered(site))
+    (task,) = site.job_run().steps[0]
+    assert (task.state, task.run) == (TaskState.WAITING, last.run + 1)
+    assert task.lost_runs.places() == [place, last][not is_known :]
+    assert wait_until(task.lost_runs.is_stored)
+
+
 def test_lost_run_that_is_not_stored_yet_is_stored_again_after_an_error(site):
     site.put(make_record(1))
     site.start_shard()
--- a/camphorchute/queues/queue_owner.py
+++ b/camphorchute/queues/queue_owner.py
@@ -230,12 +230,14 @@
         if task is None:
             self._count("queues.unknown_task")
             return False
-        if task.state is TaskState.DONE or task.scheduler_id != peer.member_id:
+        if task.state is TaskState.DONE:
             return False
-        task.run = max(task.run, result.run + 1)
-        task.failures = max(task.failures, result.failures)
         if result.end is TaskResultKind.WORKER_LOST:
             run.record_lost_run(task, result)
+        if task.scheduler_id != peer.member_id:
+            return False
+        task.run = max(task.run, result.run + 1)
+        task.failures = max(task.failures, result.failures)
         if _is_outdated(task, result):
             self._count("queues.late_result")
             return False
--- a/camphorchute/queues/tests/test_queue_owner.py
+++ b/camphorchute/queues/tests/test_queue_owner.py
@@ -398,13 +398,13 @@
 
 
 # The loss was dropped with the late result, as the task had been dispatched again.
-def test_lost_worker_counts_also_in_a_late_result():
+@pytest.mark.parametrize("next_scheduler", ["h0", "h1"])
+def test_lost_worker_counts_also_in_a_late_result(next_scheduler):
     site = Site(h0=2)
     site.submit(1)
     (first,) = start_commands(site)
-    site.claim_holders["north/flags/h0"] = make_member("h0")
+    site.claim_holders["north/flags/h0"] = make_member(next_scheduler)
     site.owner.mark_scheduler_lost("h0")
-    site.report("h0", 1)
     assert wait_until(lambda: len(start_commands(site)) == 2)
     report_lost_worker(site, "h0", 1, "w1", first.tasks[0].dispatch)
     (run,) = site.owner._jobs.values()
--- a/camphorchute/runs/durable_tasks.py
+++ b/camphorchute/runs/durable_tasks.py
@@ -9,7 +9,7 @@
     ReportedTask,
 )
 from camphorchute.contracts.member import Member
-from camphorchute.contracts.run_messages import ShardTerm, TaskResultKind
+from camphorchute.contracts.run_messages import RunPlace, ShardTerm, TaskResultKind
 from camphorchute.hosting import RunOutcome
 from camphorchute.links import handles
 from camphorchute.runs.leased_worker import LeasedWorker
@@ -18,6 +18,8 @@
 
 __all__ = ["DurableTasks"]
 
+LOST_RUNS_KEPT = 1000
+
 
 class DurableTasks:
     """Reports tasks to shard owners and accepts commands of the latest owner of each shard only.
@@ -27,7 +29,7 @@
         count: adds to a named counter.
     """
 
-    __slots__ = ("_groups", "_count", "_latest_terms")
+    __slots__ = ("_groups", "_count", "_latest_terms", "_lost_runs")
 
     def __init__(
         self,
@@ -37,6 +39,7 @@
         self._groups = groups
         self._count = count
         self._latest_terms: dict[int, int] = {}
+        self._lost_runs: dict[str, tuple[str, RunPlace]] = {}
 
     def is_superseded(self, term: ShardTerm | None) -> bool:
         """Whether a command is from a shard owner that a later one has superseded.
@@ -49,6 +52,19 @@
         self._count("runs.refused.outdated_keeper")
         return True
 
+    def record_lost_run(self, task: str, group: str, place: RunPlace) -> None:
+        """Remember that a run was lost with its worker, in case its owner is lost as well.
+
+        Args:
+            task: name of the task.
+            group: the worker group.
+            place: where the run was.
+        """
+        self._lost_runs.pop(task, None)
+        self._lost_runs[task] = group, place
+        if len(self._lost_runs) > LOST_RUNS_KEPT:
+            del self._lost_runs[next(iter(self._lost_runs))]
+
     @handles(AskKeptTasks, nonblocking=True)
     def report_tasks(self, peer: Member, message: AskKeptTasks) -> KeptTasksAre:
         """Report the tasks of a shard to its new owner, and refuse earlier owners from now on."""
@@ -64,6 +80,10 @@
                 report.tasks += _tasks_of_worker(worker, group.name)
                 if worker.synced or worker.is_expired():
                     report.workers.append(worker.entry.worker_id)
+        report.tasks += [
+            ReportedTask(task, group, place.run, place.worker_id, TaskResultKind.WORKER_LOST, place)
+            for task, (group, place) in self._lost_runs.items()
+        ]
         report.tasks = [row for row in report.tasks if shard_of(job_of(row.task)) == message.shard]
         return report
 
--- a/camphorchute/runs/group_scheduler.py
+++ b/camphorchute/runs/group_scheduler.py
@@ -302,6 +302,8 @@
             self.finish_task(task, task.next_run - 1, TaskResultKind.NOT_FOUND)
         for task in placement.lost:
             self._count("runs.lost_with_worker")
+            if task.is_durable:
+                self.durable_tasks.record_lost_run(task.name, group.name, task.last_place)
             self.finish_task(
                 task, task.next_run - 1, TaskResultKind.WORKER_LOST, place=task.last_place
             )
--- a/camphorchute/runs/run_events.py
+++ b/camphorchute/runs/run_events.py
@@ -63,10 +63,13 @@
             return
         if outcome is RunOutcome.LEASE_EXPIRED and _is_lost_with_worker(worker, run):
             self._count("runs.lost_with_worker")
-            self._scheduler.finish_task(
-                task, run.number, TaskResultKind.WORKER_LOST, place=run.place()
-            )
-            return
+            if task.is_durable:
+                self._scheduler.durable_tasks.record_lost_run(task.name, task.group, run.place())
+            if not task.orphaned:
+                self._scheduler.finish_task(
+                    task, run.number, TaskResultKind.WORKER_LOST, place=run.place()
+                )
+                return
         result = _result_of(task, outcome)
         if result is not None:
             is_known_worker = outcome in (RunOutcome.DONE, RunOutcome.FAILED)
@@ -177,8 +180,8 @@
 
     A worker that was draining has left as planned.
     """
-    is_wanted = not run.task.cancelled and not run.task.orphaned
-    return is_wanted and run.end_evidence.is_of_lost_worker and not worker.entry.is_draining
+    is_unplanned = not run.task.cancelled and not worker.entry.is_draining
+    return is_unplanned and run.end_evidence.is_of_lost_worker
 
 
 def _log_run_not_done(worker: LeasedWorker, run: Run, outcome: RunOutcome) -> None:
--- a/camphorchute/runs/tests/test_durable_tasks.py
+++ b/camphorchute/runs/tests/test_durable_tasks.py
@@ -9,6 +9,7 @@
 SHARD = shard_of(JOB_ID)
 TERM = ShardTerm(SHARD, 7)
 LATER_TERM = ShardTerm(SHARD, 9)
+LOST = TaskResultKind.WORKER_LOST
 
 
 @pytest.fixture
@@ -157,3 +158,16 @@
     assert wait_until(lambda: all_runs(site)[0].outcome == "done")
     gevent.sleep(0.3)
     assert all_runs(site)[0].acknowledged is not is_durable
+
+
+# The run was lost after its owner; the next owner started the task again as if nothing had been.
+@pytest.mark.parametrize("is_owner_lost", [True, False])
+def test_lost_run_is_reported_to_the_next_shard_owner(open_site, is_owner_lost):
+    site, scheduler = open_site(workers=1, run_ms=5000.0)
+    site.dispatch_tasks(scheduler, tasks=1, term=TERM, finish_within_ms=9000.0)
+    assert wait_until(lambda: len(all_runs(site)) == 1)
+    gevent.sleep(0.2)
+    if is_owner_lost:
+        scheduler.drop_owner(OWNER.member_id)
+    site.fleet.workers[0].faults.hang = True
+    assert wait_until(lambda: (f"{JOB_ID}.0.0.0", 1, LOST) in reported_tasks(scheduler), 4.0)
