Save a job whose lost runs came from another write; split off CrashGuard

Cause: lost runs that were merged from a write of the previous owner left their number in the store unset, so the next save of the job ended in a TypeError and was not repeated. A run whose place became known later was not stored with it. A name of a task that the job does not have would have ended the shard.

Change: LostRuns keeps the number itself; unknown names are ignored. CrashGuard has a module of its own.

--- a/camphorchute/durable_jobs/durable_job_run.py
+++ b/camphorchute/durable_jobs/durable_job_run.py
@@ -101,10 +101,7 @@
             for index in indices:
                 step[index].state = TaskState.DONE
         for name, places in record.lost_runs.items():
-            task = self._task_named(name)
-            for place in places:
-                task.add_lost_run(place)
-            task.lost_runs.stored = len(task.lost_runs)
+            self._add_stored_lost_runs(name, places)
         self.was_dispatched_with_capacity = any(record.done)
 
     @property
@@ -233,10 +230,8 @@
             known_runs = self.record.failed_runs.setdefault(name, [])
             known_runs += [run for run in runs if run not in known_runs]
         for name, places in record.lost_runs.items():
-            known_places = self.record.lost_runs.setdefault(name, [])
-            for place in places:
-                if self._task_named(name).add_lost_run(place):
-                    known_places.append(place)
+            new_places = self._add_stored_lost_runs(name, places)
+            self.record.lost_runs[name] = self.record.lost_runs.get(name, []) + new_places
 
     def lost_run_counts(self) -> list[tuple[LostRuns, int]]:
         """Return the lost runs of each task with their present number."""
@@ -258,7 +253,7 @@
     def _add_lost_run(self, task: TaskProgress, step: int, index: int, place: RunPlace) -> None:
         if not task.add_lost_run(place):
             return
-        task.lost_runs.stored = task.lost_runs.stored or 0
+        task.lost_runs.mark_stored(0)
         self.record.lost_runs.setdefault(f"{step}.{index}", []).append(place)
         self._mark_changed()
 
@@ -270,10 +265,17 @@
         task.state = TaskState.UNKNOWN
         self._schedule_task_query()
 
-    def _task_named(self, name: str) -> TaskProgress:
-        """Return a task by its name in the record."""
+    def _add_stored_lost_runs(self, name: str, places: list[RunPlace]) -> list[RunPlace]:
+        """Add the lost runs of a task that a stored record has, and return the new ones."""
         step, _, index = name.partition(".")
-        return self.steps[int(step)][int(index)]
+        is_name = step.isdecimal() and index.isdecimal()
+        task = self.find_task(int(step), int(index)) if is_name else None
+        if task is None:
+            return []
+        new_places = [place for place in places if task.add_lost_run(place)]
+        if new_places:
+            task.lost_runs.mark_stored((task.lost_runs.stored or 0) + len(new_places))
+        return new_places
 
     def _tasks_in(self, state: TaskState) -> list[TaskProgress]:
         return [task for step in self.steps for task in step if task.state is state]
--- a/camphorchute/durable_jobs/shard.py
+++ b/camphorchute/durable_jobs/shard.py
@@ -420,7 +420,7 @@
                 lost_run_counts = run.lost_run_counts()
                 if self._try_store_record(run):
                     for lost_runs, number in lost_run_counts:
-                        lost_runs.stored = max(lost_runs.stored, number)
+                        lost_runs.mark_stored(number)
                     run.changed.set()
                     self._report_saved_completions(completions)
                 else:
--- a/camphorchute/durable_jobs/tests/test_shard.py
+++ b/camphorchute/durable_jobs/tests/test_shard.py
@@ -463,3 +463,14 @@
     task = site.job_run().steps[0][0]
     assert wait_until(lambda: task.lost_runs is not None)
     assert [place.worker_id for place in task.lost_runs.places()] == ["w2"]
+    lose_run(site, 3, "w3")
+    assert wait_until(task.lost_runs.is_stored)
+    assert [place.run for place in site.stored_record().lost_runs["0.0"]] == [2, 3]
+
+
+@pytest.mark.parametrize("name", ["0.7", "9.0", "0", "x.y", ""])
+def test_lost_runs_of_an_unknown_task_are_ignored(site, name):
+    site.put(make_record(1, lost_runs={name: [RunPlace("w1", 1, "w1:1", 1)]}))
+    site.start_shard()
+    assert wait_until(lambda: recovered(site))
+    assert site.job_run().steps[0][0].lost_runs is None
--- a/camphorchute/policies/crash_limit.py
+++ b/camphorchute/policies/crash_limit.py
@@ -29,12 +29,12 @@
 
 
 class CrashEvidence:
-    """The lost runs of a task whose worker was not heard of again afterwards.
+    """The lost runs of a task, without those whose worker was only silent for a while.
 
     Attributes:
         crashed_machines: number of machines on which a worker crashed under the task.
         crashed_alone: number of these on which no other run was active.
-        lost_runs: number of lost runs, whether the worker is known to have crashed or not.
+        lost_runs: number of lost runs, whether their workers are known to have crashed or not.
         undecided: number of lost runs of which that may still become known.
     """
 
--- a/camphorchute/queues/job_run.py
+++ b/camphorchute/queues/job_run.py
@@ -86,7 +86,7 @@
         self.lost_runs: LostRuns | None = None
 
     def add_lost_run(self, place: RunPlace) -> bool:
-        """Add a run that was lost with its worker; return whether it was not known before.
+        """Add a run that was lost with its worker; return whether that says anything new.
 
         Args:
             place: where the run was.
--- a/camphorchute/queues/lost_runs.py
+++ b/camphorchute/queues/lost_runs.py
@@ -1,21 +1,15 @@
-"""Runs of a task that were lost with their workers, and what they say of the task."""
+"""Runs of a task that were lost with their workers."""
 
 import time
 from collections.abc import Callable
 
 from camphorchute.cluster.worker_fates import WorkerFate
 from camphorchute.contracts.run_messages import RunPlace
-from camphorchute.decision_log import log_decision
-from camphorchute.policies.crash_limit import (
-    CrashDecision,
-    CrashEvidence,
-    CrashLimitPolicy,
-    give_up_after_two,
-)
+from camphorchute.policies.crash_limit import CrashDecision, CrashEvidence
 
-__all__ = ["CrashGuard", "FateOf", "LostRuns"]
+__all__ = ["FateOf", "LostRuns"]
 
-FATE_KNOWN_WITHIN_MS = 6000.0  # a crashed worker is back, or its entry has expired, by then
+FATE_KNOWN_WITHIN_MS = 6000.0
 MS_PER_S = 1000.0
 
 FateOf = Callable[[RunPlace, float], WorkerFate]
@@ -68,7 +62,7 @@
         return len(self._runs)
 
     def add(self, place: RunPlace) -> bool:
-        """Add a lost run; return whether it was not known before.
+        """Add a lost run; return whether it, or where it was, was not known before.
 
         Args:
             place: where the run was.
@@ -77,7 +71,7 @@
         if known is not None and (known.place.worker_id or not place.worker_id):
             return False
         self._runs[place.run] = _LostRun(place)
-        return known is None
+        return True
 
     def places(self) -> list[RunPlace]:
         """Return where the runs were."""
@@ -91,6 +85,10 @@
         """Whether the next process to own the job would know all of the runs."""
         return self.stored is None or self.stored >= len(self._runs)
 
+    def mark_stored(self, number: int) -> None:
+        """Record that the store has a number of the lost runs."""
+        self.stored = max(self.stored or 0, number)
+
     def evidence(self, fate_of: FateOf) -> CrashEvidence:
         """Return the evidence against the task; a worker that was only silent is none.
 
@@ -108,48 +106,3 @@
             len(against),
             sum(lost.is_undecided() for lost in against),
         )
-
-
-class CrashGuard:
-    """Decides whether tasks that were lost with their workers start again.
-
-    Args:
-        count: adds to a named counter.
-
-    Attributes:
-        policy: the crash limit policy.
-        fate_of: returns what became of the worker of a run.
-    """
-
-    __slots__ = ("policy", "fate_of", "_count")
-
-    def __init__(self, count: Callable[..., None]) -> None:
-        self.policy: CrashLimitPolicy = give_up_after_two
-        self.fate_of: FateOf = lambda place, since_s: WorkerFate.UNKNOWN
-        self._count = count
-
-    def decide(self, task: str, lost_runs: LostRuns) -> CrashDecision:
-        """Return what becomes of a task with lost runs.
-
-        Args:
-            task: name of the task, for the log.
-            lost_runs: its lost runs.
-        """
-        if not lost_runs.is_stored():
-            return CrashDecision.WAIT
-        evidence = lost_runs.evidence(self.fate_of)
-        decision = self.policy(evidence)
-        if lost_runs.last_decision != (len(lost_runs), decision):
-            lost_runs.last_decision = (len(lost_runs), decision)
-            self._count(f"queues.lost_run.{decision.name.lower()}")
-            log_decision(
-                "queues",
-                f"task that lost its worker {decision.value}",
-                task=task,
-                machines=evidence.crashed_machines,
-                alone=evidence.crashed_alone,
-                lost_runs=evidence.lost_runs,
-                undecided=evidence.undecided,
-                workers=[place.worker_id for place in lost_runs.places()],
-            )
-        return decision
--- a/camphorchute/queues/queue_owner.py
+++ b/camphorchute/queues/queue_owner.py
@@ -22,12 +22,12 @@
     start_while_useful,
 )
 from camphorchute.policies.concurrency_limit import ConcurrencyLimitPolicy, set_no_limit
+from camphorchute.queues.crash_guard import CrashGuard
 from camphorchute.queues.done_jobs import DoneJobs
 from camphorchute.queues.free_capacity_view import FreeCapacityView
 from camphorchute.queues.job_admission import JobAdmission, finish_by_s
 from camphorchute.queues.job_run import JobOutcome, JobRun, TaskProgress, TaskState
 from camphorchute.queues.job_withdrawals import JobWithdrawals
-from camphorchute.queues.lost_runs import CrashGuard
 from camphorchute.queues.task_dispatcher import TaskDispatcher
 
 __all__ = ["QueueOwner"]
--- a/camphorchute/queues/task_dispatcher.py
+++ b/camphorchute/queues/task_dispatcher.py
@@ -8,9 +8,9 @@
 from camphorchute.links import Peers
 from camphorchute.policies.admission import is_admitted
 from camphorchute.policies.crash_limit import CrashDecision
+from camphorchute.queues.crash_guard import CrashGuard
 from camphorchute.queues.free_capacity_view import FreeCapacityView, PlacementPlan
 from camphorchute.queues.job_run import JobOutcome, JobRun, TaskState
-from camphorchute.queues.lost_runs import CrashGuard
 from camphorchute.runs.run import task_name
 
 __all__ = ["TaskDispatcher"]
