--- a/bench/standins/fleet_worker_faults.py
+++ b/bench/standins/fleet_worker_faults.py
@@ -33,6 +33,7 @@
         late_max_ms: longest such time, in milliseconds.
         late_outlives_restart: whether such a command reaches a later incarnation, too.
         stop_ms: time that a run takes to end after a stop command, in milliseconds.
+        has_no_guard: whether it starts runs beyond its capacity instead of refusing them.
         crash_payload: payload of the tasks that crash the worker, none if it is empty.
         crash_after_ms: time from the start of such a task to the crash, in milliseconds.
         crash_down_ms: time from a crash to the start of the next incarnation, in milliseconds.
@@ -52,6 +53,7 @@
     late_max_ms: float = 3000.0
     late_outlives_restart: bool = False
     stop_ms: float = 0.0
+    has_no_guard: bool = False
     crash_payload: str = ""
     crash_after_ms: float = 20.0
     crash_down_ms: float = 500.0
