Try a job again that may not be dispatched for a moment

Cause: the check for jobs that were just given up made the dispatcher report such a job as complete whenever its owner was not sure of its shard; the job would then not be looked at for up to a minute. Found by reading.

Change: the dispatcher reports it as incomplete.

Measured: the new test fails on the parent, which returns False there; tests of queues and durable_jobs pass.

--- a/camphorchute/queues/task_dispatcher.py
+++ b/camphorchute/queues/task_dispatcher.py
@@ -62,8 +62,10 @@
         """Dispatch every task that is ready; return whether some could not be dispatched."""
         is_incomplete = False
         for step_number in range(len(run.steps)):
-            if run.outcome is not None or not run.may_dispatch():  # an earlier step has ended it
+            if run.outcome is not None:  # an earlier step has ended the job
                 return False
+            if not run.may_dispatch():
+                return True
             if run.is_step_ready(step_number):
                 is_incomplete |= self._dispatch_step(run, step_number)
                 is_incomplete |= self._redispatch_lost_tasks(run, step_number)
@@ -79,8 +81,10 @@
         ]
         indices = [index for index in waiting if self._may_start(run, step_number, index)]
         is_held = len(indices) < len(waiting)
-        if not indices or run.outcome is not None or not run.may_dispatch():
+        if not indices or run.outcome is not None:
             return is_held
+        if not run.may_dispatch():
+            return True
         limits = run.step_limits
         plan = self._capacity_view.plan(run.queue.service, step, len(indices), limits)
         if self._is_hopeless(run, plan):
--- a/camphorchute/queues/tests/test_queue_owner.py
+++ b/camphorchute/queues/tests/test_queue_owner.py
@@ -419,3 +419,15 @@
     site.owner.handle_tasks_finished(make_member("h0"), TasksFinished("job1", [result]))
     assert wait_until(lambda: len(start_commands(site)) == 2)
     assert start_commands(site)[-1].tasks[0].failures == 2
+
+
+# A job whose owner could not be sure of its shard for a moment was not looked at for a minute.
+def test_job_that_may_not_be_dispatched_for_a_moment_is_tried_again():
+    site = Site(h0=2)
+    site.submit(1)
+    (run,) = site.owner._jobs.values()
+    run.steps[0][0].state = TaskState.WAITING
+    run.withdrawing_from = {"h0"}
+    assert site.owner._dispatcher.dispatch_ready_tasks(run)
+    run.withdrawing_from = set()
+    assert not site.owner._dispatcher.dispatch_ready_tasks(run)
