--- a/bench/run_faults/process.py
+++ b/bench/run_faults/process.py
@@ -11,7 +11,13 @@
 from bench.run_faults.run_checker import DuplicateWatch
 from bench.run_faults.task_trace import TaskTrace
 from camphorchute.contracts.member import Member
-from camphorchute.contracts.run_messages import RoomReport, StartTasks, StopTasks, TasksFinished
+from camphorchute.contracts.run_messages import (
+    RoomReport,
+    StartTasks,
+    StopTasks,
+    TasksFinished,
+    WithdrawTasks,
+)
 from camphorchute.hosting import make_platform
 from camphorchute.queues import FreeCapacityView, QueueOwner
 from camphorchute.runs import GroupScheduler
@@ -84,6 +90,7 @@
         handlers = {
             StartTasks: self.scheduler.start_tasks,
             StopTasks: self.scheduler.stop_tasks,
+            WithdrawTasks: self.scheduler.withdraw_tasks,
             TasksFinished: self.owner.handle_tasks_finished,
             RoomReport: self._capacity_view.handle_report,
         }
