--- a/bench/run_faults/command.py
+++ b/bench/run_faults/command.py
@@ -20,7 +20,7 @@
 @click.option("--fault", "faults", multiple=True, type=click.Choice(sorted(FAULTS)), help="Only.")
 @click.option("--counters", is_flag=True, help="Print the counters of each play.")
 @click.option("--crashing-tasks", is_flag=True, help="Entry processes with crashing tasks.")
-@click.option("--base", default=48, show_default=True, help="Second byte of their addresses.")
+@click.option("--base", default=57, show_default=True, help="Second byte of their addresses.")
 def main(
     seed: int,
     count: int,
