--- a/bench/run_faults/crash_play.py
+++ b/bench/run_faults/crash_play.py
@@ -6,10 +6,10 @@
 
 import gevent
 
+from bench.durable_calls import job_state, submit
 from bench.run_faults.hosted_play import MS_PER_S, HostedPlay
 from bench.run_faults.run_checker import find_overlaps, runs_of
 from bench.standins.run_record import CRASHED, RunRecord
-from bench.tests.durable_fleet import job_state, submit
 
 __all__ = ["CrashPlay", "starts_over_budget"]
 
--- a/bench/tests/test_crashing_tasks.py
+++ b/bench/tests/test_crashing_tasks.py
@@ -4,8 +4,7 @@
 
 import pytest
 
-from bench.hosted_fleet import HostedFleet
-from bench.tests.durable_fleet import (
+from bench.durable_calls import (
     all_done,
     call_entry,
     job_state,
@@ -13,6 +12,7 @@
     submit,
     wait_until,
 )
+from bench.hosted_fleet import HostedFleet
 
 BASE = 47
 NORTH = "north"
--- a/bench/tests/test_durable_jobs.py
+++ b/bench/tests/test_durable_jobs.py
@@ -5,9 +5,7 @@
 
 import pytest
 
-from bench.hosted_fleet import HostedFleet
-from bench.standins.fleet_site import durable_job_body
-from bench.tests.durable_fleet import (
+from bench.durable_calls import (
     all_done,
     call_entry,
     job_state,
@@ -15,6 +13,8 @@
     submit,
     wait_until,
 )
+from bench.hosted_fleet import HostedFleet
+from bench.standins.fleet_site import durable_job_body
 from camphorchute.durable_jobs import JOB_KEY_PREFIX
 from camphorchute.durable_jobs.shard_claims import SHARD_OWNER_KEY_PREFIX
 from camphorchute.runs import shard_of
--- a/bench/tests/test_shrinking_capacity.py
+++ b/bench/tests/test_shrinking_capacity.py
@@ -7,9 +7,9 @@
 import gevent
 import pytest
 
+from bench.durable_calls import call_entry
 from bench.hosted_fleet import HostedFleet
 from bench.standins.fleet_site import job_body
-from bench.tests.durable_fleet import call_entry
 
 BASE = 49
 NORTH = "north"
