Ignore free-capacity reports of a scheduler that another one has superseded

Callers saw: jobs submitted right after a paused scheduler ran on were refused as `overloaded`, `no room in time`, though the workers of the group were free and another process had been scheduling it for seconds.

Cause: owners took the last report of a group from whoever sent it. A process that was paused reports its groups once more before it learns that it has lost them; owners then dispatched to it, it could start nothing, and the reports of its successor counted only with the next complete one, up to 500 ms later.

Evidence: with a line for each such report, 24 of 24 plays of the test had them, 7 to 66 ms after SIGCONT. Ruled out: load alone, 0 of 136 plays failed with the jobs sent at once, up to a load of 11 on 8 cores.

Change: reports name the fencing token of the claim. While the report of a later claim is recent, an earlier one of another member is passed over and counted. A report without a token counts as before.

The new test of the view fails without the change ([7-12-m1]).

--- a/camphorchute/contracts/run_messages.py
+++ b/camphorchute/contracts/run_messages.py
@@ -253,6 +253,7 @@
         late_wait_ms: expected time until a task starts that is late already, in milliseconds.
         largest: the most of each resource that a single worker has, free or not; None if the
             sender does not say.
+        fence: fencing token of the scheduler's claim; 0 if the sender does not say.
     """
 
     group: str
@@ -263,6 +264,7 @@
     oldest_wait_ms: dict[int, float] = {}
     late_wait_ms: float = 0.0
     largest: Resources | None = None
+    fence: int = 0
 
     def can_ever_hold(self, demand: Resources) -> bool:
         """Whether a task with a demand fits on a worker that has no other."""
--- a/camphorchute/queues/free_capacity_view.py
+++ b/camphorchute/queues/free_capacity_view.py
@@ -80,7 +80,10 @@
 
     @handles(RoomReport, nonblocking=True)
     def handle_report(self, peer: Member, report: RoomReport) -> None:
-        """Apply a report; the sender no longer schedules groups that a complete one lacks."""
+        """Apply a report; the sender no longer schedules groups that a complete one lacks.
+
+        Groups that another member has reported with a later claim are passed over.
+        """
         self._generation += 1
         now_s = time.monotonic()
         if report.changes:
@@ -96,12 +99,26 @@
             if received.scheduler.member_id == peer.member_id and group not in reported_groups:
                 del self._reports[group]
         for free_capacity in report.groups:
+            if self._is_superseded(peer, free_capacity):
+                self._count("queues.report_superseded")
+                continue
             is_own_zone = zone_of_group(free_capacity.group) == self._zone
             self._reports[free_capacity.group] = ReceivedReport(
                 peer, free_capacity, report.number, now_s, is_own_zone
             )
         self.report_received.set()
 
+    def _is_superseded(self, peer: Member, free_capacity: GroupFreeCapacity) -> bool:
+        """Return whether a member with a later claim to a group has reported it recently.
+
+        A process that was paused reports its groups until it learns that it has lost them.
+        """
+        known = self._reports.get(free_capacity.group)
+        if known is None or known.received_s < _oldest_valid_s() or not free_capacity.fence:
+            return False
+        is_other = known.scheduler.member_id != peer.member_id
+        return is_other and free_capacity.fence < known.free_capacity.fence
+
     def _apply_change(
         self, peer: Member, change: GroupChange, report: RoomReport, now_s: float
     ) -> bool:
--- a/camphorchute/queues/received_report.py
+++ b/camphorchute/queues/received_report.py
@@ -46,6 +46,7 @@
             reported.oldest_wait_ms,
             reported.late_wait_ms,
             reported.largest,
+            reported.fence,
         )
         self.number = number
         self.received_s = received_s
--- a/camphorchute/queues/tests/test_free_capacity_view.py
+++ b/camphorchute/queues/tests/test_free_capacity_view.py
@@ -1,3 +1,5 @@
+import time
+
 import pytest
 
 from camphorchute.contracts.batch_job import BatchStep, QueueLimits
@@ -103,6 +105,33 @@
     assert view.scheduler_of("g0") is None
 
 
+# A paused scheduler that ran on took the tasks of its successor's group, which it could not start.
+@pytest.mark.parametrize(
+    ("fence", "later_fence", "scheduler"),
+    [(7, 12, "m1"), (12, 7, "m0"), (0, 12, "m0"), (7, 0, "m0"), (7, 7, "m0")],
+)
+def test_report_of_a_superseded_scheduler_is_ignored(fence, later_fence, scheduler):
+    counts = []
+    view = FreeCapacityView(count=lambda name, n=1: counts.append(name))
+    earlier, later = (make_group("g0", [(FULL, 1.0)]) for _ in range(2))
+    earlier.fence, later.fence = fence, later_fence
+    view.handle_report(make_member("m1"), RoomReport([later], 1))
+    view.handle_report(make_member("m0"), RoomReport([earlier], 1))
+    assert view.scheduler_of("g0").member_id == scheduler
+    assert (counts == ["queues.report_superseded"]) is (scheduler == "m1")
+
+
+def test_report_of_a_superseded_scheduler_counts_once_its_successor_is_silent(monkeypatch):
+    view = FreeCapacityView()
+    later, earlier = (make_group("g0", [(FULL, 1.0)]) for _ in range(2))
+    later.fence, earlier.fence = 12, 7
+    view.handle_report(make_member("m1"), RoomReport([later], 1))
+    now_s = time.monotonic()
+    monkeypatch.setattr(time, "monotonic", lambda: now_s + 3.0)
+    view.handle_report(make_member("m0"), RoomReport([earlier], 1))
+    assert view.scheduler_of("g0").member_id == "m0"
+
+
 @pytest.mark.parametrize(
     ("service", "cpu", "can_run"),
     [("flags", 14_000, True), ("flags", 64_000, False), ("walks", 14_000, False)],
--- a/camphorchute/runs/worker_group.py
+++ b/camphorchute/runs/worker_group.py
@@ -297,6 +297,7 @@
             self.backlog.oldest_wait_ms(now_s),
             self.backlog.late_wait_ms(now_s, capacity.cpu_millicores / 1000),
             largest,
+            self.fence,
         )
 
 
