--- a/bench/checks.py
+++ b/bench/checks.py
@@ -1,11 +1,13 @@
 """Run every test; a failure of a test in ``KNOWN-RED.txt`` is printed but does not count.
 
-The tests of the program and those of the benchmark run beside each other, since most of them wait.
+The tests of the program, those of the benchmark's own modules and those that start entry processes
+run beside each other, since most of them wait.
 """
 
 import subprocess
 import sys
 import tempfile
+from contextlib import ExitStack
 from pathlib import Path
 
 import pytest
@@ -13,7 +15,8 @@
 ROOT = Path(__file__).resolve().parent.parent
 KNOWN_RED = ROOT / "KNOWN-RED.txt"
 TEST_FIELD = "test:"
-PROGRAM_TESTS, BENCH_TESTS = "camphorchute", "bench"
+PROGRAM_TESTS = ["camphorchute"]
+BENCH_TESTS = [["bench/tests"], ["bench", "--ignore=bench/tests"]]
 
 
 def known_red_tests(text: str) -> list[str]:
@@ -50,15 +53,24 @@
 
 
 def _run_all(options: list[str]) -> int:
-    """Run the tests of the benchmark in a second process; return the higher exit status."""
-    with tempfile.TemporaryFile("w+") as output:
-        command = [sys.executable, "-m", "pytest", BENCH_TESTS, *options]
-        bench_run = subprocess.Popen(command, cwd=ROOT, stdout=output, stderr=subprocess.STDOUT)
-        status = int(pytest.main([PROGRAM_TESTS, *options]))
-        bench_status = bench_run.wait()
-        output.seek(0)
-        print(output.read())
-    return max(status, abs(bench_status))
+    """Run the tests of the benchmark in processes of their own; return the highest exit status."""
+    with ExitStack() as stack:
+        outputs = [stack.enter_context(tempfile.TemporaryFile("w+")) for _ in BENCH_TESTS]
+        bench_runs = [
+            subprocess.Popen(
+                [sys.executable, "-m", "pytest", *tests, *options],
+                cwd=ROOT,
+                stdout=output,
+                stderr=subprocess.STDOUT,
+            )
+            for tests, output in zip(BENCH_TESTS, outputs, strict=True)
+        ]
+        statuses = [int(pytest.main([*PROGRAM_TESTS, *options]))]
+        for bench_run, output in zip(bench_runs, outputs, strict=True):
+            statuses.append(abs(bench_run.wait()))
+            output.seek(0)
+            print(output.read())
+    return max(statuses)
 
 
 if __name__ == "__main__":
