Play workers whose capacity shrinks and grows while entry processes fail

LIMIT was tested with a scheduler by itself and with entry processes that nothing happens to. Not shown: that no worker is started on beyond its capacity while processes are killed, stopped and paused for up to 8 s, and workers restart, stay mute or carry out orders late.

A start is a finding if it brings a worker over each capacity of the 4.5 s before it (`contact-ms` and one heartbeat). Each capacity holds for 7 s, so that the latest one alone counts for a while.

--- a/bench/run_faults/command.py
+++ b/bench/run_faults/command.py
@@ -9,6 +9,7 @@
 from bench.run_faults.crash_play import CrashPlay
 from bench.run_faults.faults import FAULTS
 from bench.run_faults.play import play
+from bench.run_faults.shrink_play import ShrinkPlay
 
 __all__ = ["main"]
 
@@ -19,7 +20,12 @@
 @click.option("--duration-s", default=5.0, show_default=True, help="Time under load, each.")
 @click.option("--fault", "faults", multiple=True, type=click.Choice(sorted(FAULTS)), help="Only.")
 @click.option("--counters", is_flag=True, help="Print the counters of each play.")
-@click.option("--crashing-tasks", is_flag=True, help="Entry processes with crashing tasks.")
+@click.option(
+    "--crashing-tasks", "play_type", flag_value=CrashPlay, help="Entry processes, crashing tasks."
+)
+@click.option(
+    "--shrinking-capacity", "play_type", flag_value=ShrinkPlay, help="The same, less capacity."
+)
 @click.option("--base", default=57, show_default=True, help="Second byte of their addresses.")
 def main(
     seed: int,
@@ -27,14 +33,14 @@
     duration_s: float,
     faults: tuple[str, ...],
     counters: bool,
-    crashing_tasks: bool,
+    play_type: type[CrashPlay | ShrinkPlay] | None,
     base: int,
 ) -> None:
     """Play schedulers under random faults and check that no task has two runs at a time."""
-    if crashing_tasks:
+    if play_type is not None:
         seeds = range(seed, seed + count)
-        found = [number for number in seeds if _has_findings_with_crashes(number, duration_s, base)]
-        sys.exit(1 if found else 0)
+        plays = [_play_processes(play_type, number, duration_s, base) for number in seeds]
+        sys.exit(1 if any(plays) else 0)
     failed = 0
     for number in range(seed, seed + count):
         report = play(number, duration_s, faults)
@@ -51,20 +57,18 @@
     sys.exit(1 if failed else 0)
 
 
-def _has_findings_with_crashes(seed: int, duration_s: float, base: int) -> bool:
-    """Play one run with tasks that crash their workers; return whether anything was found."""
+def _play_processes(
+    play_type: type[CrashPlay | ShrinkPlay], seed: int, duration_s: float, base: int
+) -> bool:
+    """Play one run of entry processes; return whether anything was found."""
     with tempfile.TemporaryDirectory() as log_dir:
-        play = CrashPlay(seed, Path(log_dir), base)
+        process_play = play_type(seed, Path(log_dir), base)
         try:
-            play.start()
-            play.execute(duration_s)
-            click.echo(
-                f"run_faults: seed {seed}, {play.started_runs()} runs, "
-                f"{len(play.states)} jobs, {len(play.overlaps)} at the same time, "
-                f"{len(play.over_budget)} over budget, {len(play.wrongly_ended)} wrongly ended"
-            )
-            if play.has_findings():
-                click.echo(play.describe())
-            return play.has_findings()
+            process_play.start()
+            process_play.execute(duration_s)
+            click.echo(f"run_faults: seed {seed}, {process_play.summary()}")
+            if process_play.has_findings():
+                click.echo(process_play.describe())
+            return process_play.has_findings()
         finally:
-            play.close()
+            process_play.close()
--- a/bench/run_faults/crash_play.py
+++ b/bench/run_faults/crash_play.py
@@ -90,6 +90,13 @@
         self._wait_for_ends()
         self._check()
 
+    def summary(self) -> str:
+        """Return the numbers of runs, of jobs and of findings."""
+        return (
+            f"{super().summary()}, {len(self.states)} jobs, {len(self.over_budget)} over budget, "
+            f"{len(self.wrongly_ended)} wrongly ended"
+        )
+
     def describe(self) -> str:
         """Return what was found, with the runs of the tasks concerned."""
         jobs = {run.task.partition(".")[0] for run in self.over_budget} | set(self.wrongly_ended)
--- a/bench/run_faults/hosted_play.py
+++ b/bench/run_faults/hosted_play.py
@@ -48,8 +48,11 @@
         faults: time in seconds and description of each fault.
         statuses: number of answers by status, 0 for none.
         overlaps: every two runs of a task that were active at the same time.
+        pause_max_ms: longest pause of an entry process in milliseconds.
     """
 
+    pause_max_ms = 2500.0
+
     __slots__ = (
         "faults",
         "statuses",
@@ -116,6 +119,10 @@
         """Return the number of runs that were started."""
         return len(runs_of(self._fleet.site.workers))
 
+    def summary(self) -> str:
+        """Return the numbers of runs and of findings."""
+        return f"{self.started_runs()} runs, {len(self.overlaps)} at the same time"
+
     def describe(self) -> str:
         """Return the seed, the runs at the same time and the faults."""
         return "\n".join([f"seed {self._seed}", *map(repr, self.overlaps), *self.faults])
@@ -139,7 +146,7 @@
         return self._random.choice(running) if len(running) > 1 else None
 
     def _pause_entry(self) -> str:
-        entry, duration_ms = self._pick_entry(), self._random.uniform(300, 2500)
+        entry, duration_ms = self._pick_entry(), self._random.uniform(300, self.pause_max_ms)
         if entry is None:
             return "no process to pause"
         process = entry.process
--- a/bench/standins/fleet_worker.py
+++ b/bench/standins/fleet_worker.py
@@ -178,6 +178,11 @@
         }
         self._store.put(f"servers/{self._worker_id}", json.dumps(entry).encode())
 
+    @property
+    def slots(self) -> int:
+        """Number of runs that it can execute at once."""
+        return self._slots
+
     def set_slots(self, slots: int) -> None:
         """Change the number of runs that it can execute at once, and register that.
 
