Leave a late command of the stand-in worker more time to be late

test_late_start_is_carried_out_after_newer_commands_if_still_allowed[between2-states2] failed in 1 of 9 runs beside load: the start came before the newer command. The client gave up after 100 ms and the start was carried out at 150 ms, so a delay of 50 ms of the test itself reversed them.

Change: the start is late by 600 ms and is waited for that long. What must happen after it is as before.

--- a/bench/standins/tests/test_fleet_worker.py
+++ b/bench/standins/tests/test_fleet_worker.py
@@ -13,7 +13,9 @@
 TASK = "5c0e7a21d94b36f8.0.0.0"
 FAR_DEADLINE_MS = 1_000_000
 CLIENT_TIMEOUT_MS = 100.0
-LATE_FAULTS = {"late_share": 1.0, "late_min_ms": 150.0, "late_max_ms": 150.0}
+LATE_MS = 600.0  # counted while the client waits for its answer and sends newer commands
+LATE_FAULTS = {"late_share": 1.0, "late_min_ms": LATE_MS, "late_max_ms": LATE_MS}
+LATE_WAIT_S = 0.7
 
 
 @pytest.fixture
@@ -97,7 +99,7 @@
     set_faults(worker, late_share=0.0)
     for path, fields in between:
         assert command(worker, path, **fields) == (200, "")
-    gevent.sleep(0.2)
+    gevent.sleep(LATE_WAIT_S)
     assert run_states(worker) == states
 
 
@@ -105,7 +107,7 @@
     set_faults(worker, **LATE_FAULTS)
     deadline_ms = worker._worker_clock_ms() + 100
     assert command(worker, "/run-start", deadline_ms=deadline_ms) is None
-    gevent.sleep(0.2)
+    gevent.sleep(LATE_WAIT_S)
     assert worker.runs == []
 
 
@@ -114,7 +116,7 @@
     set_faults(worker, late_outlives_restart=outlives, **LATE_FAULTS)
     assert command(worker, "/run-start") is None
     worker.restart()
-    gevent.sleep(0.2)
+    gevent.sleep(LATE_WAIT_S)
     assert run_states(worker) == states
 
 
