Compare the line about an outage with the failed calls until its end

A watch that was opened before the store stopped answering fails after 3.5 s, here after the outage had ended at 3.2 s. It is an outage of its own, too soon after the first one for a line. A failure before the first line is ruled out, since the first failure writes it.

Change: the test reads the counters as the line is written, and demands the same equality.

--- a/camphorchute/cluster/tests/test_store_outage_lines.py
+++ b/camphorchute/cluster/tests/test_store_outage_lines.py
@@ -16,14 +16,31 @@
 LOST, BACK = "roster: store does not answer", "roster: store answers again"
 
 
+class WatchedLogger(MemoryLogger):
+    """A log in memory that also calls a function with each message."""
+
+    def __init__(self):
+        super().__init__()
+        self.on_message = lambda message: None
+
+    def write(self, dictionary, serializer=None):
+        super().write(dictionary, serializer)
+        self.on_message(dictionary)
+
+
 @pytest.fixture
-def log_lines():
-    logger = MemoryLogger()
+def logger():
+    logger = WatchedLogger()
     previous = swap_logger(logger)
-    yield logger.messages
+    yield logger
     swap_logger(previous)
 
 
+@pytest.fixture
+def log_lines(logger):
+    return logger.messages
+
+
 @pytest.fixture
 def site():
     opened = FleetSite(["north"], 1)
@@ -77,9 +94,16 @@
 
 @pytest.mark.parametrize("fault", ["busy", "hang"])
 def test_outage_of_the_store_has_one_line_when_it_begins_and_one_when_it_ends(
-    node, site, log_lines, fault
+    node, site, logger, log_lines, fault
 ):
     """Each follower wrote its own lines, and one without changes never that the store was back."""
+    counts_at_end = {}  # a watch that hangs may fail later, in an outage of its own
+
+    def keep_counts(message):
+        if message.get("text") == BACK:
+            counts_at_end.update(node.counts)
+
+    logger.on_message = keep_counts
     setattr(site.store.faults, fault, True)
     assert wait_until(lambda: texts(log_lines, LOST))
     gevent.sleep(OUTAGE_S)
@@ -90,9 +114,9 @@
     back = texts(log_lines, BACK)[0]
     assert back["away_ms"] >= 1000 * OUTAGE_S
     failed = [
-        node.counts.get(f"roster.retry.{reason}", 0) for reason in ("store_unavailable", "lease")
+        counts_at_end.get(f"roster.retry.{reason}", 0) for reason in ("store_unavailable", "lease")
     ]
-    failed += [node.counts.get(f"keeping.{name}", 0) for name in ("retry.claim", "claim_unknown")]
+    failed += [counts_at_end.get(f"keeping.{name}", 0) for name in ("retry.claim", "claim_unknown")]
     assert back["failed_calls"] == sum(failed)
 
 
