Cut processes off from the store in the plays with a shrinking capacity

A process that does not hear from the store knows the capacity of before. The plays did not have that.

Change: each entry process calls the store through the proxy, and is cut off from it for up to 8 s at times, in one direction or in both.

--- a/bench/run_faults/hosted_play.py
+++ b/bench/run_faults/hosted_play.py
@@ -89,7 +89,7 @@
     def start(self) -> None:
         """Start the entry processes and wait until all of them complete jobs."""
         for number in range(ENTRIES):
-            self._fleet.add_entry(ZONE, number + 1)
+            self._add_entry(number + 1)
         self._fleet.wait_ready()
         for worker in self._fleet.site.workers:
             worker.faults.stop_ms = STOP_MS
@@ -127,6 +127,9 @@
         """Return the seed, the runs at the same time and the faults."""
         return "\n".join([f"seed {self._seed}", *map(repr, self.overlaps), *self.faults])
 
+    def _add_entry(self, number: int) -> None:
+        self._fleet.add_entry(ZONE, number)
+
     def _submit_jobs(self, rng: random.Random, until_s: float) -> None:
         while time.monotonic() < until_s:
             job_id, tasks = f"{rng.getrandbits(64):016x}", rng.randint(1, TASKS_MAX)
--- a/bench/run_faults/shrink_play.py
+++ b/bench/run_faults/shrink_play.py
@@ -3,15 +3,21 @@
 import time
 from pathlib import Path
 
-from bench.run_faults.hosted_play import HostedPlay
+import gevent
+
+from bench.run_faults.hosted_play import ENTRIES, ZONE, HostedPlay
 from bench.standins.fleet_worker import FleetWorker
 from bench.standins.run_record import RunRecord
+from bench.tcp_proxy import Cut, Route, TcpProxy
 
 __all__ = ["ShrinkPlay", "starts_over_capacity"]
 
 CAPACITY_IN_FORCE_S = 4.5  # `contact-ms` and one heartbeat of the worker
 STEADY_S = 7.0  # of a capacity, so that starts are seen when only the latest one counts
 SLOTS_MAX = 2
+STORE = "store"
+STORE_NETWORK, STORE_PORT = 200, 2379
+CUT_MAX_S = 8.0
 
 
 def starts_over_capacity(
@@ -62,6 +68,8 @@
 class ShrinkPlay(HostedPlay):
     """Best-effort jobs on workers without a guard, whose capacity shrinks and grows.
 
+    Each entry process calls the store through a proxy, and is cut off from it at times.
+
     Args:
         seed: seed of jobs and faults; times differ from play to play.
         log_dir: folder for the logs of the entry processes.
@@ -73,12 +81,16 @@
 
     pause_max_ms = 8000.0
 
-    __slots__ = ("over_capacity", "_slots")
+    __slots__ = ("over_capacity", "_slots", "_base", "_proxy", "_cuts")
 
     def __init__(self, seed: int, log_dir: Path, base: int) -> None:
         super().__init__(seed, log_dir, base)
+        self._base = base
+        self._proxy = TcpProxy(f"127.{base}.0.1:0")
+        self._cuts: list[Cut] = []
         self.over_capacity: list[RunRecord] = []
         self._slots: dict[FleetWorker, list[tuple[float, int]]] = {}
+        self._actions += [self._cut_from_store]
         self._actions += [self._change_capacity] * len(self._actions)
 
     def start(self) -> None:
@@ -95,6 +107,12 @@
         for worker, slots in self._slots.items():
             self.over_capacity += starts_over_capacity(worker.runs, slots, now_s)
 
+    def close(self) -> None:
+        """Stop entry processes, stand-ins and the proxy."""
+        super().close()
+        for entry in self._fleet.entries:
+            self._proxy.close_route(entry.store_address)
+
     def summary(self) -> str:
         """Return the numbers of runs and of findings."""
         return f"{super().summary()}, {len(self.over_capacity)} over the capacity"
@@ -109,6 +127,29 @@
         """Return whether anything must not have happened."""
         return bool(self.over_capacity or self.overlaps)
 
+    def _add_entry(self, number: int) -> None:
+        listen = f"127.{self._base}.{STORE_NETWORK}.{number}:{STORE_PORT}"
+        source = f"{number}"
+        self._proxy.open_route(Route(listen, self._fleet.site.store.address, STORE, source))
+        self._fleet.add_entry(ZONE, number, listen)
+
+    def _cut_from_store(self) -> str:
+        """Lose the bytes between a process and the store for a while, in one or both directions."""
+        source = f"{self._random.randint(1, ENTRIES)}"
+        duration_s = self._random.uniform(0.5, CUT_MAX_S)
+        there, back = Cut([source], [STORE]), Cut([STORE], [source])
+        cuts = self._random.choice([[there], [back], [there, back]])
+        self._set_cuts(self._cuts + cuts)
+        gevent.spawn_later(duration_s, self._end_cuts, cuts)
+        return f"cut for {duration_s:.1f} s: {cuts}"
+
+    def _end_cuts(self, cuts: list[Cut]) -> None:
+        self._set_cuts([cut for cut in self._cuts if not any(cut is ended for ended in cuts)])
+
+    def _set_cuts(self, cuts: list[Cut]) -> None:
+        self._cuts = cuts
+        self._proxy.set_cuts(cuts)
+
     def _change_capacity(self) -> str:
         worker = min(self._slots, key=lambda worker: self._slots[worker][-1][0])
         is_steady = time.monotonic() < self._slots[worker][-1][0] + STEADY_S
