Apply what a worker says of itself as soon as it is known

A scheduler went on with a capacity, or with a worker that drains, though the process knew better: entries reached it with the check of the claims only, which calls the store for vacant groups between reading the workers and passing them on. Each such call may take a second, and the workers passed on after it were those from before.

The new test of the claims, in which a worker is listed during such a call, fails without the change.

Change: the view reports each entry that says anything new, and the scheduler applies it at once to the same incarnation. The check of the claims passes on the workers of the moment.

--- a/camphorchute/cluster/claims.py
+++ b/camphorchute/cluster/claims.py
@@ -155,22 +155,26 @@
                 continue
             self._checked_s = time.monotonic()
             self._view.changed.clear()
-            groups = self._view.groups()
+            groups = list(self._view.groups())
             self._watched_groups = [
                 group
                 for group in self._view.followers().followed_by(self._member)
                 if zone_of_group(group) == self._member.zone
             ]
             self._served_groups = self._list_served_groups()
-            group_by_worker = self._view.group_by_worker()
             for group in [name for name in self._held_revisions if name not in groups]:
-                self._scheduler.set_workers(group, {}, group_by_worker)
+                self._set_workers(group)
                 self._release_claim(group, self._held_revisions[group])
             for group in [name for name in self._vacant_since_s if name not in groups]:
                 del self._vacant_since_s[group]
-            for group, workers in groups.items():
+            for group in groups:
                 self._check_group(group)
-                self._scheduler.set_workers(group, workers, group_by_worker)
+                self._set_workers(group)
+
+    def _set_workers(self, group: str) -> None:
+        """Pass on the workers that a group has now, not those that it had before a store call."""
+        workers, group_by_worker = self._view.workers_of(group), self._view.group_by_worker()
+        self._scheduler.set_workers(group, workers, group_by_worker)
 
     def _is_check_due(self) -> bool:
         """Return whether the outcome of a check may differ from that of the last one.
--- a/camphorchute/cluster/cluster_view.py
+++ b/camphorchute/cluster/cluster_view.py
@@ -56,6 +56,7 @@
         changed: event that is set when members, workers, claims or the queues have changed.
         zone_evacuations: which zones are evacuated.
         worker_fates: what became of workers that stopped answering.
+        on_worker_changed: called with the entry of a worker that says anything new.
     """
 
     __slots__ = (
@@ -67,6 +68,7 @@
         "changed",
         "zone_evacuations",
         "worker_fates",
+        "on_worker_changed",
         "_platform",
         "_count",
         "_missing_since_s",
@@ -93,6 +95,7 @@
             platform.decode_evacuated_zone, count
         )
         self.worker_fates = WorkerFates()
+        self.on_worker_changed: Callable[[WorkerEntry], None] = lambda entry: None
         self._platform = platform
         self._count = count
         self._missing_since_s: dict[str, float] = {}
@@ -197,6 +200,10 @@
         """Return the workers of each worker group, by group name and worker id."""
         return dict(self._worker_groups.by_name)
 
+    def workers_of(self, group: str) -> dict[str, WorkerEntry]:
+        """Return the workers of one worker group, by worker id."""
+        return self._worker_groups.by_name.get(group, {})
+
     def group_by_worker(self) -> dict[str, str]:
         """Return the name of the group of each worker, by worker id; it changes with the view."""
         return self._worker_groups.group_by_worker
@@ -273,6 +280,7 @@
                 return False
             self.workers[worker_id] = entry
             self._worker_groups.set_worker(entry)
+            self.on_worker_changed(entry)
             return True
         if worker_id in self.workers:
             self._missing_since_s.setdefault(worker_id, time.monotonic())
--- a/camphorchute/cluster/tests/test_claims.py
+++ b/camphorchute/cluster/tests/test_claims.py
@@ -1,3 +1,5 @@
+import base64
+
 import gevent
 import pytest
 from gevent.event import Event
@@ -14,7 +16,7 @@
 )
 from camphorchute.cluster import membership_lease as lease_module
 from camphorchute.contracts.member import Member
-from camphorchute.hosting import make_platform
+from camphorchute.hosting import StoredValue, make_platform
 from camphorchute.runs.group_names import MAX_WORKERS_PER_GROUP
 from camphorchute.runs.tests.scheduler_site import wait_until
 
@@ -317,3 +319,22 @@
     finally:
         for process in processes:
             process.kill()
+
+
+def test_workers_that_change_during_a_call_of_the_store_are_passed_on(site):
+    """The workers known before the call were passed on after it."""
+    process, passed_on = Process(site, 1), []
+    entry = base64.b64decode(site.store.items["servers/north-w0"]["value"])
+
+    def acquire_group(name, service, fence):
+        process.view.apply_change(StoredValue("servers/north-w9", entry, 999))
+        passed_on.clear()
+        process.scheduler.held[name] = fence
+
+    process.scheduler.acquire_group = acquire_group
+    process.scheduler.set_workers = lambda name, entries, groups: passed_on.append(set(entries))
+    try:
+        assert wait_until(lambda: process.scheduler.held and passed_on)
+        assert "north-w9" in passed_on[0]
+    finally:
+        process.kill()
--- a/camphorchute/entry/hosted_process.py
+++ b/camphorchute/entry/hosted_process.py
@@ -97,6 +97,7 @@
             self._platform.open_worker_client, self._peers.send_if_linked, count, self._policies
         )
         self._scheduler.zone_availability = zone_evacuations
+        self._view.on_worker_changed = self._scheduler.update_worker_entry
         self._capacity_view = FreeCapacityView(settings.zone, self._policies.worker_choice, count)
         self._capacity_view.service_zones = ServiceZones(self._view.zones_of, zone_evacuations)
         self._claims = GroupClaims(
--- a/camphorchute/runs/group_membership.py
+++ b/camphorchute/runs/group_membership.py
@@ -79,8 +79,26 @@
             if worker_id not in group.workers:
                 group.workers[worker_id] = self._open_worker(group, entry)
         if has_changed:
-            self._count("runs.capacity_changed")
-            self._scheduler.on_capacity_changed()
+            self._record_capacity_change()
+
+    def update_entry(self, group: WorkerGroup, entry: WorkerEntry) -> None:
+        """Replace the entry of a worker of a group by a newer one of the same incarnation.
+
+        Args:
+            group: the group.
+            entry: the entry; that of any other worker or incarnation waits for `set_workers`.
+        """
+        worker = group.workers.get(entry.worker_id)
+        if worker is None or not entry.is_same_incarnation(worker.entry):
+            return
+        has_changed = entry.capacity != worker.entry.capacity
+        worker.update_entry(entry)
+        if has_changed:
+            self._record_capacity_change()
+
+    def _record_capacity_change(self) -> None:
+        self._count("runs.capacity_changed")
+        self._scheduler.on_capacity_changed()
 
     def _release_worker(self, group: WorkerGroup, worker: LeasedWorker) -> None:
         """Leave a worker and its runs to the scheduler of the group that it moved to."""
--- a/camphorchute/runs/group_scheduler.py
+++ b/camphorchute/runs/group_scheduler.py
@@ -167,6 +167,15 @@
         if group is not None:
             self._membership.set_workers(group, entries, group_by_worker)
 
+    def update_worker_entry(self, entry: WorkerEntry) -> None:
+        """Apply what a worker says of itself as soon as it is known, if a group here has it.
+
+        Args:
+            entry: its latest entry in service discovery.
+        """
+        for group in self._groups.values():
+            self._membership.update_entry(group, entry)
+
     def free_capacity_report(self) -> list[GroupFreeCapacity]:
         """Return the free capacity and the backlog of each group.
 
--- a/camphorchute/runs/tests/test_shrinking_capacity.py
+++ b/camphorchute/runs/tests/test_shrinking_capacity.py
@@ -6,7 +6,13 @@
 from camphorchute.contracts.resources import Resources
 from camphorchute.contracts.run_messages import StopTasks
 from camphorchute.runs.tests.model_workers import Held
-from camphorchute.runs.tests.scheduler_site import GROUP, JOB_ID, OWNER, start_message, wait_until
+from camphorchute.runs.tests.scheduler_site import (
+    GROUP,
+    JOB_ID,
+    OWNER,
+    start_message,
+    wait_until,
+)
 
 SLOT = Resources(14_000, 64)
 
@@ -98,3 +104,14 @@
     gevent.sleep(0.1)
     poll.release()
     assert most_active(worker, 0.5) <= 2
+
+
+@pytest.mark.parametrize(("incarnation_later", "expected"), [(0, 1), (1, 2)])
+def test_entry_applies_at_once_to_its_incarnation_only(site, incarnation_later, expected):
+    scheduler = site.add_scheduler(7)
+    entry = site.entries()["w0"]
+    entry.capacity = SLOT
+    entry.incarnation += incarnation_later
+    scheduler.update_worker_entry(entry)
+    dispatch_job(scheduler, "job", 3)
+    assert most_active(site.workers["w0"], 0.3) == expected
