Read the workers again after a long pause, and start nothing before

LIMIT: a process that was paused for some seconds, and that no other had replaced, started tasks on workers by the capacity from before the pause. Callers' tasks ran on workers that had no room for them; with a drained worker it would be the same.

Cause: a watch of the workers delivers the changes of a pause in parts: the first one ends the request under way, and the others follow after the 600 ms for which changes are collected. The 20 ms that a resumed process waits are too few.

Change: after a pause of 2 s, which no lease outlasts, the process reads the workers again and starts nothing until it has, for 1 s at most, so that it serves on while the store does not answer.

--- a/bench/tests/test_shrinking_capacity.py
+++ b/bench/tests/test_shrinking_capacity.py
@@ -1,6 +1,7 @@
 """Workers without a guard whose capacity shrinks and grows while entry processes use them."""
 
 import itertools
+import signal
 import time
 from concurrent.futures import ThreadPoolExecutor
 
@@ -16,6 +17,8 @@
 RUN_MS = 80.0
 IN_FORCE_S = 1.5  # entries are read at intervals of 600 ms
 CALLERS = 12
+BEFORE_PAUSE_S = 3.4  # the end of a poll of the store
+PAUSE_S = 6.0
 
 
 @pytest.fixture
@@ -63,3 +66,29 @@
             gevent.sleep(IN_FORCE_S)
             assert most_active(changing, 1.0) == expected
         assert sum(job.result() for job in jobs) > 0
+
+
+# A process that had been paused started tasks on workers whose capacity had gone meanwhile.
+def test_process_that_was_paused_starts_nothing_on_workers_that_shrank(tmp_path):
+    fleet = HostedFleet([NORTH], 4, tmp_path, BASE, 250.0)
+    try:
+        entry = fleet.add_entry(NORTH, 1)
+        fleet.wait_ready()
+        entry.process.kill()
+        entry.process.wait()
+        fleet.start_entry(entry)
+        gevent.sleep(BEFORE_PAUSE_S)
+        entry.process.send_signal(signal.SIGSTOP)
+        gevent.sleep(0.5)
+        for worker in fleet.site.workers:
+            worker.faults.has_no_guard = True
+            worker.set_slots(0)
+        gevent.sleep(PAUSE_S)
+        jobs = [fleet.submit_later(entry, f"j{number}", 3) for number in range(CALLERS)]
+        before = sum(len(worker.runs) for worker in fleet.site.workers)
+        gevent.sleep(0.01)
+        entry.process.send_signal(signal.SIGCONT)
+        statuses = {job.result()[0] for job in jobs}
+        assert sum(len(worker.runs) for worker in fleet.site.workers) == before, statuses
+    finally:
+        fleet.close()
--- a/camphorchute/cluster/store_follower.py
+++ b/camphorchute/cluster/store_follower.py
@@ -1,6 +1,7 @@
 """Follows the keys under one prefix of the platform's store and passes changes to a view."""
 
 import random
+import time
 from collections.abc import Callable
 
 import gevent
@@ -15,6 +16,7 @@
 RETRY_MAX_MS = 800.0
 WATCH_LIFETIME_S = 3600.0
 WATCH_AFTER_FAILURE_S = 1.0
+LISTING_WAIT_MAX_MS = 1000.0
 MS_PER_S = 1000.0
 
 
@@ -41,6 +43,7 @@
         "_batching_ms",
         "_response_timeout_ms",
         "_revision",
+        "_listing_due_s",
         "_greenlet",
         "_has_failed",
         "_retry_pause_ms",
@@ -62,6 +65,7 @@
         self._batching_ms = batching_ms
         self._response_timeout_ms = response_timeout_ms
         self._revision = 0
+        self._listing_due_s: float | None = None
         self._greenlet: gevent.Greenlet | None = None
         self._has_failed = False
         self._retry_pause_ms = RETRY_MIN_MS
@@ -76,10 +80,22 @@
             self._greenlet.kill(block=False)
         self._store.outage.forget_user(self._prefix)
 
+    def read_again(self) -> None:
+        """Read all keys again now, as a watch delivers the changes of a long pause in parts."""
+        self._listing_due_s = time.monotonic()
+        if self._greenlet is not None:
+            self._greenlet.kill(block=False)
+        self.start()
+
+    def is_current(self) -> bool:
+        """Return whether no listing is due, or the store does not answer it in time."""
+        due_s = self._listing_due_s
+        return due_s is None or (time.monotonic() - due_s) * MS_PER_S > LISTING_WAIT_MAX_MS
+
     def _follow_changes(self) -> None:
         while True:
             try:
-                if not self._revision:
+                if not self._revision or self._listing_due_s is not None:
                     self._read_all_keys()
                 self._watch_changes()
             except StoreRefused:
@@ -92,6 +108,7 @@
         listing = self._store.list(self._prefix)
         self._view.apply_listing(self._prefix, list(listing.values), listing.revision)
         self._revision = listing.revision
+        self._listing_due_s = None
         self._record_answer()
 
     def _watch_changes(self) -> None:
--- a/camphorchute/entry/hosted_process.py
+++ b/camphorchute/entry/hosted_process.py
@@ -46,6 +46,7 @@
 READY_BODY_BYTES = 1024
 COUNTERS_LOG_INTERVAL_S = 60.0
 JOB_WRITES_FRACTION = 0.5
+LONG_PAUSE_MS = 2000.0
 
 
 class HostedProcess:
@@ -82,12 +83,13 @@
             platform.decode_evacuated_zone, count, settings.zones, settings.evacuation_return_ms
         )
         self._view = ClusterView(platform, count, zone_evacuations)
+        self._worker_follower = StoreFollower(
+            store, platform.worker_prefix, self._view, count, WORKER_CHANGES_BATCH_MS
+        )
         self._followers = [
             StoreFollower(store, OWN_PREFIX, self._view, count, CLUSTER_CHANGES_BATCH_MS),
             StoreFollower(store, platform.operator_prefix, self._view, count),
-            StoreFollower(
-                store, platform.worker_prefix, self._view, count, WORKER_CHANGES_BATCH_MS
-            ),
+            self._worker_follower,
         ]
         self._lease = MembershipLease(store, self._member, count)
         self._policies = DecisionPolicies(
@@ -97,6 +99,8 @@
             self._platform.open_worker_client, self._peers.send_if_linked, count, self._policies
         )
         self._scheduler.zone_availability = zone_evacuations
+        self._scheduler.on_paused = self._handle_pause
+        self._scheduler.are_workers_current = self._worker_follower.is_current
         self._view.on_worker_changed = self._scheduler.update_worker_entry
         self._capacity_view = FreeCapacityView(settings.zone, self._policies.worker_choice, count)
         self._capacity_view.service_zones = ServiceZones(self._view.zones_of, zone_evacuations)
@@ -252,6 +256,11 @@
         self._http.add(endpoints)
         self._ready_http.add(ReadinessEndpoints(self._is_ready, self.counters))
 
+    def _handle_pause(self, paused_ms: float) -> None:
+        """Read the workers again after a pause in which their capacity may have changed."""
+        if paused_ms >= LONG_PAUSE_MS:
+            self._worker_follower.read_again()
+
     def _handle_lost_peer(self, peer: Member) -> None:
         self._scheduler.drop_owner(peer.member_id)
         self._owner.mark_scheduler_lost(peer.member_id)
--- a/camphorchute/pause_watch.py
+++ b/camphorchute/pause_watch.py
@@ -18,15 +18,19 @@
 
     The clock also counts the time for which the machine was suspended.
 
+    Attributes:
+        last_pause_ms: length of the last pause in milliseconds, 0 if there was none.
+
     Examples:
         >>> watch = PauseWatch()
         >>> watch.is_settled()
         True
     """
 
-    __slots__ = ("_ticked_s", "_settled_s")
+    __slots__ = ("last_pause_ms", "_ticked_s", "_settled_s")
 
     def __init__(self) -> None:
+        self.last_pause_ms = 0.0
         self._ticked_s = _uptime_s()
         self._settled_s = 0.0
 
@@ -35,6 +39,7 @@
         now_s = _uptime_s()
         was_paused = self._is_paused(now_s)
         if was_paused:
+            self.last_pause_ms = (now_s - self._ticked_s) * MS_PER_S
             self._settled_s = now_s + SETTLE_MS / MS_PER_S
         self._ticked_s = now_s
         return was_paused
--- a/camphorchute/runs/group_scheduler.py
+++ b/camphorchute/runs/group_scheduler.py
@@ -63,6 +63,9 @@
         durable_tasks: handles the messages of shard owners about durable jobs.
         zone_availability: which zones are evacuated; set before the first group is acquired.
         pause_watch: tells whether the process has just been paused; nothing is started then.
+        on_paused: called with the length of a pause of the process in milliseconds.
+        are_workers_current: returns whether the entries of the workers may be relied on; nothing
+            is started meanwhile.
     """
 
     def __init__(
@@ -92,6 +95,8 @@
         self._membership = GroupMembership(self, self._open_worker, count)
         self._evacuated_groups = EvacuatedGroups(self, count)
         self.pause_watch = PauseWatch()
+        self.on_paused: Callable[[float], None] = lambda paused_ms: None
+        self.are_workers_current: Callable[[], bool] = lambda: True
         self._greenlet: gevent.Greenlet | None = None
 
     def start(self) -> None:
@@ -294,7 +299,7 @@
 
     def place_pending(self, group: WorkerGroup) -> None:
         """Start the pending tasks that fit into the free capacity."""
-        if not self.pause_watch.is_settled():
+        if not self.pause_watch.is_settled() or not self.are_workers_current():
             return
         if self.zone_availability.is_evacuated(group.zone):
             self._evacuated_groups.return_tasks(group)
@@ -384,6 +389,7 @@
             gevent.sleep(until_next_tick_s(interval_ms))
             if self.pause_watch.tick():
                 self._count("runs.process_paused")
+                self.on_paused(self.pause_watch.last_pause_ms)
                 continue
             now_s = time.monotonic()
             if self._evacuated_groups.has_offer_changed(self._groups.values()):
--- a/camphorchute/runs/tests/scheduler_site.py
+++ b/camphorchute/runs/tests/scheduler_site.py
@@ -39,6 +39,13 @@
     return True
 
 
+def block_event_loop(duration_s):
+    """Keep every greenlet from running, as a pause of the process does."""
+    until_s = time.monotonic() + duration_s
+    while time.monotonic() < until_s:
+        pass
+
+
 def start_message(
     tasks=1,
     run=1,
--- a/camphorchute/runs/tests/test_concurrent_runs.py
+++ b/camphorchute/runs/tests/test_concurrent_runs.py
@@ -1,5 +1,3 @@
-import time
-
 import gevent
 import pytest
 
@@ -11,6 +9,7 @@
     GROUP,
     JOB_ID,
     OWNER,
+    block_event_loop,
     start_message,
     wait_until,
 )
@@ -40,13 +39,6 @@
     assert wait_until(lambda: len(site.workers["w0"].active()) == 2)
 
 
-def block_event_loop(duration_s):
-    """Keep every greenlet from running, as a pause of the process does."""
-    until_s = time.monotonic() + duration_s
-    while time.monotonic() < until_s:
-        pass
-
-
 @pytest.mark.parametrize(
     "error",
     [
--- a/camphorchute/runs/tests/test_shrinking_capacity.py
+++ b/camphorchute/runs/tests/test_shrinking_capacity.py
@@ -10,6 +10,7 @@
     GROUP,
     JOB_ID,
     OWNER,
+    block_event_loop,
     start_message,
     wait_until,
 )
@@ -115,3 +116,17 @@
     scheduler.update_worker_entry(entry)
     dispatch_job(scheduler, "job", 3)
     assert most_active(site.workers["w0"], 0.3) == expected
+
+
+# A process that had been paused started tasks by the capacity from before its pause.
+def test_nothing_starts_after_a_pause_until_the_workers_are_known_again(site):
+    scheduler, paused_ms, is_known = site.add_scheduler(7), [], []
+    scheduler.on_paused = paused_ms.append
+    scheduler.are_workers_current = lambda: bool(is_known)
+    block_event_loop(0.8)
+    dispatch_job(scheduler, "job", 2)
+    assert most_active(site.workers["w0"], 0.3) == 0
+    assert len(paused_ms) == 1
+    assert paused_ms[0] >= 800.0
+    is_known.append(True)
+    assert wait_until(lambda: len(site.results) == 2)
