Check that a process which was paused serves again once its workers have grown

Cause: the test would also have passed with a process that never ran on.

Change: it also demands a completed job after the capacity is back.

--- a/bench/tests/test_shrinking_capacity.py
+++ b/bench/tests/test_shrinking_capacity.py
@@ -8,13 +8,13 @@
 import gevent
 import pytest
 
-from bench.durable_calls import call_entry
+from bench.durable_calls import call_entry, wait_until
 from bench.hosted_fleet import HostedFleet
 from bench.standins.fleet_site import job_body
 
 BASE = 49
 NORTH = "north"
-RUN_MS = 80.0
+RUN_MS, LONG_RUN_MS = 80.0, 250.0
 IN_FORCE_S = 1.5  # entries are read at intervals of 600 ms
 CALLERS = 12
 BEFORE_PAUSE_S = 3.4  # the end of a poll of the store
@@ -70,7 +70,7 @@
 
 # A process that had been paused started tasks on workers whose capacity had gone meanwhile.
 def test_process_that_was_paused_starts_nothing_on_workers_that_shrank(tmp_path):
-    fleet = HostedFleet([NORTH], 4, tmp_path, BASE, 250.0)
+    fleet = HostedFleet([NORTH], 4, tmp_path, BASE, LONG_RUN_MS)
     try:
         entry = fleet.add_entry(NORTH, 1)
         fleet.wait_ready()
@@ -90,5 +90,8 @@
         entry.process.send_signal(signal.SIGCONT)
         statuses = {job.result()[0] for job in jobs}
         assert sum(len(worker.runs) for worker in fleet.site.workers) == before, statuses
+        for worker in fleet.site.workers:
+            worker.set_slots(2)
+        assert wait_until(lambda: fleet.submit(entry, f"l{time.monotonic_ns()}")[0] == 200, 8.0)
     finally:
         fleet.close()
