Log what allows a task to start again, stops without an answer, renewals beside runs that must end

No decision changes: a counter for polls that renew the leases of a worker on which a run must end, a line for each stop command without an answer, and in the line about a restart why the earlier run counts as ended.

--- a/camphorchute/runs/leased_worker.py
+++ b/camphorchute/runs/leased_worker.py
@@ -327,6 +327,8 @@
         fence = self._current_fence()
         sent_s = time.monotonic()
         lease_until_ms = self.leases.grant() if self._must_renew_leases() else None
+        if lease_until_ms is not None and self._must_a_run_end():
+            self._count("runs.renewed_beside_unwanted_run")
         try:
             listing = self._client.renew_and_list(
                 fence, self.completions.acknowledged_number(), lease_until_ms, self._poll_wait_ms()
@@ -363,6 +365,10 @@
         wanted_runs = [run for run in self.runs.values() if not run.stop_requested]
         return bool(wanted_runs) and self.synced and self.health.is_responsive
 
+    def _must_a_run_end(self) -> bool:
+        """Whether a run is active that no owner wants."""
+        return bool(self.orphans) or any(run.stop_requested for run in self.runs.values())
+
     def _poll_wait_ms(self) -> float:
         """Return for how long the worker may wait for a completion before it answers a poll."""
         is_unreachable = not (self.synced and self.health.is_responsive)
--- a/camphorchute/runs/run_commands.py
+++ b/camphorchute/runs/run_commands.py
@@ -8,6 +8,7 @@
 
 import gevent
 
+from camphorchute.decision_log import log_decision
 from camphorchute.hosting import (
     CommandRefused,
     CommandUnanswered,
@@ -166,6 +167,8 @@
             self._count(f"runs.stop_refused.{refused.reason.name.lower()}")
         except CommandUnanswered as unanswered:
             self._count("runs.stop_lost")
+            worker_id = self._worker.entry.worker_id
+            log_decision("runs", "stop not answered", task=name, run=number, worker=worker_id)
             self._worker.health.record_failure(str(unanswered))
         else:
             run = self._worker.runs.get(name)
--- a/camphorchute/runs/task_places.py
+++ b/camphorchute/runs/task_places.py
@@ -73,5 +73,15 @@
             worker=",".join(self.places_of(task)),
             earlier_worker=task.avoided_worker_id or task.worker_id,
             may_run=task.may_run,
+            evidence=_earlier_run_evidence(task),
         )
         self.check(task)
+
+
+def _earlier_run_evidence(task: PendingTask) -> str:
+    """Return why the last run of a task is taken as ended."""
+    if not task.may_run:
+        return "its scheduler saw it end"
+    if task.earlier_run is not None and task.earlier_run.is_ruled_out:
+        return "its worker ruled it out"
+    return "its leases must have expired"
