Acknowledge the end of a durable task only once the store has it

Callers saw: rule TWICE; a durable task was started again as run 1, 11 to 18 s after its run 1 had ended done.

Cause: a completion that no task had claimed was acknowledged to its worker after 10 s, as soon as all shards had had owners for 5 s.

Change: nothing is acknowledged by time. A scheduler reports the ends that it retains to the owners of their shards after 2 s, then at intervals of 4, 8 and 16 s, in one message per owner; it is the message that also answers a query, so earlier versions ignore it. An owner that has loaded its shard answers with what is stored, and records an end that it has not heard of (its message may have been lost with a link). Ends of shards without an owner, and of jobs that the owner does not know, are looked up in the store, one job each 100 ms per process and at most 500 waiting. Without an answer nothing is forgotten. An end of a job that is not durable is acknowledged at once as before; if the store did not answer just then, after such a lookup.

--- a/camphorchute/contracts/durable_job_messages.py
+++ b/camphorchute/contracts/durable_job_messages.py
@@ -55,6 +55,10 @@
 class KeptTasksAre(msgspec.Struct, tag="kept_tasks_are"):
     """The reply to :class:`AskKeptTasks`.
 
+    A scheduler also sends it unasked, with the completions that it has retained for a while and
+    without workers; the shard owner answers with :class:`EndsSaved` as far as they are saved. A
+    process of an earlier version ignores such a message.
+
     Attributes:
         workers: ids of the workers all of whose runs are known to the scheduler.
         tasks: the tasks of the shard at the scheduler and its workers.
--- a/camphorchute/durable_jobs/durable_job_run.py
+++ b/camphorchute/durable_jobs/durable_job_run.py
@@ -5,7 +5,8 @@
 from gevent.event import Event
 
 from camphorchute.contracts.batch_job import BatchStep
-from camphorchute.contracts.run_messages import RunPlace, ShardTerm, TaskResult
+from camphorchute.contracts.durable_job_messages import ReportedTask
+from camphorchute.contracts.run_messages import RunPlace, ShardTerm, TaskResult, TaskResultKind
 from camphorchute.durable_jobs.durable_job_record import DurableJobRecord, DurableJobState
 from camphorchute.queues import JobOutcome, JobRun, TaskProgress, TaskState
 from camphorchute.queues.lost_runs import LostRuns
@@ -131,6 +132,20 @@
         """Whether the store has everything in the record."""
         return not self.must_be_saved() and not self.is_saving
 
+    def has_recorded_end(self, task: TaskProgress, reported: ReportedTask) -> bool:
+        """Return whether the record has what became of a run, stored or not.
+
+        Args:
+            task: the task.
+            reported: a scheduler's report of the end of the run.
+        """
+        if task.state is TaskState.DONE:
+            return True
+        _, _, step, index = reported.task.split(".")
+        failed_runs = self.record.failed_runs.get(f"{step}.{index}", ())
+        is_failed = reported.end is TaskResultKind.FAILED
+        return is_failed and f"{reported.worker_id}:{reported.run}" in failed_runs
+
     def start_within_ms(self, step: BatchStep, now_s: float, must_start_in_time: bool) -> float:
         """Return how long a task may wait at a scheduler, in milliseconds.
 
--- a/camphorchute/durable_jobs/shard.py
+++ b/camphorchute/durable_jobs/shard.py
@@ -322,6 +322,31 @@
             run.changed.set()
         return bool(unknown)
 
+    def confirm_end(self, scheduler: Member, reported: ReportedTask) -> bool | None:
+        """Return whether the end of a run is saved, None if the shard does not know the job.
+
+        An end that was not heard of before is recorded, and confirmed once it is stored.
+
+        Args:
+            scheduler: the scheduler that retains the end.
+            reported: the end.
+        """
+        if not self._loaded or not self._is_owner():
+            return False
+        job_id, _, step, index = reported.task.split(".")
+        if job_id in self._ended_jobs:
+            return True
+        run = self._runs.get(job_id)
+        if run is None:
+            return None
+        task = run.find_task(int(step), int(index))
+        if task is not None and run.has_recorded_end(task, reported):
+            return run.is_record_stored()
+        self._context.count("keeping.retained_end_new")
+        self._apply_reported_task(scheduler, reported)
+        run.changed.set()
+        return False
+
     def _query_all_schedulers(self) -> None:
         """Query all schedulers until each worker's runs have been reported."""
         view = self._context.view
@@ -360,6 +385,12 @@
         if task is None:
             self._context.count("keeping.unknown_task")
             return
+        if reported.end is not None and run.has_recorded_end(task, reported):
+            if run.is_record_stored():
+                self._report_saved_completions(
+                    [UnsavedCompletion(scheduler.member_id, reported.task, reported.run)]
+                )
+            return
         task.run = max(task.run, reported.run + 1)
         result = TaskResult(
             int(step),
@@ -370,22 +401,17 @@
             place=reported.place,
         )
         if task.state is TaskState.DONE:
-            if reported.end is not None and run.is_record_stored():
-                self._report_saved_completions(
-                    [UnsavedCompletion(scheduler.member_id, reported.task, reported.run)]
-                )
             return
         if reported.end is TaskResultKind.DONE:
             task.scheduler_id = scheduler.member_id
             run.record_done(task, result)
         elif reported.end is TaskResultKind.WORKER_LOST:
             run.record_lost_run(task, result)
-        elif task.state is not TaskState.UNKNOWN:
-            return
         elif reported.end is TaskResultKind.FAILED:
-            task.scheduler_id = scheduler.member_id
-            run.record_failed(task, result)
-        else:
+            if task.state in (TaskState.UNKNOWN, TaskState.WAITING):
+                task.scheduler_id = scheduler.member_id
+                run.record_failed(task, result)
+        elif task.state is TaskState.UNKNOWN:
             task.group, task.scheduler_id = reported.group, scheduler.member_id
             task.state, task.worker_id = TaskState.MAY_RUN, reported.worker_id
             task.place = reported.place
--- a/camphorchute/durable_jobs/shard_owner.py
+++ b/camphorchute/durable_jobs/shard_owner.py
@@ -12,6 +12,7 @@
 from camphorchute.contracts.member import Member
 from camphorchute.decision_log import log_decision
 from camphorchute.durable_jobs.durable_job_record import DurableJobRecord, DurableJobState, job_key
+from camphorchute.durable_jobs.end_confirmations import EndConfirmations
 from camphorchute.durable_jobs.shard import JobShard, ShardContext
 from camphorchute.durable_jobs.shard_claims import ShardClaims
 from camphorchute.hosting import Queue, StoredValue, StoreUnavailable, SwapConflict, SwapUnknown
@@ -27,7 +28,6 @@
 QUEUED_COUNTS_PREFIX = OWN_PREFIX + "waiting/"
 STATE_REQUEST_TIMEOUT_MS = 300.0
 QUEUED_COUNTS_INTERVAL_MS = 1000.0
-FORGET_COMPLETIONS_AFTER_MS = 5000.0
 MAX_WAIT_PER_TARGET_TIME = 3.0
 CANCEL_TIMEOUT_MS = 2500.0
 CANCEL_RETRY_MS = 100.0
@@ -43,6 +43,9 @@
         claims: acquires and releases the shards of this process.
         capacity_view: free-capacity view of the schedulers.
         context: the collaborators that all shards share.
+
+    Attributes:
+        end_confirmations: tells schedulers which ends of durable tasks are saved.
     """
 
     def __init__(
@@ -57,6 +60,7 @@
         self._capacity_view = capacity_view
         self._context = context
         self._shards: dict[int, JobShard] = {}
+        self.end_confirmations = EndConfirmations(member, claims, self._shards.get, context)
         self._queued_counts = context.view.track_prefix(QUEUED_COUNTS_PREFIX)
         self._published_counts: dict[str, int] = {}
         self._published_revision = 0
@@ -66,20 +70,18 @@
         claims.on_lost = self._close_shard
 
     def start(self) -> None:
-        """Start publishing the number of queued jobs to the other members."""
+        """Start publishing the number of queued jobs, and looking up ends in the store."""
         self._greenlet = spawn_loop("keeping", self._publish_queued_counts, self._context.count)
+        self.end_confirmations.start()
 
     def close(self) -> None:
         """Stop the shards; releasing their claims is left to the shard claims."""
+        self.end_confirmations.close()
         if self._greenlet is not None:
             self._greenlet.kill(block=False)
         for shard in self._shards.values():
             shard.close()
 
-    def may_discard_completions(self) -> bool:
-        """Whether shard owners have had time to query all completions that they need."""
-        return self._claims.ownership_stable_ms() > FORGET_COMPLETIONS_AFTER_MS
-
     def is_durable(self, job_id: str) -> bool:
         """Whether the store has a record of a job; true if the store is unavailable."""
         try:
--- a/camphorchute/durable_jobs/tests/fakes.py
+++ b/camphorchute/durable_jobs/tests/fakes.py
@@ -122,6 +122,9 @@
         self.sent.append(message)
         return True
 
+    def send_or_open(self, member, message):
+        return self.send(member, message)
+
     def send_if_linked(self, member_id, message):
         self.sent.append(message)
         return True
--- a/camphorchute/durable_jobs/tests/test_retained_ends.py
+++ b/camphorchute/durable_jobs/tests/test_retained_ends.py
@@ -3,13 +3,19 @@
 import gevent
 import pytest
 
-from camphorchute.contracts.durable_job_messages import AskKeptTasks
-from camphorchute.contracts.run_messages import ShardTerm
+from camphorchute.contracts.durable_job_messages import AskKeptTasks, KeptTasksAre, ReportedTask
+from camphorchute.contracts.member import Member
+from camphorchute.contracts.run_messages import ShardTerm, TaskResultKind
+from camphorchute.durable_jobs import DurableJobState, end_confirmations, job_key
+from camphorchute.durable_jobs import shard as shard_module
+from camphorchute.durable_jobs.end_confirmations import EndConfirmations, is_end_stored
+from camphorchute.durable_jobs.shard import ShardContext
 from camphorchute.durable_jobs.tests.fakes import FakePeers, FakeView
 from camphorchute.durable_jobs.tests.test_shard import JOB_ID, SHARD, TERM, Site, make_record
+from camphorchute.hosting import StoredValue, StoreUnavailable
 from camphorchute.queues import TaskState
-from camphorchute.runs import leased_worker
-from camphorchute.runs.tests.scheduler_site import OWNER, SchedulerSite, wait_until
+from camphorchute.runs import leased_worker, shard_of
+from camphorchute.runs.tests.scheduler_site import GROUP, OWNER, SchedulerSite, wait_until
 
 
 class SchedulerPeers(FakePeers):
@@ -70,3 +76,205 @@
     states = [task.state for task in chain.site.job_run().steps[0]]
     assert states == [TaskState.DONE, TaskState.WAITING]
     assert wait_until(lambda: chain.site.stored_record().done == [[0]])
+    assert len(chain.runs()) == 1
+
+
+def reported_end(index=0, end=TaskResultKind.DONE, job_id=JOB_ID, run=1):
+    return ReportedTask(f"{job_id}.0.0.{index}", GROUP, run, "w1", end)
+
+
+@pytest.fixture
+def site():
+    opened = Site()
+    opened.peers.reply = KeptTasksAre(["w1", "w2"], [])
+    yield opened
+    opened.close()
+
+
+def recovered_shard(site, **fields):
+    site.put(make_record(**fields))
+    shard = site.start_shard()
+    assert wait_until(lambda: JOB_ID in site.queue_owner.runs and site.job_run().is_recovered)
+    return shard
+
+
+@pytest.mark.parametrize(
+    ("fields", "end", "expected"),
+    [
+        ({"done": [[0]]}, TaskResultKind.DONE, True),
+        ({"done": [[0]]}, TaskResultKind.FAILED, True),
+        ({"done": [[1]]}, TaskResultKind.DONE, False),
+        ({"failed_runs": {"0.0": ["w1:1"]}}, TaskResultKind.FAILED, True),
+        ({"failed_runs": {"0.0": ["w1:1"]}}, TaskResultKind.DONE, False),
+        ({"failed_runs": {"0.0": ["w2:1"]}}, TaskResultKind.FAILED, False),
+        ({}, TaskResultKind.FAILED, False),
+    ],
+)
+def test_end_is_confirmed_if_the_stored_record_has_it(site, fields, end, expected):
+    shard = recovered_shard(site, **fields)
+    assert shard.confirm_end(FakeView.scheduler, reported_end(end=end)) is expected
+    record = make_record(**fields)
+    assert is_end_stored(record, reported_end(end=end)) is expected
+    assert is_end_stored(record.ended_record(DurableJobState.DONE), reported_end(end=end))
+
+
+# The message about the result was lost with its link, and the task counted as running for good.
+@pytest.mark.parametrize(
+    ("state", "end", "expected", "is_stored"),
+    [
+        (TaskState.WAITING, TaskResultKind.DONE, TaskState.DONE, True),
+        (TaskState.HANDED, TaskResultKind.DONE, TaskState.DONE, True),
+        (TaskState.MAY_RUN, TaskResultKind.DONE, TaskState.DONE, True),
+        (TaskState.WAITING, TaskResultKind.FAILED, TaskState.WAITING, True),
+        (TaskState.HANDED, TaskResultKind.FAILED, TaskState.HANDED, False),
+    ],
+)
+def test_end_that_the_owner_has_not_heard_of_is_recorded(site, state, end, expected, is_stored):
+    shard = recovered_shard(site)
+    task = site.job_run().steps[0][0]
+    task.state = state
+    assert shard.confirm_end(FakeView.scheduler, reported_end(end=end)) is False
+    assert task.state is expected
+    confirmed = wait_until(lambda: shard.confirm_end(FakeView.scheduler, reported_end(end=end)), 1)
+    assert confirmed is is_stored
+    assert is_end_stored(site.stored_record(), reported_end(end=end)) is is_stored
+
+
+def test_end_is_not_confirmed_before_it_is_stored(site):
+    shard = recovered_shard(site)
+    site.store.errors_to_raise = [StoreUnavailable("down")] * 3
+    site.complete(0, TaskResultKind.DONE)
+    gevent.sleep(0.3)
+    assert shard.confirm_end(FakeView.scheduler, reported_end()) is False
+    assert wait_until(lambda: shard.confirm_end(FakeView.scheduler, reported_end()))
+    assert site.stored_record().done == [[0]]
+
+
+@pytest.mark.parametrize("cause", ["not loaded", "lease", "closed"])
+def test_shard_that_is_not_loaded_or_not_owned_confirms_nothing(site, cause, monkeypatch):
+    monkeypatch.setattr(shard_module, "PREVIOUS_OWNER_EXPIRY_MS", 5000.0)
+    site.put(make_record(done=[[0]]))
+    shard = site.start_shard(was_released=cause != "not loaded")
+    if cause != "not loaded":
+        assert wait_until(lambda: shard.confirm_end(FakeView.scheduler, reported_end()))
+    if cause == "lease":
+        site.lease.valid = False
+    elif cause == "closed":
+        shard.close()
+    assert shard.confirm_end(FakeView.scheduler, reported_end()) is False
+
+
+class OwnerTable:
+    """Claims of which a test sets the owner."""
+
+    owner = None
+
+    def owner_of(self, shard):
+        return self.owner
+
+
+class Confirming:
+    """End confirmations of a process, with the shard of the test job or without."""
+
+    def __init__(self, site, shard=None):
+        self.site, self.claims, self.me = site, OwnerTable(), Member("me", "", "", "", "", "")
+        context = ShardContext(
+            site.store, site.writer, site.view, site.lease, None, site.peers, site.count
+        )
+        shards = {} if shard is None else {SHARD: shard}
+        self.confirmations = EndConfirmations(self.me, self.claims, shards.get, context)
+        self.confirmations.start()
+
+
+@pytest.fixture
+def open_confirming(site):
+    opened = []
+
+    def open_one(shard=None):
+        opened.append(Confirming(site, shard))
+        return opened[-1]
+
+    yield open_one
+    for confirming in opened:
+        confirming.confirmations.close()
+
+
+def test_end_is_reported_to_the_owner_of_its_shard_in_one_message(site, open_confirming):
+    confirming = open_confirming()
+    confirming.claims.owner = FakeView.scheduler
+    ends = [reported_end(0), reported_end(1)]
+    confirming.confirmations.report(ends)
+    assert site.peers.sent == [KeptTasksAre([], ends)]
+    assert "keeping.end_lookup" not in site.counts
+
+
+def test_owner_answers_with_the_saved_ends_only(site, open_confirming):
+    shard = recovered_shard(site, done=[[0]])
+    site.peers.sent.clear()
+    confirming = open_confirming(shard)
+    site.store.errors_to_raise = [StoreUnavailable("down")] * 5
+    message = KeptTasksAre([], [reported_end(0), reported_end(1)])
+    confirming.confirmations.confirm_ends(FakeView.scheduler, message)
+    assert site.saved_tasks() == [f"{JOB_ID}.0.0.0"]
+
+
+def test_process_that_does_not_own_the_shard_answers_nothing(site, open_confirming):
+    site.put(make_record(done=[[0]]))
+    confirming = open_confirming()
+    confirming.confirmations.confirm_ends(FakeView.scheduler, KeptTasksAre([], [reported_end()]))
+    gevent.sleep(0.2)
+    assert site.saved_tasks() == []
+
+
+@pytest.mark.parametrize(
+    ("fields", "is_confirmed"),
+    [(None, True), ({"state": DurableJobState.FAILED}, True), ({"done": [[0]]}, True), ({}, False)],
+)
+def test_end_of_a_shard_without_an_owner_is_looked_up_in_the_store(
+    site, open_confirming, fields, is_confirmed
+):
+    if fields is not None:
+        site.put(make_record(**fields))
+    open_confirming().confirmations.report([reported_end()])
+    assert wait_until(lambda: site.counts.get("keeping.end_lookup"))
+    assert site.saved_tasks() == [f"{JOB_ID}.0.0.0"] * is_confirmed
+
+
+# An owner that has not read a job yet must not take it as one that is gone.
+@pytest.mark.parametrize(("is_stored", "is_confirmed"), [(True, False), (False, True)])
+def test_job_that_its_owner_does_not_know_is_looked_up_in_the_store(
+    site, open_confirming, is_stored, is_confirmed
+):
+    other_job_id = next(f"{n:016x}" for n in range(1, 999) if shard_of(f"{n:016x}") == SHARD)
+    shard = recovered_shard(site)
+    confirming = open_confirming(shard)
+    site.peers.sent.clear()
+    if is_stored:
+        site.store.items[job_key(other_job_id)] = StoredValue(
+            job_key(other_job_id), make_record().encode(), site.store.revision
+        )
+    message = KeptTasksAre([], [reported_end(job_id=other_job_id)])
+    confirming.confirmations.confirm_ends(FakeView.scheduler, message)
+    assert wait_until(lambda: site.counts.get("keeping.end_lookup"))
+    assert site.saved_tasks() == [f"{other_job_id}.0.0.0"] * is_confirmed
+
+
+def test_end_is_not_confirmed_while_the_store_is_unavailable(site, open_confirming):
+    site.store.reads_fail = True
+    confirming = open_confirming()
+    confirming.confirmations.report([reported_end()])
+    assert wait_until(lambda: site.counts.get("keeping.retry.end_lookup"))
+    assert site.saved_tasks() == []
+    site.store.reads_fail = False
+    confirming.confirmations.report([reported_end()])
+    assert wait_until(lambda: site.saved_tasks() == [f"{JOB_ID}.0.0.0"])
+
+
+# All calls of the store are priced; a takeover may leave hundreds of ends without an owner.
+def test_lookups_in_the_store_are_bounded(site, open_confirming, monkeypatch):
+    monkeypatch.setattr(end_confirmations, "LOOKUPS_PENDING_MAX", 20)
+    ends = [reported_end(n % 2, job_id=f"{n // 2:016x}") for n in range(100)]
+    open_confirming().confirmations.report(ends)
+    gevent.sleep(0.45)
+    assert 3 <= site.counts["keeping.end_lookup"] <= 6
+    assert site.counts["keeping.end_lookup_dropped"] == 60
--- a/camphorchute/entry/hosted_process.py
+++ b/camphorchute/entry/hosted_process.py
@@ -235,13 +235,14 @@
             self._capacity_view,
             self._owner,
             self._shard_owner,
+            self._shard_owner.end_confirmations,
         ):
             self._handlers.register(component)
         self._claims.can_act_in_time = self._shard_claims.can_act_in_time = (
             lambda: not self._loop_lag.is_behind
         )
         self._scheduler.arrival_checks.loop_delay_ms = self._loop_lag.arrival_delay_ms
-        self._scheduler.may_discard_completions = self._shard_owner.may_discard_completions
+        self._scheduler.retained_ends.report = self._shard_owner.end_confirmations.report
         self._scheduler.is_durable_job = self._shard_owner.is_durable
         self._claims.is_isolated = self._heartbeats.is_isolated
         self._peers.on_link_closed = self._handle_lost_peer
--- a/camphorchute/runs/durable_tasks.py
+++ b/camphorchute/runs/durable_tasks.py
@@ -10,9 +10,9 @@
 )
 from camphorchute.contracts.member import Member
 from camphorchute.contracts.run_messages import RunPlace, ShardTerm, TaskResultKind
-from camphorchute.hosting import RunOutcome
 from camphorchute.links import handles
 from camphorchute.runs.leased_worker import LeasedWorker
+from camphorchute.runs.retained_ends import end_report
 from camphorchute.runs.run import job_of, shard_of
 from camphorchute.runs.worker_group import WorkerGroup
 
@@ -111,9 +111,5 @@
         ReportedTask(name, group, place.run, worker_id, place=place)
         for name, place in places.items()
     ]
-    for completion in worker.completions.older_than(0.0):
-        outcome = (
-            TaskResultKind.DONE if completion.outcome is RunOutcome.DONE else TaskResultKind.FAILED
-        )
-        tasks.append(ReportedTask(completion.task, group, completion.run, worker_id, outcome))
-    return tasks
+    ends = worker.completions.retained()
+    return tasks + [end_report(completion, group, worker_id) for completion in ends]
--- a/camphorchute/runs/group_scheduler.py
+++ b/camphorchute/runs/group_scheduler.py
@@ -29,6 +29,7 @@
 from camphorchute.runs.leased_worker import LeasedWorker
 from camphorchute.runs.open_tasks import OpenTasks
 from camphorchute.runs.result_batches import ResultBatches
+from camphorchute.runs.retained_ends import RetainedEnds
 from camphorchute.runs.run import PendingTask
 from camphorchute.runs.run_events import RunEvents
 from camphorchute.runs.run_supervisor import RunSupervisor
@@ -57,10 +58,9 @@
         superseded_groups: groups with a worker that has seen a higher fencing token.
         on_capacity_changed: called when the free capacity has changed.
         arrival_checks: decides which tasks are returned as they arrive.
-        may_discard_completions: returns whether completions that no task has claimed may be
-            acknowledged after a while.
         is_durable_job: returns whether the job with an id may be durable.
         durable_tasks: handles the messages of shard owners about durable jobs.
+        retained_ends: reports completions to shard owners until they are saved.
         zone_availability: which zones are evacuated; set before the first group is acquired.
         pause_watch: tells whether the process has just been paused; nothing is started then.
         on_paused: called with the length of a pause of the process in milliseconds.
@@ -78,7 +78,6 @@
         self.superseded_groups: set[str] = set()
         self.on_capacity_changed: Callable[[], None] = lambda: None
         self.arrival_checks = ArrivalChecks(count)
-        self.may_discard_completions: Callable[[], bool] = lambda: True
         self.is_durable_job: Callable[[str], bool] = lambda job_id: True
         self.zone_availability = ZoneAvailability()
         self._open_worker_client = open_worker_client
@@ -89,6 +88,7 @@
         self._results = ResultBatches(notify, lambda: self.on_capacity_changed(), count)
         self._groups: dict[str, WorkerGroup] = {}
         self.durable_tasks = DurableTasks(self._groups.values, count)
+        self.retained_ends = RetainedEnds(self._groups.values, count)
         self._open_tasks = OpenTasks()
         self._places = TaskPlaces(self._groups.values, count)
         self._arrival_count = 0
@@ -102,9 +102,11 @@
     def start(self) -> None:
         """Start to return expired tasks to their owners."""
         self._greenlet = spawn_loop("runs", self._sweep_loop, self._count)
+        self.retained_ends.start()
 
     def close(self) -> None:
         """Release every group and send the pending results."""
+        self.retained_ends.close()
         for name in list(self._groups):
             self.release_group(name)
         self._results.send()
@@ -262,7 +264,6 @@
         client = self._open_worker_client(entry)
         events = RunEvents(self, group, self._open_tasks, self._supervisor, self._count)
         worker = LeasedWorker(entry, client, lambda: group.fence, events, self._count)
-        worker.may_discard_completions = lambda: self.may_discard_completions()
         worker.is_durable_job = lambda job_id: self.is_durable_job(job_id)
         worker.start()
         return worker
--- a/camphorchute/runs/leased_worker.py
+++ b/camphorchute/runs/leased_worker.py
@@ -37,7 +37,6 @@
 
 __all__ = ["LeasedWorker"]
 
-COMPLETION_RETENTION_MS = 10_000.0
 IDLE_POLL_INTERVAL_S = 1.0
 UNACKNOWLEDGED_POLL_INTERVAL_MS = 15.0
 START_LEASE_MIN_MS = 400.0
@@ -64,8 +63,6 @@
         orphans: active runs of an earlier scheduler, by task name: the run number and the time of
             discovery in seconds of the monotonic clock.
         completions: completions that must not be acknowledged to the worker yet.
-        may_discard_completions: returns whether completions that no task has claimed may be
-            acknowledged after :data:`COMPLETION_RETENTION_MS`.
         is_durable_job: returns whether the job with an id may be durable; completions of other
             jobs without a task here are acknowledged immediately.
         speed: speed of the worker, learned from its runs.
@@ -85,7 +82,6 @@
         "runs",
         "orphans",
         "completions",
-        "may_discard_completions",
         "is_durable_job",
         "speed",
         "failures",
@@ -134,7 +130,6 @@
         self._current_fence = current_fence
         self._listener = listener
         self._count = count
-        self.may_discard_completions: Callable[[], bool] = lambda: True
         self.is_durable_job: Callable[[str], bool] = lambda job_id: True
         self._commands = RunCommands(self, client, current_fence, listener, count)
         self._unlisted_since_s = 0.0
@@ -458,15 +453,10 @@
             self.end_run(run, RunOutcome.LEASE_EXPIRED, EndEvidence.WORKER_SILENT)
 
     def _expire_orphans(self) -> None:
-        """Stop orphaned runs and discard completions that no task has claimed in time."""
+        """Stop the runs that no owner has asked for in time."""
         for name, number in self._expired_orphans():
             self._count("runs.orphan_stopped")
             gevent.spawn(self._commands.send_stop, name, number)
-        for completion in self.completions.older_than(COMPLETION_RETENTION_MS):
-            if self.may_discard_completions():
-                self._count("runs.end_forgotten")
-                self.completions.acknowledge(completion.task, completion.run)
-                self._poll_requested.set()
 
     def _repeat_stops(self) -> None:
         """Repeat the stop commands of active runs, since an earlier one may have been lost."""
--- a/camphorchute/runs/tests/test_durable_tasks.py
+++ b/camphorchute/runs/tests/test_durable_tasks.py
@@ -3,7 +3,12 @@
 
 from camphorchute.contracts.durable_job_messages import AskKeptTasks, EndsSaved, SavedCompletion
 from camphorchute.contracts.run_messages import ShardTerm, StopTasks, TaskResultKind
-from camphorchute.runs import leased_worker, shard_of
+from camphorchute.runs import (
+    leased_worker,
+    retained_ends,
+    shard_of,
+    unacknowledged_completions,
+)
 from camphorchute.runs.tests.scheduler_site import GROUP, JOB_ID, OWNER, SchedulerSite, wait_until
 
 SHARD = shard_of(JOB_ID)
@@ -130,18 +135,30 @@
     assert all_runs(site) == []
 
 
-@pytest.mark.parametrize("may_discard", [True, False])
-def test_unclaimed_completion_is_acknowledged_unless_a_shard_owner_may_claim_it(
-    open_site, monkeypatch, may_discard
+@pytest.mark.parametrize("is_saved", [True, False])
+def test_unclaimed_completion_is_acknowledged_only_if_its_shard_owner_has_saved_it(
+    open_site, monkeypatch, is_saved
 ):
-    monkeypatch.setattr(leased_worker, "COMPLETION_RETENTION_MS", 300.0)
+    monkeypatch.setattr(unacknowledged_completions, "FIRST_REPORT_AFTER_MS", 100.0)
+    monkeypatch.setattr(retained_ends, "CHECK_INTERVAL_MS", 50.0)
     monkeypatch.setattr(leased_worker, "IDLE_POLL_INTERVAL_S", 0.1)
     site, scheduler = open_site()
-    scheduler.may_discard_completions = lambda: may_discard
+    reports = []
+
+    def report(ends):
+        reports.append([(end.task, end.run, end.end) for end in ends])
+        if is_saved:
+            saved = [SavedCompletion(end.task, end.run) for end in ends]
+            scheduler.durable_tasks.acknowledge_saved(OWNER, EndsSaved(saved))
+
+    scheduler.retained_ends.report = report
     site.dispatch_tasks(scheduler, tasks=1, term=TERM)
     assert wait_until(lambda: site.results)
     gevent.sleep(1.0)
-    assert all(run.acknowledged for run in all_runs(site)) is may_discard
+    assert reports[0] == [(f"{JOB_ID}.0.0.0", 1, TaskResultKind.DONE)]
+    assert (len(reports) == 1) is is_saved
+    assert all(run.acknowledged for run in all_runs(site)) is is_saved
+    assert bool(reported_tasks(scheduler)) is not is_saved
 
 
 @pytest.mark.parametrize("is_durable", [True, False])
