Let a share of the orders or grants to a stand-in worker be carried out late

The stand-in could delay all kinds of commands alike, and a late command kept its deadline, so a late start was refused unless the worker had restarted. Orders and grants now have shares of their own, a late command may grant its whole lease, and whether it reaches a later incarnation is decided when it arrives. Every run records its fencing token and who renewed its lease last, and every start and stop command is recorded as it was carried out.

--- a/bench/standins/fleet_worker.py
+++ b/bench/standins/fleet_worker.py
@@ -2,10 +2,12 @@
 
 import json
 import time
+from collections.abc import Callable
 
 import gevent
 from gevent.event import Event
 
+from bench.standins.command_record import CommandRecord
 from bench.standins.fleet_store import FleetStore
 from bench.standins.fleet_worker_faults import CommandFaults, FleetWorkerFaults
 from bench.standins.run_record import CRASHED, RunRecord
@@ -24,8 +26,9 @@
 class FleetWorker(Standin):
     """Stand-in for a fenced worker that registers itself in the store.
 
-    Every run lasts the same time and needs the same share of the worker. The worker can restart
-    as another incarnation, which knows nothing of the earlier one.
+    Every run needs the same share of the worker, and lasts the same time unless its payload says
+    otherwise. The worker can restart as another incarnation, which knows nothing of the earlier
+    one.
 
     Args:
         address: ``ip:port`` to listen on.
@@ -44,6 +47,8 @@
             incarnation.
         zone: its availability zone.
         clock_rate: rate of its clock, below 1.0 if it is slow.
+        run_ms_by_payload: duration of the runs of some payloads, in milliseconds.
+        commands: every start and stop command that was carried out, in order.
     """
 
     faults_type = FleetWorkerFaults
@@ -61,6 +66,8 @@
         super().__init__(address)
         self.runs: list[RunRecord] = []
         self.calls: dict[str, int] = {}
+        self.run_ms_by_payload: dict[str, float] = {}
+        self.commands: list[CommandRecord] = []
         self._worker_id = worker_id
         self.zone = zone
         self.clock_rate = 1.0
@@ -71,11 +78,21 @@
         self._slots = slots
         self._tick_greenlet = None
         self._begin_incarnation()
-        commands = CommandFaults(lambda: self.faults, self._listening_incarnation, worker_id)
+        commands = CommandFaults(
+            lambda: self.faults, self._listening_incarnation, self._worker_clock_ms, worker_id
+        )
         self.routes |= {
-            ("POST", "/run-start"): commands.handler(self._start_run, "start_answer_ms"),
-            ("POST", "/run-stop"): commands.handler(self._stop_run, "stop_answer_ms"),
-            ("POST", "/hold"): commands.handler(self._renew_leases, "poll_answer_ms"),
+            ("POST", path): commands.handler(carry_out, answer_delay, late_share)
+            for path, carry_out, answer_delay, late_share in (
+                (
+                    "/run-start",
+                    self._recorded(self._start_run),
+                    "start_answer_ms",
+                    "late_order_share",
+                ),
+                ("/run-stop", self._recorded(self._stop_run), "stop_answer_ms", "late_order_share"),
+                ("/hold", self._renew_leases, "poll_answer_ms", "late_grant_share"),
+            )
         }
 
     def _end_incarnation(self) -> None:
@@ -215,7 +232,7 @@
                 run.ended_s = run.lease_expires_s
             elif now_s >= run.stop_due_s:
                 self._end_run(run, "stopped")
-            elif (now_s - run.started_s) * MS_PER_S > self._run_ms and not self.faults.stall:
+            elif (now_s - run.started_s) * MS_PER_S > run.run_ms and not self.faults.stall:
                 self._end_run(run, "failed" if self.faults.fail else "done")
 
     def _end_run(self, run: RunRecord, outcome: str) -> None:
@@ -234,11 +251,12 @@
         lease_ms = min(MAX_LEASE_MS, deadline_ms - self._worker_clock_ms())
         return time.monotonic() + lease_ms / MS_PER_S / self.clock_rate
 
-    def _extend_leases(self, deadline_ms: float) -> None:
+    def _extend_leases(self, body: dict, request: Request) -> None:
         """Extend the leases of all active runs, and shorten none."""
-        expires_s = self._lease_expiry_s(deadline_ms)
+        expires_s = self._lease_expiry_s(body["deadline-ms"])
         for run in self._active_runs.values():
-            run.lease_expires_s = max(run.lease_expires_s, expires_s)
+            if expires_s > run.lease_expires_s:
+                run.renew(expires_s, body.get("fence", 0), request.delayed_ms)
 
     def _refuse_command(self, reason: str) -> Reply:
         return Reply({"clock-ms": self._worker_clock_ms(), "reason": reason}, 409)
@@ -263,6 +281,16 @@
             return None
         return Reply({"error": f"this is {self._worker_id}"}, 421)
 
+    def _recorded(self, carry_out: Callable[[Request], Reply]) -> Callable[[Request], Reply]:
+        """Return a handler that also enters its command into the record."""
+
+        def handle(request: Request) -> Reply:
+            reply = carry_out(request)
+            self.commands.append(CommandRecord(request, reply, self._worker_id, self.born))
+            return reply
+
+        return handle
+
     def _start_run(self, request: Request) -> Reply:
         if self.faults.skip_orders:
             self.faults.skip_orders -= 1
@@ -276,7 +304,7 @@
             return self._refuse_command("fence")
         active_run = self._active_runs.get(task)
         if body["deadline-ms"] > self._worker_clock_ms():
-            self._extend_leases(body["deadline-ms"])
+            self._extend_leases(body, request)
         if active_run is not None and active_run.run == run:
             return self._reply({})
         if active_run is not None or run <= self._highest_run_numbers.get(task, 0):
@@ -287,6 +315,8 @@
             return self._refuse_command("room")
         expires_s = self._lease_expiry_s(body["deadline-ms"])
         new_run = RunRecord(task, run, expires_s, self._worker_id, self.born)
+        new_run.fence = body.get("fence", 0)
+        new_run.run_ms = self.run_ms_by_payload.get(body["spec"], self._run_ms)
         self._active_runs[task] = new_run
         self.runs.append(new_run)
         if self.faults.crash_payload and body["spec"] == self.faults.crash_payload:
@@ -322,7 +352,7 @@
         if self._is_fence_outdated(body):
             return self._refuse_command("fence")
         if "deadline-ms" in body:
-            self._extend_leases(body["deadline-ms"])
+            self._extend_leases(body, request)
         self._completions = [
             completion for completion in self._completions if completion[0] > body["seen-upto"]
         ]
--- a/bench/standins/run_record.py
+++ b/bench/standins/run_record.py
@@ -24,6 +24,12 @@
         lease_expires_s: monotonic time at which its lease expires, in seconds.
         stop_due_s: monotonic time at which it ends after a stop command, in seconds; infinite
             without one.
+        run_ms: its duration unless it is stopped, in milliseconds.
+        fence: fencing token of its start command.
+        renewals: number of commands that extended its lease.
+        renewed_s: monotonic time at which its lease was last extended, in seconds; 0 before.
+        renewed_fence: fencing token of the command that last extended its lease.
+        renewed_late_ms: time for which that command was delayed, in milliseconds.
     """
 
     __slots__ = (
@@ -38,6 +44,12 @@
         "acknowledged",
         "lease_expires_s",
         "stop_due_s",
+        "run_ms",
+        "fence",
+        "renewals",
+        "renewed_s",
+        "renewed_fence",
+        "renewed_late_ms",
     )
 
     def __init__(
@@ -54,10 +66,36 @@
         self.acknowledged = False
         self.lease_expires_s = lease_expires_s
         self.stop_due_s = float("inf")
+        self.run_ms = 0.0
+        self.fence = 0
+        self.renewals = 0
+        self.renewed_s = 0.0
+        self.renewed_fence = 0
+        self.renewed_late_ms = 0.0
+
+    def renew(self, expires_s: float, fence: int, late_ms: float = 0.0) -> None:
+        """Extend its lease.
+
+        Args:
+            expires_s: monotonic time at which the lease expires now, in seconds.
+            fence: fencing token of the command that extends it.
+            late_ms: time for which that command was delayed, in milliseconds.
+        """
+        self.lease_expires_s = expires_s
+        self.renewals += 1
+        self.renewed_s, self.renewed_fence = time.monotonic(), fence
+        self.renewed_late_ms = late_ms
 
     def __repr__(self) -> str:
         end = f"{self.ended_s:.3f} s {self.outcome}" if self.ended_s else "active"
+        lease = ""
+        if self.renewals:
+            late = f", {self.renewed_late_ms:.0f} ms late" if self.renewed_late_ms else ""
+            lease = (
+                f", lease extended {self.renewals} times, last at {self.renewed_s:.3f} s "
+                f"under fence {self.renewed_fence}{late}"
+            )
         return (
             f"{self.task} run {self.run} on {self.worker_id}/{self.incarnation}: "
-            f"{self.started_s:.3f} s to {end}"
+            f"{self.started_s:.3f} s to {end}, started under fence {self.fence}{lease}"
         )
--- a/bench/standins/server.py
+++ b/bench/standins/server.py
@@ -73,9 +73,11 @@
         headers: the WSGI environment, which holds the headers.
         body: the body.
         connection: the connection that the request arrived on.
+        delayed_ms: time between its arrival and its execution if a fault delays it, in
+            milliseconds.
     """
 
-    __slots__ = ("method", "path", "query", "headers", "body", "connection")
+    __slots__ = ("method", "path", "query", "headers", "body", "connection", "delayed_ms")
 
     def __init__(self, environ: dict) -> None:
         self.method = environ["REQUEST_METHOD"]
@@ -85,6 +87,7 @@
         self.headers = environ
         self.body = environ["wsgi.input"].read()
         self.connection: Connection = environ[CONNECTION_ENVIRON_KEY]
+        self.delayed_ms = 0.0
 
     def header(self, name: str) -> str:
         """Return the value of a header, empty if it was not sent."""
--- a/bench/standins/tests/test_fleet_worker.py
+++ b/bench/standins/tests/test_fleet_worker.py
@@ -42,7 +42,7 @@
     headers = {"Camphorchute-Expect-Instance": expected} if expected else {}
     body = {"task": TASK, "run": run, "fence": fence, "deadline-ms": deadline_ms, "spec": ""}
     if path == "/hold":
-        body = {"fence": fence, "seen-upto": 0, "wait-ms": 0}
+        body = {"fence": fence, "seen-upto": 0, "wait-ms": 0, "deadline-ms": deadline_ms}
     try:
         status, answer = _exchange(client, path, body, headers)
     except OSError:
@@ -120,6 +120,42 @@
     assert run_states(worker) == states
 
 
+@pytest.mark.parametrize(
+    ("share", "answered"),
+    [
+        ("late_order_share", ["/hold"]),
+        ("late_grant_share", ["/run-start", "/run-stop"]),
+    ],
+)
+def test_only_the_commands_of_the_chosen_kind_are_late(worker, share, answered):
+    set_faults(worker, **{share: 1.0})
+    paths = ("/run-start", "/run-stop", "/hold")
+    assert [path for path in paths if command(worker, path) is not None] == answered
+
+
+@pytest.mark.parametrize(("moves", "states"), [(False, []), (True, [(1, "")])])
+def test_late_start_has_its_whole_lease_where_told(worker, moves, states):
+    set_faults(worker, late_moves_deadline=moves, **LATE_FAULTS)
+    assert command(worker, "/run-start", deadline_ms=worker._worker_clock_ms() + 300) is None
+    gevent.sleep(LATE_WAIT_S)
+    assert run_states(worker) == states
+    assert [record.delayed_ms for record in worker.commands] == [LATE_MS]
+
+
+@pytest.mark.parametrize("moves", [False, True])
+def test_late_poll_extends_leases_where_told(worker, moves):
+    deadline_ms = worker._worker_clock_ms() + 900
+    assert command(worker, "/run-start", deadline_ms=deadline_ms) == (200, "")
+    run = worker.runs[0]
+    expires_s = run.lease_expires_s
+    set_faults(worker, late_moves_deadline=moves, **LATE_FAULTS)
+    assert command(worker, "/hold", fence=2, deadline_ms=deadline_ms - 50) is None
+    gevent.sleep(LATE_WAIT_S)
+    assert (run.lease_expires_s > expires_s + 0.2) is moves
+    assert (run.fence, run.renewals) == (1, int(moves))
+    assert (run.renewed_fence, run.renewed_late_ms) == ((2, LATE_MS) if moves else (0, 0.0))
+
+
 @pytest.mark.parametrize(
     ("fault", "path"),
     [
