Add late orders, late grants, lost paths and restarts behind a cut to the seeded runs

The seeded runs had no task longer than 0.6 s and every process reached every worker, so a second start 1.9 s after the first, or a command carried out seconds late, met no run. A finding shows each command as it was sent and as it was carried out.

--- a/bench/run_faults/command.py
+++ b/bench/run_faults/command.py
@@ -19,6 +19,7 @@
 @click.option("--count", default=1, show_default=True, help="Number of seeds.")
 @click.option("--duration-s", default=5.0, show_default=True, help="Time under load, each.")
 @click.option("--fault", "faults", multiple=True, type=click.Choice(sorted(FAULTS)), help="Only.")
+@click.option("--long-tasks", is_flag=True, help="Tasks of seconds, and faults that act as late.")
 @click.option("--counters", is_flag=True, help="Print the counters of each play.")
 @click.option(
     "--crashing-tasks", "play_type", flag_value=CrashPlay, help="Entry processes, crashing tasks."
@@ -32,6 +33,7 @@
     count: int,
     duration_s: float,
     faults: tuple[str, ...],
+    long_tasks: bool,
     counters: bool,
     play_type: type[CrashPlay | ShrinkPlay] | None,
     base: int,
@@ -43,7 +45,7 @@
         sys.exit(1 if any(plays) else 0)
     failed = 0
     for number in range(seed, seed + count):
-        report = play(number, duration_s, faults)
+        report = play(number, duration_s, faults, long_tasks)
         failed += report.has_findings()
         click.echo(
             f"run_faults: seed {number}, {report.started_runs} runs, "
--- a/bench/run_faults/faults.py
+++ b/bench/run_faults/faults.py
@@ -10,20 +10,32 @@
 from bench.run_faults.site import GROUPS, RunFaultsSite
 from bench.standins.fleet_worker import FleetWorker
 
-__all__ = ["FAULTS", "register_fault"]
+__all__ = ["FAULTS", "LONG_TASK_FAULTS", "register_fault"]
 
 MS_PER_S = 1000.0
 RECOVERY_MS = 10.0
+LATE_SHARES = (0.3, 0.6, 0.9, 1.0)
+WORKER_SHARES = (0.2, 0.5, 1.0)
+LATE_MIN_MS, LATE_MAX_MS = 2000.0, (3000.0, 6000.0, 12_000.0)
 
 Fault = Callable[[RunFaultsSite, random.Random], str]
 FAULTS: dict[str, Fault] = {}
+LONG_TASK_FAULTS: set[str] = set()
 
 
-def register_fault(name: str) -> Callable[[Fault], Fault]:
-    """Register a function that injects one fault and returns its description."""
+def register_fault(name: str, needs_long_tasks: bool = False) -> Callable[[Fault], Fault]:
+    """Register a function that injects one fault and returns its description.
+
+    Args:
+        name: name of the fault.
+        needs_long_tasks: whether its effects come seconds later, so that it is played with tasks
+            that last as long.
+    """
 
     def register(fault: Fault) -> Fault:
         FAULTS[name] = fault
+        if needs_long_tasks:
+            LONG_TASK_FAULTS.add(name)
         return fault
 
     return register
@@ -167,6 +179,68 @@
     return _set_for_a_while(site, rng, rng.uniform(300, 1000), fail=True)
 
 
+@register_fault("late_orders", needs_long_tasks=True)
+def delay_orders(site: RunFaultsSite, rng: random.Random) -> str:
+    """Let a share of the start and stop commands to some workers be carried out seconds late."""
+    return _delay_on_some(site, rng, "late_order_share")
+
+
+@register_fault("late_grants", needs_long_tasks=True)
+def delay_grants(site: RunFaultsSite, rng: random.Random) -> str:
+    """Let a share of the commands that renew leases on some workers be carried out seconds late."""
+    return _delay_on_some(site, rng, "late_grant_share")
+
+
+@register_fault("lost_path", needs_long_tasks=True)
+def lose_paths(site: RunFaultsSite, rng: random.Random) -> str:
+    """Let one process lose its path to a share of the workers, at times in one direction only."""
+    process, share = rng.choice(site.processes), rng.choice(WORKER_SHARES)
+    workers = [worker.worker_id for worker in site.workers if rng.random() < share]
+    duration_ms, is_one_way = rng.uniform(500, 6000), rng.random() < 0.4
+    for worker_id in workers:
+        process.paths.lose(worker_id, duration_ms, is_one_way)
+    lost = "the answers of" if is_one_way else "the path to"
+    return f"{process.member.member_id} loses {lost} {workers} for {duration_ms:.0f} ms"
+
+
+@register_fault("reborn", needs_long_tasks=True)
+def restart_behind_cut(site: RunFaultsSite, rng: random.Random) -> str:
+    """Cut a worker off, let it restart under its id behind the cut, and heal the cut later."""
+    worker = rng.choice(site.workers)
+    crash_ms, healing_ms = rng.uniform(0, 3000), rng.uniform(200, 3000)
+    cut_ms = crash_ms + healing_ms
+    processes = site.processes if rng.random() < 0.5 else [rng.choice(site.processes)]
+    for process in processes:
+        process.paths.lose(worker.worker_id, cut_ms)
+    is_unlisted = rng.random() < 0.5
+    if is_unlisted:
+        site.directory.unlist_worker(worker.worker_id, rng.uniform(0, cut_ms))
+    listing_ms = healing_ms + rng.uniform(0, 800)
+    gevent.spawn_later(
+        crash_ms / MS_PER_S, site.worker_thread.call, _restart, site, worker, 30.0, listing_ms, ""
+    )
+    cut_off = [process.member.member_id for process in processes]
+    return (
+        f"{worker.worker_id} is cut off from {cut_off} for {cut_ms:.0f} ms, restarts after "
+        f"{crash_ms:.0f} ms{', is unlisted' * is_unlisted}, is listed {listing_ms:.0f} ms later"
+    )
+
+
+def _delay_on_some(site: RunFaultsSite, rng: random.Random, share: str) -> str:
+    """Let a share of one kind of command to some workers be carried out late for a while."""
+    worker_share, duration_ms = rng.choice(WORKER_SHARES), rng.uniform(1000, 6000)
+    workers = [worker for worker in site.workers if rng.random() < worker_share]
+    faults = {
+        share: rng.choice(LATE_SHARES),
+        "late_min_ms": LATE_MIN_MS,
+        "late_max_ms": rng.choice(LATE_MAX_MS),
+        "late_outlives_restart": rng.random() < 0.5,
+        "late_moves_deadline": rng.random() < 0.5,
+    }
+    names = [_set_on_worker(worker, duration_ms, faults) for worker in workers]
+    return f"{names} for {duration_ms:.0f} ms: {_shown(faults)}"
+
+
 def _block(process: Process, duration_ms: float) -> str:
     """Block an event loop, unless it is blocked already."""
     now_s = time.monotonic()
@@ -186,12 +260,20 @@
 def _set_for_a_while(
     site: RunFaultsSite, rng: random.Random, duration_ms: float, **faults: object
 ) -> str:
-    worker = rng.choice(site.workers)
+    worker_id = _set_on_worker(rng.choice(site.workers), duration_ms, faults)
+    return f"{worker_id} for {duration_ms:.0f} ms: {_shown(faults)}"
+
+
+def _set_on_worker(worker: FleetWorker, duration_ms: float, faults: dict[str, object]) -> str:
+    """Set faults of a worker for a while and return its id."""
     defaults = {name: getattr(type(worker.faults)(), name) for name in faults}
     _set_faults(worker, faults)
     gevent.spawn_later(duration_ms / MS_PER_S, _set_faults, worker, defaults)
-    shown = ", ".join(f"{name} {value}" for name, value in faults.items())
-    return f"{worker.worker_id} for {duration_ms:.0f} ms: {shown}"
+    return worker.worker_id
+
+
+def _shown(faults: dict[str, object]) -> str:
+    return ", ".join(f"{name} {value}" for name, value in faults.items())
 
 
 def _is_idle(worker: FleetWorker) -> bool:
--- a/bench/run_faults/play.py
+++ b/bench/run_faults/play.py
@@ -8,7 +8,7 @@
 import gevent
 
 from bench.run_faults.callers import Caller
-from bench.run_faults.faults import FAULTS
+from bench.run_faults.faults import FAULTS, LONG_TASK_FAULTS
 from bench.run_faults.run_checker import Overlap, find_overlaps, runs_of
 from bench.run_faults.site import RunFaultsSite
 
@@ -17,9 +17,14 @@
 WORKERS = 8
 CALLER_COUNTS = (6, 12, 32)
 KINDS_OF_FAULTS = 5
+KINDS_OF_LONG_TASK_FAULTS = 3
+OTHERS_BESIDE_LONG_TASKS = ("claim", "move", "lag", "pause", "slow", "unlist", "cut", "restart")
+KINDS_BESIDE_LONG_TASKS = 2
+LONG_TASKS_PAUSES_MAX_S = (0.3, 0.8, 1.5)
 RUN_TIMES_MS = (60.0, 250.0, 600.0)
 FAULT_PAUSES_MAX_S = (0.1, 0.3, 0.6)
 SETTLE_S = 1.2
+LONG_TASKS_SETTLE_S = 3.0
 PROCESS_COUNTS = (2, 3)
 
 
@@ -75,7 +80,9 @@
         return "\n".join(rows)
 
 
-def play(seed: int, duration_s: float, faults: tuple[str, ...] = ()) -> PlayReport:
+def play(
+    seed: int, duration_s: float, faults: tuple[str, ...] = (), has_long_tasks: bool = False
+) -> PlayReport:
     """Play a seeded schedule of faults under load and return what was found.
 
     The seed fixes jobs and faults. The event loops run in real time, so that two plays of a seed
@@ -85,22 +92,30 @@
         seed: the seed.
         duration_s: time under load, in seconds.
         faults: names of the faults to inject; the seed chooses them if there are none.
+        has_long_tasks: whether some tasks last for seconds, and the seed chooses faults whose
+            effects come as late; so it is also if a fault in `faults` needs that.
     """
     rng = random.Random(f"faults {seed}")
+    has_long_tasks |= not LONG_TASK_FAULTS.isdisjoint(faults)
     site = RunFaultsSite(
-        rng.choice(PROCESS_COUNTS), [rng.choice(RUN_TIMES_MS) for _ in range(WORKERS)]
+        rng.choice(PROCESS_COUNTS),
+        [rng.choice(RUN_TIMES_MS) for _ in range(WORKERS)],
+        has_long_tasks,
     )
     report = PlayReport(seed, site.started_s)
+    caller_count = rng.choice(CALLER_COUNTS)
+    is_patient = has_long_tasks and rng.random() < 0.5
     callers = [
-        Caller(site, f"caller {seed} {number}") for number in range(rng.choice(CALLER_COUNTS))
+        Caller(site, f"caller {seed} {number}", is_patient) for number in range(caller_count)
     ]
     try:
         site.start()
         until_s = time.monotonic() + duration_s
         greenlets = [gevent.spawn(caller.submit_jobs, until_s) for caller in callers]
-        names = faults or tuple(rng.sample(sorted(FAULTS), KINDS_OF_FAULTS))
-        _inject_faults(site, rng, until_s, names, report)
-        gevent.sleep(SETTLE_S)
+        names = faults or _choose_faults(rng, has_long_tasks)
+        pause_max_s = rng.choice(LONG_TASKS_PAUSES_MAX_S if has_long_tasks else FAULT_PAUSES_MAX_S)
+        _inject_faults(site, rng, until_s, names, pause_max_s, report)
+        gevent.sleep(LONG_TASKS_SETTLE_S if has_long_tasks else SETTLE_S)
         gevent.killall(greenlets)
     finally:
         site.close()
@@ -122,14 +137,22 @@
     return [greenlet.get() for greenlet in greenlets]
 
 
+def _choose_faults(rng: random.Random, has_long_tasks: bool) -> tuple[str, ...]:
+    """Return the faults of a play; those for long tasks leave the choice of the others as it is."""
+    if has_long_tasks:
+        chosen = rng.sample(sorted(LONG_TASK_FAULTS), KINDS_OF_LONG_TASK_FAULTS)
+        return (*chosen, *rng.sample(OTHERS_BESIDE_LONG_TASKS, KINDS_BESIDE_LONG_TASKS))
+    return tuple(rng.sample(sorted(FAULTS.keys() - LONG_TASK_FAULTS), KINDS_OF_FAULTS))
+
+
 def _inject_faults(
     site: RunFaultsSite,
     rng: random.Random,
     until_s: float,
     names: tuple[str, ...],
+    pause_max_s: float,
     report: PlayReport,
 ) -> None:
-    pause_max_s = rng.choice(FAULT_PAUSES_MAX_S)
     while time.monotonic() < until_s:
         gevent.sleep(rng.uniform(0.0, pause_max_s))
         name = rng.choice(names)
@@ -156,4 +179,10 @@
     """Return the events on a task at all schedulers and workers, in order of time."""
     rows = [row for process in site.processes for row in process.trace.rows_of(task)]
     rows += [(run.started_s, repr(run)) for run in runs_of(site.workers) if run.task == task]
+    rows += [
+        (command.at_s, repr(command))
+        for worker in site.workers
+        for command in worker.commands
+        if command.task == task
+    ]
     return [f"{task} {at_s:.4f} s {text}" for at_s, text in sorted(rows)]
--- a/bench/run_faults/process.py
+++ b/bench/run_faults/process.py
@@ -10,6 +10,7 @@
 from bench.run_faults.loop_thread import LoopThread
 from bench.run_faults.run_checker import DuplicateWatch
 from bench.run_faults.task_trace import TaskTrace
+from bench.run_faults.worker_paths import PathClient, WorkerPaths
 from camphorchute.contracts.member import Member
 from camphorchute.contracts.run_messages import (
     RoomReport,
@@ -18,7 +19,7 @@
     TasksFinished,
     WithdrawTasks,
 )
-from camphorchute.hosting import make_platform
+from camphorchute.hosting import WorkerClient, WorkerEntry, make_platform
 from camphorchute.queues import FreeCapacityView, QueueOwner
 from camphorchute.runs import GroupScheduler
 
@@ -54,6 +55,7 @@
         owner: its owner of jobs.
         duplicates: the tasks that were in two places of the scheduler.
         trace: the events on tasks at the scheduler.
+        paths: its paths to the workers.
     """
 
     def __init__(self, name: str, zone: str, directory: Directory, links: LocalLinks) -> None:
@@ -67,6 +69,8 @@
         self.owner: QueueOwner | None = None
         self.duplicates: DuplicateWatch | None = None
         self.trace: TaskTrace | None = None
+        self.paths = WorkerPaths(name)
+        self._platform = None
         self._directory = directory
         self._links = links
         self._capacity_view: FreeCapacityView | None = None
@@ -110,10 +114,8 @@
         return self._links.send_if_linked(self.member.member_id, member_id, message)
 
     def _start_components(self) -> None:
-        platform = make_platform("fleet", UNUSED_STORE_ADDRESS, self._count)
-        self.scheduler = GroupScheduler(
-            platform.open_worker_client, self.send_if_linked, self._count
-        )
+        self._platform = make_platform("fleet", UNUSED_STORE_ADDRESS, self._count)
+        self.scheduler = GroupScheduler(self._open_worker_client, self.send_if_linked, self._count)
         self.scheduler.is_durable_job = lambda job_id: False
         self._capacity_view = FreeCapacityView(self.member.zone)
         self.owner = QueueOwner(self._capacity_view, self._claim_holder, self, self._count)
@@ -129,6 +131,13 @@
         ):
             gevent.spawn(self._repeat, action, interval_s)
 
+    def _open_worker_client(self, entry: WorkerEntry) -> WorkerClient:
+        client = self._platform.open_worker_client(entry)
+        return PathClient(client, entry, self.paths, self._record_command)
+
+    def _record_command(self, task: str, text: str) -> None:
+        self.trace.record(task, text)
+
     def _close_components(self) -> None:
         self._is_closed = True
         self.scheduler.close()
--- a/bench/run_faults/site.py
+++ b/bench/run_faults/site.py
@@ -8,12 +8,13 @@
 from bench.run_faults.process import Process
 from bench.standins.fleet_worker import FleetWorker
 
-__all__ = ["GROUPS", "SERVICE", "RunFaultsSite"]
+__all__ = ["GROUPS", "LONG_RUN_TIMES_MS", "SERVICE", "RunFaultsSite"]
 
 ZONE = "north"
 SERVICE = "flags"
 GROUPS = [f"{ZONE}/{SERVICE}/0", f"{ZONE}/{SERVICE}/1"]
 CLOCK_RATES = (1.0, 0.98)
+LONG_RUN_TIMES_MS = {"long": 2500.0, "longer": 4000.0, "longest": 6000.0}
 
 
 class RunFaultsSite:
@@ -22,20 +23,33 @@
     Args:
         process_count: number of processes.
         run_times_ms: run time of the tasks on each worker, in milliseconds.
+        has_long_tasks: whether there are tasks that last for seconds besides.
 
     Attributes:
         directory: lists workers, groups and claims.
         links: the links between the processes.
         processes: the processes.
+        has_long_tasks: whether callers submit jobs with the payloads in :data:`LONG_RUN_TIMES_MS`.
         workers: the workers.
         worker_thread: the thread that the workers run in.
         started_s: monotonic time of the start, in seconds.
     """
 
-    __slots__ = ("directory", "links", "processes", "workers", "worker_thread", "started_s")
+    __slots__ = (
+        "directory",
+        "links",
+        "processes",
+        "has_long_tasks",
+        "workers",
+        "worker_thread",
+        "started_s",
+    )
 
-    def __init__(self, process_count: int, run_times_ms: list[float]) -> None:
+    def __init__(
+        self, process_count: int, run_times_ms: list[float], has_long_tasks: bool = False
+    ) -> None:
         self.directory = Directory()
+        self.has_long_tasks = has_long_tasks
         self.links = LocalLinks()
         self.processes = [
             Process(f"p{number}", ZONE, self.directory, self.links)
@@ -81,4 +95,5 @@
         worker = FleetWorker("127.0.0.1:0", self.directory, f"w{number}", ZONE, SERVICE, run_ms)
         worker.clock_rate = CLOCK_RATES[number % len(CLOCK_RATES)]
         worker.faults.stop_ms = 40.0
+        worker.run_ms_by_payload = LONG_RUN_TIMES_MS
         return worker
--- a/bench/run_faults/task_trace.py
+++ b/bench/run_faults/task_trace.py
@@ -9,7 +9,14 @@
 
 __all__ = ["TaskTrace"]
 
-TRACED_METHODS = ("_accept_task", "requeue", "run_ended", "start_refused", "finish_task")
+TRACED_METHODS = (
+    "_accept_task",
+    "requeue",
+    "run_ended",
+    "start_refused",
+    "finish_task",
+    "_stop_task",
+)
 FRAMES_SHOWN = 6
 
 
@@ -34,6 +41,15 @@
         """Return monotonic time in seconds and description of the events on a task."""
         return list(self._rows.get(task, ()))
 
+    def record(self, task: str, text: str) -> None:
+        """Record an event on a task now.
+
+        Args:
+            task: name of the task.
+            text: description of the event.
+        """
+        self._rows[task].append((time.monotonic(), f"{self._name} {text}"))
+
     def _traced(self, name: str, method: Callable) -> Callable:
         def call(*arguments: object, **fields: object) -> object:
             task = next((a for a in arguments if isinstance(a, PendingTask)), None)
