Keep a full list of completions from hiding the end of a durable task

Callers saw: nothing yet; found by reading while ends are retained until they are stored. A run whose end was hidden counted as vanished, and its owner, which no scheduler told otherwise, started the task again.

Cause: a worker lists 500 completions at a time, those after the first retained one. A run that is neither active nor in such a list counted as ended without a result, and the worker as one that has reported all of its runs.

Change: a list says whether it is complete. No durable task is started on a worker with 350 completions to list, which bounds the retained ones at 350 and what runs there; tasks of other jobs start as before.

--- a/camphorchute/hosting/worker_client.py
+++ b/camphorchute/hosting/worker_client.py
@@ -134,16 +134,22 @@
         clock_ms: reading of the worker's monotonic clock when it answered, in milliseconds.
         running: the active runs.
         completions: the completions that are not acknowledged yet.
+        is_complete: whether these are all of them; a worker lists a limited number at a time.
     """
 
-    __slots__ = ("clock_ms", "running", "completions")
+    __slots__ = ("clock_ms", "running", "completions", "is_complete")
 
     def __init__(
-        self, clock_ms: float, running: list[ListedRun], completions: list[RunCompletion]
+        self,
+        clock_ms: float,
+        running: list[ListedRun],
+        completions: list[RunCompletion],
+        is_complete: bool = True,
     ) -> None:
         self.clock_ms = clock_ms
         self.running = running
         self.completions = completions
+        self.is_complete = is_complete
 
 
 class WorkerClient(ABC):
--- a/camphorchute/platform/fenced_worker.py
+++ b/camphorchute/platform/fenced_worker.py
@@ -32,6 +32,7 @@
 MAX_IDLE_CONNECTIONS = 4
 MS_PER_S = 1000.0
 HTTP_OK = 200
+COMPLETIONS_PER_LIST_MAX = 500
 EXPECTED_WORKER_HEADER = "Camphorchute-Expect-Instance"
 COMMAND_PATHS = ("/run-start", "/run-stop", "/hold")
 
@@ -115,7 +116,8 @@
             ]
         except (IndexError, KeyError) as error:
             raise CommandUnanswered(f"malformed list of runs: {error!r}") from error
-        return RunListing(runs.clock_ms, running, completions)
+        is_complete = len(completions) < COMPLETIONS_PER_LIST_MAX
+        return RunListing(runs.clock_ms, running, completions, is_complete)
 
     def close(self) -> None:
         """Close the idle connections to the worker."""
--- a/camphorchute/runs/leased_worker.py
+++ b/camphorchute/runs/leased_worker.py
@@ -40,6 +40,7 @@
 IDLE_POLL_INTERVAL_S = 1.0
 UNACKNOWLEDGED_POLL_INTERVAL_MS = 15.0
 START_LEASE_MIN_MS = 400.0
+LISTED_COMPLETIONS_MAX = 350  # a worker lists 500 at a time, and others end while runs start
 MS_PER_S = 1000.0
 
 
@@ -68,6 +69,7 @@
         speed: speed of the worker, learned from its runs.
         failures: recent outcomes of its runs, and whether it is ejected.
         synced: whether the worker has listed its runs under the fencing token in force.
+        lists_all_completions: whether its last list had all completions that it has to list.
         free_capacity: present capacity of the worker that no run in :attr:`runs` uses.
         isolated_run: run of a task that lost its worker before, beside which no other is started;
             None if there is none.
@@ -86,6 +88,7 @@
         "speed",
         "failures",
         "synced",
+        "lists_all_completions",
         "free_capacity",
         "isolated_run",
         "leases",
@@ -121,6 +124,7 @@
         self.speed = WorkerSpeed()
         self.failures = FailureTracker(random.Random())
         self.synced = False
+        self.lists_all_completions = True
         self.free_capacity = entry.capacity
         self.isolated_run: Run | None = None
         self.leases = WorkerLeases()
@@ -190,7 +194,13 @@
         self._poll_requested.set()
 
     def can_start(self, task: PendingTask, now_s: float) -> bool:
-        """Whether a task can be started on the worker at a time of the monotonic clock."""
+        """Whether a task can be started on the worker at a time of the monotonic clock.
+
+        No durable task is started while the worker has so many completions to list that a further
+        one might be hidden.
+        """
+        if task.is_durable and self.completions.listed_count() >= LISTED_COMPLETIONS_MAX:
+            return False
         return self.usable_capacity(now_s).can_hold(task.message.demand)
 
     def usable_capacity(self, now_s: float) -> Resources:
--- a/camphorchute/runs/listing_reader.py
+++ b/camphorchute/runs/listing_reader.py
@@ -44,6 +44,9 @@
         for completion in listing.completions:
             if self._worker.completions.mark_listed(completion):
                 self._apply_completion(completion, listed)
+        self._worker.lists_all_completions = listing.is_complete
+        if not listing.is_complete:
+            self._count("runs.completion_list_full")
         self._note_active_runs(listed)
         self._end_unlisted_runs(listed, sent_s)
 
@@ -59,7 +62,10 @@
         }
 
     def _end_unlisted_runs(self, listed: dict[str, int], sent_s: float) -> None:
+        """End the runs that a list lacks; a full list may hide the completion of a durable one."""
         for name, run in list(self._worker.runs.items()):
+            if run.task.is_durable and not self._worker.lists_all_completions:
+                continue
             is_acknowledged = run.state is RunState.RUNNING and run.start_acknowledged_s < sent_s
             if is_acknowledged and listed.get(name) != run.number:
                 self._count("runs.vanished")
--- a/camphorchute/runs/tests/model_workers.py
+++ b/camphorchute/runs/tests/model_workers.py
@@ -89,8 +89,11 @@
         held: commands to hold back, by kind (``start``, ``stop``, ``list``), in order.
         is_silent: whether no command is executed or answered.
         slots: number of runs that its capacity suffices for.
+        listed_max: how many completions a list has at most.
     """
 
+    listed_max = 500
+
     def __init__(self, worker_id, run_s):
         self.worker_id, self.run_s = worker_id, run_s
         self.incarnation, self.is_silent, self.slots = 1, False, 2
@@ -167,7 +170,8 @@
         if self._is_silent():
             raise CommandUnanswered("silent")
         listing.running = [ListedRun(run.task, run.number) for run in worker.active()]
-        listing.completions = self._new_completions(acknowledged)
+        listing.completions = self._new_completions(acknowledged)[: worker.listed_max]
+        listing.is_complete = len(listing.completions) < worker.listed_max
         return listing
 
     def close(self):
