Bar start commands without an answer at the next incarnation of a worker

What callers saw: two runs of one task at one time. Cause: a start command without an answer is barred by a stop command, and the task starts elsewhere. The stop is known to one incarnation; the worker restarts under its id, and the late start is accepted there. Each next incarnation is sent a stop for those whose run was given up, as soon as a poll or the listing shows it; an idle worker with such a command is polled every 100 ms, so that its restart is noticed. A run that is active for that reason alone is stopped at once, and adopted if its task is pending. Remains: a start that the next incarnation carries out before its restart is noticed runs until the stop has reached it.

--- a/camphorchute/runs/group_scheduler.py
+++ b/camphorchute/runs/group_scheduler.py
@@ -34,6 +34,7 @@
 from camphorchute.runs.run_events import RunEvents
 from camphorchute.runs.run_supervisor import RunSupervisor
 from camphorchute.runs.task_places import TaskPlaces
+from camphorchute.runs.unanswered_starts import UnansweredStarts
 from camphorchute.runs.worker_group import WorkerGroup
 from camphorchute.runs.zone_availability import ZoneAvailability
 
@@ -90,6 +91,7 @@
         self.durable_tasks = DurableTasks(self._groups.values, count)
         self.retained_ends = RetainedEnds(self._groups.values, count)
         self._open_tasks = OpenTasks()
+        self._unanswered_starts = UnansweredStarts()
         self._places = TaskPlaces(self._groups.values, count)
         self._arrival_count = 0
         self._membership = GroupMembership(self, self._open_worker, count)
@@ -265,6 +267,7 @@
         events = RunEvents(self, group, self._open_tasks, self._supervisor, self._count)
         worker = LeasedWorker(entry, client, lambda: group.fence, events, self._count)
         worker.is_durable_job = lambda job_id: self.is_durable_job(job_id)
+        worker.unanswered_starts = self._unanswered_starts
         worker.start()
         return worker
 
--- a/camphorchute/runs/leased_worker.py
+++ b/camphorchute/runs/leased_worker.py
@@ -27,6 +27,7 @@
 from camphorchute.runs.run_commands import RunCommands
 from camphorchute.runs.run_listener import RunListener
 from camphorchute.runs.unacknowledged_completions import UnacknowledgedCompletions
+from camphorchute.runs.unanswered_starts import UnansweredStarts
 from camphorchute.runs.worker_health import RETRY_PAUSE_MS, WorkerHealth
 from camphorchute.runs.worker_leases import (
     LONGEST_LEASE_MS,
@@ -38,6 +39,7 @@
 __all__ = ["LeasedWorker"]
 
 IDLE_POLL_INTERVAL_S = 1.0
+UNANSWERED_START_POLL_INTERVAL_S = 0.1
 UNACKNOWLEDGED_POLL_INTERVAL_MS = 15.0
 START_LEASE_MIN_MS = 400.0
 LISTED_COMPLETIONS_MAX = 350  # a worker lists 500 at a time, and others end while runs start
@@ -66,6 +68,7 @@
         completions: completions that must not be acknowledged to the worker yet.
         is_durable_job: returns whether the job with an id may be durable; completions of other
             jobs without a task here are acknowledged immediately.
+        unanswered_starts: the start commands without an answer of the scheduler.
         speed: speed of the worker, learned from its runs.
         failures: recent outcomes of its runs, and whether it is ejected.
         synced: whether the worker has listed its runs under the fencing token in force.
@@ -85,6 +88,7 @@
         "orphans",
         "completions",
         "is_durable_job",
+        "unanswered_starts",
         "speed",
         "failures",
         "synced",
@@ -135,6 +139,7 @@
         self._listener = listener
         self._count = count
         self.is_durable_job: Callable[[str], bool] = lambda job_id: True
+        self.unanswered_starts = UnansweredStarts()
         self._commands = RunCommands(self, client, current_fence, listener, count)
         self._unlisted_since_s = 0.0
         self._used_capacity = Resources(0)
@@ -317,6 +322,7 @@
                 self._wait_for_poll()
             self._poll_requested.clear()
             if not self.is_closed:
+                self._bar_given_up_starts()
                 self._poll()
                 self._expire_unresponsive()
                 self._expire_orphans()
@@ -329,7 +335,10 @@
         waiting for the next completion, so polls need a pause here.
         """
         if not (self.runs or self.orphans):
-            wait_for_event(self._poll_requested, IDLE_POLL_INTERVAL_S if self.completions else None)
+            interval_s = IDLE_POLL_INTERVAL_S if self.completions else None
+            if self.unanswered_starts.of_worker(self.entry.worker_id):
+                interval_s = UNANSWERED_START_POLL_INTERVAL_S
+            wait_for_event(self._poll_requested, interval_s)
         elif self.completions:
             wait_for_event(self._poll_requested, UNACKNOWLEDGED_POLL_INTERVAL_MS / MS_PER_S)
 
@@ -394,15 +403,18 @@
     def _unwanted_runs(self) -> list[str]:
         """Return the tasks of runs that must end and may be active."""
         stopped = [run.task.name for run in self.runs.values() if run.must_end()]
-        return stopped + [name for name, _ in self._expired_orphans()]
+        return stopped + [name for name, _ in self._unwanted_orphans()]
 
-    def _expired_orphans(self) -> list[tuple[str, int]]:
-        """Return task and number of the orphaned runs that no owner has asked for in time."""
+    def _unwanted_orphans(self) -> list[tuple[str, int]]:
+        """Return task and number of the orphaned runs that must end.
+
+        That are those that no owner has asked for in time, and those that were given up.
+        """
         now_s = time.monotonic()
         return [
             (name, number)
             for name, (number, since_s) in self.orphans.items()
-            if (now_s - since_s) * MS_PER_S > ORPHAN_GRACE_MS
+            if (now_s - since_s) * MS_PER_S > ORPHAN_GRACE_MS or self._is_given_up(name, number)
         ]
 
     def _poll_wait_ms(self) -> float:
@@ -421,6 +433,7 @@
             self.has_ended = self.is_closed = True
             self.orphans = {}
             self._end_runs_of_ended_worker()
+            self._bar_given_up_starts(is_other_incarnation=True)
             return
         if reason is RefusalReason.FENCED:
             self._listener.fence_superseded(self)
@@ -462,9 +475,27 @@
         for run in list(self.runs.values()):
             self.end_run(run, RunOutcome.LEASE_EXPIRED, EndEvidence.WORKER_SILENT)
 
+    def _bar_given_up_starts(self, is_other_incarnation: bool = False) -> None:
+        """Bar runs that were given up and whose start commands may still arrive, once each.
+
+        Args:
+            is_other_incarnation: whether another incarnation has just answered, which is asked
+                before service discovery lists it.
+        """
+        for start in self.unanswered_starts.given_up(self.entry.worker_id):
+            if is_other_incarnation or start.asked is not self:
+                start.asked = self
+                self._count("runs.given_up_start_barred")
+                gevent.spawn(self._commands.bar_start, start)
+
+    def _is_given_up(self, name: str, number: int) -> bool:
+        """Whether a run is active only since its start command was carried out late."""
+        starts = self.unanswered_starts.given_up(self.entry.worker_id)
+        return any((start.run.task.name, start.run.number) == (name, number) for start in starts)
+
     def _expire_orphans(self) -> None:
-        """Stop the runs that no owner has asked for in time."""
-        for name, number in self._expired_orphans():
+        """Stop the orphaned runs that must end."""
+        for name, number in self._unwanted_orphans():
             self._count("runs.orphan_stopped")
             gevent.spawn(self._commands.send_stop, name, number)
 
--- a/camphorchute/runs/run.py
+++ b/camphorchute/runs/run.py
@@ -327,6 +327,11 @@
         self.was_acknowledged = False
         self._unobserved_before_s = observation_clock.unobserved_s()
 
+    @property
+    def worker_id(self) -> str:
+        """Id of the worker."""
+        return self.worker.entry.worker_id
+
     def place(self) -> RunPlace:
         """Return where the run is or was."""
         return self.worker.place_of(
--- a/camphorchute/runs/run_commands.py
+++ b/camphorchute/runs/run_commands.py
@@ -19,6 +19,7 @@
 from camphorchute.runs.earlier_run import EarlierRun
 from camphorchute.runs.run import EndEvidence, Run, RunState
 from camphorchute.runs.run_listener import RunListener
+from camphorchute.runs.unanswered_starts import UnansweredStart
 from camphorchute.runs.worker_health import RETRY_PAUSE_MS
 
 if TYPE_CHECKING:
@@ -124,6 +125,7 @@
             self._give_up_run(run, "not_sent")
             return
         run.state = RunState.UNKNOWN
+        self._worker.unanswered_starts.add(run)
         if self._worker.has_ended:
             self._worker.leave_unresolved(run)
         elif self._worker.holds(run):
@@ -136,6 +138,7 @@
         """
         if not run.stop_requested and self._is_listed(run):
             self._count("runs.start_found_running")
+            self._worker.unanswered_starts.discard(run)
             self._mark_started(run)
         elif run.state is RunState.UNKNOWN:
             run.stop_requested = True
@@ -177,6 +180,23 @@
                 run.start_acknowledged_s = time.monotonic()
         self._worker.request_poll()
 
+    def bar_start(self, start: UnansweredStart) -> None:
+        """Send a stop command for a run that was given up; a later poll repeats a lost one."""
+        try:
+            self._client.stop_run(start.run.task.name, start.run.number, self._current_fence())
+        except CommandRefused as refused:
+            if refused.reason is not RefusalReason.OLD_RUN:
+                self._repeat_bar(start)
+        except CommandUnanswered:
+            self._repeat_bar(start)
+
+    def _repeat_bar(self, start: UnansweredStart) -> None:
+        self._count("runs.retry.bar_start")
+        gevent.sleep(RETRY_PAUSE_MS / MS_PER_S)
+        if start.asked is self._worker:
+            start.asked = None
+        self._worker.request_poll()
+
     def bar_in_background(self, earlier_run: EarlierRun) -> None:
         """Call :meth:`bar_earlier_run` without waiting for it."""
         gevent.spawn(self.bar_earlier_run, earlier_run)
--- a/camphorchute/runs/tests/test_handed_over_runs.py
+++ b/camphorchute/runs/tests/test_handed_over_runs.py
@@ -1,5 +1,7 @@
 """Runs whose end was taken for granted when their task, worker or group was handed over."""
 
+import time
+
 import gevent
 import pytest
 
@@ -260,3 +262,21 @@
     gevent.sleep(0.5)
     assert len(site.workers["w0"].active()) == 1
     assert len(site.workers["w0"].runs) == 2
+
+
+# A pending task started elsewhere while its late start ran on the next incarnation.
+def test_late_start_of_a_pending_task_is_adopted(open_model):
+    site = open_model(workers=2, run_s=2.0)
+    scheduler = site.add_scheduler(7, worker_ids=["w0"])
+    late, worker = lose_start_on(site, scheduler, "w0")
+    leased = scheduler.group(GROUP).workers["w0"]
+    assert wait_until(lambda: TASK in worker.barred, 1.0)
+    leased.failures.eject(time.monotonic() * 1000)
+    assert wait_until(lambda: scheduler.group(GROUP).backlog, 1.0)
+    worker.late_s["stop"] = 2.0
+    worker.restart()
+    late.executes.set()
+    gevent.sleep(0.02)
+    scheduler.set_workers(GROUP, site.entries(), site.groups())
+    gevent.sleep(0.5)
+    assert [run.number for w in site.workers.values() for run in w.runs] == [1]
--- a/camphorchute/runs/worker_group.py
+++ b/camphorchute/runs/worker_group.py
@@ -181,8 +181,12 @@
             task.group = self.name
 
     def adopt_pending(self) -> None:
-        """Adopt earlier runs of pending tasks that may already be running."""
-        for task in [task for task in self.backlog if task.may_run]:
+        """Adopt earlier runs of pending tasks that may already be running.
+
+        A run that was ruled out is active if its start command has reached another incarnation.
+        """
+        active = {name for worker in self.workers.values() for name in worker.orphans}
+        for task in [task for task in self.backlog if task.may_run or task.name in active]:
             if self.adopt_run(task):
                 self.backlog.remove(task)
 
