Wait for the word of a silent worker whose start command had no answer

What callers saw: two runs of one task at one time. Cause: a run ended with the leases known here, 1.9 s after its worker had fallen silent. A start command without an answer may be carried out later, with a lease of its own, beside the next run of the task. Change: such a run is left unresolved: its worker lists or bars it once it answers, its next incarnation does, or the worker leaves the listing. An acknowledged run still ends with its leases. A start that is refused after that is ruled out at once (test_start_refused_by_a_silent_worker_starts_again fails without it). A task whose start was lost with a crashed worker starts again when the listing shows that, not after 1.9 s.

--- a/camphorchute/runs/earlier_run.py
+++ b/camphorchute/runs/earlier_run.py
@@ -1,7 +1,13 @@
 """Runs of tasks that an earlier scheduler may have started on a named worker."""
 
+from __future__ import annotations
+
 import time
 from collections.abc import Callable, Container
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from camphorchute.runs.run import Run
 
 __all__ = ["EarlierRun", "EarlierRuns"]
 
@@ -61,6 +67,10 @@
         self.is_ruled_out = False
         self.is_forgotten = False
 
+    def is_same(self, run: Run) -> bool:
+        """Return whether it is a run known to this scheduler, whose start was refused late."""
+        return (self.number, self.worker) == (run.number, run.worker)
+
     def is_ruled_out_by(self, listed_tasks: Container[str], sent_s: float) -> bool:
         """Return whether a list of runs rules the run out.
 
--- a/camphorchute/runs/leased_worker.py
+++ b/camphorchute/runs/leased_worker.py
@@ -465,7 +465,10 @@
                 self.leave_unresolved(run)
 
     def _expire_unresponsive(self) -> None:
-        """End the runs of a worker that stayed unresponsive until every lease expired."""
+        """End the runs of a worker that stayed unresponsive until every lease expired.
+
+        A start command without an answer may still be carried out, with a lease of its own.
+        """
         if self.health.is_responsive or self.leases.remaining_ms() > 0:
             return
         if self.runs:
@@ -473,7 +476,10 @@
             fields = {"worker": self.entry.worker_id, "runs": len(self.runs)}
             log_decision("runs", "worker was unresponsive until its leases expired", **fields)
         for run in list(self.runs.values()):
-            self.end_run(run, RunOutcome.LEASE_EXPIRED, EndEvidence.WORKER_SILENT)
+            if run.state is RunState.RUNNING:
+                self.end_run(run, RunOutcome.LEASE_EXPIRED, EndEvidence.WORKER_SILENT)
+            else:
+                self.leave_unresolved(run)
 
     def _bar_given_up_starts(self, is_other_incarnation: bool = False) -> None:
         """Bar runs that were given up and whose start commands may still arrive, once each.
--- a/camphorchute/runs/run_commands.py
+++ b/camphorchute/runs/run_commands.py
@@ -113,8 +113,11 @@
 
     def _give_up_run(self, run: Run, reason: str) -> None:
         """Take a run that was not started, and report that to the listener."""
+        earlier_run = run.task.earlier_run
         if self._worker.take_run(run):
             self._listener.start_refused(self._worker, run, reason)
+        elif earlier_run is not None and earlier_run.is_same(run):
+            earlier_run.is_ruled_out = True
 
     def _handle_unanswered_start(self, run: Run, unanswered: CommandUnanswered) -> None:
         """Determine whether a start command without an answer was carried out."""
--- a/camphorchute/runs/tests/test_handed_over_runs.py
+++ b/camphorchute/runs/tests/test_handed_over_runs.py
@@ -6,6 +6,7 @@
 import pytest
 
 from camphorchute.contracts.run_messages import RunPlace, StopTasks, TaskResultKind
+from camphorchute.hosting import CommandRefused, RefusalReason
 from camphorchute.runs.tests.model_workers import Held, Late
 from camphorchute.runs.tests.scheduler_site import GROUP, JOB_ID, OWNER, start_message, wait_until
 from camphorchute.runs.tests.test_concurrent_runs import OTHER_GROUP, OTHER_OWNER, TASK
@@ -280,3 +281,18 @@
     scheduler.set_workers(GROUP, site.entries(), site.groups())
     gevent.sleep(0.5)
     assert [run.number for w in site.workers.values() for run in w.runs] == [1]
+
+
+# A task waited for a silent worker though the worker's late answer had refused its start.
+def test_start_refused_by_a_silent_worker_starts_again(open_model):
+    site = open_model(workers=2, run_s=1.0)
+    scheduler = site.add_scheduler(7, worker_ids=["w0"])
+    held = Held(CommandRefused(RefusalReason.TOO_LATE))
+    site.workers["w0"].held["start"] += [None, held]
+    site.dispatch(scheduler, tasks=2)
+    assert held.sent.wait(1.0)
+    scheduler.set_workers(GROUP, site.entries(), site.groups())
+    site.silence("w0", 0)
+    assert wait_until(lambda: scheduler.group(GROUP).backlog, 3.0)
+    held.release()
+    assert wait_until(lambda: len(site.workers["w1"].runs) == 2, 0.3)
