Take the list of an incarnation that has gone as no word on earlier runs

What callers saw: two runs of one task at one time. Cause: a worker that answered with another incarnation still counted as asked, by the list of the one before, until service discovery showed it. A late start of a killed scheduler was active there meanwhile.

--- a/camphorchute/runs/worker_group.py
+++ b/camphorchute/runs/worker_group.py
@@ -157,16 +157,20 @@
 
         If the earlier scheduler named the worker and it is in the group, that worker must have
         ruled the run out: a list of runs from before the report may be older than the start.
-        Otherwise every listed worker must have listed its runs, and the leases on workers unknown
-        to this scheduler must have expired: the earlier scheduler no longer renews them, because it
-        has lost the task's owner or the group, and another one stops runs that nobody asks for.
+        Otherwise every listed worker must have listed its runs in its present incarnation, and the
+        leases on workers unknown to this scheduler must have expired: the earlier scheduler no
+        longer renews them, because it has lost the task's owner or the group, and another one stops
+        runs that nobody asks for.
         """
         worker = self.workers.get(task.worker_id)
         if worker is not None:
             return _is_earlier_run_ruled_out(worker, task)
         if time.monotonic() - task.may_run_since_s < UNKNOWN_LEASES_EXPIRY_MS / MS_PER_S:
             return False
-        return all(worker.synced or worker.unlisted_ms() > 0 for worker in self.workers.values())
+        return all(
+            (worker.synced and not worker.has_ended) or worker.unlisted_ms() > 0
+            for worker in self.workers.values()
+        )
 
     def take_pending(self, task: PendingTask, earlier_group: "WorkerGroup | None") -> None:
         """Move a pending task here from the group that it was dispatched to before; a run stays.
