Hand a task to the group that its earlier run's worker belongs to

What callers saw: two runs of one task at one time. Cause: a task that named a worker of another group waited for 1.9 s and then counted as lost with that worker, though it was listed and another scheduler could ask it. Change: after 100 ms the task is returned to its owner, with the group that has the worker. The pause bounds the exchange of two processes that see the groups differently.

--- a/camphorchute/runs/group_membership.py
+++ b/camphorchute/runs/group_membership.py
@@ -19,6 +19,7 @@
 __all__ = ["GroupMembership"]
 
 UNSYNCED_WORKER_KEEP_MS = 10_000.0
+HAND_ON_AFTER_MS = 100.0  # two processes may see the groups differently for a while
 MS_PER_S = 1000.0
 
 
@@ -96,6 +97,30 @@
         if has_changed:
             self._record_capacity_change()
 
+    def hand_on_tasks(self, group: WorkerGroup, now_s: float) -> None:
+        """Return the tasks whose earlier run is on a worker of another group to their owners.
+
+        The scheduler of that group can ask the worker.
+
+        Args:
+            group: the group with the tasks.
+            now_s: time of the monotonic clock in seconds.
+        """
+        for task in [task for task in group.backlog if task.may_run and task.worker_id]:
+            listed_group = self._group_by_worker.get(task.worker_id, group.name)
+            is_elsewhere = listed_group != group.name and task.worker_id not in group.workers
+            if is_elsewhere and (now_s - task.may_run_since_s) * MS_PER_S > HAND_ON_AFTER_MS:
+                group.backlog.remove(task)
+                self._count("runs.retry.worker_in_other_group")
+                self._scheduler.finish_task(
+                    task,
+                    task.next_run - 1,
+                    TaskResultKind.MAY_RUN,
+                    task.worker_id,
+                    listed_group,
+                    task.last_place,
+                )
+
     def _record_capacity_change(self) -> None:
         self._count("runs.capacity_changed")
         self._scheduler.on_capacity_changed()
--- a/camphorchute/runs/group_scheduler.py
+++ b/camphorchute/runs/group_scheduler.py
@@ -399,6 +399,7 @@
             if self._evacuated_groups.has_offer_changed(self._groups.values()):
                 self.on_capacity_changed()
             for group in list(self._groups.values()):
+                self._membership.hand_on_tasks(group, now_s)
                 self._return_expired(group, now_s)
                 self._supervisor.stop_overdue_runs(group.workers.values(), now_s)
                 if group.backlog:
