Take no crash from the entry of an earlier incarnation

What callers saw: nothing yet; by reading and in a test. A task may be given up as one that crashes workers although its worker is up.

Cause: the owner asks its own view what became of the worker of a lost run, but the incarnation of that run comes from the scheduler, whose view may be ahead. An entry of the incarnation before it, which reaches the owner late, was another incarnation, so it counted as a crash.

Evidence: of the three cases of the new test one fails without the change, the entry of the earlier incarnation alone.

Now an earlier incarnation says nothing; a later one is needed for a crash. The tests of worker fates, lost runs and the crash guard pass.

--- a/camphorchute/cluster/tests/test_worker_fates.py
+++ b/camphorchute/cluster/tests/test_worker_fates.py
@@ -33,6 +33,22 @@
     assert fates.fate_of(PLACE, since_s) is expected
 
 
+# Guards against a worker that is up being counted as crashed by its earlier incarnation's entry.
+@pytest.mark.parametrize(
+    ("entries", "expected"),
+    [
+        ([make_entry(incarnation=95)], WorkerFate.UNKNOWN),
+        ([make_entry(incarnation=95), make_entry()], WorkerFate.ALIVE),
+        ([make_entry(incarnation=95), make_entry(incarnation=105)], WorkerFate.CRASHED),
+    ],
+)
+def test_entry_of_an_earlier_incarnation_that_arrives_late_is_no_sign_of_a_crash(entries, expected):
+    fates, since_s = WorkerFates(), time.monotonic()
+    for revision, entry in enumerate(entries, 7):
+        fates.record(entry, revision)
+    assert fates.fate_of(PLACE, since_s) is expected
+
+
 def test_entry_that_was_not_written_since_is_no_sign_of_life():
     fates = WorkerFates()
     fates.record(make_entry(), 7)
--- a/camphorchute/cluster/worker_fates.py
+++ b/camphorchute/cluster/worker_fates.py
@@ -77,6 +77,8 @@
         heartbeat = self._heartbeats.get(place.worker_id)
         if heartbeat is None or heartbeat.heard_s <= since_s:
             return WorkerFate.UNKNOWN
+        if heartbeat.incarnation < place.incarnation:  # this view is behind that of the scheduler
+            return WorkerFate.UNKNOWN
         is_same = heartbeat.incarnation == place.incarnation
         return WorkerFate.ALIVE if is_same else WorkerFate.CRASHED
 
