Remember a key at least until the deadline of its job

What callers saw: nothing yet; by reading and in a test. Two runs of the tasks of one job at the same time are possible on the etcd platform.

Cause: an accepted key was dropped by its age alone. A job that was resumed at the end of the resubmission window has a new deadline of up to 300 s, and a window may be set shorter than a deadline. Once the key was dropped the next owner of its shard took a resubmission under an opaque key for a new job, without a question to the schedulers that ran it.

Now the entry of a key lasts until the deadline as well; for a resumed job the witnesses get the later time with the record of the new owner, before a task is dispatched. The mark of lost records and the list of departed members last for the longest deadline if the window is shorter (this part has no test of its own). With the default window of 600 s only resumed jobs change.

--- a/camphorchute/entry/daemon.py
+++ b/camphorchute/entry/daemon.py
@@ -107,7 +107,7 @@
             self._make_heartbeat,
             settings.heartbeat_ms,
             settings.suspect_ms,
-            window_ms + 2 * settings.clock_skew_ms,
+            max(window_ms, DEADLINE_MAX_MS) + 2 * settings.clock_skew_ms,
             count,
         )
         self._catalogue = Catalogue()
--- a/camphorchute/jobs/key_checks.py
+++ b/camphorchute/jobs/key_checks.py
@@ -3,6 +3,7 @@
 import time
 
 from camphorchute.contracts import JobKey, Refusal, ResultCode
+from camphorchute.contracts.job import DEADLINE_MAX_MS
 from camphorchute.zones import ZoneView
 from camphorchute.zones.record import encode_record
 
@@ -47,8 +48,28 @@
 
     @property
     def key_retention_ms(self) -> float:
-        """How long an accepted key is retained, in milliseconds."""
-        return self._window_ms + 2 * self._clock_skew_ms
+        """Longest time for which the key of a job that begins now is retained, in milliseconds."""
+        return max(self._window_ms, DEADLINE_MAX_MS) + 2 * self._clock_skew_ms
+
+    def key_expiry_unix_ms(self, remaining_ms: float) -> int:
+        """Return until when the key of a job that begins now is retained.
+
+        Args:
+            remaining_ms: time to the deadline of the job, until which its tasks may run.
+
+        Returns:
+            The Unix time in milliseconds.
+        """
+        retention_ms = max(self._window_ms, remaining_ms) + 2 * self._clock_skew_ms
+        return round(time.time() * 1000 + retention_ms)
+
+    def deadline_unix_ms(self, remaining_ms: float) -> int:
+        """Return the latest Unix time of a deadline on the clock of any process, in milliseconds.
+
+        Args:
+            remaining_ms: time to the deadline.
+        """
+        return round(time.time() * 1000 + remaining_ms + 2 * self._clock_skew_ms)
 
     def check_ownership(self, key: JobKey) -> None:
         """Refuse a key that this process does not own.
--- a/camphorchute/jobs/owner.py
+++ b/camphorchute/jobs/owner.py
@@ -279,8 +279,7 @@
 
     def _accept_job(self, job: Job) -> None:
         job.reach = self._view.reach()
-        now_ms = time.time() * 1000
-        expires_unix_ms = round(now_ms + self._checks.key_retention_ms)
+        expires_unix_ms = self._checks.key_expiry_unix_ms(job.remaining_ms)
         key = job.key
         job.known_owners = [self._entries.make_key_owner(job.reach)]
         job.entry = KeyEntry(
@@ -304,6 +303,9 @@
         self._dispatcher.enqueue_tasks(job, job.pending_tasks())
 
     def _resume_job(self, job: Job, entry: KeyEntry) -> None:
+        # The deadline may be later than the end of the window in which the key was accepted.
+        # Witnesses get to know it before a task is dispatched.
+        self._ledger.extend(entry, self._checks.deadline_unix_ms(job.remaining_ms))
         job.entry = entry
         job.known_owners = list(entry.owners)
         job.mark_resumed()
--- a/camphorchute/jobs/tests/fakes.py
+++ b/camphorchute/jobs/tests/fakes.py
@@ -60,7 +60,9 @@
 class OwnerHarness:
     """Member ``a``, which owns every shard of a zone with three members."""
 
-    def __init__(self, members=(A, B, C), definition=DEFINITION, lost_unix_ms=0):
+    def __init__(
+        self, members=(A, B, C), definition=DEFINITION, lost_unix_ms=0, window_ms=WINDOW_MS
+    ):
         record = record_of(list(members))
         witnesses = tuple(m.member_id for m in members if m != A)
         shard_record = ShardRecord(Term(1, "a", witnesses), [], lost_unix_ms)
@@ -82,7 +84,7 @@
             self.dispatcher,
             self.recovery,
             ["north"],
-            WINDOW_MS,
+            window_ms,
             CLOCK_SKEW_MS,
             60_000.0,
             self.counts,
@@ -102,12 +104,11 @@
         )
         run_greenlets()
 
-    def add_accepted_key(self, key, owners=(DEPARTED_OWNER,), job_spec=None):
+    def add_accepted_key(self, key, owners=(DEPARTED_OWNER,), job_spec=None, expires_unix_ms=2**60):
         """Add a key to the ledger that an earlier owner accepted."""
         job_key = JobKey(key, ["north"])
-        entry = KeyEntry(
-            key, job_key.shard, (job_spec or make_spec()).digest(), 2**60, list(owners)
-        )
+        digest = (job_spec or make_spec()).digest()
+        entry = KeyEntry(key, job_key.shard, digest, expires_unix_ms, list(owners))
         self.ledger.hold(entry)
 
     def dispatch_messages(self):
--- a/camphorchute/zones/ledger.py
+++ b/camphorchute/zones/ledger.py
@@ -86,6 +86,17 @@
             if held is not None and held.expires_unix_ms <= now_unix_ms:
                 self._drop(shard, key)
 
+    def extend(self, entry: KeyEntry, expires_unix_ms: int) -> None:
+        """Retain an entry that is held at least until a time.
+
+        Args:
+            entry: the entry that is held.
+            expires_unix_ms: Unix time in milliseconds; an earlier one than before changes nothing.
+        """
+        if expires_unix_ms > entry.expires_unix_ms:
+            entry.expires_unix_ms = expires_unix_ms
+            heapq.heappush(self._expiry_heap, (expires_unix_ms, entry.shard, entry.key))
+
     def merge(self, entries: list[KeyEntry]) -> None:
         """Hold entries that another process accepted, even beyond ``max_keys``.
 
@@ -125,9 +136,7 @@
         held.uncertain = held.uncertain or entry.uncertain
         held.owners += [owner for owner in entry.owners if owner not in held.owners]
         held.record = _more_complete_record(held.record, entry.record)
-        if entry.expires_unix_ms > held.expires_unix_ms:
-            held.expires_unix_ms = entry.expires_unix_ms
-            heapq.heappush(self._expiry_heap, (held.expires_unix_ms, held.shard, held.key))
+        self.extend(held, entry.expires_unix_ms)
 
 
 def _more_complete_record(
--- a/camphorchute/zones/membership.py
+++ b/camphorchute/zones/membership.py
@@ -53,8 +53,8 @@
         heartbeat_ms: interval between heartbeats, in milliseconds.
         suspect_ms: time without a message after which a link is closed, and time without a link
             after which a member is removed, in milliseconds.
-        window_ms: resubmission window in milliseconds, for which a removed member stays listed as
-            departed.
+        window_ms: how long a removed member stays listed as departed, in milliseconds; as long as
+            a key or a job that it knew may be retained.
         count: adds to a named counter.
 
     Attributes:
