Fence a member that has a link though it counts as dead

What callers saw: nothing yet; by reading and in a test. A VM list that lacks the VM of a witness which is up proves it dead. Its shards were then recovered without a question to it: keys that only it held counted as lost, and it was not told to refuse the earlier term, in which its owner might have had further keys acknowledged.

Evidence: both cases of test_a_linked_member_is_fenced_though_it_counts_as_dead failed before: the witnesses were not asked.

Now every member with an open link is asked; its answer counts, not the list. A member without a link that counts as dead is passed over as before.

Tests of zones/ pass.

--- a/camphorchute/zones/shard_recovery.py
+++ b/camphorchute/zones/shard_recovery.py
@@ -175,12 +175,16 @@
         return members
 
     def _fence_members(self, record: OwnershipRecord, shards: list[int]) -> set[str]:
-        """Fence the members of the pending terms; return the ids of those that are fenced."""
+        """Fence the members of the pending terms; return the ids of those that are fenced.
+
+        A member with an open link is asked even if it counts as dead, since its answer proves more
+        than a list that lacks its VM.
+        """
         own_id = self._view.member.member_id
         pending_members = self._pending_members(record, shards)
         message = Fence(record.zone, encode_record(record), shards)
         others = [record.member(m) for m in pending_members if m != own_id]
-        candidates = [m for m in others if m is not None and not self._deaths.is_dead(m)]
+        candidates = [m for m in others if m is not None and self._may_answer(m)]
         greenlets = [gevent.spawn(self._fence_member, member, message) for member in candidates]
         gevent.joinall(greenlets)
         fenced = {g.value for g in greenlets if g.value is not None}
@@ -200,6 +204,9 @@
             remaining = reply.left
         return member.member_id
 
+    def _may_answer(self, member: Member) -> bool:
+        return self._peers.is_linked(member.member_id) or not self._deaths.is_dead(member)
+
     def _is_dead(self, record: OwnershipRecord, member_id: str) -> bool:
         member = record.member(member_id)
         return member is not None and self._deaths.is_dead(member)
--- a/camphorchute/zones/tests/test_shard_recovery.py
+++ b/camphorchute/zones/tests/test_shard_recovery.py
@@ -78,6 +78,21 @@
     assert (setup.stored_shard.lost_unix_ms >= before_unix_ms) is lost
 
 
+# Guards against a witness that is up, but missing in the VM list, being passed over: it could go on
+# to acknowledge keys to the earlier owner, and the keys that it holds counted as lost.
+@pytest.mark.parametrize("linked", ["c", "cd"])
+def test_a_linked_member_is_fenced_though_it_counts_as_dead(linked):
+    setup = RecoverySetup()
+    setup.peers.unreachable, setup.peers.linked = {"b"}, set(linked)
+    setup.peers.replies[Fence] = lambda member, message: Entries([ENTRY])
+    for name in linked:
+        setup.deaths.record_death(member(name), "vm_gone")
+    setup.recover()
+    assert {to for to, _ in setup.peers.requests_of(Fence)} == {"b", "c", "d"}
+    assert (setup.stored_shard.pending, setup.stored_shard.lost_unix_ms) == ([], 0)
+    assert setup.ledger.get(0, "k") is not None
+
+
 def test_recovered_keys_are_acknowledged_by_a_witness_before_the_shard_is_served():
     setup = RecoverySetup()
     setup.peers.replies[Fence] = lambda member, message: Entries([ENTRY])
