Take no member with a link for dead because the VM list lacks its VM

What callers saw: nothing yet; by reading and in a test. A list that lacked a VM once, such as an outdated one soon after the VM was added, proved the processes on it dead for as long as the process that read it lived, though it exchanged messages with them. They were taken out of the ownership record, their shards counted as lost, and their tasks were searched for at the workers only.

Evidence: three of eight cases of test_deaths.py failed before.

Now this proof does not hold while there is a link. It holds again once the link is lost, so that a VM that has gone is not waited for. The other proof is final as before.

Tests of zones/, jobs/ and entry/ pass.

--- a/camphorchute/entry/daemon.py
+++ b/camphorchute/entry/daemon.py
@@ -87,7 +87,7 @@
         self._vm_list_requested = Event()
         self._view = ZoneView(self._member)
         self._records = RecordStore(self._store, self._view, count)
-        self._deaths = DeathRegistry(self._is_vm_gone, count)
+        self._deaths = DeathRegistry(self._is_vm_gone, count, self._peers.is_linked)
         self._ledger = Ledger(settings.ledger_max_keys)
         self._witnessing = Witnessing(self._peers, self._view, self._ledger, count)
         self._shard_recovery = ShardRecovery(
--- a/camphorchute/zones/deaths.py
+++ b/camphorchute/zones/deaths.py
@@ -6,7 +6,8 @@
 * ``replaced``: another incarnation answers at its address, or nothing listens there although its
   VM answers. A process closes its listener only when it exits, so the operating system's refusal
   of a connection proves that it has exited;
-* ``vm_gone``: the platform's VM list contained its VM and no longer does.
+* ``vm_gone``: the platform's VM list contained its VM and no longer does, and there is no link to
+  the process. A list may be outdated, so this proof does not hold while the process has a link.
 """
 
 from collections.abc import Callable
@@ -41,6 +42,7 @@
     Args:
         vm_is_gone: returns whether a host was in the platform's VM list and no longer is.
         count: adds to a named counter.
+        is_linked: returns whether there is an open link to a member, by its id.
 
     Examples:
         >>> deaths = DeathRegistry(vm_is_gone=lambda host: host == "vm9")
@@ -48,15 +50,17 @@
         True
     """
 
-    __slots__ = ("_vm_is_gone", "_count", "_proof_by_member_id")
+    __slots__ = ("_vm_is_gone", "_count", "_is_linked", "_proof_by_member_id")
 
     def __init__(
         self,
         vm_is_gone: Callable[[str], bool] = lambda host: False,
         count: Callable[[str], None] = lambda name: None,
+        is_linked: Callable[[str], bool] = lambda member_id: False,
     ) -> None:
         self._vm_is_gone = vm_is_gone
         self._count = count
+        self._is_linked = is_linked
         self._proof_by_member_id: dict[str, str] = {}
 
     def record_death(self, member: Member, proof: str = REPLACED) -> None:
@@ -83,7 +87,12 @@
 
     def is_dead(self, member: Member) -> bool:
         """Return whether a process is proved dead; a VM that is gone is recorded as a proof."""
-        if member.member_id in self._proof_by_member_id:
+        proof = self._proof_by_member_id.get(member.member_id)
+        if proof not in (None, VM_GONE):
+            return True
+        if self._is_linked(member.member_id):
+            return False
+        if proof is not None:
             return True
         if self._vm_is_gone(member.host):
             self.record_death(member, VM_GONE)
