--- a/bench/run_faults/play.py
+++ b/bench/run_faults/play.py
@@ -35,7 +35,7 @@
         seed: the seed.
         overlaps: every two runs of a task that were active at the same time.
         duplicates: the tasks that were in two places of one scheduler.
-        faults: time in seconds, name and description of each fault.
+        faults: the kind of callers, then time in seconds, name and description of each fault.
         events: the events on the tasks that were found, at all schedulers in order of time.
         started_runs: number of runs that were started.
         answers: number of answers to callers, by outcome.
@@ -105,6 +105,9 @@
     report = PlayReport(seed, site.started_s)
     caller_count = rng.choice(CALLER_COUNTS)
     is_patient = has_long_tasks and rng.random() < 0.5
+    report.faults.append(
+        f"{caller_count} callers, {'no' if is_patient else 'some'} jobs sent again"
+    )
     callers = [
         Caller(site, f"caller {seed} {number}", is_patient) for number in range(caller_count)
     ]
