Do not count a worker that was never polled as reported while it is unlisted

A new owner of a shard asks all schedulers which tasks may have run, and starts again what none reports.

Cause: a scheduler reported a worker that it had never polled as known once it was unlisted for longer than a lease. That rules out active runs, not completions: an entry may expire though its worker is up, and the worker then lists what ended before.

Change: only a worker that has listed its runs under the present fencing token counts. LeasedWorker.is_expired, which nothing else used, is gone.

Test: test_worker_that_was_never_polled_is_not_reported_as_known_while_it_is_unlisted failed before.

--- a/camphorchute/runs/durable_tasks.py
+++ b/camphorchute/runs/durable_tasks.py
@@ -78,7 +78,7 @@
             ]
             for worker in group.workers.values():
                 report.tasks += _tasks_of_worker(worker, group.name)
-                if worker.lists_all_completions and (worker.synced or worker.is_expired()):
+                if worker.synced and worker.lists_all_completions:
                     report.workers.append(worker.entry.worker_id)
         report.tasks += [
             ReportedTask(task, group, place.run, place.worker_id, TaskResultKind.WORKER_LOST, place)
--- a/camphorchute/runs/leased_worker.py
+++ b/camphorchute/runs/leased_worker.py
@@ -30,7 +30,6 @@
 from camphorchute.runs.unanswered_starts import UnansweredStarts
 from camphorchute.runs.worker_health import RETRY_PAUSE_MS, WorkerHealth
 from camphorchute.runs.worker_leases import (
-    LONGEST_LEASE_MS,
     ORPHAN_GRACE_MS,
     ORPHAN_LEASE_MS,
     WorkerLeases,
@@ -171,10 +170,6 @@
         since_s = self._unlisted_since_s
         return (time.monotonic() - since_s) * MS_PER_S if since_s else 0.0
 
-    def is_expired(self) -> bool:
-        """Whether it was unlisted for longer than a lease can last."""
-        return self.unlisted_ms() > LONGEST_LEASE_MS
-
     def request_poll(self) -> None:
         """Poll the worker even if it is idle, to send the latest acknowledgement."""
         self._poll_requested.set()
--- a/camphorchute/runs/tests/test_durable_tasks.py
+++ b/camphorchute/runs/tests/test_durable_tasks.py
@@ -112,6 +112,21 @@
     assert wait_until(lambda: set(request_report(scheduler).workers) == set(site.entries()))
 
 
+# Its entry had expired with the store's lease; it came back with a completion that nobody had seen.
+def test_worker_that_was_never_polled_is_not_reported_as_known_while_it_is_unlisted(
+    open_model,
+):
+    model = open_model(workers=2)
+    model.workers["w1"].is_silent = True
+    scheduler = model.add_scheduler(7)
+    scheduler.set_workers(GROUP, model.entries(["w0"]), {})
+    gevent.sleep(1.3)
+    assert request_report(scheduler).workers == ["w0"]
+    model.workers["w1"].is_silent = False
+    scheduler.set_workers(GROUP, model.entries(), model.groups())
+    assert wait_until(lambda: set(request_report(scheduler).workers) == {"w0", "w1"})
+
+
 @pytest.mark.parametrize(("term", "is_accepted"), [(TERM, False), (LATER_TERM, True)])
 def test_commands_of_a_superseded_shard_owner_are_refused(open_site, term, is_accepted):
     site, scheduler = open_site(run_ms=600.0)
