Ask the schedulers about a shard only once the workers are known

A new owner of a shard started tasks again as run 1 without having asked any scheduler.

Cause: the owner asks the schedulers of the groups that it has workers for, until all workers that it knew at the start of the query are reported. A process that has just started may claim a shard before it has read the workers: it asked nobody and took every task as not started. Likewise it did not ask the scheduler of a group whose first worker it did not know.

Change: a query is not complete while no worker is known, it also asks the schedulers that hold a claim on a group without known workers, and waits for workers that are listed meanwhile.

Tests: test_nothing_is_dispatched_before_the_workers_are_known and test_scheduler_of_a_group_without_known_workers_is_queried failed before. pytest of the three files concerned passes.

--- a/camphorchute/durable_jobs/shard.py
+++ b/camphorchute/durable_jobs/shard.py
@@ -348,17 +348,21 @@
         return False
 
     def _query_all_schedulers(self) -> None:
-        """Query all schedulers until each worker's runs have been reported."""
+        """Query all schedulers until each worker's runs have been reported.
+
+        A process that knows no worker has not read them yet, so it waits for them.
+        """
         view = self._context.view
-        unreported_workers = set(view.workers)
-        while unreported_workers and not self._closed:
-            schedulers = [view.scheduler_of(group) for group in view.groups()]
+        reported_workers: set[str] = set()
+        is_complete = False
+        while not (is_complete or self._closed):
+            schedulers = [view.scheduler_of(group) for group in view.group_names()]
             members = {member.member_id: member for member in schedulers if member is not None}
             queries = [gevent.spawn(self._query_scheduler, member) for member in members.values()]
             for query in gevent.joinall(queries):
-                unreported_workers -= set(query.value or ())
-            unreported_workers &= set(view.workers)
-            if unreported_workers:
+                reported_workers.update(query.value or ())
+            is_complete = bool(view.workers) and reported_workers.issuperset(view.workers)
+            if not is_complete:
                 self._context.count("keeping.retry.find_tasks")
                 gevent.sleep(RECOVERY_RETRY_MS / MS_PER_S)
 
--- a/camphorchute/durable_jobs/tests/fakes.py
+++ b/camphorchute/durable_jobs/tests/fakes.py
@@ -131,15 +131,23 @@
 
 
 class FakeView:
-    """A cluster view of one worker group with one scheduler and two workers."""
+    """A cluster view of one worker group with one scheduler and two workers.
+
+    Attributes:
+        has_claim_only: whether the view knows the claim on the group, but no worker in it.
+    """
 
     scheduler = Member("scheduler", "north", "", "", "", "")
+    has_claim_only = False
 
     def __init__(self):
         self.workers = {"w1": None, "w2": None}
 
     def groups(self):
-        return {"north/flags/0": self.workers}
+        return {} if self.has_claim_only else {"north/flags/0": self.workers}
+
+    def group_names(self):
+        return ["north/flags/0"]
 
     def scheduler_of(self, group):
         return self.scheduler
--- a/camphorchute/durable_jobs/tests/test_shard.py
+++ b/camphorchute/durable_jobs/tests/test_shard.py
@@ -135,6 +135,28 @@
     assert wait_until(lambda: recovered(site))
 
 
+# A process that had just started claimed a shard before it knew the workers, and asked nobody.
+def test_nothing_is_dispatched_before_the_workers_are_known(site):
+    site.view.workers = {}
+    site.peers.reply = KeptTasksAre(WORKERS, [reported_task(0, TaskResultKind.DONE)])
+    site.put(make_record())
+    site.start_shard()
+    assert not wait_until(lambda: recovered(site), 0.4)
+    site.view.workers = dict.fromkeys(WORKERS)
+    assert wait_until(lambda: recovered(site))
+    assert task_states(site) == [TaskState.DONE, TaskState.WAITING]
+
+
+# The first worker of a group was not known to the owner yet, and its scheduler was not asked.
+def test_scheduler_of_a_group_without_known_workers_is_queried(site):
+    site.view.has_claim_only = True
+    site.peers.reply = KeptTasksAre(WORKERS, [reported_task(0, TaskResultKind.DONE)])
+    site.put(make_record())
+    site.start_shard()
+    assert wait_until(lambda: recovered(site))
+    assert task_states(site) == [TaskState.DONE, TaskState.WAITING]
+
+
 def test_next_owner_waits_unless_the_previous_one_released_the_shard(site, monkeypatch):
     monkeypatch.setattr(shard_module, "PREVIOUS_OWNER_EXPIRY_MS", 400.0)
     site.put(make_record())
