Retain the completion of an earlier run beside a run of its task

Cause: a worker's completion was retained only if its scheduler had no run of the task there, or that very run. The completion of another run of a durable task was acknowledged at once, and its owner never heard of it.

Change: every completion with a result of a durable task is retained until it is stored.

--- a/camphorchute/runs/listing_reader.py
+++ b/camphorchute/runs/listing_reader.py
@@ -83,7 +83,7 @@
         worker = self._worker
         run = worker.runs.get(completion.task)
         is_known_run = run is not None and run.number == completion.run
-        if run is None or (is_known_run and run.task.is_durable):
+        if run is None or run.task.is_durable:
             worker.completions.retain(completion)
         if run is None:
             gevent.spawn(self._acknowledge_unless_durable, completion)
--- a/camphorchute/runs/tests/test_full_completion_lists.py
+++ b/camphorchute/runs/tests/test_full_completion_lists.py
@@ -44,6 +44,21 @@
     assert len(model.workers["w0"].runs) == 3
 
 
+# Only the completion of the present run was retained; the owner never heard of the other one.
+def test_completion_of_an_earlier_run_is_retained_beside_a_run_of_its_task(model):
+    scheduler = model.add_scheduler(7)
+    worker = model.workers["w0"]
+    worker.start(f"{JOB_ID}.0.0.0", 1)
+    gevent.sleep(0.12)
+    model.dispatch(scheduler, term=TERM, run=2)
+    assert wait_until(lambda: len(worker.runs) == 2)
+    assert wait_until(lambda: model.results)
+    gevent.sleep(0.2)
+    message = AskKeptTasks(TERM.shard, TERM.number)
+    report = scheduler.durable_tasks.report_tasks(OWNER, message)
+    assert [(row.run, row.end) for row in report.tasks] == [(1, DONE), (2, DONE)]
+
+
 # Best-effort jobs are served as before, whatever the store has of durable ones.
 @pytest.mark.parametrize(("term", "expected"), [(TERM, 2), (None, 3)])
 def test_no_durable_task_starts_on_a_worker_with_many_retained_completions(
