Number the run of a repeated job above those that were sent a stop command

What callers saw: a run of a repeated job was stopped and its task ran again, later. Cause: run numbers start at 1 again for a repeated job. A stop command under way for an earlier run ends every run up to its number. The number is raised when the run starts, so that a task that was only pending is not taken for one that has started. Remains: stop commands that another process has sent.

--- a/camphorchute/runs/group_scheduler.py
+++ b/camphorchute/runs/group_scheduler.py
@@ -33,6 +33,7 @@
 from camphorchute.runs.run import PendingTask
 from camphorchute.runs.run_events import RunEvents
 from camphorchute.runs.run_supervisor import RunSupervisor
+from camphorchute.runs.stopped_runs import StoppedRuns
 from camphorchute.runs.task_places import TaskPlaces
 from camphorchute.runs.unanswered_starts import UnansweredStarts
 from camphorchute.runs.worker_group import WorkerGroup
@@ -92,6 +93,7 @@
         self.retained_ends = RetainedEnds(self._groups.values, count)
         self._open_tasks = OpenTasks()
         self._unanswered_starts = UnansweredStarts()
+        self._stopped_runs = StoppedRuns()
         self._places = TaskPlaces(self._groups.values, count)
         self._arrival_count = 0
         self._membership = GroupMembership(self, self._open_worker, count)
@@ -268,6 +270,7 @@
         worker = LeasedWorker(entry, client, lambda: group.fence, events, self._count)
         worker.is_durable_job = lambda job_id: self.is_durable_job(job_id)
         worker.unanswered_starts = self._unanswered_starts
+        worker.stopped_runs = self._stopped_runs
         worker.start()
         return worker
 
--- a/camphorchute/runs/leased_worker.py
+++ b/camphorchute/runs/leased_worker.py
@@ -26,6 +26,7 @@
 from camphorchute.runs.run import EndEvidence, PendingTask, Run, RunState
 from camphorchute.runs.run_commands import RunCommands
 from camphorchute.runs.run_listener import RunListener
+from camphorchute.runs.stopped_runs import StoppedRuns
 from camphorchute.runs.unacknowledged_completions import UnacknowledgedCompletions
 from camphorchute.runs.unanswered_starts import UnansweredStarts
 from camphorchute.runs.worker_health import RETRY_PAUSE_MS, WorkerHealth
@@ -68,6 +69,7 @@
         is_durable_job: returns whether the job with an id may be durable; completions of other
             jobs without a task here are acknowledged immediately.
         unanswered_starts: the start commands without an answer of the scheduler.
+        stopped_runs: the runs that the scheduler has sent stop commands for.
         speed: speed of the worker, learned from its runs.
         failures: recent outcomes of its runs, and whether it is ejected.
         synced: whether the worker has listed its runs under the fencing token in force.
@@ -88,6 +90,7 @@
         "completions",
         "is_durable_job",
         "unanswered_starts",
+        "stopped_runs",
         "speed",
         "failures",
         "synced",
@@ -139,6 +142,7 @@
         self._count = count
         self.is_durable_job: Callable[[str], bool] = lambda job_id: True
         self.unanswered_starts = UnansweredStarts()
+        self.stopped_runs = StoppedRuns()
         self._commands = RunCommands(self, client, current_fence, listener, count)
         self._unlisted_since_s = 0.0
         self._used_capacity = Resources(0)
@@ -229,7 +233,7 @@
             task: the task.
             is_isolated: whether nothing is started beside the run if it is alone now.
         """
-        run = self._add_run(task, task.next_run)
+        run = self._add_run(task, self.stopped_runs.next_number(task.name, task.next_run))
         if is_isolated and run.was_alone:
             self.isolated_run = run
         gevent.spawn(self._commands.send_start, run)
--- a/camphorchute/runs/run_commands.py
+++ b/camphorchute/runs/run_commands.py
@@ -161,6 +161,10 @@
             for listed_run in listing.running
         )
 
+    def _stop(self, name: str, number: int) -> None:
+        self._worker.stopped_runs.add(name, number)
+        self._client.stop_run(name, number, self._current_fence())
+
     def send_stop(self, name: str, number: int) -> None:
         """Send a stop command; it also bars a run that has not arrived at the worker yet.
 
@@ -168,7 +172,7 @@
         does not list it.
         """
         try:
-            self._client.stop_run(name, number, self._current_fence())
+            self._stop(name, number)
         except CommandRefused as refused:
             self._count(f"runs.stop_refused.{refused.reason.name.lower()}")
         except CommandUnanswered as unanswered:
@@ -186,7 +190,7 @@
     def bar_start(self, start: UnansweredStart) -> None:
         """Send a stop command for a run that was given up; a later poll repeats a lost one."""
         try:
-            self._client.stop_run(start.run.task.name, start.run.number, self._current_fence())
+            self._stop(start.run.task.name, start.run.number)
         except CommandRefused as refused:
             if refused.reason is not RefusalReason.OLD_RUN:
                 self._repeat_bar(start)
@@ -212,7 +216,7 @@
         if earlier_run.is_forgotten:
             return
         try:
-            self._client.stop_run(earlier_run.task, earlier_run.number, self._current_fence())
+            self._stop(earlier_run.task, earlier_run.number)
         except CommandRefused as refused:
             is_barred = refused.reason is RefusalReason.OLD_RUN
         except CommandUnanswered:
--- a/camphorchute/runs/tests/test_run_commands.py
+++ b/camphorchute/runs/tests/test_run_commands.py
@@ -5,6 +5,7 @@
 from camphorchute.hosting import CommandRefused, CommandUnanswered, RefusalReason
 from camphorchute.runs.earlier_run import EarlierRun
 from camphorchute.runs.run_commands import RunCommands
+from camphorchute.runs.stopped_runs import StoppedRuns
 
 TASK = "5c0e7a21d94b36f8.0.0.0"
 
@@ -25,6 +26,7 @@
 
     def __init__(self):
         self.polls = 0
+        self.stopped_runs = StoppedRuns()
 
     def request_poll(self):
         self.polls += 1
