Take leases that late polls may renew as no end of a run

What callers saw: two runs of one task at one time. Cause: a run counted as ended when the leases known here had expired, 1.9 s after the last poll. Polls that got no answer before the worker fell silent are carried out later, each with a lease from its arrival, and keep the run alive. Change: polls and start commands without an answer are remembered for 13 s. If one of them may arrive before the leases expire, the run is left unresolved until its worker answers, its next incarnation does, or it leaves the listing. Polls since the worker fell silent do not count, as they arrive at once or too late; so a worker that answered each poll before is given up after 1.9 s as until now (second case of the test).

--- a/camphorchute/runs/leased_worker.py
+++ b/camphorchute/runs/leased_worker.py
@@ -353,6 +353,8 @@
         except CommandRefused as refused:
             self._handle_poll_refusal(refused.reason)
         except CommandUnanswered as unanswered:
+            if unanswered.sent and lease_until_ms is not None:
+                self.leases.record_unanswered(sent_s)
             self._handle_unanswered_poll(unanswered)
         else:
             self._is_poll_repeated = False
@@ -466,7 +468,8 @@
     def _expire_unresponsive(self) -> None:
         """End the runs of a worker that stayed unresponsive until every lease expired.
 
-        A start command without an answer may still be carried out, with a lease of its own.
+        A start command without an answer may still be carried out, with a lease of its own, and an
+        earlier poll without one may have renewed the leases before they expired.
         """
         if self.health.is_responsive or self.leases.remaining_ms() > 0:
             return
@@ -474,8 +477,9 @@
             self._count("runs.lease_over_unheard", len(self.runs))
             fields = {"worker": self.entry.worker_id, "runs": len(self.runs)}
             log_decision("runs", "worker was unresponsive until its leases expired", **fields)
+        may_be_extended = self.leases.may_be_extended_late()
         for run in list(self.runs.values()):
-            if run.state is RunState.RUNNING:
+            if run.state is RunState.RUNNING and not may_be_extended:
                 self.end_run(run, RunOutcome.LEASE_EXPIRED, EndEvidence.WORKER_SILENT)
             else:
                 self.leave_unresolved(run)
--- a/camphorchute/runs/run_commands.py
+++ b/camphorchute/runs/run_commands.py
@@ -129,6 +129,7 @@
             return
         run.state = RunState.UNKNOWN
         self._worker.unanswered_starts.add(run)
+        self._worker.leases.record_unanswered(run.start_sent_s)
         if self._worker.has_ended:
             self._worker.leave_unresolved(run)
         elif self._worker.holds(run):
--- a/camphorchute/runs/tests/test_handed_over_runs.py
+++ b/camphorchute/runs/tests/test_handed_over_runs.py
@@ -297,3 +297,24 @@
     held.release()
     others = [site.workers["w1"], site.workers["w2"]]
     assert wait_until(lambda: sum(len(worker.runs) for worker in others) == 2, 0.3)
+
+
+# Late polls of the process that had lost its worker renewed the leases there beyond their expiry.
+@pytest.mark.parametrize("has_late_polls", [True, False])
+def test_run_that_late_polls_keep_alive_is_not_started_beside(open_model, has_late_polls):
+    site = open_model(workers=2, run_s=7.0)
+    scheduler = site.add_scheduler(7)
+    site.dispatch(scheduler, finish_within_ms=9000.0, estimate_ms=7000.0)
+    assert wait_until(lambda: any(worker.active() for worker in site.workers.values()))
+    worker = site.busy()
+    for _ in range(7 if has_late_polls else 0):
+        late = Late()
+        worker.held["list"] += [late, None, None]
+        gevent.spawn_later(2.0, late.executes.set)
+        assert late.sent.wait(1.0)
+        gevent.sleep(0.2)
+    site.silence(worker.worker_id, 0)
+    gevent.sleep(2.3)
+    assert site.overlaps() == []
+    others = [other for other in site.workers.values() if other is not worker]
+    assert bool(others[0].runs) != has_late_polls
--- a/camphorchute/runs/worker_leases.py
+++ b/camphorchute/runs/worker_leases.py
@@ -18,6 +18,8 @@
 ORPHAN_LEASE_MS = 400.0
 # For which another scheduler may keep a run alive that no owner asks it for.
 OTHER_SCHEDULER_MS = ORPHAN_GRACE_MS + ORPHAN_LEASE_MS * (1 + CLOCK_DRIFT_RATIO) + LEASE_MARGIN_MS
+LATE_ARRIVAL_MIN_S = 2.0  # a command without an answer is carried out at once or that much later
+LATE_ARRIVAL_MAX_S = 13.0
 MS_PER_S = 1000.0
 
 
@@ -37,13 +39,14 @@
         True
     """
 
-    __slots__ = ("expiry_s", "_clock_ms", "_clock_read_s", "_granted_until_ms")
+    __slots__ = ("expiry_s", "_clock_ms", "_clock_read_s", "_granted_until_ms", "_unanswered_s")
 
     def __init__(self) -> None:
         self.expiry_s = 0.0
         self._granted_until_ms = 0.0
         self._clock_ms = 0.0
         self._clock_read_s = 0.0
+        self._unanswered_s: list[float] = []
 
     def read_clock(self, clock_ms: float) -> None:
         """Record a reading of the worker's clock that was just received."""
@@ -72,6 +75,36 @@
         """Record that runs may have a lease that was granted until now, by any scheduler."""
         self.expiry_s = max(self.expiry_s, time.monotonic() + LONGEST_LEASE_MS / MS_PER_S)
 
+    def record_unanswered(self, sent_s: float) -> None:
+        """Record that a command that grants leases has no answer.
+
+        Args:
+            sent_s: monotonic time at which it was sent, in seconds.
+        """
+        since_s = time.monotonic() - LATE_ARRIVAL_MAX_S
+        self._unanswered_s = [earlier_s for earlier_s in self._unanswered_s if earlier_s > since_s]
+        self._unanswered_s.append(sent_s)
+
+    def may_be_extended_late(self) -> bool:
+        """Return whether a command without an answer may renew the leases before they expire.
+
+        Those sent since the worker fell silent arrive at once or after the leases have expired.
+
+        Examples:
+            >>> leases = WorkerLeases()
+            >>> leases.record_active()
+            >>> leases.record_unanswered(time.monotonic())
+            >>> leases.may_be_extended_late()
+            False
+            >>> leases.record_unanswered(time.monotonic() - 1.5)
+            >>> leases.may_be_extended_late()
+            True
+        """
+        since_s = time.monotonic() - LATE_ARRIVAL_MAX_S
+        return any(
+            since_s < sent_s < self.expiry_s - LATE_ARRIVAL_MIN_S for sent_s in self._unanswered_s
+        )
+
     def remaining_ms(self) -> float:
         """Return the time until the runs of a worker that does not answer have ended.
 
