Count no time in which this process could not hear towards a worker's expiry

What callers saw: nothing yet; by reading and in a test. A process that was paused removed a worker whose entry was missing just before the pause, before it read that the worker is listed again. The runs of a removed worker count as ended once their leases have run out, which they have after such a pause.

Evidence: of the three cases of the new test the one with the pause alone failed before.

Now the time for which an entry has been missing is taken from the observation clock, as for other judgements by silence. That clock stands still for 2 s of one pause at most, so a pause of more than 4.5 s still removes the worker.

Tests of cluster/ pass.

--- a/camphorchute/cluster/cluster_view.py
+++ b/camphorchute/cluster/cluster_view.py
@@ -1,6 +1,5 @@
 """Cluster view: the members, workers, claims and queues as this process last read them."""
 
-import time
 from collections import Counter
 from collections.abc import Callable, Collection
 
@@ -14,6 +13,7 @@
 from camphorchute.cluster.zone_evacuations import ZoneEvacuations
 from camphorchute.contracts.member import Member
 from camphorchute.hosting import HostingPlatform, QueueTable, StoredValue, WorkerEntry
+from camphorchute.observation_clock import observation_clock
 
 __all__ = ["CLAIM_PREFIX", "MEMBER_PREFIX", "OWN_PREFIX", "Claim", "ClusterView"]
 
@@ -178,8 +178,11 @@
             self.changed.set()
 
     def remove_expired_workers(self) -> None:
-        """Remove the workers whose entries have been missing for longer than WORKER_EXPIRY_MS."""
-        now_s = time.monotonic()
+        """Remove the workers whose entries have been missing for longer than WORKER_EXPIRY_MS.
+
+        Time in which this process could not have heard of a new entry does not count.
+        """
+        now_s = observation_clock.now_s()
         for worker_id, since_s in list(self._missing_since_s.items()):
             if (now_s - since_s) * MS_PER_S > WORKER_EXPIRY_MS:
                 del self._missing_since_s[worker_id]
@@ -283,7 +286,7 @@
             self.on_worker_changed(entry)
             return True
         if worker_id in self.workers:
-            self._missing_since_s.setdefault(worker_id, time.monotonic())
+            self._missing_since_s.setdefault(worker_id, observation_clock.now_s())
         return False
 
     def _apply_member(self, member_id: str, change: StoredValue) -> None:
--- a/camphorchute/cluster/tests/test_cluster_view.py
+++ b/camphorchute/cluster/tests/test_cluster_view.py
@@ -1,5 +1,6 @@
 import base64
 import json
+import time
 
 import msgspec
 import pytest
@@ -9,6 +10,7 @@
 from camphorchute.cluster.cluster_view import CLAIM_PREFIX, MEMBER_PREFIX
 from camphorchute.contracts.member import Member
 from camphorchute.hosting import StoredValue, make_platform
+from camphorchute.observation_clock import ObservationClock
 from camphorchute.platform import FleetPlatform
 
 WORKER_ENTRY = {
@@ -19,6 +21,7 @@
     "capacity": {"cpu": 16_000},
 }
 WORKER_KEY = FleetPlatform.worker_prefix + "w1"
+TICK_S = 0.05
 QUEUES_KEY = FleetPlatform.configuration_key
 
 
@@ -68,6 +71,30 @@
     assert "w1" not in view.workers
 
 
+# Guards against a worker that is listed again being removed by a process that was paused meanwhile,
+# before that process reads the change.
+@pytest.mark.parametrize(
+    ("pause_s", "observed_s", "is_kept"), [(3.0, 0.0, True), (0.0, 3.0, False), (3.0, 2.0, False)]
+)
+def test_worker_does_not_expire_while_this_process_is_paused(
+    view, monkeypatch, pause_s, observed_s, is_kept
+):
+    offset_s, real_time = [0.0], time.monotonic
+    monkeypatch.setattr(time, "monotonic", lambda: real_time() + offset_s[0])
+    clock = ObservationClock()
+    monkeypatch.setattr(cluster_view, "observation_clock", clock, raising=False)
+    clock.tick()
+    apply_value(view, WORKER_KEY, json.dumps(WORKER_ENTRY).encode())
+    apply_value(view, WORKER_KEY, None)
+    offset_s[0] += pause_s
+    clock.tick()
+    for _ in range(round(observed_s / TICK_S)):
+        offset_s[0] += TICK_S
+        clock.tick()
+    view.remove_expired_workers()
+    assert ("w1" in view.workers) is is_kept
+
+
 def test_worker_whose_entry_comes_back_is_not_removed(view, monkeypatch):
     apply_value(view, WORKER_KEY, json.dumps(WORKER_ENTRY).encode())
     apply_value(view, WORKER_KEY, None)
