--- a/bench/run_faults/faults.py
+++ b/bench/run_faults/faults.py
@@ -185,6 +185,12 @@
     return _delay_on_some(site, rng, "late_order_share")
 
 
+@register_fault("late_stops", needs_long_tasks=True)
+def delay_stops(site: RunFaultsSite, rng: random.Random) -> str:
+    """Let a share of the stop commands to some workers be carried out seconds late."""
+    return _delay_on_some(site, rng, "late_stop_share")
+
+
 @register_fault("late_grants", needs_long_tasks=True)
 def delay_grants(site: RunFaultsSite, rng: random.Random) -> str:
     """Let a share of the commands that renew leases on some workers be carried out seconds late."""
--- a/bench/standins/fleet_worker.py
+++ b/bench/standins/fleet_worker.py
@@ -81,16 +81,12 @@
         commands = CommandFaults(
             lambda: self.faults, self._listening_incarnation, self._worker_clock_ms, worker_id
         )
+        start_run, stop_run = self._recorded(self._start_run), self._recorded(self._stop_run)
         self.routes |= {
-            ("POST", path): commands.handler(carry_out, answer_delay, late_share)
-            for path, carry_out, answer_delay, late_share in (
-                (
-                    "/run-start",
-                    self._recorded(self._start_run),
-                    "start_answer_ms",
-                    "late_order_share",
-                ),
-                ("/run-stop", self._recorded(self._stop_run), "stop_answer_ms", "late_order_share"),
+            ("POST", path): commands.handler(carry_out, answer_delay, *late_shares)
+            for path, carry_out, answer_delay, *late_shares in (
+                ("/run-start", start_run, "start_answer_ms", "late_order_share"),
+                ("/run-stop", stop_run, "stop_answer_ms", "late_order_share", "late_stop_share"),
                 ("/hold", self._renew_leases, "poll_answer_ms", "late_grant_share"),
             )
         }
--- a/bench/standins/fleet_worker_faults.py
+++ b/bench/standins/fleet_worker_faults.py
@@ -31,6 +31,7 @@
         late_share: share of the commands that are not answered, and carried out later than newer
             ones; from 0.0 to 1.0.
         late_order_share: the same for start and stop commands alone, if it is higher.
+        late_stop_share: the same for stop commands alone, if it is higher.
         late_grant_share: the same for polls, which renew the leases, if it is higher.
         late_min_ms: shortest time after which such a command is carried out, in milliseconds.
         late_max_ms: longest such time, in milliseconds.
@@ -55,6 +56,7 @@
     poll_answer_ms: float = 0.0
     late_share: float = 0.0
     late_order_share: float = 0.0
+    late_stop_share: float = 0.0
     late_grant_share: float = 0.0
     late_min_ms: float = 1000.0
     late_max_ms: float = 3000.0
@@ -93,19 +95,21 @@
         self._random = random.Random(seed)
 
     def handler(
-        self, carry_out: Callable[[Request], Reply], answer_delay: str, late_share: str
+        self, carry_out: Callable[[Request], Reply], answer_delay: str, *late_shares: str
     ) -> Callable[[Request], Reply]:
         """Return the handler of a command with the faults applied.
 
         Args:
             carry_out: carries out the command.
             answer_delay: name of the fault that delays its answer.
-            late_share: name of the share of such commands that are carried out late.
+            late_shares: names of the shares of such commands that are carried out late; the
+                highest applies.
         """
 
         def handle(request: Request) -> Reply:
             faults = self._faults()
-            if self._random.random() < max(faults.late_share, getattr(faults, late_share)):
+            shares = [getattr(faults, name) for name in ("late_share", *late_shares)]
+            if self._random.random() < max(shares):
                 return self._postpone(carry_out, request)
             reply = carry_out(request)
             delay_ms = getattr(faults, answer_delay)
--- a/bench/standins/tests/test_fleet_worker.py
+++ b/bench/standins/tests/test_fleet_worker.py
@@ -124,6 +124,7 @@
     ("share", "answered"),
     [
         ("late_order_share", ["/hold"]),
+        ("late_stop_share", ["/run-start", "/hold"]),
         ("late_grant_share", ["/run-start", "/run-stop"]),
     ],
 )
