Let refused start commands renew all leases in the model of workers, too

The lease of a start command applies to everything that runs on the worker, also if the command is refused, so that starts keep a run alive that has to end.

--- a/camphorchute/runs/tests/model_workers.py
+++ b/camphorchute/runs/tests/model_workers.py
@@ -224,11 +224,11 @@
     def _start(self, command, fencing_token, lease_until_ms):
         worker = self._worker
         worker.check_fence(fencing_token)
+        lease_end_s = self._extend_leases(lease_until_ms)
         if any(run.task == command.task for run in worker.active()):
             raise CommandRefused(RefusalReason.OLD_RUN)
         if command.run <= worker.highest_number(command.task):
             raise CommandRefused(RefusalReason.OLD_RUN)
-        lease_end_s = self._extend_leases(lease_until_ms)
         worker.start(command.task, command.run, lease_end_s - time.monotonic())
         return self._clock_ms()
 
--- a/camphorchute/runs/tests/test_overlapping_runs.py
+++ b/camphorchute/runs/tests/test_overlapping_runs.py
@@ -49,10 +49,10 @@
     return any(run.task == TASK for run in worker.active())
 
 
-def dispatch_neighbour(scheduler, **fields):
+def dispatch_neighbour(scheduler, job="neighbour", **fields):
     """Dispatch a task of another job, which stays wanted."""
     message = start_message(start_within_ms=9000.0, finish_within_ms=9000.0, **fields)
-    message.job_id = "neighbour"
+    message.job_id = job
     scheduler.start_tasks(OWNER, message)
 
 
@@ -81,6 +81,26 @@
     assert site.overlaps() == []
 
 
+# Each start of another task renewed the lease of a run that had to end, as a start command grants
+# its lease to everything on the worker.
+def test_starts_beside_a_run_that_must_end_do_not_keep_it_alive(open_model):
+    site = open_model(workers=2, run_s=5.0)
+    worker = site.workers["w0"]
+    first = site.add_scheduler(7, worker_ids=["w0"])
+    start_on(site, first, "w0", has_neighbour=False)
+    lose_commands(worker, "stop")
+    first.stop_tasks(OWNER, StopTasks(JOB_ID))
+    for number in range(6):
+        dispatch_neighbour(first, job=f"neighbour{number}")
+        gevent.sleep(RESEND_PAUSE_S / 6)
+        for run in worker.active():
+            run.done_s = run.done_s if run.task == TASK else time.monotonic()
+    second = site.add_scheduler(8, OTHER_GROUP, ["w1"])
+    site.dispatch(second, OTHER_GROUP)
+    assert wait_until(lambda: has_run(site.workers["w1"]), 3.0)
+    assert site.overlaps() == []
+
+
 # The next scheduler adopted a neighbour, whose polls kept the run of a scheduler without a path
 # to the worker alive; that one took it as ended, and its owner started the task again.
 @pytest.mark.parametrize("has_neighbour", [False, True])
