Bar the earlier run of a task that is stopped while it waits for word of that run

A task waits for its worker to rule its earlier run out; its job ends, the task is returned, and the question is forgotten. The start command of that run, still under way, is carried out once the job is repeated.

Now the worker goes on to be asked after the task was returned, until the run is ruled out or the task starts there again; counted as runs.bar_of_stopped_task.

--- a/camphorchute/runs/group_scheduler.py
+++ b/camphorchute/runs/group_scheduler.py
@@ -348,6 +348,7 @@
         elif group is not None and task in group.backlog:
             group.backlog.remove(task)
             self._return_task(task)
+            group.bar_earlier_run(task)
         else:
             self._count("runs.stop_without_run")
             log_decision("runs", "stopped task has no run here", task=task.name, group=task.group)
--- a/camphorchute/runs/worker_group.py
+++ b/camphorchute/runs/worker_group.py
@@ -172,6 +172,19 @@
             for worker in self.workers.values()
         )
 
+    def bar_earlier_run(self, task: PendingTask) -> None:
+        """Have the worker that may have the earlier run of a stopped task rule it out.
+
+        Its start command may still be under way, and the job may be repeated meanwhile.
+
+        Args:
+            task: a task that was stopped while it was pending.
+        """
+        worker = self.workers.get(task.worker_id)
+        if task.may_run and worker is not None:
+            self._count("runs.bar_of_stopped_task")
+            worker.rule_out(EarlierRun(task.name, task.next_run - 1, worker))
+
     def take_pending(self, task: PendingTask, earlier_group: "WorkerGroup | None") -> None:
         """Move a pending task here from the group that it was dispatched to before; a run stays.
 
