Read the record of a job once for all of its completions

Callers saw: nothing yet; found by reading. A scheduler that takes a group over lists all retained completions of its workers at once, and read the store for each of them, all at the same time. More are retained since they are kept until stored.

Change: one read for all completions of a job that are checked at the same time, and at most four reads at a time.

--- a/camphorchute/durable_jobs/shard_owner.py
+++ b/camphorchute/durable_jobs/shard_owner.py
@@ -11,6 +11,7 @@
 from camphorchute.contracts.durable_job_messages import AskKeptJob, KeptJobIs, KeptJobWritten
 from camphorchute.contracts.member import Member
 from camphorchute.decision_log import log_decision
+from camphorchute.durable_jobs.durability_checks import DurabilityChecks
 from camphorchute.durable_jobs.durable_job_record import DurableJobRecord, DurableJobState, job_key
 from camphorchute.durable_jobs.end_confirmations import EndConfirmations
 from camphorchute.durable_jobs.shard import JobShard, ShardContext
@@ -60,6 +61,7 @@
         self._capacity_view = capacity_view
         self._context = context
         self._shards: dict[int, JobShard] = {}
+        self._durability_checks = DurabilityChecks(context.store, context.count)
         self.end_confirmations = EndConfirmations(member, claims, self._shards.get, context)
         self._queued_counts = context.view.track_prefix(QUEUED_COUNTS_PREFIX)
         self._published_counts: dict[str, int] = {}
@@ -84,11 +86,7 @@
 
     def is_durable(self, job_id: str) -> bool:
         """Whether the store has a record of a job; true if the store is unavailable."""
-        try:
-            return self._context.store.get(job_key(job_id)) is not None
-        except StoreUnavailable:
-            self._context.count("keeping.retry.is_kept")
-            return True
+        return self._durability_checks.is_durable(job_id)
 
     def submit(self, job: BatchJob, queue: Queue) -> None:
         """Store a job to accept it, unless an earlier request has stored it.
