--- a/bench/run_faults/faults.py
+++ b/bench/run_faults/faults.py
@@ -187,8 +187,11 @@
 
 @register_fault("late_stops", needs_long_tasks=True)
 def delay_stops(site: RunFaultsSite, rng: random.Random) -> str:
-    """Let a share of the stop commands to some workers be carried out seconds late."""
-    return _delay_on_some(site, rng, "late_stop_share")
+    """Let the stop commands to some workers be carried out seconds late.
+
+    All of them are, as a stop command is repeated until one is answered.
+    """
+    return _delay_on_some(site, rng, "late_stop_share", (1.0,))
 
 
 @register_fault("late_grants", needs_long_tasks=True)
@@ -232,12 +235,17 @@
     )
 
 
-def _delay_on_some(site: RunFaultsSite, rng: random.Random, share: str) -> str:
+def _delay_on_some(
+    site: RunFaultsSite,
+    rng: random.Random,
+    share: str,
+    choices: tuple[float, ...] = LATE_SHARES,
+) -> str:
     """Let a share of one kind of command to some workers be carried out late for a while."""
     worker_share, duration_ms = rng.choice(WORKER_SHARES), rng.uniform(1000, 6000)
     workers = [worker for worker in site.workers if rng.random() < worker_share]
     faults = {
-        share: rng.choice(LATE_SHARES),
+        share: rng.choice(choices),
         "late_min_ms": LATE_MIN_MS,
         "late_max_ms": rng.choice(LATE_MAX_MS),
         "late_outlives_restart": rng.random() < 0.5,
--- a/bench/run_faults/tests/test_late_commands.py
+++ b/bench/run_faults/tests/test_late_commands.py
@@ -13,8 +13,8 @@
         # A start command that had been given up was carried out by the next incarnation.
         pytest.param((1401, 1404, 1409), ("late_orders", "restart"), id="restart"),
         # The leases of a run that had to end were renewed for the sake of its neighbours.
-        pytest.param((312, 806, 1305), ("late_orders", "lost_path", "claim"), id="claim"),
-        pytest.param((901, 902, 903), ("late_grants", "reborn", "slow", "lag"), id="grants"),
+        pytest.param((1805, 1807, 1810), ("late_stops",), id="stops"),
+        pytest.param((806, 901, 1305), ("late_grants", "lost_path", "reborn", "claim"), id="paths"),
     ],
 )
 def test_no_task_has_two_runs_at_a_time_while_commands_are_late(seeds, faults):
