Bound the time for which late polls may keep the runs of a silent worker alive

A poll that got no answer may be carried out seconds later and renew the leases. Since one such poll within 13 s before a worker fell silent left all its runs unresolved until the worker left service discovery, some 7 s after a silent crash (found by the review; the share of workers with such a poll was not measured).

Now the time is computed: each unanswered command can renew the leases once, if it arrives before they have expired. With none the runs end after 1.9 s, with one earlier poll after about 5 s at most, and with many, when the last of them can no longer arrive.

That workers take the lease of a late poll from its arrival is not what their protocol says; it is allowed for.

--- a/camphorchute/runs/leased_worker.py
+++ b/camphorchute/runs/leased_worker.py
@@ -468,8 +468,7 @@
     def _expire_unresponsive(self) -> None:
         """End the runs of a worker that stayed unresponsive until every lease expired.
 
-        A start command without an answer may still be carried out, with a lease of its own, and an
-        earlier poll without one may have renewed the leases before they expired.
+        A start command without an answer may still be carried out, with a lease of its own.
         """
         if self.health.is_responsive or self.leases.remaining_ms() > 0:
             return
@@ -477,9 +476,8 @@
             self._count("runs.lease_over_unheard", len(self.runs))
             fields = {"worker": self.entry.worker_id, "runs": len(self.runs)}
             log_decision("runs", "worker was unresponsive until its leases expired", **fields)
-        may_be_extended = self.leases.may_be_extended_late()
         for run in list(self.runs.values()):
-            if run.state is RunState.RUNNING and not may_be_extended:
+            if run.state is RunState.RUNNING:
                 self.end_run(run, RunOutcome.LEASE_EXPIRED, EndEvidence.WORKER_SILENT)
             else:
                 self.leave_unresolved(run)
--- a/camphorchute/runs/worker_leases.py
+++ b/camphorchute/runs/worker_leases.py
@@ -85,25 +85,28 @@
         self._unanswered_s = [earlier_s for earlier_s in self._unanswered_s if earlier_s > since_s]
         self._unanswered_s.append(sent_s)
 
-    def may_be_extended_late(self) -> bool:
-        """Return whether a command without an answer may renew the leases before they expire.
+    def latest_expiry_s(self) -> float:
+        """Return by when every lease has expired, also if unanswered commands renew them late.
 
-        Those sent since the worker fell silent arrive at once or after the leases have expired.
+        Each of them can renew the leases once, if it arrives before they have expired. Those sent
+        since the worker fell silent arrive at once or too late, unless an earlier one has arrived.
 
         Examples:
             >>> leases = WorkerLeases()
             >>> leases.record_active()
             >>> leases.record_unanswered(time.monotonic())
-            >>> leases.may_be_extended_late()
-            False
+            >>> leases.latest_expiry_s() == leases.expiry_s
+            True
             >>> leases.record_unanswered(time.monotonic() - 1.5)
-            >>> leases.may_be_extended_late()
+            >>> leases.latest_expiry_s() > leases.expiry_s
             True
         """
-        since_s = time.monotonic() - LATE_ARRIVAL_MAX_S
-        return any(
-            since_s < sent_s < self.expiry_s - LATE_ARRIVAL_MIN_S for sent_s in self._unanswered_s
-        )
+        expiry_s = self.expiry_s
+        for sent_s in sorted(self._unanswered_s):
+            if sent_s + LATE_ARRIVAL_MIN_S < expiry_s:
+                arrival_s = min(sent_s + LATE_ARRIVAL_MAX_S, expiry_s)
+                expiry_s = max(expiry_s, arrival_s + LONGEST_LEASE_MS / MS_PER_S)
+        return expiry_s
 
     def remaining_ms(self) -> float:
         """Return the time until the runs of a worker that does not answer have ended.
@@ -111,7 +114,7 @@
         Another scheduler may reach the worker meanwhile. It renews the lease of a run that no owner
         asks it for during :data:`ORPHAN_GRACE_MS`, and each time for :data:`ORPHAN_LEASE_MS` only.
         """
-        expiry_ms = (self.expiry_s - time.monotonic()) * MS_PER_S
+        expiry_ms = (self.latest_expiry_s() - time.monotonic()) * MS_PER_S
         return max(0.0, expiry_ms + OTHER_SCHEDULER_MS)
 
     def _worker_now_ms(self) -> float:
