--- a/camphorchute/runs/leased_worker.py
+++ b/camphorchute/runs/leased_worker.py
@@ -409,7 +409,7 @@
     def _unwanted_orphans(self) -> list[tuple[str, int]]:
         """Return task and number of the orphaned runs that must end.
 
-        That are those that no owner has asked for in time, and those that were given up.
+        No owner has asked for them in time, or they were given up before their late start.
         """
         now_s = time.monotonic()
         return [
--- a/camphorchute/runs/stopped_runs.py
+++ b/camphorchute/runs/stopped_runs.py
@@ -3,9 +3,9 @@
 import time
 from collections import OrderedDict
 
-__all__ = ["StoppedRuns"]
+from camphorchute.runs.late_commands import LATE_ARRIVAL_MAX_S
 
-LATE_ARRIVAL_MAX_S = 13.0  # a command without an answer may be carried out that much later
+__all__ = ["StoppedRuns"]
 
 
 class StoppedRuns:
--- a/camphorchute/runs/unanswered_starts.py
+++ b/camphorchute/runs/unanswered_starts.py
@@ -5,13 +5,13 @@
 import time
 from typing import TYPE_CHECKING
 
+from camphorchute.runs.late_commands import LATE_ARRIVAL_MAX_S
+
 if TYPE_CHECKING:
     from camphorchute.runs.run import Run
 
 __all__ = ["UnansweredStart", "UnansweredStarts"]
 
-LATE_ARRIVAL_MAX_S = 13.0  # a command without an answer may be carried out that much later
-
 
 class UnansweredStart:
     """A start command without an answer.
--- a/camphorchute/runs/worker_leases.py
+++ b/camphorchute/runs/worker_leases.py
@@ -4,6 +4,8 @@
 
 import time
 
+from camphorchute.runs.late_commands import LATE_ARRIVAL_MAX_S, LATE_ARRIVAL_MIN_S
+
 __all__ = [
     "LONGEST_LEASE_MS",
     "ORPHAN_GRACE_MS",
@@ -20,8 +22,6 @@
 ORPHAN_LEASE_MS = 400.0
 # For which another scheduler may keep a run alive that no owner asks it for.
 OTHER_SCHEDULER_MS = ORPHAN_GRACE_MS + ORPHAN_LEASE_MS * (1 + CLOCK_DRIFT_RATIO) + LEASE_MARGIN_MS
-LATE_ARRIVAL_MIN_S = 2.0  # a command without an answer is carried out at once or that much later
-LATE_ARRIVAL_MAX_S = 13.0
 MS_PER_S = 1000.0
 
 
