Report no worker as known to a recovering shard after its incarnation has gone

What callers saw: nothing yet; found by the review, by reading. A worker whose next incarnation has answered counted as known with the lists of the one before, so that the new owner of a shard took tasks as not started which the next one may run.

--- a/camphorchute/runs/durable_tasks.py
+++ b/camphorchute/runs/durable_tasks.py
@@ -78,7 +78,7 @@
             ]
             for worker in group.workers.values():
                 report.tasks += _tasks_of_worker(worker, group.name)
-                if worker.synced and worker.lists_all_completions:
+                if _are_all_runs_known(worker):
                     report.workers.append(worker.entry.worker_id)
         report.tasks += [
             ReportedTask(task, group, place.run, place.worker_id, TaskResultKind.WORKER_LOST, place)
@@ -99,6 +99,11 @@
                     worker.request_poll()
 
 
+def _are_all_runs_known(worker: LeasedWorker) -> bool:
+    """Return whether the present incarnation of a worker has listed all that it has to list."""
+    return worker.synced and not worker.has_ended and worker.lists_all_completions
+
+
 def _tasks_of_worker(worker: LeasedWorker, group: str) -> list[ReportedTask]:
     """Return the tasks with an active run or an unacknowledged completion on a worker."""
     worker_id = worker.entry.worker_id
--- a/camphorchute/runs/tests/test_durable_tasks.py
+++ b/camphorchute/runs/tests/test_durable_tasks.py
@@ -203,3 +203,14 @@
         scheduler.drop_owner(OWNER.member_id)
     site.fleet.workers[0].faults.hang = True
     assert wait_until(lambda: (f"{JOB_ID}.0.0.0", 1, LOST) in reported_tasks(scheduler), 4.0)
+
+
+# An incarnation had listed its runs and then gone; a start command may have reached the next one.
+def test_worker_whose_next_incarnation_is_not_listed_yet_is_not_reported_as_known(open_model):
+    model = open_model(workers=2)
+    scheduler = model.add_scheduler(7)
+    assert wait_until(lambda: set(request_report(scheduler).workers) == {"w0", "w1"})
+    model.workers["w1"].restart()
+    scheduler.group(GROUP).workers["w1"].request_poll()
+    assert wait_until(lambda: scheduler.group(GROUP).workers["w1"].has_ended)
+    assert request_report(scheduler).workers == ["w0"]
