Start durable tasks without waiting for workers that cannot have a run of them

Cause: a new owner of a shard dispatched no job of the shard before every listed worker had listed its runs, whichever jobs it could have runs of.

The first owner of a shard now asks nobody. A task waits for the workers of its service only, and one that is reported does not wait for the others. A scheduler reports a worker that has been silent for 15.9 s as known, as the leases of earlier schedulers are over by then even if commands arrive 13 s late. The same condition held up tasks handed to the next scheduler of a group; it has the same end now.

The four tests of silent workers and two of the three new ones of the shard fail with the earlier conditions put back (a trial on a scratch copy). The third passes there too, as it checks a reported task beside an unknown one. test_completion_reported_twice... made one of two tasks unknown and relied on the wait of the whole job; it makes both unknown now and checks the same. test_shard_claims compares what is known of the previous owner, where it compared whether it had released the shard.

--- a/camphorchute/cluster/cluster_view.py
+++ b/camphorchute/cluster/cluster_view.py
@@ -199,6 +199,10 @@
         """Return the zones in which a worker of a service is listed."""
         return self._worker_groups.zones_of(service)
 
+    def worker_ids_of(self, service: str) -> Collection[str]:
+        """Return the ids of the listed workers of a service."""
+        return self._worker_groups.ids_of(service)
+
     def groups(self) -> dict[str, dict[str, WorkerEntry]]:
         """Return the workers of each worker group, by group name and worker id."""
         return dict(self._worker_groups.by_name)
--- a/camphorchute/cluster/worker_groups.py
+++ b/camphorchute/cluster/worker_groups.py
@@ -50,6 +50,15 @@
         """
         return self._zones.get(service, ())
 
+    def ids_of(self, service: str) -> list[str]:
+        """Return the ids of the listed workers of a service.
+
+        Args:
+            service: name of the service.
+        """
+        zones = self._zones.get(service, ())
+        return [name for zone in zones for name in self._entries_by_pool[zone, service]]
+
     def set_worker(self, entry: WorkerEntry) -> None:
         """Add a worker or replace its entry."""
         pool = (entry.zone, entry.service)
--- a/camphorchute/durable_jobs/durable_job_run.py
+++ b/camphorchute/durable_jobs/durable_job_run.py
@@ -51,14 +51,15 @@
         term: the shard owner's term.
         is_owner: returns whether this process certainly still owns the shard.
         schedule_save: called when the record has changed and must be stored.
-        schedule_task_query: called when all schedulers must be queried for unknown tasks.
+        schedule_task_query: called with a task that has become unknown, for which all schedulers
+            must be queried.
 
     Attributes:
         record: the job with its progress.
         revision: revision of the record as it was last read or written.
         unsaved_completions: completions in the record that are not stored yet.
         has_unsaved_changes: whether the record has other changes that are not stored yet.
-        is_recovered: whether all tasks that earlier owners started are known.
+        is_recovered: whether tasks may be dispatched; those in state ``UNKNOWN`` are not.
         is_saving: whether a write is in progress or scheduled.
         outcome_known: set when the job has an outcome that must be stored.
     """
@@ -84,7 +85,7 @@
         term: ShardTerm,
         is_owner: Callable[[], bool],
         schedule_save: Callable[["DurableJobRun"], None],
-        schedule_task_query: Callable[[], None],
+        schedule_task_query: Callable[[TaskProgress], None],
     ) -> None:
         super().__init__(record.job, record.as_queue(), NO_DEADLINE_S)
         self.record = record
@@ -119,8 +120,20 @@
         """Return the tasks for which the schedulers must be queried."""
         return self._tasks_in(TaskState.UNKNOWN)
 
+    def has_known_tasks(self) -> bool:
+        """Whether it is known of any task whether it may be running."""
+        return any(task.state is not TaskState.UNKNOWN for step in self.steps for task in step)
+
+    def mark_unreported(self, task: TaskProgress) -> None:
+        """Make an unknown task pending again, since no worker has a run of it.
+
+        Args:
+            task: the task.
+        """
+        task.state = TaskState.WAITING
+
     def mark_recovered(self) -> None:
-        """Record that every task that may be running is known, so tasks may be dispatched."""
+        """Record that the known tasks may be dispatched."""
         self.is_recovered = True
         self.changed.set()
 
@@ -278,7 +291,7 @@
 
     def _query_task(self, task: TaskProgress) -> None:
         task.state = TaskState.UNKNOWN
-        self._schedule_task_query()
+        self._schedule_task_query(task)
 
     def _add_stored_lost_runs(self, name: str, places: list[RunPlace]) -> list[RunPlace]:
         """Add the lost runs of a task that a stored record has, and return the new ones."""
--- /dev/null
+++ b/camphorchute/durable_jobs/run_search.py
@@ -0,0 +1,179 @@
+"""Run search: asks the schedulers which unknown tasks of a shard may be running."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable
+from typing import TYPE_CHECKING
+
+import gevent
+from eliot import log_message
+
+from camphorchute.contracts import Refusal
+from camphorchute.contracts.durable_job_messages import AskKeptTasks, ReportedTask
+from camphorchute.contracts.member import Member
+from camphorchute.contracts.run_messages import ShardTerm
+from camphorchute.durable_jobs.durable_job_run import DurableJobRun
+from camphorchute.links import LinkLost
+from camphorchute.queues import TaskProgress, TaskState
+
+if TYPE_CHECKING:
+    from camphorchute.durable_jobs.shard import ShardContext
+
+__all__ = ["RunSearch"]
+
+QUERY_TIMEOUT_MS = 500.0
+RETRY_MS = 100.0
+LOGGED_WORKERS_MAX = 5
+MS_PER_S = 1000.0
+
+
+class RunSearch:
+    """Asks all schedulers, in rounds, for the runs of the unknown tasks of a shard.
+
+    A run of a task can only be on a worker of the task's service. A task that no scheduler reports
+    becomes pending as soon as the runs of every listed worker of its service have been reported in
+    a round that began after the task had become unknown. Tasks of other services do not wait for
+    these workers.
+
+    Args:
+        term: term of the shard owner.
+        context: the collaborators that all shards share.
+        open_runs: returns the open jobs of the shard.
+        apply_report: applies what a scheduler reports of one run.
+        after_round: called after each round.
+    """
+
+    __slots__ = (
+        "_term",
+        "_context",
+        "_open_runs",
+        "_apply_report",
+        "_after_round",
+        "_is_running",
+        "_is_closed",
+        "_round",
+        "_last_report_round",
+        "_first_round",
+        "_missing_workers",
+    )
+
+    def __init__(
+        self,
+        term: ShardTerm,
+        context: ShardContext,
+        open_runs: Callable[[], Iterable[DurableJobRun]],
+        apply_report: Callable[[Member, ReportedTask], None],
+        after_round: Callable[[], None],
+    ) -> None:
+        self._term = term
+        self._context = context
+        self._open_runs = open_runs
+        self._apply_report = apply_report
+        self._after_round = after_round
+        self._is_running = False
+        self._is_closed = False
+        self._round = 0
+        self._last_report_round: dict[str, int] = {}
+        self._first_round: dict[TaskProgress, int] = {}
+        self._missing_workers: set[str] = set()
+
+    def close(self) -> None:
+        """Ask no more; tasks that are unknown stay so."""
+        self._is_closed = True
+
+    def restart_for(self, task: TaskProgress) -> None:
+        """Search the run of a task that has become unknown now.
+
+        Args:
+            task: the task; what was reported before does not count.
+        """
+        self._first_round.pop(task, None)
+        self.start()
+
+    def start(self) -> None:
+        """Start asking, unless that is under way, until no task of the shard is unknown."""
+        if not self._is_running:
+            self._is_running = True
+            gevent.spawn(self._search_until_known)
+
+    def _search_until_known(self) -> None:
+        try:
+            while not self._is_closed and self.run_round():
+                self._context.count("keeping.retry.find_tasks")
+                gevent.sleep(RETRY_MS / MS_PER_S)
+        finally:
+            self._is_running = False
+
+    def run_round(self) -> bool:
+        """Ask all schedulers once; return whether tasks are still unknown after that."""
+        unknown = self._unknown_tasks()
+        if not unknown:
+            return False
+        self._round += 1
+        number = self._round
+        self._first_round = {task: self._first_round.get(task, number) for _, task in unknown}
+        self._query_all_schedulers(number)
+        missing: set[str] = set()
+        for run, task in unknown:
+            if task.state is TaskState.UNKNOWN and not self._is_closed:
+                unreported = self._unreported_workers(run.queue.service, self._first_round[task])
+                missing |= unreported
+                if not unreported and self._context.view.workers:
+                    run.mark_unreported(task)
+            if task.state is not TaskState.UNKNOWN:
+                self._first_round.pop(task, None)
+            run.changed.set()
+        self._log_missing(missing)
+        self._after_round()
+        return bool(self._unknown_tasks())
+
+    def _unknown_tasks(self) -> list[tuple[DurableJobRun, TaskProgress]]:
+        return [(run, task) for run in self._open_runs() for task in run.unknown_tasks()]
+
+    def _unreported_workers(self, service: str, first_round: int) -> set[str]:
+        """Return the workers of a service whose runs were not reported in or after a round."""
+        return {
+            worker_id
+            for worker_id in self._context.view.worker_ids_of(service)
+            if self._last_report_round.get(worker_id, 0) < first_round
+        }
+
+    def _log_missing(self, missing: set[str]) -> None:
+        """Count the rounds in which tasks wait for workers, and log which ones if they change."""
+        if missing:
+            self._context.count("keeping.wait.worker_unreported")
+        if missing and missing != self._missing_workers:
+            log_message(
+                message_type="keeping",
+                text="keeping: tasks wait for the runs of workers to be reported",
+                shard=self._term.shard,
+                number=len(missing),
+                workers=sorted(missing)[:LOGGED_WORKERS_MAX],
+            )
+        self._missing_workers = missing
+
+    def _query_all_schedulers(self, number: int) -> None:
+        """Query all schedulers, and note of which workers they report every run.
+
+        Args:
+            number: number of the round.
+        """
+        view = self._context.view
+        schedulers = [view.scheduler_of(group) for group in view.group_names()]
+        members = {member.member_id: member for member in schedulers if member is not None}
+        queries = [gevent.spawn(self._query_scheduler, member) for member in members.values()]
+        for query in gevent.joinall(queries):
+            for worker_id in query.value or ():
+                self._last_report_round[worker_id] = number
+
+    def _query_scheduler(self, scheduler: Member) -> list[str]:
+        """Apply the tasks a scheduler reports; return the workers of which it knows every run."""
+        message = AskKeptTasks(self._term.shard, self._term.number)
+        try:
+            reply = self._context.peers.request(scheduler, message, QUERY_TIMEOUT_MS)
+        except (LinkLost, Refusal):
+            self._context.count("keeping.retry.ask_home")
+            return []
+        for reported in reply.tasks:
+            self._apply_report(scheduler, reported)
+        return reply.workers
--- a/camphorchute/durable_jobs/shard.py
+++ b/camphorchute/durable_jobs/shard.py
@@ -7,9 +7,7 @@
 from eliot import log_message
 
 from camphorchute.cluster import ClusterView, MembershipLease, StoreFollower
-from camphorchute.contracts import Refusal
 from camphorchute.contracts.durable_job_messages import (
-    AskKeptTasks,
     EndsSaved,
     ReportedTask,
     SavedCompletion,
@@ -25,18 +23,19 @@
 )
 from camphorchute.durable_jobs.durable_job_run import DurableJobRun, UnsavedCompletion
 from camphorchute.durable_jobs.job_writer import JobWriter
+from camphorchute.durable_jobs.run_search import RunSearch
+from camphorchute.durable_jobs.shard_claims import PreviousOwner
 from camphorchute.hosting import Store, StoredValue, StoreUnavailable, SwapConflict, SwapUnknown
-from camphorchute.links import LinkLost, Peers
+from camphorchute.links import Peers
 from camphorchute.loops import spawn_loop, wait_for_event
 from camphorchute.queues import QueueOwner, TaskState
+from camphorchute.queues.lost_runs import LostRuns
 from camphorchute.runs import job_of
 
 __all__ = ["JobShard", "ShardContext"]
 
 PREVIOUS_OWNER_EXPIRY_MS = 2500.0
-QUERY_TIMEOUT_MS = 500.0
 LOADED_CHECK_INTERVAL_MS = 10.0
-RECOVERY_RETRY_MS = 100.0
 SAVE_RETRY_MS = 200.0
 SAVE_BATCHING_MS = 150.0
 ENDED_JOB_RETENTION_MS = 150_000.0
@@ -94,31 +93,43 @@
 class JobShard:
     """Runs the jobs of a shard for as long as this process owns the shard.
 
-    A new owner recovers the shard before it dispatches tasks. It waits until the previous owner
-    can no longer act, reads the jobs from the store and asks every scheduler which of their tasks
-    may be running.
+    A new owner waits until the previous owner can no longer act, reads the jobs from the store and
+    asks every scheduler which of their tasks may be running. Each task is dispatched as soon as no
+    earlier run of it can be active; those of a shard that never had an owner have none.
 
     Args:
         number: number of the shard.
         term: term of the ownership, which is the revision of the claim.
         lease_id: lease that the claim is bound to.
-        was_released: whether the previous owner released its claim, so that it cannot act.
+        previous_owner: what is known of the owner before this one.
         context: the collaborators that all shards share.
     """
 
     def __init__(
-        self, number: int, term: int, lease_id: int, was_released: bool, context: ShardContext
+        self,
+        number: int,
+        term: int,
+        lease_id: int,
+        previous_owner: PreviousOwner,
+        context: ShardContext,
     ) -> None:
         self._number = number
         self._term = ShardTerm(number, term)
         self._lease_id = lease_id
-        self._was_released = was_released
+        self._previous_owner = previous_owner
         self._context = context
         self._runs: dict[str, DurableJobRun] = {}
         self._ended_jobs: dict[str, _EndedJob] = {}
         self._loaded = False
         self._closed = False
-        self._is_query_running = False
+        self._search = RunSearch(
+            self._term,
+            context,
+            self._runs.values,
+            self._apply_reported_task,
+            self._mark_recovered,
+        )
+        self._known_lost_runs: dict[str, list[tuple[LostRuns, int]]] = {}
         self._follower = StoreFollower(
             context.store,
             shard_key_prefix(number),
@@ -139,6 +150,7 @@
     def close(self) -> None:
         """Stop dispatching tasks; those that run continue under the next owner."""
         self._closed = True
+        self._search.close()
         self._follower.close()
         gevent.killall(self._greenlets, block=False)
         for run in self._runs.values():
@@ -212,10 +224,10 @@
             self._term,
             self._is_owner,
             self._schedule_save,
-            self._schedule_task_query,
+            self._search.restart_for,
         )
         self._runs[job_id] = run
-        if self._loaded:
+        if self._loaded or self._previous_owner is PreviousOwner.NONE:
             run.mark_recovered()
         else:
             run.mark_waiting_tasks_unknown()
@@ -259,18 +271,16 @@
         run.changed.set()
 
     def _recover(self) -> None:
-        if not self._was_released:
+        if self._previous_owner is PreviousOwner.LOST:
             gevent.sleep(PREVIOUS_OWNER_EXPIRY_MS / MS_PER_S)
         self._follower.start()
         while not self._loaded:
             gevent.sleep(LOADED_CHECK_INTERVAL_MS / MS_PER_S)
         self._write_term_to_records()
-        known_counts = {name: run.lost_run_counts() for name, run in self._runs.items()}
-        self._query_unknown_tasks()
-        for name, run in list(self._runs.items()):
-            if not run.is_recovered:
-                run.record_unaccounted_runs(known_counts.get(name, []))
-                run.mark_recovered()
+        self._known_lost_runs = {name: run.lost_run_counts() for name, run in self._runs.items()}
+        if self._search.run_round():
+            self._search.start()
+        self._mark_recovered()
         open_jobs = len(self._runs)
         log_message(
             message_type="keeping",
@@ -280,6 +290,18 @@
             open_jobs=open_jobs,
         )
 
+    def _mark_recovered(self) -> None:
+        """Let the jobs be dispatched of which a task is known; unknown tasks do not start.
+
+        A process that knows no worker has not read them yet, and has asked nobody.
+        """
+        if not self._context.view.workers:
+            return
+        for name, run in list(self._runs.items()):
+            if not run.is_recovered and run.has_known_tasks():
+                run.record_unaccounted_runs(self._known_lost_runs.get(name, []))
+                run.mark_recovered()
+
     def _write_term_to_records(self) -> None:
         """Write the term into every open record, so that late writes of earlier owners fail.
 
@@ -295,33 +317,6 @@
             if run.record.state is not DurableJobState.OPEN or self._try_store_record(run):
                 return
 
-    def _schedule_task_query(self) -> None:
-        """Start a query of all schedulers for the unknown tasks unless one is in progress."""
-        if not self._is_query_running:
-            self._is_query_running = True
-            gevent.spawn(self._query_until_known)
-
-    def _query_until_known(self) -> None:
-        try:
-            while not self._closed and self._query_unknown_tasks():
-                continue
-        finally:
-            self._is_query_running = False
-
-    def _query_unknown_tasks(self) -> bool:
-        """Query all schedulers for the unknown tasks; return whether there were any.
-
-        Tasks that no scheduler reports have not been started and become pending again.
-        """
-        unknown = [(run, task) for run in self._runs.values() for task in run.unknown_tasks()]
-        if unknown:
-            self._query_all_schedulers()
-        for run, task in unknown:
-            if task.state is TaskState.UNKNOWN and not self._closed:
-                task.state = TaskState.WAITING
-            run.changed.set()
-        return bool(unknown)
-
     def confirm_end(self, scheduler: Member, reported: ReportedTask) -> bool | None:
         """Return whether the end of a run is saved, None if the shard does not know the job.
 
@@ -347,37 +342,6 @@
         run.changed.set()
         return False
 
-    def _query_all_schedulers(self) -> None:
-        """Query all schedulers until each worker's runs have been reported.
-
-        A process that knows no worker has not read them yet, so it waits for them.
-        """
-        view = self._context.view
-        reported_workers: set[str] = set()
-        is_complete = False
-        while not (is_complete or self._closed):
-            schedulers = [view.scheduler_of(group) for group in view.group_names()]
-            members = {member.member_id: member for member in schedulers if member is not None}
-            queries = [gevent.spawn(self._query_scheduler, member) for member in members.values()]
-            for query in gevent.joinall(queries):
-                reported_workers.update(query.value or ())
-            is_complete = bool(view.workers) and reported_workers.issuperset(view.workers)
-            if not is_complete:
-                self._context.count("keeping.retry.find_tasks")
-                gevent.sleep(RECOVERY_RETRY_MS / MS_PER_S)
-
-    def _query_scheduler(self, scheduler: Member) -> list[str]:
-        """Apply the tasks a scheduler reports; return the workers of which it knows every run."""
-        message = AskKeptTasks(self._term.shard, self._term.number)
-        try:
-            reply = self._context.peers.request(scheduler, message, QUERY_TIMEOUT_MS)
-        except (LinkLost, Refusal):
-            self._context.count("keeping.retry.ask_home")
-            return []
-        for reported in reply.tasks:
-            self._apply_reported_task(scheduler, reported)
-        return reply.workers
-
     def _apply_reported_task(self, scheduler: Member, reported: ReportedTask) -> None:
         """Update a task from a scheduler's report of one of its runs."""
         job_id, _, step, index = reported.task.split(".")
--- a/camphorchute/durable_jobs/shard_claims.py
+++ b/camphorchute/durable_jobs/shard_claims.py
@@ -2,6 +2,7 @@
 
 import time
 from collections.abc import Callable
+from enum import Enum
 
 import gevent
 import xxhash
@@ -14,7 +15,7 @@
 from camphorchute.loops import spawn_loop, until_next_tick_s
 from camphorchute.runs import SHARD_COUNT
 
-__all__ = ["SHARD_OWNER_KEY_PREFIX", "ShardClaims"]
+__all__ = ["SHARD_OWNER_KEY_PREFIX", "PreviousOwner", "ShardClaims"]
 
 SHARD_OWNER_KEY_PREFIX = OWN_PREFIX + "keepers/"
 CHECK_INTERVAL_MS = 100.0
@@ -28,6 +29,14 @@
 STORE_USER = "shard claims"
 
 
+class PreviousOwner(Enum):
+    """What a new owner of a shard knows of the owner before it."""
+
+    NONE = "the shard never had one"
+    RELEASED = "it has released its claim, so it cannot act any more"
+    LOST = "its claim has ended, and it may not know that yet"
+
+
 class ShardClaims:
     """Claims shards without an owner, and hands shards over to their preferred members.
 
@@ -46,7 +55,7 @@
 
     Attributes:
         on_acquired: called with the shard, the term, the id of the lease that the claim is bound
-            to, and whether the previous owner released the shard.
+            to, and what is known of the previous owner.
         on_lost: called with a shard that this process no longer owns.
         can_act_in_time: returns whether this process can act in time; one that cannot hands its
             shards over.
@@ -61,7 +70,7 @@
         member: Member,
         count: Callable[..., None],
     ) -> None:
-        self.on_acquired: Callable[[int, int, int, bool], None] = lambda *claim: None
+        self.on_acquired: Callable[[int, int, int, PreviousOwner], None] = lambda *claim: None
         self.on_lost: Callable[[int], None] = lambda shard: None
         self.can_act_in_time: Callable[[], bool] = lambda: True
         self.markers = ShardMarkers(store, view, count)
@@ -132,7 +141,7 @@
         if shard in self._terms:
             self._check_own_claim(shard, current, holder_id)
         elif holder_id == self._member.member_id and current.lease_id == self._lease.lease_id:
-            self._open_claimed(shard, current, False)
+            self._open_claimed(shard, current, PreviousOwner.LOST)
         elif holder_id in self._view.members:
             self._vacant_since_s.pop(shard, None)
         else:
@@ -144,7 +153,7 @@
             self._drop_claim(shard)
         elif current.mod_revision > self._terms[shard]:
             self._drop_claim(shard)
-            self._acquire(shard, current, False)
+            self._acquire(shard, current, PreviousOwner.LOST)
         elif self._should_release(shard):
             self._last_release_s[shard] = time.monotonic()
             self._release_claim(shard)
@@ -195,15 +204,17 @@
             self._store.outage.record_answer(STORE_USER)
             claim = StoredValue(_claim_key(shard), value, term, lease_id)
             self._claims[claim.key] = claim
-            self._open_claimed(shard, claim, current is not None and current.value == b"")
+            is_released = current is not None and current.value == b""
+            previous = PreviousOwner.RELEASED if is_released else PreviousOwner.LOST
+            self._open_claimed(shard, claim, previous)
 
-    def _open_claimed(self, shard: int, claim: StoredValue, was_released: bool) -> None:
+    def _open_claimed(self, shard: int, claim: StoredValue, previous: PreviousOwner) -> None:
         """Acquire a claimed shard once its marker says that it has been owned.
 
         Args:
             shard: the shard.
             claim: the claim of this process.
-            was_released: whether the previous owner released its claim.
+            previous: what its claim shows of the previous owner.
         """
         try:
             is_first_owner = self.markers.confirm_owned(shard)
@@ -211,7 +222,7 @@
             self._count("keeping.retry.mark_owned")
             self._store.outage.record_failure(STORE_USER, str(error))
             return
-        self._acquire(shard, claim, was_released or is_first_owner)
+        self._acquire(shard, claim, PreviousOwner.NONE if is_first_owner else previous)
 
     def _release_claim(self, shard: int) -> bool:
         """Release a shard; return whether the store answered.
@@ -229,13 +240,13 @@
             self._count("keeping.release_late")
         return True
 
-    def _acquire(self, shard: int, claim: StoredValue, was_released: bool) -> None:
+    def _acquire(self, shard: int, claim: StoredValue, previous: PreviousOwner) -> None:
         self._terms[shard] = claim.mod_revision
         self._lease_ids[shard] = claim.lease_id
         self._vacant_since_s.pop(shard, None)
         self._misplaced_since_s.pop(shard, None)
         self._count("keeping.shard_taken")
-        self.on_acquired(shard, claim.mod_revision, claim.lease_id, was_released)
+        self.on_acquired(shard, claim.mod_revision, claim.lease_id, previous)
 
     def _drop_claim(self, shard: int) -> None:
         del self._terms[shard]
--- a/camphorchute/durable_jobs/shard_owner.py
+++ b/camphorchute/durable_jobs/shard_owner.py
@@ -15,7 +15,7 @@
 from camphorchute.durable_jobs.durable_job_record import DurableJobRecord, DurableJobState, job_key
 from camphorchute.durable_jobs.end_confirmations import EndConfirmations
 from camphorchute.durable_jobs.shard import JobShard, ShardContext
-from camphorchute.durable_jobs.shard_claims import ShardClaims
+from camphorchute.durable_jobs.shard_claims import PreviousOwner, ShardClaims
 from camphorchute.hosting import Queue, StoredValue, StoreUnavailable, SwapConflict, SwapUnknown
 from camphorchute.links import LinkLost, handles
 from camphorchute.loops import spawn_loop
@@ -189,8 +189,10 @@
         if owner is None or not self._context.peers.send_or_open(owner, message):
             self._context.count("keeping.write_untold")
 
-    def _open_shard(self, shard: int, term: int, lease_id: int, was_released: bool) -> None:
-        self._shards[shard] = JobShard(shard, term, lease_id, was_released, self._context)
+    def _open_shard(
+        self, shard: int, term: int, lease_id: int, previous_owner: PreviousOwner
+    ) -> None:
+        self._shards[shard] = JobShard(shard, term, lease_id, previous_owner, self._context)
         self._shards[shard].start()
 
     def _close_shard(self, shard: int) -> None:
--- a/camphorchute/durable_jobs/tests/fakes.py
+++ b/camphorchute/durable_jobs/tests/fakes.py
@@ -134,6 +134,7 @@
     """A cluster view of one worker group with one scheduler and two workers.
 
     Attributes:
+        workers: the workers by id; the value is the name of a service if the worker has only that.
         has_claim_only: whether the view knows the claim on the group, but no worker in it.
     """
 
@@ -149,5 +150,8 @@
     def group_names(self):
         return ["north/flags/0"]
 
+    def worker_ids_of(self, service):
+        return [name for name, other in self.workers.items() if other in (None, service)]
+
     def scheduler_of(self, group):
         return self.scheduler
--- a/camphorchute/durable_jobs/tests/test_retained_ends.py
+++ b/camphorchute/durable_jobs/tests/test_retained_ends.py
@@ -10,6 +10,7 @@
 from camphorchute.durable_jobs import shard as shard_module
 from camphorchute.durable_jobs.end_confirmations import EndConfirmations, is_end_stored
 from camphorchute.durable_jobs.shard import ShardContext
+from camphorchute.durable_jobs.shard_claims import PreviousOwner
 from camphorchute.durable_jobs.tests.fakes import FakePeers, FakeView
 from camphorchute.durable_jobs.tests.test_shard import JOB_ID, SHARD, TERM, Site, make_record
 from camphorchute.hosting import StoredValue, StoreUnavailable
@@ -154,7 +155,10 @@
 def test_shard_that_is_not_loaded_or_not_owned_confirms_nothing(site, cause, monkeypatch):
     monkeypatch.setattr(shard_module, "PREVIOUS_OWNER_EXPIRY_MS", 5000.0)
     site.put(make_record(done=[[0]]))
-    shard = site.start_shard(was_released=cause != "not loaded")
+    is_loaded = cause != "not loaded"
+    shard = site.start_shard(
+        previous_owner=PreviousOwner.RELEASED if is_loaded else PreviousOwner.LOST
+    )
     if cause != "not loaded":
         assert wait_until(lambda: shard.confirm_end(FakeView.scheduler, reported_end()))
     if cause == "lease":
--- a/camphorchute/durable_jobs/tests/test_shard.py
+++ b/camphorchute/durable_jobs/tests/test_shard.py
@@ -8,6 +8,7 @@
 from camphorchute.durable_jobs import DurableJobRecord, DurableJobState, JobWriter, job_key
 from camphorchute.durable_jobs import shard as shard_module
 from camphorchute.durable_jobs.shard import JobShard, ShardContext
+from camphorchute.durable_jobs.shard_claims import PreviousOwner
 from camphorchute.durable_jobs.tests.fakes import (
     FakeLease,
     FakePeers,
@@ -54,7 +55,7 @@
     def count(self, name, n=1):
         self.counts[name] = self.counts.get(name, 0) + n
 
-    def start_shard(self, term=TERM, was_released=True):
+    def start_shard(self, term=TERM, previous_owner=PreviousOwner.RELEASED):
         context = ShardContext(
             self.store,
             self.writer,
@@ -64,7 +65,7 @@
             self.peers,
             self.count,
         )
-        shard = JobShard(SHARD, term, self.lease.lease_id, was_released, context)
+        shard = JobShard(SHARD, term, self.lease.lease_id, previous_owner, context)
         self.shards.append(shard)
         shard.start()
         return shard
@@ -135,6 +136,34 @@
     assert wait_until(lambda: recovered(site))
 
 
+# A worker of another service answered nobody, and no accepted job was started.
+def test_tasks_do_not_wait_for_workers_of_other_services(site):
+    site.view.workers["mail-1"] = "mailer"
+    site.put(make_record())
+    site.start_shard()
+    assert wait_until(lambda: recovered(site), 1.0)
+    assert task_states(site) == [TaskState.WAITING] * 2
+
+
+# The first job of a shard waited for a listed worker that answered nobody, and was never started.
+def test_jobs_of_a_shard_that_never_had_an_owner_wait_for_no_worker(site):
+    site.peers.reply = KeptTasksAre([], [])
+    site.put(make_record())
+    site.start_shard(previous_owner=PreviousOwner.NONE)
+    assert wait_until(lambda: recovered(site), 1.0)
+    assert task_states(site) == [TaskState.WAITING] * 2
+
+
+# Tasks that were reported waited, like all jobs of the shard, for a worker that answered nobody.
+def test_reported_task_does_not_wait_for_the_runs_of_the_others(site):
+    site.peers.reply = KeptTasksAre(["w1"], [reported_task(0)])
+    site.put(make_record())
+    site.start_shard()
+    assert wait_until(lambda: recovered(site), 1.0)
+    assert task_states(site) == [TaskState.MAY_RUN, TaskState.UNKNOWN]
+    assert site.counts["keeping.wait.worker_unreported"] >= 1
+
+
 # A process that had just started claimed a shard before it knew the workers, and asked nobody.
 def test_nothing_is_dispatched_before_the_workers_are_known(site):
     site.view.workers = {}
@@ -160,7 +189,7 @@
 def test_next_owner_waits_unless_the_previous_one_released_the_shard(site, monkeypatch):
     monkeypatch.setattr(shard_module, "PREVIOUS_OWNER_EXPIRY_MS", 400.0)
     site.put(make_record())
-    site.start_shard(was_released=False)
+    site.start_shard(previous_owner=PreviousOwner.LOST)
     assert not wait_until(lambda: JOB_ID in site.queue_owner.runs, 0.25)
     assert wait_until(lambda: recovered(site))
 
@@ -330,7 +359,8 @@
     assert wait_until(lambda: recovered(site))
     site.store.errors_to_raise = [StoreUnavailable("down")] * 3
     site.peers.reply = KeptTasksAre(["w1"], [reported_task(0, TaskResultKind.DONE)])
-    site.job_run().record_not_found(site.job_run().steps[0][0], NOT_FOUND)
+    for task in site.job_run().steps[0]:
+        site.job_run().record_not_found(task, NOT_FOUND)
     gevent.sleep(0.35)
     assert site.counts["keeping.retry.find_tasks"] >= 2
     assert site.saved_tasks() == []
--- a/camphorchute/durable_jobs/tests/test_shard_claims.py
+++ b/camphorchute/durable_jobs/tests/test_shard_claims.py
@@ -8,7 +8,7 @@
 from camphorchute.contracts.member import Member
 from camphorchute.durable_jobs import ShardClaims
 from camphorchute.durable_jobs import shard_claims as claims_module
-from camphorchute.durable_jobs.shard_claims import SHARD_OWNER_KEY_PREFIX
+from camphorchute.durable_jobs.shard_claims import SHARD_OWNER_KEY_PREFIX, PreviousOwner
 from camphorchute.durable_jobs.shard_markers import (
     NEVER_OWNED,
     SHARD_MARKER_KEY_PREFIX,
@@ -31,7 +31,7 @@
         self.lease = MembershipLease(platform.store, self.member, self.count)
         self.claims = ShardClaims(platform.store, self.view, self.lease, self.member, self.count)
         self.owned = {}
-        self.released_before = []
+        self.previous_owners = []
         self.claims.on_acquired = self.acquired
         self.claims.on_lost = self.owned.pop
         follower = StoreFollower(platform.store, OWN_PREFIX, self.view, self.count)
@@ -42,11 +42,11 @@
     def count(self, name, n=1):
         self.counts[name] = self.counts.get(name, 0) + n
 
-    def acquired(self, shard, term, lease_id, was_released):
+    def acquired(self, shard, term, lease_id, previous_owner):
         assert shard not in self.owned
         assert self.lease.is_valid(lease_id)
         self.owned[shard] = term
-        self.released_before.append(was_released)
+        self.previous_owners.append(previous_owner)
 
     def kill(self):
         for component in self.components:
@@ -117,11 +117,11 @@
     assert wait_until(lambda: each_shard_owned_once(members))
     first, second = members
     terms_before = dict(first.owned)
-    second.released_before.clear()
+    second.previous_owners.clear()
     first.kill()
     assert wait_until(lambda: len(second.owned) == SHARD_COUNT)
     assert all(second.owned[shard] > term for shard, term in terms_before.items())
-    assert second.released_before == [False] * len(terms_before)
+    assert second.previous_owners == [PreviousOwner.LOST] * len(terms_before)
 
 
 def test_shards_of_a_stopping_process_are_released(start_node):
@@ -129,11 +129,11 @@
     assert wait_until(lambda: each_shard_owned_once(members))
     first, second = members
     released = len(first.owned)
-    second.released_before.clear()
+    second.previous_owners.clear()
     first.claims.close()
     assert first.owned == {}
     assert wait_until(lambda: len(second.owned) == SHARD_COUNT)
-    assert second.released_before == [True] * released
+    assert second.previous_owners == [PreviousOwner.RELEASED] * released
 
 
 def test_shards_move_to_a_process_that_joins(start_node):
@@ -141,7 +141,7 @@
     assert wait_until(lambda: len(first.owned) == SHARD_COUNT)
     second = start_node(1)
     assert wait_until(lambda: len(second.owned) >= 4 and each_shard_owned_once([first, second]))
-    assert second.released_before.count(True) == len(second.owned)
+    assert second.previous_owners.count(PreviousOwner.RELEASED) == len(second.owned)
 
 
 def test_claim_bound_to_an_expired_lease_is_dropped(start_node, site):
@@ -150,13 +150,13 @@
     assert wait_until(lambda: len(node.owned) == SHARD_COUNT)
     terms = dict(node.owned)
     old_lease = node.lease.lease_id
-    node.released_before.clear()
+    node.previous_owners.clear()
     site.store.expire_all_leases()
     assert wait_until(lambda: node.lease.lease_id not in (0, old_lease))
     assert node.lease.is_valid(node.lease.lease_id)
     assert not node.lease.is_valid(old_lease)
     assert wait_until(lambda: len(node.owned) == SHARD_COUNT and node.owned != terms)
-    assert set(node.released_before) == {False}
+    assert set(node.previous_owners) == {PreviousOwner.LOST}
 
 
 @pytest.mark.parametrize("fault", ["busy", "hang"])
@@ -213,7 +213,7 @@
     gevent.sleep(0.4)
     empty_site.store.put(MARKER_KEY, NEVER_OWNED)
     assert wait_until(lambda: any(node.owned for node in members), 1.0)
-    assert sum([node.released_before for node in members], []) == [True]
+    assert sum([node.previous_owners for node in members], []) == [PreviousOwner.NONE]
     assert [shard for node in members for shard in node.owned] == [MARKED]
 
 
@@ -227,7 +227,7 @@
     assert wait_until(lambda: len(second.view.members) == 2)
     first.kill()
     assert wait_until(lambda: second.owned)
-    assert second.released_before == [False]
+    assert second.previous_owners == [PreviousOwner.LOST]
 
 
 def test_records_of_a_version_without_markers_give_their_shard_an_owner(
@@ -236,7 +236,7 @@
     empty_site.store.put(f"camphorchute-jobs/{MARKED:02}/job", b"{}")
     node = start_on_empty_site(0)
     assert wait_until(lambda: node.owned)
-    assert (list(node.owned), node.released_before) == ([MARKED], [False])
+    assert (list(node.owned), node.previous_owners) == ([MARKED], [PreviousOwner.LOST])
     marker = [item for key, item in empty_site.store.items.items() if key == MARKER_KEY]
     assert len(marker) == 1
 
@@ -253,7 +253,7 @@
     assert claim_keys(empty_site) and not node.owned
     monkeypatch.undo()
     assert wait_until(lambda: node.owned)
-    assert node.released_before == [False]
+    assert node.previous_owners == [PreviousOwner.LOST]
 
 
 def refuse(markers, shard):
--- a/camphorchute/runs/durable_tasks.py
+++ b/camphorchute/runs/durable_tasks.py
@@ -100,7 +100,12 @@
 
 
 def _are_all_runs_known(worker: LeasedWorker) -> bool:
-    """Return whether the present incarnation of a worker has listed all that it has to list."""
+    """Return whether the present incarnation of a worker has listed all that it has to list.
+
+    A worker that has been silent for long enough has no run left, so that it has nothing to list.
+    """
+    if worker.is_silent_beyond_leases():
+        return True
     return worker.synced and not worker.has_ended and worker.lists_all_completions
 
 
--- a/camphorchute/runs/leased_worker.py
+++ b/camphorchute/runs/leased_worker.py
@@ -19,6 +19,7 @@
     WorkerEntry,
 )
 from camphorchute.loops import spawn_loop, wait_for_event
+from camphorchute.observation_clock import observation_clock
 from camphorchute.policies import FailureTracker, WorkerSpeed
 from camphorchute.runs.earlier_run import EarlierRun, EarlierRuns
 from camphorchute.runs.listing_reader import ListingReader
@@ -33,6 +34,7 @@
 from camphorchute.runs.worker_leases import (
     ORPHAN_GRACE_MS,
     ORPHAN_LEASE_MS,
+    SILENT_BEYOND_LEASES_MS,
     WorkerLeases,
 )
 
@@ -174,6 +176,14 @@
         since_s = self._unlisted_since_s
         return (time.monotonic() - since_s) * MS_PER_S if since_s else 0.0
 
+    def is_silent_beyond_leases(self) -> bool:
+        """Whether it has answered nothing for so long that every run that it had has ended.
+
+        Only a scheduler that the worker answers renews leases.
+        """
+        silent_ms = (observation_clock.now_s() - self.health.heard_s) * MS_PER_S
+        return not self.health.is_responsive and silent_ms > SILENT_BEYOND_LEASES_MS
+
     def request_poll(self) -> None:
         """Poll the worker even if it is idle, to send the latest acknowledgement."""
         self._poll_requested.set()
--- a/camphorchute/runs/worker_group.py
+++ b/camphorchute/runs/worker_group.py
@@ -160,15 +160,18 @@
         Otherwise every listed worker must have listed its runs in its present incarnation, and the
         leases on workers unknown to this scheduler must have expired: the earlier scheduler no
         longer renews them, because it has lost the task's owner or the group, and another one stops
-        runs that nobody asks for.
+        runs that nobody asks for. A worker that has been silent for so long that every lease has
+        ended has no run left.
         """
         worker = self.workers.get(task.worker_id)
         if worker is not None:
-            return _is_earlier_run_ruled_out(worker, task)
+            return worker.is_silent_beyond_leases() or _is_earlier_run_ruled_out(worker, task)
         if time.monotonic() - task.may_run_since_s < UNKNOWN_LEASES_EXPIRY_MS / MS_PER_S:
             return False
         return all(
-            (worker.synced and not worker.has_ended) or worker.unlisted_ms() > 0
+            (worker.synced and not worker.has_ended)
+            or worker.unlisted_ms() > 0
+            or worker.is_silent_beyond_leases()
             for worker in self.workers.values()
         )
 
--- a/camphorchute/runs/worker_health.py
+++ b/camphorchute/runs/worker_health.py
@@ -5,6 +5,8 @@
 
 from eliot import log_message
 
+from camphorchute.observation_clock import observation_clock
+
 __all__ = ["WorkerHealth"]
 
 UNRESPONSIVE_AFTER_FAILURES = 3
@@ -24,12 +26,22 @@
 
     Attributes:
         is_responsive: whether the worker answers.
+        heard_s: time of its last answer in seconds of the observation clock; before that, the
+            time since when it is polled.
     """
 
-    __slots__ = ("is_responsive", "_worker_id", "_count", "_failures_in_row", "_paused_until_s")
+    __slots__ = (
+        "is_responsive",
+        "heard_s",
+        "_worker_id",
+        "_count",
+        "_failures_in_row",
+        "_paused_until_s",
+    )
 
     def __init__(self, worker_id: str, count: Callable[..., None]) -> None:
         self.is_responsive = False
+        self.heard_s = observation_clock.now_s()
         self._worker_id = worker_id
         self._count = count
         self._failures_in_row = 0
@@ -37,11 +49,13 @@
 
     def record_command_answer(self) -> None:
         """Record that a command was answered."""
+        self.heard_s = observation_clock.now_s()
         self._failures_in_row = 0
 
     def record_poll_answer(self) -> None:
         """Record that a poll was answered."""
         self.is_responsive = True
+        self.heard_s = observation_clock.now_s()
         self._failures_in_row = 0
 
     def record_failure(self, detail: str) -> None:
--- a/camphorchute/runs/worker_leases.py
+++ b/camphorchute/runs/worker_leases.py
@@ -11,6 +11,7 @@
     "ORPHAN_GRACE_MS",
     "ORPHAN_LEASE_MS",
     "OTHER_SCHEDULER_MS",
+    "SILENT_BEYOND_LEASES_MS",
     "WorkerLeases",
 ]
 
@@ -22,6 +23,11 @@
 ORPHAN_LEASE_MS = 400.0
 # For which another scheduler may keep a run alive that no owner asks it for.
 OTHER_SCHEDULER_MS = ORPHAN_GRACE_MS + ORPHAN_LEASE_MS * (1 + CLOCK_DRIFT_RATIO) + LEASE_MARGIN_MS
+SILENCE_MARGIN_MS = 1000.0
+# After which a silent worker has no run left, whoever has sent it commands before.
+SILENT_BEYOND_LEASES_MS = (
+    LATE_ARRIVAL_MAX_S * 1000.0 + LONGEST_LEASE_MS + OTHER_SCHEDULER_MS + SILENCE_MARGIN_MS
+)
 MS_PER_S = 1000.0
 
 
