Answer 504, not 503, when it is unknown whether a job was stored

Callers got 503, which says that a job never runs, for hand-ins whose write had no answer from the store.

Cause: submit gave a write of unknown fate the code owner_unreachable, whose status is 503. In the same way the store client took a write as not made if the store answered 200 with an unreadable body, or any status but 200 and 412.

Such a job now gets the code write_unconfirmed with status 504. Before that the write is repeated for 2.5 s under the same condition, so that at most one takes effect and most callers learn that the job is stored. Only 503 and the statuses from 400 to 499 prove that the store has done nothing. The writes of a batch without an answer are read back beside each other; one after the other they held up all later writes.

--- a/camphorchute/contracts/codes.py
+++ b/camphorchute/contracts/codes.py
@@ -68,6 +68,7 @@
     NOT_READY = 304
     LEAVING = 305
     NO_WITNESS = 306
+    WRITE_UNCONFIRMED = 307
 
     TASK_FAILED = 401
     DEADLINE_PASSED = 402
@@ -252,6 +253,14 @@
     (_C.NOT_READY, 503, _UNKNOWN, True, "This process does not serve yet.", _RETRY_LATER),
     (_C.LEAVING, 503, _UNKNOWN, True, "This process takes no new work.", _RETRY_LATER),
     (_C.NO_WITNESS, 503, _UNKNOWN, True, "No witness of the owner answered.", _RETRY_LATER),
+    (
+        _C.WRITE_UNCONFIRMED,
+        504,
+        _UNKNOWN,
+        True,
+        "The store did not say whether it has the job, which may be accepted and run.",
+        "Send the same job again under the same id.",
+    ),
     (_C.TASK_FAILED, 502, _MAY_RUN, False, "A task failed.", "Check the listed tasks."),
     (
         _C.DEADLINE_PASSED,
--- a/camphorchute/durable_jobs/job_writer.py
+++ b/camphorchute/durable_jobs/job_writer.py
@@ -132,7 +132,7 @@
         except SwapUnknown as unknown:
             self._count("keeping.retry.write_unknown")
             for write in batch:
-                self._resolve_unknown_write(write, unknown)
+                gevent.spawn(self._resolve_unknown_write, write, unknown)
         except StoreUnavailable as error:
             self._count("keeping.retry.write_failed")
             for write in batch:
--- a/camphorchute/durable_jobs/shard_owner.py
+++ b/camphorchute/durable_jobs/shard_owner.py
@@ -30,6 +30,8 @@
 STATE_REQUEST_TIMEOUT_MS = 300.0
 QUEUED_COUNTS_INTERVAL_MS = 1000.0
 MAX_WAIT_PER_TARGET_TIME = 3.0
+SUBMIT_TIMEOUT_MS = 2500.0
+SUBMIT_RETRY_MS = 100.0
 CANCEL_TIMEOUT_MS = 2500.0
 CANCEL_RETRY_MS = 100.0
 RECORD_MAX_BYTES = 256 * 1024
@@ -109,17 +111,51 @@
                 self._refuse_unless_stored(key, refusal)
             else:
                 self._claims.markers.mark(shard_of(job.job_id), self._context.writer)
-                revision = self._context.writer.write(key, value, 0)
+                revision = self._write_new_record(key, value)
                 self._notify_owner(job.job_id, revision, value)
                 self._context.count("keeping.accepted")
         except SwapConflict:
             self._context.count("keeping.accepted_again")
         except SwapUnknown as error:
-            raise Refusal(ResultCode.OWNER_UNREACHABLE, f"job {job.job_id}: {error}") from error
+            self._context.count("keeping.refused.write_unconfirmed")
+            raise Refusal(ResultCode.WRITE_UNCONFIRMED, f"job {job.job_id}: {error}") from error
         except StoreUnavailable as error:
             self._context.count("keeping.refused.not_stored")
             raise Refusal(ResultCode.NOT_STORED, str(error), spread_retry_after_ms()) from error
 
+    def _write_new_record(self, key: str, value: bytes) -> int:
+        """Write the record of a new job, again while it is unknown whether a write took effect.
+
+        The writes have the same condition, so that at most one of them takes effect. Once the fate
+        of one is unknown, a later one that fails proves nothing.
+
+        Args:
+            key: key of the record, which must not exist.
+            value: the record.
+
+        Returns:
+            The mod revision of the record.
+
+        Raises:
+            StoreUnavailable: nothing was written.
+            SwapConflict: an earlier request has stored the job.
+            SwapUnknown: the record may be in the store, or may still be written.
+        """
+        deadline_s = time.monotonic() + SUBMIT_TIMEOUT_MS / MS_PER_S
+        unknown: SwapUnknown | None = None
+        while True:
+            try:
+                return self._context.writer.write(key, value, 0)
+            except SwapUnknown as error:
+                unknown = error
+            except StoreUnavailable:
+                if unknown is None:
+                    raise
+            if time.monotonic() > deadline_s:
+                raise unknown
+            self._context.count("keeping.retry.submit")
+            gevent.sleep(SUBMIT_RETRY_MS / MS_PER_S)
+
     def job_state(self, job_id: str) -> str:
         """Return the state of a job, empty if there is no such job.
 
--- a/camphorchute/durable_jobs/tests/test_shard_owner.py
+++ b/camphorchute/durable_jobs/tests/test_shard_owner.py
@@ -3,13 +3,15 @@
 
 from camphorchute.contracts import Refusal, ResultCode
 from camphorchute.contracts.batch_job import BatchJob, BatchStep, QueueLimits
+from camphorchute.contracts.codes import Fate, code_info
 from camphorchute.contracts.member import Member
 from camphorchute.contracts.resources import Resources
 from camphorchute.durable_jobs import JobWriter, ShardClaims, ShardOwner, job_key
+from camphorchute.durable_jobs import shard_owner as owner_module
 from camphorchute.durable_jobs.shard import ShardContext
 from camphorchute.durable_jobs.shard_markers import NEVER_OWNED, OWNED, SHARD_MARKER_KEY_PREFIX
 from camphorchute.durable_jobs.tests.fakes import FakeLease, FakePeers, FakeQueueOwner, FakeStore
-from camphorchute.hosting import Queue, StoreUnavailable, SwapUnknown
+from camphorchute.hosting import Queue, StoredValue, StoreUnavailable, SwapUnknown
 from camphorchute.queues import ServiceZones
 from camphorchute.queues.free_capacity_view import PlacementPlan
 from camphorchute.runs import shard_of
@@ -102,6 +104,46 @@
     assert job_key(JOB_ID) in site.store.items
 
 
+def mark_shard(site):
+    site.view.tables[SHARD_MARKER_KEY_PREFIX][MARKER_KEY] = StoredValue(MARKER_KEY, OWNED, 1)
+
+
+LOST, BUSY = SwapUnknown("lost"), StoreUnavailable("busy")
+
+
+# A job whose write had an unknown fate was answered 503, which says that it never runs, and ran.
+@pytest.mark.parametrize("errors", [[LOST] * 99, [LOST, BUSY] * 50, [LOST] + [BUSY] * 99])
+def test_job_that_may_be_stored_is_not_refused_as_one_that_never_runs(site, errors, monkeypatch):
+    monkeypatch.setattr(owner_module, "SUBMIT_TIMEOUT_MS", 300.0)
+    mark_shard(site)
+    site.store.errors_to_raise = list(errors)
+    with pytest.raises(Refusal) as refused:
+        site.owner.submit(JOB, QUEUE)
+    assert refused.value.code is ResultCode.WRITE_UNCONFIRMED
+    info = code_info(refused.value.code)
+    assert (info.http_status, info.fate) == (504, Fate.UNKNOWN)
+
+
+# A caller waited for a second attempt though the store would have taken the record at once.
+@pytest.mark.parametrize("is_written", [False, True])
+def test_job_is_accepted_once_it_is_known_to_be_stored(site, is_written):
+    mark_shard(site)
+    site.store.errors_to_raise = [] if is_written else [LOST, BUSY]
+    site.store.lose_reply = is_written
+    site.owner.submit(JOB, QUEUE)
+    assert job_key(JOB_ID) in site.store.items
+
+
+@pytest.mark.parametrize("status", [429, 503])
+def test_job_that_is_surely_not_stored_is_refused_as_such(site, status):
+    mark_shard(site)
+    site.store.errors_to_raise = [StoreUnavailable(f"status {status}")]
+    with pytest.raises(Refusal) as refused:
+        site.owner.submit(JOB, QUEUE)
+    assert refused.value.code is ResultCode.NOT_STORED
+    assert job_key(JOB_ID) not in site.store.items
+
+
 def test_unknown_job_of_a_shard_without_an_owner_has_no_state(site):
     assert site.owner.job_state(JOB_ID) == ""
     assert not site.owner.cancel(JOB_ID)
--- a/camphorchute/platform/kv_store.py
+++ b/camphorchute/platform/kv_store.py
@@ -34,6 +34,8 @@
 MS_PER_S = 1000
 MAX_IDLE_WATCH_CONNECTIONS = 4
 HTTP_OK, HTTP_NOT_FOUND, HTTP_GONE, HTTP_CONDITION_FAILED = 200, 404, 410, 412
+HTTP_UNAVAILABLE = 503
+CLIENT_ERRORS = range(400, 500)
 
 
 @register_store("kv")
@@ -98,13 +100,13 @@
             self.failures["swap.answer_lost"] += 1
             return self._check_lost_swap(key, value, error)
         if answer.status == HTTP_OK:
-            return self._decode_answer(answer, messages.TxnDone).revision
+            return self._decode_revision("swap", answer)
         if answer.status == HTTP_CONDITION_FAILED:
             self.failures["swap.lost"] += 1
             raise SwapConflict(key, self._current_value(answer, key))
         if answer.status == HTTP_NOT_FOUND:
             raise StoreRefused(f"swap: lease {lease_id} has expired or was revoked")
-        raise self._counted_error("swap", f"status_{answer.status}", answer.body[:100])
+        raise self._write_error("swap", answer)
 
     def swap_all(self, changes: Sequence[ConditionalWrite]) -> int:
         """Write several keys if each was last written at its expected revision."""
@@ -127,11 +129,11 @@
             self.failures["swap_all.answer_lost"] += 1
             raise SwapUnknown(f"{len(changes)} keys: {error}") from error
         if answer.status == HTTP_OK:
-            return self._decode_answer(answer, messages.TxnDone).revision
+            return self._decode_revision("swap_all", answer)
         if answer.status == HTTP_CONDITION_FAILED:
             self.failures["swap_all.lost"] += 1
             raise SwapAllConflict(self._conflicting_values(answer, changes))
-        raise self._counted_error("swap_all", f"status_{answer.status}", answer.body[:100])
+        raise self._write_error("swap_all", answer)
 
     def _conflicting_values(
         self, answer: HttpAnswer, changes: Sequence[ConditionalWrite]
@@ -259,6 +261,28 @@
             method, target, body, CALL_TIMEOUT_MS, headers, progress_ms=ANSWER_PROGRESS_MS
         )
 
+    def _decode_revision(self, call_name: str, answer: HttpAnswer) -> int:
+        """Return the revision of a write that was made.
+
+        Raises:
+            SwapUnknown: the answer says nothing of it, but the write was made.
+        """
+        try:
+            return self._decode_answer(answer, messages.TxnDone).revision
+        except StoreUnavailable as error:
+            raise SwapUnknown(f"{call_name}: {error}") from error
+
+    def _write_error(self, call_name: str, answer: HttpAnswer) -> Exception:
+        """Return the error for the status of a write; only a refusal proves that nothing was done.
+
+        Args:
+            call_name: name of the call, for the counter.
+            answer: the answer of the store.
+        """
+        error = self._counted_error(call_name, f"status_{answer.status}", answer.body[:100])
+        is_refusal = answer.status == HTTP_UNAVAILABLE or answer.status in CLIENT_ERRORS
+        return error if is_refusal else SwapUnknown(str(error))
+
     def _decode_answer(
         self, answer: HttpAnswer, answer_type: type, status: int = HTTP_OK
     ) -> object:
--- a/camphorchute/platform/tests/test_kv_store.py
+++ b/camphorchute/platform/tests/test_kv_store.py
@@ -4,6 +4,7 @@
 import pytest
 
 from bench.standins.fleet_store import FleetStore
+from bench.standins.server import Reply
 from camphorchute.hosting import (
     ConditionalWrite,
     StoreRefused,
@@ -93,6 +94,30 @@
         store.swap_all([ConditionalWrite("b", b"1", 0)])
 
 
+# A write that had been made counted as not made, as its answer could not be read.
+@pytest.mark.parametrize(
+    ("status", "body", "expected"),
+    [
+        (200, "done", SwapUnknown),
+        (200, {"revision": "many"}, SwapUnknown),
+        (500, {}, SwapUnknown),
+        (502, {}, SwapUnknown),
+        (429, {}, StoreUnavailable),
+        (503, {}, StoreUnavailable),
+    ],
+)
+@pytest.mark.parametrize("is_batch", [False, True])
+def test_write_counts_as_not_made_only_if_the_store_says_so(
+    store, standin, status, body, expected, is_batch
+):
+    standin.routes["POST", "/kv-txn"] = lambda request: Reply(body, status)
+    with pytest.raises(expected):
+        if is_batch:
+            store.swap_all([ConditionalWrite(KEY, b"1", 0)])
+        else:
+            store.swap(KEY, b"1", 0)
+
+
 def test_swap_lost_has_the_current_value(store):
     store.swap(KEY, b"1", 0)
     with pytest.raises(SwapConflict) as conflict:
