Stop the runs of durable jobs that ended while nobody owned their shard

Cause: the run of a durable job goes on when the owner of its shard is lost. A job that is cancelled before the next one has read the shard is an ended record to it, and nobody tells the schedulers.

A scheduler now reports the runs of durable tasks without an owner every second, the way it reports retained ends: to the owner of the shard, or to the record in the store if there is none. If the job has ended the answer is a stop, and the report is repeated until the run has ended. This covers a stop message that was lost with the owner's link, too.

--- a/camphorchute/durable_jobs/end_confirmations.py
+++ b/camphorchute/durable_jobs/end_confirmations.py
@@ -1,4 +1,4 @@
-"""End confirmations: which ends of durable tasks the store has, for the schedulers that ask."""
+"""End confirmations: answers to schedulers that report ends and runs of durable tasks."""
 
 from collections.abc import Callable
 
@@ -12,7 +12,7 @@
     SavedCompletion,
 )
 from camphorchute.contracts.member import Member
-from camphorchute.contracts.run_messages import TaskResultKind
+from camphorchute.contracts.run_messages import StopTasks, TaskResultKind
 from camphorchute.durable_jobs.durable_job_record import DurableJobRecord, DurableJobState, job_key
 from camphorchute.durable_jobs.shard import JobShard, ShardContext
 from camphorchute.durable_jobs.shard_claims import ShardClaims
@@ -29,11 +29,12 @@
 
 
 class EndConfirmations:
-    """Passes the ends that a scheduler retains to their shard owners, and answers for own shards.
+    """Passes what a scheduler reports on to the shard owners, and answers for own shards.
 
-    The ends of a shard without an owner, and those of jobs that the owner does not know, are looked
-    up in the store, one job at a time and at a bounded rate. An end that gets no answer is reported
-    again by its scheduler.
+    An end is confirmed once the store has it. A run without an owner is stopped if its job has
+    ended. Reports on a shard without an owner, and on jobs that the owner does not know, are looked
+    up in the store, one job at a time and at a bounded rate. What gets no answer is reported again
+    by its scheduler.
 
     Args:
         member: this process.
@@ -77,10 +78,10 @@
             self._greenlet.kill(block=False)
 
     def report(self, ends: list[ReportedTask]) -> None:
-        """Report ends that the scheduler of this process retains to the owners of their shards.
+        """Report what the scheduler of this process has to the owners of the shards.
 
         Args:
-            ends: the ends.
+            ends: the ends that it retains, or the active runs without an owner.
         """
         by_owner: dict[str, tuple[Member, list[ReportedTask]]] = {}
         for end in ends:
@@ -95,16 +96,33 @@
 
     @handles(KeptTasksAre, nonblocking=True)
     def confirm_ends(self, peer: Member, message: KeptTasksAre) -> None:
-        """Answer which ends are saved; record those that the owner has not heard of."""
-        saved = []
+        """Answer which ends are saved, and stop the runs of jobs that have ended.
+
+        Ends that the owner has not heard of are recorded.
+        """
+        saved, ended_jobs = [], set()
         for end in message.tasks:
             shard = self._find_shard(shard_of(job_of(end.task)))
-            is_saved = False if shard is None else shard.confirm_end(peer, end)
-            if is_saved is None:
+            if shard is None:
+                continue
+            is_run = end.end is None
+            job_id = job_of(end.task)
+            is_over = shard.has_ended(job_id) if is_run else shard.confirm_end(peer, end)
+            if is_over is None:
                 self._add_lookup(peer, end)
-            elif is_saved:
+            elif is_over and is_run:
+                ended_jobs.add(job_id)
+            elif is_over:
                 saved.append(SavedCompletion(end.task, end.run))
         self._answer(peer, saved)
+        for job_id in ended_jobs:
+            self._stop(peer, job_id)
+
+    def _stop(self, scheduler: Member, job_id: str) -> None:
+        """Stop the runs of a job that has ended; the scheduler reports them until they have."""
+        self._context.count("keeping.leftover_run")
+        if not self._context.peers.send_if_linked(scheduler.member_id, StopTasks(job_id)):
+            self._context.count("keeping.retry.stop_leftover_run")
 
     def _answer(self, scheduler: Member, saved: list[SavedCompletion]) -> None:
         if not saved:
@@ -132,7 +150,7 @@
             gevent.sleep(LOOKUP_PAUSE_MS / MS_PER_S)
 
     def _look_up(self, job_id: str, rows: list[tuple[Member, ReportedTask]]) -> None:
-        """Read the record of a job, and confirm the ends that it has."""
+        """Read the record of a job, and answer by it."""
         self._context.count("keeping.end_lookup")
         try:
             stored = self._context.store.get(job_key(job_id))
@@ -140,8 +158,12 @@
         except (StoreUnavailable, ValueError):
             self._context.count("keeping.retry.end_lookup")
             return
+        is_over = record is None or record.state is not DurableJobState.OPEN
         for scheduler, end in rows:
-            if is_end_stored(record, end):
+            if end.end is None:
+                if is_over:
+                    self._stop(scheduler, job_id)
+            elif is_end_stored(record, end):
                 self._answer(scheduler, [SavedCompletion(end.task, end.run)])
 
 
--- a/camphorchute/durable_jobs/shard.py
+++ b/camphorchute/durable_jobs/shard.py
@@ -317,6 +317,18 @@
             if run.record.state is not DurableJobState.OPEN or self._try_store_record(run):
                 return
 
+    def has_ended(self, job_id: str) -> bool | None:
+        """Return whether a job has ended, None if the shard does not know the job.
+
+        Args:
+            job_id: the job.
+        """
+        if job_id in self._ended_jobs:
+            return True
+        if not self._loaded or not self._is_owner() or job_id in self._runs:
+            return False
+        return None
+
     def confirm_end(self, scheduler: Member, reported: ReportedTask) -> bool | None:
         """Return whether the end of a run is saved, None if the shard does not know the job.
 
--- a/camphorchute/durable_jobs/tests/test_retained_ends.py
+++ b/camphorchute/durable_jobs/tests/test_retained_ends.py
@@ -5,7 +5,7 @@
 
 from camphorchute.contracts.durable_job_messages import AskKeptTasks, KeptTasksAre, ReportedTask
 from camphorchute.contracts.member import Member
-from camphorchute.contracts.run_messages import ShardTerm, TaskResultKind
+from camphorchute.contracts.run_messages import ShardTerm, StopTasks, TaskResultKind
 from camphorchute.durable_jobs import DurableJobState, end_confirmations, job_key
 from camphorchute.durable_jobs import shard as shard_module
 from camphorchute.durable_jobs.end_confirmations import EndConfirmations, is_end_stored
@@ -15,7 +15,7 @@
 from camphorchute.durable_jobs.tests.test_shard import JOB_ID, SHARD, TERM, Site, make_record
 from camphorchute.hosting import StoredValue, StoreUnavailable
 from camphorchute.queues import TaskState
-from camphorchute.runs import leased_worker, shard_of
+from camphorchute.runs import leased_worker, retained_ends, shard_of
 from camphorchute.runs.tests.scheduler_site import GROUP, OWNER, SchedulerSite, wait_until
 
 
@@ -282,3 +282,68 @@
     gevent.sleep(0.45)
     assert 3 <= site.counts["keeping.end_lookup"] <= 6
     assert site.counts["keeping.end_lookup_dropped"] == 60
+
+
+def reported_run(index=0, job_id=JOB_ID):
+    return reported_end(index, None, job_id)
+
+
+def stopped_jobs(site):
+    return [message.job_id for message in site.peers.sent if isinstance(message, StopTasks)]
+
+
+# A job was cancelled while its shard had no owner; the next one never heard of its runs.
+@pytest.mark.parametrize(
+    ("fields", "has_shard", "is_stopped"),
+    [
+        ({}, True, False),
+        ({"state": DurableJobState.CANCELLED}, True, True),
+        ({"state": DurableJobState.FAILED}, True, True),
+        ({}, False, False),
+        ({"state": DurableJobState.CANCELLED}, False, True),
+        (None, False, True),
+    ],
+)
+def test_run_without_an_owner_is_stopped_if_its_job_has_ended(
+    site, open_confirming, fields, has_shard, is_stopped
+):
+    if fields is not None:
+        site.put(make_record(**fields))
+    shard = site.start_shard() if has_shard else None
+    assert shard is None or wait_until(lambda: shard.job_state(JOB_ID))
+    confirming = open_confirming(shard)
+    site.peers.sent.clear()
+    if has_shard:
+        message = KeptTasksAre([], [reported_run()])
+        confirming.confirmations.confirm_ends(FakeView.scheduler, message)
+    else:
+        confirming.confirmations.report([reported_run()])
+        assert wait_until(lambda: site.counts.get("keeping.end_lookup"))
+    assert stopped_jobs(site) == [JOB_ID] * is_stopped
+
+
+def test_run_without_an_owner_is_not_stopped_while_the_store_is_unavailable(site, open_confirming):
+    site.store.reads_fail = True
+    confirming = open_confirming()
+    confirming.confirmations.report([reported_run()])
+    assert wait_until(lambda: site.counts.get("keeping.retry.end_lookup"))
+    assert stopped_jobs(site) == []
+
+
+# The scheduler let such a run go on and told nobody.
+def test_scheduler_reports_a_run_whose_owner_was_lost_until_it_is_stopped(chain, monkeypatch):
+    monkeypatch.setattr(retained_ends, "ORPHAN_REPORT_INTERVAL_MS", 100.0)
+    monkeypatch.setattr(retained_ends, "CHECK_INTERVAL_MS", 50.0)
+    scheduler, reports = chain.scheduler, []
+    scheduler.retained_ends.report = reports.extend
+    for worker in chain.workers.fleet.workers:
+        worker.run_ms_by_payload["check"] = 5000.0
+    chain.workers.dispatch_tasks(scheduler, tasks=1, term=ShardTerm(SHARD, TERM))
+    assert wait_until(chain.workers.active_runs)
+    gevent.sleep(0.3)
+    assert reports == []
+    scheduler.drop_owner(OWNER.member_id)
+    assert wait_until(lambda: len(reports) >= 2, 2.0)
+    assert {(row.task, row.end) for row in reports} == {(f"{JOB_ID}.0.0.0", None)}
+    scheduler.stop_tasks(FakeView.scheduler, StopTasks(JOB_ID))
+    assert wait_until(lambda: not chain.workers.active_runs(), 2.0)
--- a/camphorchute/runs/group_scheduler.py
+++ b/camphorchute/runs/group_scheduler.py
@@ -5,6 +5,7 @@
 
 import gevent
 
+from camphorchute.contracts.durable_job_messages import ReportedTask
 from camphorchute.contracts.member import Member
 from camphorchute.contracts.run_messages import (
     GroupFreeCapacity,
@@ -91,6 +92,7 @@
         self._groups: dict[str, WorkerGroup] = {}
         self.durable_tasks = DurableTasks(self._groups.values, count)
         self.retained_ends = RetainedEnds(self._groups.values, count)
+        self.retained_ends.orphaned_runs = self._orphaned_runs
         self._open_tasks = OpenTasks()
         self._unanswered_starts = UnansweredStarts()
         self._stopped_runs = StoppedRuns()
@@ -331,6 +333,16 @@
         if placement.has_changed:
             self.on_capacity_changed()
 
+    def _orphaned_runs(self) -> list[ReportedTask]:
+        """Return the active runs of durable tasks whose owner was lost."""
+        return [
+            ReportedTask(
+                task.name, task.group, task.run.number, task.run.worker_id, place=task.run.place()
+            )
+            for task in self._open_tasks.all()
+            if task.orphaned and task.run is not None and not task.run.stop_requested
+        ]
+
     def _orphan_task(self, task: PendingTask) -> None:
         """Let the run of a durable task continue without its owner; return it if it is pending."""
         task.orphaned = True
--- a/camphorchute/runs/retained_ends.py
+++ b/camphorchute/runs/retained_ends.py
@@ -1,4 +1,4 @@
-"""Retained ends: completions that are reported to their shard owners until they are saved."""
+"""Retained ends: what a scheduler reports to shard owners until they answer."""
 
 import time
 from collections.abc import Callable, Iterable
@@ -14,15 +14,19 @@
 __all__ = ["RetainedEnds", "end_report"]
 
 CHECK_INTERVAL_MS = 500.0
+ORPHAN_REPORT_INTERVAL_MS = 1000.0
 ENDS_PER_REPORT_MAX = 2000
 MS_PER_S = 1000.0
 
 
 class RetainedEnds:
-    """Reports the completions that the workers of a scheduler retain, at growing intervals.
+    """Reports the completions that the workers of a scheduler retain, and runs without an owner.
 
     A worker may drop the completion of a durable task only once the stored record says what became
-    of it. Nothing is dropped by time: without an answer the completion is reported again.
+    of it. Nothing is dropped by time: without an answer the completion is reported again, at
+    growing intervals. The run of a durable task whose owner was lost goes on; its job may end
+    meanwhile, and whoever owns the shard then has never heard of the run. It is reported every
+    second.
 
     Args:
         groups: returns the groups of the scheduler.
@@ -30,7 +34,8 @@
 
     Attributes:
         report: passes completions on to the owners of their shards, which answer with those that
-            are saved.
+            are saved, and stop the runs of jobs that have ended.
+        orphaned_runs: returns the active runs of durable tasks whose owner was lost.
 
     Examples:
         >>> ends = RetainedEnds(lambda: [], print)
@@ -38,14 +43,23 @@
         >>> ends.report_due(time.monotonic())
     """
 
-    __slots__ = ("report", "_groups", "_count", "_greenlet")
+    __slots__ = (
+        "report",
+        "orphaned_runs",
+        "_groups",
+        "_count",
+        "_orphans_reported_s",
+        "_greenlet",
+    )
 
     def __init__(
         self, groups: Callable[[], Iterable[WorkerGroup]], count: Callable[..., None]
     ) -> None:
         self.report: Callable[[list[ReportedTask]], None] = lambda ends: None
+        self.orphaned_runs: Callable[[], list[ReportedTask]] = lambda: []
         self._groups = groups
         self._count = count
+        self._orphans_reported_s = 0.0
         self._greenlet: gevent.Greenlet | None = None
 
     def start(self) -> None:
@@ -58,7 +72,7 @@
             self._greenlet.kill(block=False)
 
     def report_due(self, now_s: float) -> None:
-        """Report the completions whose next report is due.
+        """Report the completions whose next report is due, and the runs without an owner.
 
         Args:
             now_s: time of the monotonic clock in seconds.
@@ -69,9 +83,15 @@
             for worker_id, worker in group.workers.items()
             for completion in worker.completions.take_due_for_report(now_s)
         ]
-        for start in range(0, len(ends), ENDS_PER_REPORT_MAX):
-            part = ends[start : start + ENDS_PER_REPORT_MAX]
-            self._count("runs.retry.report_end", len(part))
+        self._report("runs.retry.report_end", ends)
+        if (now_s - self._orphans_reported_s) * MS_PER_S >= ORPHAN_REPORT_INTERVAL_MS:
+            self._orphans_reported_s = now_s
+            self._report("runs.orphan_reported", self.orphaned_runs())
+
+    def _report(self, counter: str, rows: list[ReportedTask]) -> None:
+        for start in range(0, len(rows), ENDS_PER_REPORT_MAX):
+            part = rows[start : start + ENDS_PER_REPORT_MAX]
+            self._count(counter, len(part))
             self.report(part)
 
     def _report_loop(self) -> None:
