Count a run nobody can account for only if the task was dispatched for it

Cause: each new owner of a shard counted one more lost run of each task that had lost a worker and that no scheduler reported, whether it had been started again or not; likewise an owner whose scheduler did not find the task. At four lost runs a task is given up.

The record of a job now says, before such a task is dispatched again, for which run, and forgets it if the task is returned without a start. A new owner counts that run, once. The task is dispatched to free capacity only, so that the record means that it has probably been started. Starts that nobody can account for still count against the limit on crashes.

--- a/camphorchute/durable_jobs/durable_job_record.py
+++ b/camphorchute/durable_jobs/durable_job_record.py
@@ -35,6 +35,8 @@
         done: indices of the tasks that are done, for each step.
         failed_runs: ``worker:run`` of each failed run, by task as ``step.index``.
         lost_runs: where the runs were that were lost with their workers, by task likewise.
+        suspect_runs: number of the last run that a task with lost runs was dispatched for, by task
+            likewise; written before the dispatch, and removed if the task was not started.
         term: term of the shard owner that wrote the record; 0 until one has.
 
     Examples:
@@ -55,6 +57,7 @@
     done: list[list[int]] = []
     failed_runs: dict[str, list[str]] = {}
     lost_runs: dict[str, list[RunPlace]] = {}
+    suspect_runs: dict[str, int] = {}
     term: int = 0
 
     @classmethod
--- a/camphorchute/durable_jobs/durable_job_run.py
+++ b/camphorchute/durable_jobs/durable_job_run.py
@@ -127,10 +127,20 @@
     def mark_unreported(self, task: TaskProgress) -> None:
         """Make an unknown task pending again, since no worker has a run of it.
 
+        If it lost a worker before, and was dispatched again since, that run counts as lost: its
+        worker is lost, or the scheduler that could tell that it was not started.
+
         Args:
             task: the task.
         """
         task.state = TaskState.WAITING
+        if task.lost_runs is None:
+            return
+        step, index = self._position_of(task)
+        number = self.record.suspect_runs.get(f"{step}.{index}", 0)
+        if number > task.lost_runs.last_number():
+            self._add_lost_run(task, step, index, RunPlace("", 0, "", number))
+        task.run = max(task.run, number + 1)
 
     def mark_recovered(self) -> None:
         """Record that the known tasks may be dispatched."""
@@ -203,14 +213,35 @@
         self._record_completion(task, result)
 
     def record_not_found(self, task: TaskProgress, result: TaskResult) -> None:
-        """Mark a task as unknown, so that all schedulers are queried before it runs again.
+        """Mark a task as unknown, so that all schedulers are queried before it runs again."""
+        self._query_task(task)
+
+    def must_record_start(self, step: int, index: int) -> bool:
+        """Return whether a task lost a worker before, so that its next start is recorded first."""
+        return self.steps[step][index].lost_runs is not None
 
-        If it lost a worker before, and the scheduler that could tell what became of its next run is
-        lost, too, that run counts as lost.
+    def record_start(self, step: int, index: int) -> bool:
+        """Record that a task which lost a worker is started again; return whether that is stored.
+
+        The next owner could not tell otherwise whether the task has been started since, if its
+        scheduler and its worker are lost as well.
+
+        Args:
+            step: number of the step.
+            index: index of the task within the step.
         """
-        if task.lost_runs is not None and not task.worker_id:
-            self._add_lost_run(task, result.step, result.index, RunPlace("", 0, "", result.run))
-        self._query_task(task)
+        task, name = self.steps[step][index], f"{step}.{index}"
+        task.run = max(task.run, task.lost_runs.last_number() + 1)
+        if self.record.suspect_runs.get(name) != task.run:
+            self.record.suspect_runs[name] = task.run
+            self._mark_changed()
+        return self.is_record_stored()
+
+    def record_not_started(self, task: TaskProgress, result: TaskResult) -> None:
+        """Return a task to the backlog, and forget the record of its start."""
+        super().record_not_started(task, result)
+        if self.record.suspect_runs.pop(f"{result.step}.{result.index}", None) is not None:
+            self._mark_changed()
 
     def record_lost_run(self, task: TaskProgress, result: TaskResult) -> None:
         """Record a lost run and have it stored; the task does not start again before."""
@@ -221,23 +252,6 @@
         task.worker_id = ""
         self._query_task(task)
 
-    def record_unaccounted_runs(self, known_counts: list[tuple[LostRuns, int]]) -> None:
-        """Count a run of each pending task that lost a worker before as lost.
-
-        The previous owner may have started it again, and no scheduler knows what became of it.
-
-        Args:
-            known_counts: the lost runs of each task with their number before the schedulers were
-                queried; what they have reported since accounts for the last run.
-        """
-        for step, tasks in enumerate(self.steps):
-            for index, task in enumerate(tasks):
-                is_unaccounted = (task.lost_runs, len(task.lost_runs or ())) in known_counts
-                if task.state is TaskState.WAITING and is_unaccounted:
-                    number = max(place.run for place in task.lost_runs.places()) + 1
-                    self._add_lost_run(task, step, index, RunPlace("", 0, "", number))
-                    task.run = max(task.run, number + 1)
-
     def give_up_task(self, step: int, index: int) -> None:
         """Record the job as failed and have that stored."""
         self.record.state = DurableJobState.FAILED
@@ -260,6 +274,15 @@
         for name, places in record.lost_runs.items():
             new_places = self._add_stored_lost_runs(name, places)
             self.record.lost_runs[name] = self.record.lost_runs.get(name, []) + new_places
+        for name, number in record.suspect_runs.items():
+            known_number = self.record.suspect_runs.get(name, 0)
+            self.record.suspect_runs[name] = max(known_number, number)
+
+    def _position_of(self, task: TaskProgress) -> tuple[int, int]:
+        """Return the number of a task's step and its index in that."""
+        return next(
+            (step, tasks.index(task)) for step, tasks in enumerate(self.steps) if task in tasks
+        )
 
     def lost_run_counts(self) -> list[tuple[LostRuns, int]]:
         """Return the lost runs of each task with their present number."""
--- a/camphorchute/durable_jobs/shard.py
+++ b/camphorchute/durable_jobs/shard.py
@@ -29,7 +29,6 @@
 from camphorchute.links import Peers
 from camphorchute.loops import spawn_loop, wait_for_event
 from camphorchute.queues import QueueOwner, TaskState
-from camphorchute.queues.lost_runs import LostRuns
 from camphorchute.runs import job_of
 
 __all__ = ["JobShard", "ShardContext"]
@@ -129,7 +128,6 @@
             self._apply_reported_task,
             self._mark_recovered,
         )
-        self._known_lost_runs: dict[str, list[tuple[LostRuns, int]]] = {}
         self._follower = StoreFollower(
             context.store,
             shard_key_prefix(number),
@@ -277,7 +275,6 @@
         while not self._loaded:
             gevent.sleep(LOADED_CHECK_INTERVAL_MS / MS_PER_S)
         self._write_term_to_records()
-        self._known_lost_runs = {name: run.lost_run_counts() for name, run in self._runs.items()}
         if self._search.run_round():
             self._search.start()
         self._mark_recovered()
@@ -297,9 +294,8 @@
         """
         if not self._context.view.workers:
             return
-        for name, run in list(self._runs.items()):
+        for run in list(self._runs.values()):
             if not run.is_recovered and run.has_known_tasks():
-                run.record_unaccounted_runs(self._known_lost_runs.get(name, []))
                 run.mark_recovered()
 
     def _write_term_to_records(self) -> None:
--- a/camphorchute/queues/job_run.py
+++ b/camphorchute/queues/job_run.py
@@ -278,6 +278,19 @@
         """Record that a task has failed permanently; return the outcome if the job has ended."""
         return JobOutcome.FAILED
 
+    def record_not_started(self, task: "TaskProgress", result: TaskResult) -> None:
+        """Record that a scheduler has returned a task without having started it."""
+        task.state = TaskState.WAITING
+        task.worker_id = ""
+
+    def must_record_start(self, step: int, index: int) -> bool:
+        """Return whether the start of a task must be recorded before it is dispatched."""
+        return False
+
+    def record_start(self, step: int, index: int) -> bool:
+        """Record the start of a task, and return whether it may be dispatched."""
+        return True
+
     def record_not_found(self, task: "TaskProgress", result: TaskResult) -> None:
         """Record that the scheduler of a task that may run does not know the task."""
         task.state = TaskState.WAITING
--- a/camphorchute/queues/lost_runs.py
+++ b/camphorchute/queues/lost_runs.py
@@ -81,6 +81,10 @@
         """Return where the last lost run was, None if there is none."""
         return self._runs[max(self._runs)].place if self._runs else None
 
+    def last_number(self) -> int:
+        """Return the number of the last lost run, 0 if there is none."""
+        return max(self._runs, default=0)
+
     def is_stored(self) -> bool:
         """Whether the next process to own the job would know all of the runs."""
         return self.stored is None or self.stored >= len(self._runs)
--- a/camphorchute/queues/queue_owner.py
+++ b/camphorchute/queues/queue_owner.py
@@ -261,8 +261,7 @@
 
     def _apply_not_started(self, run: JobRun, task: TaskProgress, result: TaskResult) -> None:
         """Return a task to the backlog that its scheduler did not start."""
-        task.state = TaskState.WAITING
-        task.worker_id = ""
+        run.record_not_started(task, result)
         if result.end is TaskResultKind.NO_ROOM:
             self._count("queues.retry.no_room")
             self._capacity_view.mark_group_full(task.group, run.job.steps[result.step].demand)
--- a/camphorchute/queues/task_dispatcher.py
+++ b/camphorchute/queues/task_dispatcher.py
@@ -81,6 +81,9 @@
         ]
         indices = [index for index in waiting if self._may_start(run, step_number, index)]
         is_held = len(indices) < len(waiting)
+        for index in [index for index in indices if run.must_record_start(step_number, index)]:
+            indices.remove(index)
+            is_held |= not self._dispatch_recorded(run, step_number, index)
         if not indices or run.outcome is not None:
             return is_held
         if not run.may_dispatch():
@@ -107,6 +110,24 @@
                     indices += chosen
         return is_held or bool(indices)
 
+    def _dispatch_recorded(self, run: JobRun, step_number: int, index: int) -> bool:
+        """Dispatch a task once its start is recorded; return whether it was dispatched.
+
+        It is dispatched to free capacity only, and returned if that is gone, so that a record means
+        that the task has probably been started.
+        """
+        step, limits = run.job.steps[step_number], run.step_limits
+        plan = self._capacity_view.plan(run.queue.service, step, 1, limits)
+        if not plan.placed or not run.record_start(step_number, index):
+            return False
+        (group,) = plan.placed
+        scheduler = self._capacity_view.scheduler_of(group)
+        if scheduler is None or not run.may_dispatch():
+            return False
+        self._capacity_view.reserve(plan, step, limits)
+        options = _DispatchOptions(return_if_full=True)
+        return self._send_start_command(run, step_number, group, scheduler, [index], options)
+
     def _may_start(self, run: JobRun, step_number: int, index: int) -> bool:
         """Return whether a waiting task may start now; give it up if it crashes its workers."""
         lost_runs = run.steps[step_number][index].lost_runs
