Check every value that another writer can have put into the store

Operators of similar systems saw processes that end again and again, or stop following the list of workers, beside one odd entry: nested deeply, with a number too large, or with a port out of range.

Cause: each reader caught the errors that its author knew of, and what it accepted was used elsewhere without a check, as address, header or index.

decode_json is the one way to decode a stored value, and raises ValueError for whatever is wrong with it. Ranges and patterns stand with the fields of the messages; ids, addresses and records are checked where they are read. An odd value is counted and passed over, the others hold. An error while one listed value is applied does not keep the others from being applied. Answers of workers and jobs of callers that are nested deeply are malformed now, too.

--- a/camphorchute/cluster/cluster_view.py
+++ b/camphorchute/cluster/cluster_view.py
@@ -3,8 +3,7 @@
 from collections import Counter
 from collections.abc import Callable, Collection
 
-import msgspec
-from eliot import log_message
+from eliot import log_message, write_traceback
 from gevent.event import Event
 
 from camphorchute.cluster.group_followers import GroupFollowers
@@ -12,6 +11,7 @@
 from camphorchute.cluster.worker_groups import WorkerGroups
 from camphorchute.cluster.zone_evacuations import ZoneEvacuations
 from camphorchute.contracts.member import Member
+from camphorchute.contracts.stored_values import decode_json, is_address
 from camphorchute.hosting import HostingPlatform, QueueTable, StoredValue, WorkerEntry
 from camphorchute.observation_clock import observation_clock
 
@@ -136,7 +136,15 @@
             if key.startswith(listed_prefix) and key not in listed_keys:
                 self.apply_change(StoredValue(key, None, 0))
         for value in values:
+            self._apply_listed(value)
+
+    def _apply_listed(self, value: StoredValue) -> None:
+        """Apply a listed value; an error with one must not keep the others from being applied."""
+        try:
             self.apply_change(value)
+        except Exception:  # noqa: BLE001 - the others would be listed again without end
+            self._count("roster.listed_value_failed")
+            write_traceback()
 
     def apply_change(self, change: StoredValue) -> None:
         """Apply one write, or one deletion if the value is None."""
@@ -303,8 +311,10 @@
             self._remove_member(member_id)
             return
         try:
-            member = msgspec.json.decode(change.value, type=Member)
-        except (msgspec.MsgspecError, UnicodeDecodeError):
+            member = decode_json(change.value, Member)
+        except ValueError:
+            member = None
+        if member is None or member.member_id != member_id or not is_address(member.link_address):
             self._count("roster.member_malformed")
             return
         earlier = self._registration_by_address.get(member.link_address)
--- a/camphorchute/cluster/tests/test_claims.py
+++ b/camphorchute/cluster/tests/test_claims.py
@@ -245,7 +245,7 @@
     process = make_process(1)
     assert wait_until(process.holds)
     for number in range(2, 16):
-        FleetWorker("127.0.0.1:0", site.store, f"north-w{number}", "north", SERVICE_NAME).register(
+        FleetWorker("127.0.0.1:1", site.store, f"north-w{number}", "north", SERVICE_NAME).register(
             "ready"
         )
     assert wait_until(lambda: f"north/{SERVICE_NAME}/1" in process.scheduler.held)
--- a/camphorchute/durable_jobs/durable_job_record.py
+++ b/camphorchute/durable_jobs/durable_job_record.py
@@ -4,8 +4,9 @@
 
 import msgspec
 
-from camphorchute.contracts.batch_job import BatchJob, QueueLimits
+from camphorchute.contracts.batch_job import STEP_MAX_TASKS, BatchJob, QueueLimits
 from camphorchute.contracts.run_messages import RunPlace
+from camphorchute.contracts.stored_values import decode_json
 from camphorchute.hosting import Queue
 from camphorchute.runs import shard_of
 
@@ -40,7 +41,8 @@
         term: term of the shard owner that wrote the record; 0 until one has.
 
     Examples:
-        >>> record = DurableJobRecord("checks", "flags", QueueLimits(0, 3, 2.0, 60.0))
+        >>> limits = QueueLimits(0, 3, 2.0, 60.0)
+        >>> record = DurableJobRecord("checks", "flags", limits, state=DurableJobState.DONE)
         >>> DurableJobRecord.decode(record.encode()).queue
         'checks'
         >>> DurableJobRecord.decode(b"{}")
@@ -78,9 +80,34 @@
             ValueError: the bytes are not a valid record.
         """
         try:
-            return msgspec.json.decode(value, type=cls)
-        except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+            record = decode_json(value, cls)
+            record._check()
+        except ValueError as error:
             raise ValueError(f"malformed durable job record: {error}") from error
+        return record
+
+    def _check(self) -> None:
+        """Check what an open job is run by.
+
+        Raises:
+            ValueError: the job is missing, or has steps, tasks or limits that no job can have.
+        """
+        if self.state is not DurableJobState.OPEN:
+            return
+        steps = () if self.job is None else self.job.steps
+        if not steps or len(self.done) > len(steps):
+            raise ValueError("open without a job, or with more steps done than the job has")
+        for number, step in enumerate(steps):
+            if not 1 <= step.tasks <= STEP_MAX_TASKS:
+                raise ValueError(f"step {number}: {step.tasks} tasks, at most {STEP_MAX_TASKS}")
+            if any(not 0 <= earlier < number for earlier in step.after):
+                raise ValueError(f"step {number}: after is {step.after}")
+            demand = step.demand
+            if min(demand.cpu_millicores, demand.memory_mb, demand.gpus) < 0:
+                raise ValueError(f"step {number}: negative demand")
+        for step, indices in zip(steps, self.done, strict=False):
+            if any(not 0 <= index < step.tasks for index in indices):
+                raise ValueError(f"done is {indices} of {step.tasks} tasks")
 
     def encode(self) -> bytes:
         """Return the record as the bytes to store."""
--- a/camphorchute/durable_jobs/shard.py
+++ b/camphorchute/durable_jobs/shard.py
@@ -201,9 +201,10 @@
             return
         try:
             record = DurableJobRecord.decode(change.value)
+            if record.job is not None and record.job.job_id != job_id:
+                raise ValueError(f"the record is of job {record.job.job_id!r}")
         except ValueError as error:
-            self._context.count("keeping.record_malformed")
-            log_message(message_type="keeping", text=f"keeping: job {job_id}: {error}")
+            self._count_malformed(job_id, error)
             return
         run = self._runs.get(job_id)
         if run is not None:
@@ -215,6 +216,10 @@
         else:
             self._add_open_job(job_id, record, change.mod_revision)
 
+    def _count_malformed(self, job_id: str, error: ValueError) -> None:
+        self._context.count("keeping.record_malformed")
+        log_message(message_type="keeping", text=f"keeping: job {job_id}: {error}")
+
     def _add_open_job(self, job_id: str, record: DurableJobRecord, revision: int) -> None:
         run = DurableJobRun(
             record,
@@ -452,7 +457,12 @@
         if current is None:
             self._drop_run(run.job.job_id)
             return True
-        record = DurableJobRecord.decode(current.value)
+        try:
+            record = DurableJobRecord.decode(current.value)
+        except ValueError as error:
+            self._count_malformed(run.job.job_id, error)
+            self._drop_run(run.job.job_id)
+            return True
         run.revision = current.mod_revision
         if record.term > self._term.number:
             self._context.count("keeping.deposed")
--- a/camphorchute/durable_jobs/shard_markers.py
+++ b/camphorchute/durable_jobs/shard_markers.py
@@ -140,7 +140,7 @@
                 continue
             for value in listing.values:
                 shard_text = value.key.removeprefix(JOB_KEY_PREFIX).partition("/")[0]
-                if shard_text.isdigit():
+                if shard_text.isascii() and shard_text.isdecimal():
                     self._known_shards.add(int(shard_text))
             self.is_loaded = True
 
--- a/camphorchute/durable_jobs/shard_owner.py
+++ b/camphorchute/durable_jobs/shard_owner.py
@@ -10,6 +10,7 @@
 from camphorchute.contracts.batch_job import BatchJob
 from camphorchute.contracts.durable_job_messages import AskKeptJob, KeptJobIs, KeptJobWritten
 from camphorchute.contracts.member import Member
+from camphorchute.contracts.stored_values import Count, decode_json
 from camphorchute.decision_log import log_decision
 from camphorchute.durable_jobs.durability_checks import DurabilityChecks
 from camphorchute.durable_jobs.durable_job_record import DurableJobRecord, DurableJobState, job_key
@@ -182,7 +183,7 @@
                 stored = self._context.store.get(key)
                 if stored is None:
                     return False
-                record = DurableJobRecord.decode(stored.value)
+                record = self._decode_record(job_id, stored.value)
                 if record.state is DurableJobState.OPEN:
                     value = record.ended_record(DurableJobState.CANCELLED).encode()
                     revision = self._context.writer.write(key, value, stored.mod_revision)
@@ -279,9 +280,21 @@
             raise self._store_unavailable_refusal(error) from error
         if stored is None:
             return ""
-        state = DurableJobRecord.decode(stored.value).state
+        state = self._decode_record(job_id, stored.value).state
         return "queued" if state is DurableJobState.OPEN else state.value
 
+    def _decode_record(self, job_id: str, value: bytes) -> DurableJobRecord:
+        """Return the stored record of a job.
+
+        Raises:
+            Refusal: another writer has replaced it by something else.
+        """
+        try:
+            return DurableJobRecord.decode(value)
+        except ValueError as error:
+            self._context.count("keeping.refused.record_malformed")
+            raise Refusal(ResultCode.RECORDS_LOST, f"job {job_id}: {error}") from error
+
     def _store_unavailable_refusal(self, error: Exception) -> Refusal:
         self._context.count("keeping.refused.store_unavailable")
         return Refusal(ResultCode.STORE_UNAVAILABLE, str(error), spread_retry_after_ms())
@@ -323,6 +336,6 @@
 def _decode_queued_counts(value: bytes) -> dict[str, int]:
     """Return the number of queued jobs by queue, none if the bytes are malformed."""
     try:
-        return msgspec.json.decode(value, type=dict[str, int])
-    except (msgspec.MsgspecError, UnicodeDecodeError):
+        return decode_json(value, dict[str, Count])
+    except ValueError:
         return {}
--- a/camphorchute/platform/etcd_store.py
+++ b/camphorchute/platform/etcd_store.py
@@ -294,7 +294,7 @@
 
 
 def _to_stored_value(kv) -> StoredValue:
-    return StoredValue(kv.key.decode(), kv.value, kv.mod_revision, kv.lease)
+    return StoredValue(kv.key.decode("utf-8", "replace"), kv.value, kv.mod_revision, kv.lease)
 
 
 def _iter_events(result) -> Iterator[StoredValue]:
@@ -309,7 +309,8 @@
         )
     for event in result.events:
         value = None if event.type == DELETE_EVENT_TYPE else event.kv.value
-        yield StoredValue(event.kv.key.decode(), value, event.kv.mod_revision, event.kv.lease)
+        key = event.kv.key.decode("utf-8", "replace")
+        yield StoredValue(key, value, event.kv.mod_revision, event.kv.lease)
 
 
 def _is_refusal(error: Exception) -> bool:
--- a/camphorchute/platform/fenced_worker.py
+++ b/camphorchute/platform/fenced_worker.py
@@ -171,7 +171,7 @@
             raise _command_error(answer)
         try:
             return decoder.decode(answer.body)
-        except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
             raise CommandUnanswered(f"malformed answer: {error}") from error
 
 
@@ -181,7 +181,7 @@
         return CommandRefused(_REASONS_BY_STATUS[answer.status], str(answer.status))
     try:
         reason = msgspec.json.decode(answer.body, type=messages.Rejected).reason
-    except (msgspec.MsgspecError, UnicodeDecodeError):
+    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError):
         reason = ""
     if reason in _REASONS_BY_NAME:
         return CommandRefused(_REASONS_BY_NAME[reason], reason)
--- a/camphorchute/platform/fleet_messages.py
+++ b/camphorchute/platform/fleet_messages.py
@@ -4,8 +4,12 @@
 from the types of :mod:`camphorchute.hosting`, so that no other package uses the platform's names.
 """
 
+from typing import Annotated
+
 import msgspec
 
+from camphorchute.contracts.stored_values import Amount, Count, ServiceName
+
 __all__ = [
     "Capacity",
     "Clock",
@@ -32,6 +36,12 @@
 ]
 
 
+DurationMs = Annotated[float, msgspec.Meta(ge=0, le=1e9)]
+Factor = Annotated[float, msgspec.Meta(ge=0, le=1e6)]
+Priority = Annotated[int, msgspec.Meta(ge=-(2**31), le=2**31)]
+ZoneName = Annotated[str, msgspec.Meta(pattern=r"^[a-z0-9-]{1,32}\Z")]  # as in the settings
+
+
 class Wire(msgspec.Struct, rename=lambda name: name.replace("_", "-"), omit_defaults=True):
     """Base class of the messages: wire names have hyphens, unknown fields are ignored."""
 
@@ -39,21 +49,21 @@
 class Capacity(Wire):
     """Total resources of a worker; ``cpu`` is in thousandths of a core."""
 
-    cpu: int
-    mem_mb: int = 0
-    gpu: int = 0
+    cpu: Amount
+    mem_mb: Amount = 0
+    gpu: Amount = 0
 
 
 class ServerEntry(Wire):
     """Entry of a worker in service discovery."""
 
-    service: str
+    service: ServiceName
     address: str
-    zone: str
+    zone: ZoneName
     state: str
     capacity: Capacity
     labels: list[str] = []
-    born: int = 0  # time when the worker started, which distinguishes its incarnations
+    born: Amount = 0  # time when the worker started, which distinguishes its incarnations
 
 
 class Route(Wire):
@@ -63,11 +73,11 @@
     host: str
     prefix: str
     service: str
-    timeout_ms: float = 30_000.0
-    target_latency_ms: float = 0.0
-    priority: int = 0
-    max_attempts: int = 1
-    stretch: float = 1.0  # factor of the work of a job in its target time
+    timeout_ms: DurationMs = 30_000.0
+    target_latency_ms: DurationMs = 0.0
+    priority: Priority = 0
+    max_attempts: Count = 1
+    stretch: Factor = 1.0  # factor of the work of a job in its target time
 
 
 class Service(Wire):
@@ -79,7 +89,7 @@
 class Configuration(Wire):
     """The complete configuration that the operators wrote."""
 
-    version: int
+    version: Amount
     routes: list[Route]
     services: list[Service] = []
 
--- a/camphorchute/platform/fleet_platform.py
+++ b/camphorchute/platform/fleet_platform.py
@@ -7,6 +7,7 @@
 
 from camphorchute.contracts.batch_job import STEP_MAX_TASKS, BatchJob, BatchStep, QueueLimits
 from camphorchute.contracts.resources import Resources
+from camphorchute.contracts.stored_values import decode_json, is_address
 from camphorchute.hosting.platform import HostingPlatform, UnsupportedFeature, register_platform
 from camphorchute.hosting.queue_table import Queue, QueueTable
 from camphorchute.hosting.worker_client import WorkerClient
@@ -19,6 +20,7 @@
 __all__ = ["FleetPlatform"]
 
 EVACUATION_PREFIX = "op/evacuate/"
+WORKER_ID_PATTERN = re.compile(r"[!-~]{1,200}")  # it is sent in a header
 ZONE_NAME_PATTERN = re.compile(r"[a-z0-9-]{1,32}")  # as the settings zone and zones
 USABLE_WORKER_STATES = ("ready", "draining")
 UNSUPPORTED_STEP_FIELDS = (
@@ -53,16 +55,20 @@
 
     def decode_worker_entry(self, key: str, value: bytes) -> WorkerEntry | None:
         """Return the worker of a service discovery entry, None if the entry is not usable."""
+        worker_id = key.removeprefix(self.worker_prefix)
         try:
-            entry = msgspec.json.decode(value, type=messages.ServerEntry)
-        except (msgspec.MsgspecError, UnicodeDecodeError):
+            entry = decode_json(value, messages.ServerEntry)
+        except ValueError:
+            self._count("platform.worker_entry_malformed")
+            return None
+        if not (WORKER_ID_PATTERN.fullmatch(worker_id) and is_address(entry.address)):
             self._count("platform.worker_entry_malformed")
             return None
         if entry.state not in USABLE_WORKER_STATES:
             self._count("platform.worker_entry_unknown_state")
             return None
         return WorkerEntry(
-            key.removeprefix(self.worker_prefix),
+            worker_id,
             entry.born,
             entry.address,
             entry.service,
@@ -79,8 +85,8 @@
             ValueError: the configuration is malformed.
         """
         try:
-            configuration = msgspec.json.decode(value, type=messages.Configuration)
-        except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+            configuration = decode_json(value, messages.Configuration)
+        except ValueError as error:
             raise ValueError(f"malformed configuration: {error}") from error
         queues = [_to_queue(route) for route in configuration.routes]
         services = [service.name for service in configuration.services]
@@ -109,7 +115,7 @@
         """
         try:
             job = msgspec.json.decode(body, type=messages.JobBody)
-        except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
             raise ValueError(str(error)) from error
         _check_job(job)
         steps = tuple(_to_step(step) for step in job.steps)
--- a/camphorchute/platform/vm_list.py
+++ b/camphorchute/platform/vm_list.py
@@ -95,7 +95,7 @@
         try:
             listing = msgspec.json.decode(body, type=VmListing)
             return {vm.address: VmState(vm.state) for vm in listing.vms}
-        except (msgspec.MsgspecError, ValueError) as error:
+        except (msgspec.MsgspecError, ValueError, RecursionError) as error:
             raise AnswerLost("malformed", str(error)) from error
 
     def _apply_listing(self, listed_states: dict[str, VmState]) -> None:
--- a/camphorchute/services/plan_storage.py
+++ b/camphorchute/services/plan_storage.py
@@ -4,6 +4,7 @@
 from eliot import log_message
 
 from camphorchute.contracts import Refusal, ResultCode
+from camphorchute.contracts.stored_values import decode_json
 from camphorchute.hosting import Store, StoredValue, StoreUnavailable, SwapConflict, SwapUnknown
 from camphorchute.services.plan import Plan, new_plan_id, plan_key
 
@@ -84,8 +85,8 @@
 
 def _decode_plan(stored: StoredValue) -> Plan:
     try:
-        return msgspec.json.decode(stored.value, type=Plan)
-    except msgspec.DecodeError as error:
+        return decode_json(stored.value, Plan)
+    except ValueError as error:
         raise Refusal(
             ResultCode.INTERNAL, f"cannot decode the plan at {stored.key}: {error}"
         ) from error
--- a/camphorchute/services/record.py
+++ b/camphorchute/services/record.py
@@ -3,6 +3,7 @@
 import msgspec
 
 from camphorchute.contracts import Refusal, ResultCode
+from camphorchute.contracts.stored_values import decode_json
 from camphorchute.services.definition import VALUE_MAX_BYTES, ServiceDefinition
 
 __all__ = [
@@ -124,8 +125,8 @@
     if value is None:
         return ServiceRecord(name, mod_revision)
     try:
-        record = msgspec.json.decode(value, type=ServiceRecord)
-    except msgspec.DecodeError as error:
+        record = decode_json(value, ServiceRecord)
+    except ValueError as error:
         raise Refusal(
             ResultCode.INTERNAL, f"cannot decode the service record at {key}: {error}"
         ) from error
@@ -150,8 +151,8 @@
         7
     """
     try:
-        return msgspec.json.decode(body, type=ServiceRecord)
-    except msgspec.DecodeError as error:
+        return decode_json(body, ServiceRecord)
+    except ValueError as error:
         raise Refusal(
             ResultCode.MALFORMED_MESSAGE, f"cannot decode the service record of a peer: {error}"
         ) from error
--- a/camphorchute/zones/record.py
+++ b/camphorchute/zones/record.py
@@ -10,6 +10,7 @@
 
 from camphorchute.contracts.keys import SHARDS_PER_ZONE
 from camphorchute.contracts.member import Member
+from camphorchute.contracts.stored_values import decode_json
 
 __all__ = [
     "WITNESSES_MAX",
@@ -138,9 +139,9 @@
     """Return the record that was encoded as JSON.
 
     Raises:
-        msgspec.MsgspecError: if the bytes are not a valid record.
+        ValueError: if the bytes are not a valid record.
     """
-    return msgspec.json.decode(data, type=OwnershipRecord)
+    return decode_json(data, OwnershipRecord)
 
 
 def assign_shard(members: list[Member], shard: int) -> tuple[str, tuple[str, ...]]:
