Search again for a task that becomes unknown while schedulers are queried

By reading the search for runs that brought in: a task that became unknown again while the schedulers were queried had no round of its own, so that the search ended with a KeyError and its shard's unknown tasks stayed so. The new test fails before. The search also survives any other error now, and looks at the workers of a service once a round, not once for each task.

--- a/camphorchute/durable_jobs/run_search.py
+++ b/camphorchute/durable_jobs/run_search.py
@@ -14,6 +14,7 @@
 from camphorchute.contracts.run_messages import ShardTerm
 from camphorchute.durable_jobs.durable_job_run import DurableJobRun
 from camphorchute.links import LinkLost
+from camphorchute.loops import spawn_loop
 from camphorchute.queues import TaskProgress, TaskState
 
 if TYPE_CHECKING:
@@ -94,15 +95,13 @@
         """Start asking, unless that is under way, until no task of the shard is unknown."""
         if not self._is_running:
             self._is_running = True
-            gevent.spawn(self._search_until_known)
+            spawn_loop("keeping", self._search_until_known, self._context.count)
 
     def _search_until_known(self) -> None:
-        try:
-            while not self._is_closed and self.run_round():
-                self._context.count("keeping.retry.find_tasks")
-                gevent.sleep(RETRY_MS / MS_PER_S)
-        finally:
-            self._is_running = False
+        while not self._is_closed and self.run_round():
+            self._context.count("keeping.retry.find_tasks")
+            gevent.sleep(RETRY_MS / MS_PER_S)
+        self._is_running = False
 
     def run_round(self) -> bool:
         """Ask all schedulers once; return whether tasks are still unknown after that."""
@@ -113,33 +112,53 @@
         number = self._round
         self._first_round = {task: self._first_round.get(task, number) for _, task in unknown}
         self._query_all_schedulers(number)
-        missing: set[str] = set()
+        reported_since = {
+            service: self._all_reported_since(service)
+            for service in {run.queue.service for run, _ in unknown}
+        }
+        waiting_services = set()
         for run, task in unknown:
-            if task.state is TaskState.UNKNOWN and not self._is_closed:
-                unreported = self._unreported_workers(run.queue.service, self._first_round[task])
-                missing |= unreported
-                if not unreported and self._context.view.workers:
-                    run.mark_unreported(task)
+            service = run.queue.service
+            first_round = self._first_round.get(task)  # missing if it became unknown again just now
             if task.state is not TaskState.UNKNOWN:
                 self._first_round.pop(task, None)
+            elif first_round is not None and reported_since[service] >= first_round:
+                self._first_round.pop(task)
+                run.mark_unreported(task)
+            else:
+                waiting_services.add(service)
             run.changed.set()
-        self._log_missing(missing)
+        self._log_missing(waiting_services, number)
         self._after_round()
         return bool(self._unknown_tasks())
 
     def _unknown_tasks(self) -> list[tuple[DurableJobRun, TaskProgress]]:
         return [(run, task) for run in self._open_runs() for task in run.unknown_tasks()]
 
-    def _unreported_workers(self, service: str, first_round: int) -> set[str]:
-        """Return the workers of a service whose runs were not reported in or after a round."""
-        return {
+    def _all_reported_since(self, service: str) -> int:
+        """Return the round in or after which the runs of all workers of a service were reported.
+
+        It is 0 if a worker was never reported, or if this process has read no worker yet.
+        """
+        view = self._context.view
+        if self._is_closed or not view.workers:
+            return 0
+        rounds = [self._last_report_round.get(name, 0) for name in view.worker_ids_of(service)]
+        return min(rounds, default=self._round)
+
+    def _log_missing(self, services: set[str], number: int) -> None:
+        """Count the rounds in which tasks wait for workers, and log which ones if they change.
+
+        Args:
+            services: services of the tasks that wait.
+            number: number of the round.
+        """
+        missing = {
             worker_id
+            for service in services
             for worker_id in self._context.view.worker_ids_of(service)
-            if self._last_report_round.get(worker_id, 0) < first_round
+            if self._last_report_round.get(worker_id, 0) < number
         }
-
-    def _log_missing(self, missing: set[str]) -> None:
-        """Count the rounds in which tasks wait for workers, and log which ones if they change."""
         if missing:
             self._context.count("keeping.wait.worker_unreported")
         if missing and missing != self._missing_workers:
--- a/camphorchute/durable_jobs/tests/test_shard.py
+++ b/camphorchute/durable_jobs/tests/test_shard.py
@@ -164,6 +164,26 @@
     assert site.counts["keeping.wait.worker_unreported"] >= 1
 
 
+# What was reported before a task became unknown again says nothing of its last run.
+def test_task_that_becomes_unknown_again_during_a_query_waits_for_the_next_one(site):
+    site.put(make_record())
+    site.start_shard()
+    assert wait_until(lambda: recovered(site))
+    task, rounds = site.job_run().steps[0][0], []
+
+    def request(member, message, timeout_ms):
+        rounds.append(task.state)
+        if len(rounds) == 1:
+            site.job_run().record_not_found(task, NOT_FOUND)
+        return site.peers.reply
+
+    site.peers.request = request
+    site.job_run().record_not_found(task, NOT_FOUND)
+    assert wait_until(lambda: task.state is TaskState.WAITING)
+    assert rounds == [TaskState.UNKNOWN] * 2
+    assert "keeping.loop_failed" not in site.counts
+
+
 # A process that had just started claimed a shard before it knew the workers, and asked nobody.
 def test_nothing_is_dispatched_before_the_workers_are_known(site):
     site.view.workers = {}
