Let a shard owner stop durable tasks only

Cause: schedulers report all runs of the shard. The owner took those of best-effort jobs for leftovers and sent a stop; if it owned the best-effort job itself, its scheduler obeyed, with each query. A stop with the term of a shard now stops durable tasks only. The case with a term fails before.

--- a/camphorchute/runs/group_scheduler.py
+++ b/camphorchute/runs/group_scheduler.py
@@ -238,11 +238,15 @@
 
     @handles(StopTasks, nonblocking=True)
     def stop_tasks(self, peer: Member, message: StopTasks) -> None:
-        """Return the pending tasks of a job to its owner and stop its active runs."""
+        """Return the pending tasks of a job to its owner and stop its active runs.
+
+        A shard owner stops durable tasks only: it may own a best-effort job of the shard as well.
+        """
         if self.durable_tasks.is_superseded(message.term):
             return
         for task in self._open_tasks.of_job(message.job_id):
-            if task.owner_id == peer.member_id or task.is_durable:
+            is_of_sender = task.owner_id == peer.member_id and message.term is None
+            if is_of_sender or task.is_durable:
                 self._stop_task(task)
 
     @handles(WithdrawTasks, nonblocking=True)
--- a/camphorchute/runs/tests/test_group_scheduler.py
+++ b/camphorchute/runs/tests/test_group_scheduler.py
@@ -4,6 +4,7 @@
 from camphorchute.contracts.run_messages import ShardTerm, StopTasks, TaskResultKind
 from camphorchute.runs.tests.scheduler_site import (
     GROUP,
+    JOB_ID,
     OWNER,
     start_message,
     wait_until,
@@ -165,6 +166,17 @@
     assert len(worker.runs) == 2
 
 
+# An owner that recovered a shard stopped its own best-effort jobs of the shard with each query.
+@pytest.mark.parametrize(("term", "is_stopped"), [(None, True), (ShardTerm(1, 9), False)])
+def test_shard_owner_stops_no_best_effort_task_of_its_own(open_site, term, is_stopped):
+    site = open_site(run_ms=2000.0)
+    scheduler = site.add_scheduler(7)
+    site.dispatch_tasks(scheduler)
+    assert wait_until(site.active_runs)
+    scheduler.stop_tasks(OWNER, StopTasks(JOB_ID, term))
+    assert wait_until(lambda: not site.active_runs(), 0.5) is is_stopped
+
+
 def test_lost_stop_command_is_repeated(open_site):
     site = open_site(workers=1, run_ms=3000.0)
     scheduler = site.add_scheduler(7)
