Withdraw the record of a start if its capacity is gone before the dispatch

Cause: the start of a task that lost a worker is recorded before the dispatch, which takes some 150 ms. If another task had taken the capacity by then, the record stayed, and the next owner counted a run that never was. The log of the failed run shows it: with each restart the leases of some runs lapsed, their workers looked free for a moment, and the number of lost runs rose by one.

The record is withdrawn as soon as the task waits without free capacity.

--- a/camphorchute/durable_jobs/durable_job_run.py
+++ b/camphorchute/durable_jobs/durable_job_run.py
@@ -240,7 +240,16 @@
     def record_not_started(self, task: TaskProgress, result: TaskResult) -> None:
         """Return a task to the backlog, and forget the record of its start."""
         super().record_not_started(task, result)
-        if self.record.suspect_runs.pop(f"{result.step}.{result.index}", None) is not None:
+        self.withdraw_start(result.step, result.index)
+
+    def withdraw_start(self, step: int, index: int) -> None:
+        """Withdraw the record of a start, as the task waits and was not started.
+
+        Args:
+            step: number of the step.
+            index: index of the task within the step.
+        """
+        if self.record.suspect_runs.pop(f"{step}.{index}", None) is not None:
             self._mark_changed()
 
     def record_lost_run(self, task: TaskProgress, result: TaskResult) -> None:
--- a/camphorchute/durable_jobs/tests/test_shard.py
+++ b/camphorchute/durable_jobs/tests/test_shard.py
@@ -464,7 +464,8 @@
 
 
 # A task that its scheduler returned counted as started, and its next owner as lost.
-def test_task_that_was_returned_without_a_start_does_not_count_as_started(site):
+@pytest.mark.parametrize("is_returned", [True, False])
+def test_task_that_was_not_started_does_not_count_as_started(site, is_returned):
     site.put(make_record(1))
     site.start_shard()
     assert wait_until(lambda: recovered(site))
@@ -473,8 +474,11 @@
     assert wait_until(lambda: task_states(site) == [TaskState.WAITING])
     assert wait_until(lambda: job_run.record_start(0, 0))
     assert site.stored_record().suspect_runs == {"0.0": 2}
-    returned = TaskResult(0, 0, 1, TaskResultKind.NO_ROOM)
-    job_run.record_not_started(job_run.steps[0][0], returned)
+    if is_returned:
+        returned = TaskResult(0, 0, 1, TaskResultKind.NO_ROOM)
+        job_run.record_not_started(job_run.steps[0][0], returned)
+    else:
+        job_run.withdraw_start(0, 0)
     assert wait_until(lambda: site.stored_record().suspect_runs == {})
 
 
--- a/camphorchute/queues/job_run.py
+++ b/camphorchute/queues/job_run.py
@@ -291,6 +291,9 @@
         """Record the start of a task, and return whether it may be dispatched."""
         return True
 
+    def withdraw_start(self, step: int, index: int) -> None:
+        """Withdraw the record of a start that was not dispatched, if there is one."""
+
     def record_not_found(self, task: "TaskProgress", result: TaskResult) -> None:
         """Record that the scheduler of a task that may run does not know the task."""
         task.state = TaskState.WAITING
--- a/camphorchute/queues/task_dispatcher.py
+++ b/camphorchute/queues/task_dispatcher.py
@@ -118,7 +118,10 @@
         """
         step, limits = run.job.steps[step_number], run.step_limits
         plan = self._capacity_view.plan(run.queue.service, step, 1, limits)
-        if not plan.placed or not run.record_start(step_number, index):
+        if not plan.placed:
+            run.withdraw_start(step_number, index)
+            return False
+        if not run.record_start(step_number, index):
             return False
         (group,) = plan.placed
         scheduler = self._capacity_view.scheduler_of(group)
--- a/camphorchute/queues/tests/test_task_dispatcher.py
+++ b/camphorchute/queues/tests/test_task_dispatcher.py
@@ -55,7 +55,7 @@
         super().__init__(BatchJob("5c0e7a21d94b36f8", "text", (step,), True), QUEUE, math.inf)
         self.steps[0][0].add_lost_run(RunPlace("w1", 100, "w1:1", 1, True, True))
         self.steps[0][0].lost_runs.mark_stored(1)
-        self.is_stored, self.records = is_stored, 0
+        self.is_stored, self.records, self.withdrawals = is_stored, 0, 0
 
     def must_record_start(self, step, index):
         return index == 0
@@ -64,8 +64,12 @@
         self.records += 1
         return self.is_stored
 
+    def withdraw_start(self, step, index):
+        self.withdrawals += 1
 
-# A task that waited in the backlog of a full group counted as started when its owner was lost.
+
+# A task that waited in the backlog of a full group counted as started when its owner was lost, and
+# so did one whose capacity was gone when its start had been recorded.
 @pytest.mark.parametrize(
     ("is_full", "is_stored", "expected", "records"),
     [
@@ -90,5 +94,6 @@
     first, second = run.steps[0]
     assert (first.state, second.state) == (expected, TaskState.HANDED)
     assert (is_incomplete, run.records) == (expected is TaskState.WAITING, records)
+    assert run.withdrawals == is_full
     sent_alone = [m for m in peers.sent if [task.index for task in m.tasks] == [0]]
     assert [m.hand_back_full for m in sent_alone] == [True] * (expected is TaskState.HANDED)
