--- a/camphorchute/runs/group_scheduler.py
+++ b/camphorchute/runs/group_scheduler.py
@@ -240,7 +240,7 @@
     def stop_tasks(self, peer: Member, message: StopTasks) -> None:
         """Return the pending tasks of a job to its owner and stop its active runs.
 
-        A shard owner stops durable tasks only: it may own a best-effort job of the shard as well.
+        A shard owner stops durable tasks only: it may own another job of the shard as well.
         """
         if self.durable_tasks.is_superseded(message.term):
             return
