--- a/camphorchute/cli/settings.py
+++ b/camphorchute/cli/settings.py
@@ -45,6 +45,7 @@
         "clock_skew_ms",
         "drain_ms",
         "evacuation_return_ms",
+        "resend_ms",
         "ejection_policy",
         "heartbeat_ms",
         "host",
--- a/camphorchute/cli/settings_table.py
+++ b/camphorchute/cli/settings_table.py
@@ -257,6 +257,13 @@
         _integer_parser(0, _HOUR_MS),
         "Time in which a zone returns to service after its evacuation; only with platform fleet.",
     ),
+    SettingInfo(
+        "resend_ms",
+        "1300",
+        _integer_parser(1000, _HOUR_MS),
+        "Time after which a caller that got no answer sends its job again, to any process; runs "
+        "for a lost process have ended by then. Only with platform fleet.",
+    ),
     SettingInfo(
         "body_max_bytes",
         "2000000",
--- a/camphorchute/cluster/heartbeats.py
+++ b/camphorchute/cluster/heartbeats.py
@@ -25,6 +25,7 @@
 RING_DISTANCE_MAX = 2
 EVACUATIONS_INTERVAL_MS = 500.0  # peers are to know of an evacuation within 1 s
 LINK_UNUSED_MS = 10_000.0
+PROOF_AGE_MAX_MS = 200.0  # runs whose owner has not been heard of for longer get shorter leases
 MS_PER_S = 1000.0
 
 
@@ -54,16 +55,21 @@
 
     A heartbeat carries the version of the sender's queue configuration, so that a member with an
     older one can fetch it from the sender. It also carries what the sender knows of evacuated
-    zones, for members that the store rejects.
+    zones, for members that the store rejects. A member for which tasks are open here is asked to
+    answer a heartbeat if nothing else has proved for a while that it is running.
 
     Args:
         peers: the links to other members.
         view: the cluster view, which lists the members and holds the queue configuration.
         configuration_fetch: receives the versions that other members have.
         count: adds to a named counter.
+
+    Attributes:
+        awaited_members: returns the ids of the members that have to be known to be running.
     """
 
     __slots__ = (
+        "awaited_members",
         "_peers",
         "_view",
         "_configuration_fetch",
@@ -79,6 +85,7 @@
         configuration_fetch: ConfigurationFetch,
         count: Callable[..., None],
     ) -> None:
+        self.awaited_members: Callable[[], set[str]] = set
         self._peers = peers
         self._view = view
         self._configuration_fetch = configuration_fetch
@@ -104,6 +111,17 @@
             message.evacuations, message.evacuations_revision
         )
         self._configuration_fetch.offer(peer, message.queues_version)
+        if message.wants_answer:
+            self._peers.send_if_linked(peer.member_id, self._make_heartbeat())
+
+    def request_answer(self, member_id: str) -> None:
+        """Ask a member for a heartbeat, which proves that it is running; do not wait for it.
+
+        Args:
+            member_id: id of the member.
+        """
+        self._count("roster.answer_requested")
+        self._peers.send_if_linked(member_id, self._make_heartbeat(wants_answer=True))
 
     def is_isolated(self) -> bool:
         """Return whether this process has links to fewer than half of its neighbours."""
@@ -114,10 +132,13 @@
     def _queues_version(self) -> int:
         return self._view.queues.version if self._view.queues else 0
 
-    def _make_heartbeat(self) -> MemberBeat:
+    def _make_heartbeat(self, wants_answer: bool = False) -> MemberBeat:
         evacuations = self._view.zone_evacuations
         return MemberBeat(
-            self._queues_version(), evacuations.states(), evacuations.complete_revision
+            self._queues_version(),
+            evacuations.states(),
+            evacuations.complete_revision,
+            wants_answer,
         )
 
     def _check_links(self) -> None:
@@ -125,6 +146,7 @@
         while True:
             now_s, observed_s = time.monotonic(), observation_clock.now_s()
             due_links: list[Link] = []
+            awaited_ids = self.awaited_members()
             links = self._peers.links()
             if len(self._sent_states) > len(links):
                 self._forget_closed_links(links)
@@ -135,6 +157,8 @@
                 elif self._is_unused(link, now_s):
                     self._count("roster.link_unused")
                     link.close()
+                elif link.peer.member_id in awaited_ids and _is_proof_old(link, now_s):
+                    self.request_answer(link.peer.member_id)
                 elif self._is_heartbeat_due(link, now_s):
                     due_links.append(link)
             self._peers.send_heartbeat(due_links, self._make_heartbeat())
@@ -201,6 +225,11 @@
             gevent.sleep(random.uniform(0.5, 1.0) * CONNECT_INTERVAL_MS / MS_PER_S)
 
 
+def _is_proof_old(link: Link, now_s: float) -> bool:
+    """Return whether the peer of a link has not been known to be running for a while."""
+    return (now_s - link.echoed_times.running_at_s) * MS_PER_S > PROOF_AGE_MAX_MS
+
+
 def _is_unresponsive(link: Link, now_s: float, observed_s: float) -> bool:
     """Return whether nothing was received on a link for too long.
 
--- a/camphorchute/contracts/messages.py
+++ b/camphorchute/contracts/messages.py
@@ -75,9 +75,16 @@
 
 
 class Welcome(msgspec.Struct, tag="welcome"):
-    """Reply of the process that accepted a link."""
+    """Reply of the process that accepted a link.
+
+    Attributes:
+        member: the sender.
+        sent_ms: time of sending by the sender's monotonic clock, which the first frame on the link
+            echoes; 0 from a process of an older version.
+    """
 
     member: Member
+    sent_ms: int = 0
 
 
 class SlotCount(msgspec.Struct):
--- a/camphorchute/contracts/run_messages.py
+++ b/camphorchute/contracts/run_messages.py
@@ -399,11 +399,14 @@
         evacuations: what the sender knows of evacuated zones, at most one entry for each zone.
         evacuations_revision: store revision up to which the sender knows all evacuations, so that
             a zone without an entry is not evacuated; 0 if it has not read the operators' keys.
+        wants_answer: whether the receiver answers at once with a heartbeat, which proves that it is
+            running.
     """
 
     queues_version: int
     evacuations: list[ZoneEvacuation] = []
     evacuations_revision: int = 0
+    wants_answer: bool = False
 
 
 class FetchQueues(msgspec.Struct, tag="fetch_queues"):
--- a/camphorchute/entry/hosted_process.py
+++ b/camphorchute/entry/hosted_process.py
@@ -122,6 +122,10 @@
             self._peers, self._view, lambda: store.outage.is_lost, count
         )
         self._heartbeats = Heartbeats(self._peers, self._view, self._configuration_fetch, count)
+        self._heartbeats.awaited_members = self._scheduler.owners
+        self._scheduler.owner_contacts.resend_ms = settings.resend_ms
+        self._scheduler.owner_contacts.running_at_s = self._peers.running_at_s
+        self._scheduler.owner_contacts.request_proof = self._heartbeats.request_answer
         self._owner = QueueOwner(
             self._capacity_view,
             self._view.scheduler_of,
--- a/camphorchute/links/link.py
+++ b/camphorchute/links/link.py
@@ -20,6 +20,7 @@
     decode_frame,
     encode_frame,
 )
+from camphorchute.links.echoed_times import ECHOED_TIMES_BYTES, EchoedTimes
 from camphorchute.links.handlers import Handlers
 from camphorchute.links.outbox import Outbox
 from camphorchute.links.web_socket import WebSocket
@@ -44,6 +45,7 @@
         handlers: handlers of the messages that the peer sends.
         on_closed: called once with the link when it closes; not called by :meth:`discard`.
         opened_by: member id of the process that opened the connection.
+        echoed_times: the times that the handshake has exchanged, None if it has not.
 
     Attributes:
         peer: the process at the other end.
@@ -57,6 +59,7 @@
         last_activity_s: monotonic time of the last message sent or received that was not a
             :class:`MemberBeat`.
         last_sent_slots: slot counts last sent to the peer in a heartbeat, None before the first.
+        echoed_times: the times that frames carry, which prove until when the peer was running.
     """
 
     __slots__ = (
@@ -68,6 +71,7 @@
         "last_sent_s",
         "last_activity_s",
         "last_sent_slots",
+        "echoed_times",
         "_socket",
         "_handlers",
         "_on_closed",
@@ -85,6 +89,7 @@
         handlers: Handlers,
         on_closed: Callable[["Link"], None],
         opened_by: str = "",
+        echoed_times: EchoedTimes | None = None,
     ) -> None:
         self.peer = peer
         self.opened_by = opened_by
@@ -94,6 +99,7 @@
         self.last_sent_s = 0.0
         self.last_activity_s = self.opened_s
         self.last_sent_slots: list[SlotCount] | None = None
+        self.echoed_times = echoed_times or EchoedTimes()
         self._socket = socket_
         self._handlers = handlers
         self._on_closed = on_closed
@@ -132,6 +138,7 @@
             self.close()
 
     def _read_frame(self, data: bytes) -> None:
+        data = self.echoed_times.read(data)
         last_data, frame = self._last_heartbeat
         if data != last_data:
             try:
@@ -233,7 +240,7 @@
         if not self._open:
             return False
         data = encode_frame(frame)
-        if len(data) > FRAME_MAX_BYTES:
+        if len(data) > FRAME_MAX_BYTES - ECHOED_TIMES_BYTES:
             return self._reject_oversized_frame(frame, len(data))
         activity_s = self.last_activity_s
         queued = self._enqueue_encoded(data)
@@ -243,7 +250,7 @@
 
     def _enqueue_encoded(self, data: bytes) -> bool:
         self.last_sent_s = self.last_activity_s = time.monotonic()
-        if not self._outbox.put(data):
+        if not self._outbox.put(self.echoed_times.add_to(data)):
             self._handlers.count("links.outbox_full")
             self.close()
             return False
--- a/camphorchute/links/peers.py
+++ b/camphorchute/links/peers.py
@@ -13,6 +13,7 @@
 from camphorchute.contracts.member import Member
 from camphorchute.contracts.messages import Hello, Message, Refused, Welcome
 from camphorchute.links.codec import Frame, FrameKind, decode_frame, encode_frame
+from camphorchute.links.echoed_times import EchoedTimes, now_ms
 from camphorchute.links.handlers import Handlers
 from camphorchute.links.link import Link, LinkLost
 from camphorchute.links.web_socket import WebSocket, accept_web_socket, connect_web_socket
@@ -97,6 +98,20 @@
         """Whether there is an open link to the member."""
         return member_id in self._links
 
+    def running_at_s(self, member_id: str) -> float:
+        """Return the latest monotonic time at which a member is known to have been running.
+
+        Messages that arrive late do not count as news of it. The result is 0 for a member without
+        an open link, and the current time for this process.
+
+        Args:
+            member_id: id of the member.
+        """
+        if member_id == self.member.member_id:
+            return time.monotonic()
+        link = self._links.get(member_id)
+        return 0.0 if link is None else link.echoed_times.running_at_s
+
     def request(self, member: Member, message: Message, timeout_ms: float) -> Message:
         """Send a request to a member and return its reply, opening a link if there is none.
 
@@ -240,6 +255,7 @@
 
     def _perform_handshake(self, socket_: WebSocket, member: Member) -> Link:
         hello = Hello(self.member, self.zones)
+        sent_s = time.monotonic()
         try:
             socket_.send(encode_frame(Frame(FrameKind.ONE_WAY, 0, hello)))
             reply = decode_frame(socket_.recv_one(CONNECT_TIMEOUT_MS)).message
@@ -261,7 +277,12 @@
                 f"found {reply.member.member_id}"
             )
         new_link = Link(
-            socket_, reply.member, self._handlers, self._handle_link_closed, self.member.member_id
+            socket_,
+            reply.member,
+            self._handlers,
+            self._handle_link_closed,
+            self.member.member_id,
+            EchoedTimes(reply.sent_ms, sent_s),
         )
         link = self._install_link(new_link)
         if link is new_link:
@@ -282,7 +303,7 @@
             )
             socket_.send(encode_frame(Frame(FrameKind.ONE_WAY, 0, refused)))
             return
-        socket_.send(encode_frame(Frame(FrameKind.ONE_WAY, 0, Welcome(self.member))))
+        socket_.send(encode_frame(Frame(FrameKind.ONE_WAY, 0, Welcome(self.member, now_ms()))))
         peer = hello.member
         new_link = Link(socket_, peer, self._handlers, self._handle_link_closed, peer.member_id)
         if self._install_link(new_link) is new_link:
@@ -301,6 +322,9 @@
         self._links[link.peer.member_id] = link
         link.start_writer()
         if old is not None:
+            link.echoed_times.running_at_s = max(
+                link.echoed_times.running_at_s, old.echoed_times.running_at_s
+            )
             old.close()
         return link
 
--- a/camphorchute/runs/group_scheduler.py
+++ b/camphorchute/runs/group_scheduler.py
@@ -30,6 +30,7 @@
 from camphorchute.runs.group_membership import GroupMembership
 from camphorchute.runs.leased_worker import LeasedWorker
 from camphorchute.runs.open_tasks import OpenTasks
+from camphorchute.runs.owner_contacts import OwnerContacts
 from camphorchute.runs.placement_notices import PlacementNotices
 from camphorchute.runs.result_batches import ResultBatches
 from camphorchute.runs.retained_ends import RetainedEnds
@@ -70,6 +71,7 @@
         binding_exchange: tells other schedulers which tasks of ended jobs may still start.
         placement_notices: tells owners where their tasks start; its ``notify`` is set before the
             first group is acquired, and nobody is told until then.
+        owner_contacts: bounds the leases by the last news of the owners of the jobs.
         zone_availability: which zones are evacuated; set before the first group is acquired.
         pause_watch: tells whether the process has just been paused; nothing is started then.
         on_paused: called with the length of a pause of the process in milliseconds.
@@ -89,6 +91,7 @@
         self.arrival_checks = ArrivalChecks(count)
         self.is_durable_job: Callable[[str], bool] = lambda job_id: True
         self.placement_notices = PlacementNotices(lambda owner_id, message: True, count)
+        self.owner_contacts = OwnerContacts()
         self.zone_availability = ZoneAvailability()
         self._open_worker_client = open_worker_client
         self._notify = notify
@@ -156,6 +159,7 @@
                 self._supervisor.interference,
                 self._count,
                 self._start_bindings,
+                self.owner_contacts,
             )
             return
         group.fence = fence
@@ -210,6 +214,10 @@
         now_s = time.monotonic()
         return [group.free_capacity(now_s) for group in self._groups.values()]
 
+    def owners(self) -> set[str]:
+        """Return the ids of the members that own the open tasks, without durable ones."""
+        return {task.owner_id for task in self._open_tasks.all() if not task.is_durable}
+
     def drop_owner(self, owner_id: str) -> None:
         """Stop the tasks of an owner to which no link is left.
 
@@ -229,6 +237,8 @@
         """Accept tasks and start those that the free capacity suffices for."""
         if self.durable_tasks.is_superseded(message.term):
             return
+        if message.term is None:
+            self.owner_contacts.refresh(peer.member_id)
         group = self._groups.get(message.group)
         now_s = time.monotonic()
         for command in message.tasks:
@@ -294,6 +304,7 @@
         worker = LeasedWorker(entry, client, lambda: group.fence, events, self._count)
         worker.is_durable_job = lambda job_id: self.is_durable_job(job_id)
         worker.start_bindings = self._start_bindings
+        worker.owner_contacts = self.owner_contacts
         worker.sent_renewals = self._sent_renewals
         self._sent_renewals.hand_on(entry.worker_id, worker.leases)
         worker.stopped_runs = self._stopped_runs
--- a/camphorchute/runs/leased_worker.py
+++ b/camphorchute/runs/leased_worker.py
@@ -23,6 +23,7 @@
 from camphorchute.policies import FailureTracker, WorkerSpeed
 from camphorchute.runs.earlier_run import EarlierRun, EarlierRuns
 from camphorchute.runs.listing_reader import ListingReader
+from camphorchute.runs.owner_contacts import OwnerContacts
 from camphorchute.runs.poll_wait import poll_wait_ms
 from camphorchute.runs.run import EndEvidence, PendingTask, Run, RunState
 from camphorchute.runs.run_commands import RunCommands
@@ -71,6 +72,7 @@
         is_durable_job: returns whether the job with an id may be durable; completions of other
             jobs without a task here are acknowledged immediately.
         start_bindings: the workers that the tasks of the scheduler are bound to.
+        owner_contacts: bounds the leases by the last news of the owners of the jobs.
         sent_renewals: keeps the leases when the worker is closed.
         stopped_runs: the runs that the scheduler has sent stop commands for.
         speed: speed of the worker, learned from its runs.
@@ -93,6 +95,7 @@
         "completions",
         "is_durable_job",
         "start_bindings",
+        "owner_contacts",
         "sent_renewals",
         "stopped_runs",
         "speed",
@@ -146,6 +149,7 @@
         self._count = count
         self.is_durable_job: Callable[[str], bool] = lambda job_id: True
         self.start_bindings = StartBindings()
+        self.owner_contacts = OwnerContacts()
         self.sent_renewals = SentRenewals()
         self.stopped_runs = StoppedRuns()
         self._commands = RunCommands(self, client, current_fence, listener, count)
@@ -219,8 +223,16 @@
         """
         if task.is_durable and self.completions.listed_count() >= LISTED_COMPLETIONS_MAX:
             return False
+        if not self._has_lease_for(task, now_s):
+            return False
         return self.usable_capacity(now_s).can_hold(task.message.demand)
 
+    def _has_lease_for(self, task: PendingTask, now_s: float) -> bool:
+        """Whether a run can have a lease, and none in force outlasts what its owner allows for."""
+        end_s = self.owner_contacts.lease_end_s(task)
+        is_long_enough = (end_s - now_s) * MS_PER_S >= START_LEASE_MIN_MS
+        return is_long_enough and self.leases.in_force_until_s <= end_s
+
     def usable_capacity(self, now_s: float) -> Resources:
         """Return the free capacity that tasks may be placed on, empty if none may."""
         is_usable = (
@@ -397,7 +409,8 @@
     def _renew_leases(self) -> float | None:
         """Grant a lease to the runs if owners want one of them and none may have to end.
 
-        A lease applies to every run of the worker. An orphan ends with the lease that the earlier
+        A lease applies to every run of the worker, so the owner of which there was no news for the
+        longest time decides how long it lasts. An orphan ends with the lease that the earlier
         scheduler has granted unless its owner asks for it; that scheduler counts on it. The stop
         command of a run that must end may be lost, and its task started elsewhere.
 
@@ -410,7 +423,12 @@
         if self.orphans or self._unwanted_runs():
             self._count("runs.lease_withheld")
             return None
-        return self.leases.grant()
+        return self.leases.grant(self._lease_end_s())
+
+    def _lease_end_s(self) -> float:
+        """Return the monotonic time until which the lease of all runs may last, in seconds."""
+        tasks = [run.task for run in self.runs.values()]
+        return min(map(self.owner_contacts.lease_end_s, tasks), default=float("inf"))
 
     def lease_of_new_run(self) -> float:
         """Return until when the lease of a new run lasts, on the worker's clock.
@@ -419,7 +437,7 @@
         """
         if self.orphans or self._unwanted_runs():
             return self.leases.granted_until_ms()
-        return self.leases.grant()
+        return self.leases.grant(self._lease_end_s())
 
     def _unwanted_runs(self) -> list[str]:
         """Return the tasks of runs that must end and may be active."""
--- a/camphorchute/runs/worker_group.py
+++ b/camphorchute/runs/worker_group.py
@@ -16,6 +16,7 @@
 from camphorchute.runs.earlier_run import EarlierRun
 from camphorchute.runs.group_names import zone_of_group
 from camphorchute.runs.leased_worker import LeasedWorker
+from camphorchute.runs.owner_contacts import OwnerContacts
 from camphorchute.runs.run import PendingTask
 from camphorchute.runs.start_bindings import StartBinding, StartBindings
 from camphorchute.runs.zone_availability import ZoneAvailability
@@ -58,6 +59,7 @@
         interference: which kinds of tasks are kept apart, None if none are.
         count: adds to a named counter.
         start_bindings: the workers that the tasks of the scheduler are bound to.
+        owner_contacts: bounds the leases by the last news of the owners of the jobs.
 
     Attributes:
         name: name of the group.
@@ -79,6 +81,7 @@
         "rejecting_worker_ids",
         "_policies",
         "_start_bindings",
+        "_owner_contacts",
         "_interference",
         "_count",
         "_zone_availability",
@@ -94,6 +97,7 @@
         interference: LearnedInterference | None = None,
         count: Callable[..., None] = lambda name: None,
         start_bindings: StartBindings | None = None,
+        owner_contacts: OwnerContacts | None = None,
     ) -> None:
         self.name = name
         self.zone = zone_of_group(name)
@@ -104,6 +108,7 @@
         self.rejecting_worker_ids: set[str] = set()
         self._policies = policies
         self._start_bindings = start_bindings or StartBindings()
+        self._owner_contacts = owner_contacts or OwnerContacts()
         self._zone_availability = zone_availability
         self._interference = interference
         self._count = count
@@ -277,6 +282,9 @@
                 worker.start_task(task, bool(task.lost_runs) and self._may_isolate())
                 continue
             remaining.append(task)
+            if not self._owner_contacts.allows_full_lease(task, now_s):
+                self._count("runs.start_without_news_of_owner")
+                continue
             is_smallest = smallest_unplaced is None or smallest_unplaced.can_hold(demand)
             if binding is None and is_smallest:
                 smallest_unplaced = demand
--- a/camphorchute/runs/worker_leases.py
+++ b/camphorchute/runs/worker_leases.py
@@ -7,16 +7,18 @@
 from camphorchute.runs.late_commands import LATE_ARRIVAL_MAX_S, LATE_ARRIVAL_MIN_S
 
 __all__ = [
+    "LEASE_MS",
     "LONGEST_LEASE_MS",
     "ORPHAN_GRACE_MS",
     "SILENT_BEYOND_LEASES_MS",
     "WorkerLeases",
 ]
 
-LEASE_MS = 1000.0
+LEASE_MS = 950.0
+LEASE_MAX_MS = 1000.0  # of an earlier version
 CLOCK_DRIFT_RATIO = 0.02
 LEASE_MARGIN_MS = 80.0
-LONGEST_LEASE_MS = LEASE_MS * (1 + CLOCK_DRIFT_RATIO) + LEASE_MARGIN_MS
+LONGEST_LEASE_MS = LEASE_MAX_MS * (1 + CLOCK_DRIFT_RATIO) + LEASE_MARGIN_MS
 ORPHAN_GRACE_MS = 300.0  # short, as the caller of a job that has ended repeats it after 1.3 s
 SILENCE_MARGIN_MS = 1000.0
 # After which a silent worker has no run left, whoever has sent it commands before.
@@ -30,20 +32,35 @@
     Attributes:
         expiry_s: monotonic time in seconds by which every lease known here has expired,
             also if the worker's clock is slow.
+        in_force_until_s: monotonic time in seconds until which runs that start now may go on, as
+            a lease applies to every run of the worker. It includes the leases of an earlier
+            scheduler.
 
     Examples:
         >>> leases = WorkerLeases()
         >>> leases.read_clock(5000.0)
-        >>> 6000.0 <= leases.grant() < 6100.0
+        >>> 5900.0 <= leases.grant() < 6000.0
+        True
+        >>> shorter = WorkerLeases()
+        >>> shorter.read_clock(5000.0)
+        >>> shorter.grant(time.monotonic() + 0.5) < 5600.0
         True
         >>> leases.expiry_s > time.monotonic()
         True
     """
 
-    __slots__ = ("expiry_s", "_clock_ms", "_clock_read_s", "_granted_until_ms", "_unanswered_s")
+    __slots__ = (
+        "expiry_s",
+        "in_force_until_s",
+        "_clock_ms",
+        "_clock_read_s",
+        "_granted_until_ms",
+        "_unanswered_s",
+    )
 
     def __init__(self) -> None:
         self.expiry_s = 0.0
+        self.in_force_until_s = time.monotonic() + LEASE_MAX_MS / MS_PER_S
         self._granted_until_ms = 0.0
         self._clock_ms = 0.0
         self._clock_read_s = 0.0
@@ -54,9 +71,16 @@
         self._clock_ms = clock_ms
         self._clock_read_s = time.monotonic()
 
-    def grant(self) -> float:
-        """Return the time on the worker's clock until which a lease granted now lasts."""
-        self._granted_until_ms = max(self._granted_until_ms, self._worker_now_ms() + LEASE_MS)
+    def grant(self, end_s: float = float("inf")) -> float:
+        """Return the time on the worker's clock until which a lease granted now lasts.
+
+        Args:
+            end_s: monotonic time in seconds beyond which the lease is not extended.
+        """
+        now_s = time.monotonic()
+        lease_ms = min(LEASE_MS, (end_s - now_s) * MS_PER_S)
+        self._granted_until_ms = max(self._granted_until_ms, self._worker_now_ms() + lease_ms)
+        self.in_force_until_s = max(self.in_force_until_s, now_s + lease_ms / MS_PER_S)
         self.record_active()
         return self._granted_until_ms
 
