--- a/camphorchute/cluster/heartbeats.py
+++ b/camphorchute/cluster/heartbeats.py
@@ -20,7 +20,7 @@
 HEARTBEAT_INTERVAL_MS = 250.0
 LINK_CHECK_INTERVAL_MS = 100.0
 LINK_UNRESPONSIVE_MS = 750.0
-LINK_SILENT_MAX_MS = 1100.0  # less than the 1.3 s after which a caller submits a job again
+LINK_SILENT_MAX_MS = 1100.0  # the leases of the runs for a silent owner end soon after
 CONNECT_INTERVAL_MS = 500.0
 RING_DISTANCE_MAX = 2
 EVACUATIONS_INTERVAL_MS = 500.0  # peers are to know of an evacuation within 1 s
@@ -233,8 +233,8 @@
 def _is_unresponsive(link: Link, now_s: float, observed_s: float) -> bool:
     """Return whether nothing was received on a link for too long.
 
-    Time in which this process could not hear counts only once the tasks of a lost owner have to be
-    stopped, before its caller submits their job again.
+    Time in which this process could not hear counts only once the leases of the tasks of a lost
+    owner are about to end, as they are those of all runs of their workers.
 
     Args:
         link: the link.
