--- a/camphorchute/runs/leased_worker.py
+++ b/camphorchute/runs/leased_worker.py
@@ -213,6 +213,7 @@
     def refresh_fence(self) -> None:
         """Request the list of runs again, under the fencing token in force now."""
         self.synced = False
+        self.leases.record_other_scheduler()
         self._poll_requested.set()
 
     def can_start(self, task: PendingTask, now_s: float) -> bool:
--- a/camphorchute/runs/tests/test_owner_contacts.py
+++ b/camphorchute/runs/tests/test_owner_contacts.py
@@ -5,7 +5,7 @@
 
 from camphorchute.contracts.member import Member
 from camphorchute.contracts.run_messages import ShardTerm
-from camphorchute.runs.tests.model_workers import ModelSite
+from camphorchute.runs.tests.model_workers import SERVICE, ModelSite
 from camphorchute.runs.tests.scheduler_site import GROUP, OWNER, start_message, wait_until
 
 OTHER_OWNER = Member("other", "north", "vm2", "", "127.0.0.1:3", "127.0.0.1:4")
@@ -109,6 +109,21 @@
     assert len(site.all_runs()) == 1
 
 
+# Guards against a run beside leases that another scheduler has granted before or in between.
+@pytest.mark.parametrize("acquired_again", [False, True])
+def test_run_waits_while_leases_of_another_scheduler_may_be_in_force(site, acquired_again):
+    scheduler = start_scheduler(site, {})
+    scheduler.owner_contacts.running_at_s = lambda owner_id: time.monotonic() - 0.4
+    if acquired_again:
+        gevent.sleep(1.1)
+        scheduler.acquire_group(GROUP, SERVICE, 2)
+        gevent.sleep(0.05)
+    dispatch_job(scheduler, "job1")
+    gevent.sleep(0.1)
+    assert site.all_runs() == []
+    assert wait_until(site.all_runs, 1.5)
+
+
 def test_run_of_a_durable_task_goes_on_without_its_owner(site):
     silent_since_s = {}
     scheduler = start_scheduler(site, silent_since_s)
--- a/camphorchute/runs/worker_leases.py
+++ b/camphorchute/runs/worker_leases.py
@@ -60,7 +60,8 @@
 
     def __init__(self) -> None:
         self.expiry_s = 0.0
-        self.in_force_until_s = time.monotonic() + LEASE_MAX_MS / MS_PER_S
+        self.in_force_until_s = 0.0
+        self.record_other_scheduler()
         self._granted_until_ms = 0.0
         self._clock_ms = 0.0
         self._clock_read_s = 0.0
@@ -96,6 +97,11 @@
         """Record that runs may have a lease that was granted until now, by any scheduler."""
         self.expiry_s = max(self.expiry_s, time.monotonic() + LONGEST_LEASE_MS / MS_PER_S)
 
+    def record_other_scheduler(self) -> None:
+        """Record that another scheduler may have granted leases until now."""
+        until_s = time.monotonic() + LEASE_MAX_MS / MS_PER_S
+        self.in_force_until_s = max(self.in_force_until_s, until_s)
+
     def record_unanswered(self, sent_s: float) -> None:
         """Record that a command that grants leases has no answer.
 
