--- a/camphorchute/contracts/run_messages.py
+++ b/camphorchute/contracts/run_messages.py
@@ -270,14 +270,16 @@
 
 
 class TaskBinding(msgspec.Struct, array_like=True):
-    """A task for which a start command without an answer may still reach a worker.
+    """A task that may start on one worker only, as commands without an answer may reach it.
+
+    They are start commands, or such that extend the lease of a stopped run.
 
     Attributes:
         task: name of the task.
         worker_id: the worker.
         run: number of the run.
-        bound_ms: for how long the command may arrive, in milliseconds from the sending of the
-            message.
+        bound_ms: for how long the run may start or go on there, in milliseconds from the sending
+            of the message.
     """
 
     task: str
--- a/camphorchute/runs/group_membership.py
+++ b/camphorchute/runs/group_membership.py
@@ -142,6 +142,8 @@
         worker.close()
         group.workers[entry.worker_id] = self._open_worker(group, entry)
         for run in list(worker.runs.values()):
+            if run.was_listed:
+                worker.record_end(run)
             worker.leave_unresolved(run)
 
     def _remove_worker(self, group: WorkerGroup, worker: LeasedWorker) -> None:
--- a/camphorchute/runs/leased_worker.py
+++ b/camphorchute/runs/leased_worker.py
@@ -343,8 +343,29 @@
         """Send a stop command for a run, unless one was requested before."""
         if not run.stop_requested:
             run.stop_requested = True
+            self._bind_unended_run(run)
             gevent.spawn(self._commands.send_stop, run.task.name, run.number)
 
+    def record_unanswered_lease(self, sent_s: float) -> None:
+        """Record that a command that grants leases has no answer.
+
+        Args:
+            sent_s: monotonic time at which it was sent, in seconds.
+        """
+        self.leases.record_unanswered(sent_s)
+        for run in self.runs.values():
+            if run.stop_requested:
+                self._bind_unended_run(run)
+
+    def _bind_unended_run(self, run: Run) -> None:
+        """Bind the task of a stopped run if commands without an answer may extend its lease."""
+        until_s = self.leases.latest_expiry_s()
+        if until_s > self.leases.expiry_s:
+            self._count("runs.unended_run_bound")
+            worker_id = self.entry.worker_id
+            self.start_bindings.record_unended(run.task.name, worker_id, run.number, until_s)
+            self._listener.end_unproved(self, run)
+
     def _poll_loop(self) -> None:
         while not self.is_closed:
             if self.synced and self.health.is_responsive:
@@ -384,7 +405,7 @@
             self._handle_poll_refusal(refused.reason)
         except CommandUnanswered as unanswered:
             if unanswered.sent and lease_until_ms is not None:
-                self.leases.record_unanswered(sent_s)
+                self.record_unanswered_lease(sent_s)
             self._handle_unanswered_poll(unanswered)
         else:
             self._is_poll_repeated = False
@@ -482,6 +503,7 @@
 
     def end_run(self, run: Run, outcome: RunOutcome, evidence: EndEvidence) -> None:
         """Take a run that has ended, and report it to the listener."""
+        self.record_end(run)
         if self.take_run(run):
             run.end_evidence = evidence
             self._listener.run_ended(self, run, outcome)
@@ -491,13 +513,18 @@
 
         A bound task starts nowhere else, and its run is unresolved.
         """
+        self.record_end(run)
         if self.is_bound(run):
             self.leave_unresolved(run)
         else:
             self.end_run(run, RunOutcome.LEASE_EXPIRED, evidence)
 
+    def record_end(self, run: Run) -> None:
+        """Record that a run has ended, so that no renewal keeps it alive."""
+        self.start_bindings.record_end(run.task.name, self.entry.worker_id, run.number)
+
     def is_bound(self, run: Run) -> bool:
-        """Whether a start command for the task of a run may still arrive."""
+        """Whether the task of a run may start on this worker only."""
         return self.start_bindings.of_task(run.task.name) is not None
 
     def leave_unresolved(self, run: Run) -> None:
--- a/camphorchute/runs/run_commands.py
+++ b/camphorchute/runs/run_commands.py
@@ -156,6 +156,8 @@
         If a start command for its task may still arrive, the run is unresolved instead.
         """
         earlier_run = run.task.earlier_run
+        if run.state is RunState.ORDERED:
+            self._worker.record_end(run)
         if self._worker.is_bound(run):
             self._worker.leave_unresolved(run)
         elif self._worker.take_run(run):
@@ -174,7 +176,7 @@
         self._worker.health.record_failure(str(unanswered))
         self._worker.request_poll()
         if unanswered.sent:
-            self._worker.leases.record_unanswered(sent_s)
+            self._worker.record_unanswered_lease(sent_s)
             if run.state is RunState.ORDERED:
                 run.state = RunState.UNKNOWN
         elif run.state is RunState.ORDERED:
--- a/camphorchute/runs/run_listener.py
+++ b/camphorchute/runs/run_listener.py
@@ -36,6 +36,14 @@
             run: the run, which is no longer in ``worker.runs``.
         """
 
+    def end_unproved(self, worker: LeasedWorker, run: Run) -> None:
+        """Handle a stopped run whose lease commands without an answer may still extend.
+
+        Args:
+            worker: the worker.
+            run: the run, which is in ``worker.runs``.
+        """
+
     def worker_changed(self, worker: LeasedWorker, is_usable_now: bool = False) -> None:
         """Handle a poll that may have changed the free capacity or the known runs.
 
--- a/camphorchute/runs/start_bindings.py
+++ b/camphorchute/runs/start_bindings.py
@@ -1,4 +1,4 @@
-"""Start bindings: the workers on which a start command under way may still start a task."""
+"""Start bindings: the workers on which a task may still start, or its run still go on."""
 
 from __future__ import annotations
 
@@ -16,13 +16,17 @@
 class StartBinding:
     """The worker that a task is bound to, as a start command for it may still arrive there.
 
+    It is bound as well while commands that may arrive could extend the lease of a stopped run.
+
     Attributes:
         worker_id: id of the worker, whichever incarnation has it then.
-        number: number of the last run that a command starts.
+        number: number of the last run that a command starts or that may go on.
         is_repeatable: whether the worker may start that run again.
         under_way: number of commands that were sent and may still be answered.
         unanswered_until_s: monotonic time in seconds after which no command without an answer
             arrives any more, 0 if there is none.
+        active_until_s: monotonic time in seconds until which a stopped run may go on, 0 if its end
+            is known.
         is_over: whether the task has ended, so that its run must not begin.
         barred_by: the scheduler's object for the worker that was last sent a stop command for the
             run of an ended task, None if there is none.
@@ -34,6 +38,7 @@
         "is_repeatable",
         "under_way",
         "unanswered_until_s",
+        "active_until_s",
         "is_over",
         "barred_by",
         "_incarnations",
@@ -45,6 +50,7 @@
         self.is_repeatable = False
         self.under_way = 0
         self.unanswered_until_s = 0.0
+        self.active_until_s = 0.0
         self.is_over = False
         self.barred_by: object | None = None
         self._incarnations: set[int] = set()
@@ -75,14 +81,17 @@
         return incarnation in self._incarnations or len(self._incarnations) < INCARNATIONS_MAX
 
     def is_open(self) -> bool:
-        """Whether a command may still arrive."""
-        return self.under_way > 0 or self.unanswered_until_s >= time.monotonic()
+        """Whether a start command may still arrive, or a run go on."""
+        return self.under_way > 0 or self._until_s() >= time.monotonic()
 
     def remaining_ms(self) -> float:
-        """Return for how long a command may still arrive, in milliseconds."""
+        """Return for how long a command may still arrive or a run go on, in milliseconds."""
         if self.under_way:
             return LATE_ARRIVAL_MAX_S * MS_PER_S
-        return max(0.0, (self.unanswered_until_s - time.monotonic()) * MS_PER_S)
+        return max(0.0, (self._until_s() - time.monotonic()) * MS_PER_S)
+
+    def _until_s(self) -> float:
+        return max(self.unanswered_until_s, self.active_until_s)
 
 
 class StartBindings:
@@ -92,7 +101,8 @@
     next, which has seen neither the fencing token in force nor a stop command. Until no such
     command can arrive, its task may start on that worker only: the same run there is one run,
     however often and by whom it is started. The binding outlives the task, as its job may be sent
-    again.
+    again. A run that was stopped while renewals without an answer may keep it alive binds its task
+    in the same way, until its end is known.
 
     Examples:
         >>> bindings = StartBindings()
@@ -162,6 +172,50 @@
             self._bind(task, worker_id).set_run(number)
             self._extend(task, duration_ms / MS_PER_S)
 
+    def record_unended(self, task: str, worker_id: str, number: int, until_s: float) -> None:
+        """Bind a task whose stopped run may go on, as commands that may arrive renew its lease.
+
+        It is ignored for a task that is bound to another worker.
+
+        Args:
+            task: name of the task.
+            worker_id: id of the worker.
+            number: number of the run.
+            until_s: monotonic time in seconds by which the run has ended.
+
+        Examples:
+            >>> bindings = StartBindings()
+            >>> bindings.record_unended("5c0e7a21d94b36f8.0.0.1", "w1", 1, time.monotonic() + 2.0)
+            >>> bindings.allows("5c0e7a21d94b36f8.0.0.1", "w2")
+            False
+            >>> bindings.record_end("5c0e7a21d94b36f8.0.0.1", "w1", 1)
+            >>> bindings.allows("5c0e7a21d94b36f8.0.0.1", "w2")
+            True
+        """
+        binding = self.of_task(task)
+        if binding is not None and binding.worker_id != worker_id:
+            return
+        binding = self._bind(task, worker_id)
+        if number > binding.number:
+            binding.number, binding.is_repeatable = number, False
+        binding.active_until_s = max(binding.active_until_s, until_s)
+        self._note_unanswered(task)
+
+    def record_end(self, task: str, worker_id: str, number: int) -> None:
+        """Record that a run has ended; a start command for its task may still arrive.
+
+        Args:
+            task: name of the task.
+            worker_id: id of the worker.
+            number: number of the run.
+        """
+        binding = self._by_task.get(task)
+        if binding is None or binding.worker_id != worker_id or number < binding.number:
+            return
+        binding.active_until_s = 0.0
+        if not binding.is_open():
+            del self._by_task[task]
+
     def _bind(self, task: str, worker_id: str) -> StartBinding:
         binding = self.of_task(task)
         if binding is None:
@@ -173,6 +227,10 @@
         binding = self._by_task[task]
         until_s = time.monotonic() + duration_s
         binding.unanswered_until_s = max(binding.unanswered_until_s, until_s)
+        self._note_unanswered(task)
+
+    def _note_unanswered(self, task: str) -> None:
+        binding = self._by_task[task]
         self._unanswered_by_worker.setdefault(binding.worker_id, set()).add(task)
         while self._by_task and not next(iter(self._by_task.values())).is_open():
             self._by_task.popitem(last=False)
@@ -199,7 +257,7 @@
             binding.is_over = is_over
 
     def of_task(self, task: str) -> StartBinding | None:
-        """Return the binding of a task, None if no start command for it can arrive any more.
+        """Return the binding of a task, None if it may start on any worker.
 
         Args:
             task: name of the task.
@@ -249,7 +307,7 @@
         return [(task, binding) for task in tasks if (binding := self.of_task(task)) is not None]
 
     def of_worker(self, worker_id: str) -> list[tuple[str, StartBinding]]:
-        """Return the tasks with a start command that a worker has not answered, and their bindings.
+        """Return the tasks with a command that a worker has not answered, and their bindings.
 
         Args:
             worker_id: id of the worker.
@@ -265,7 +323,7 @@
         return bound
 
     def unanswered(self) -> list[tuple[str, StartBinding]]:
-        """Return all tasks with a start command without an answer, and their bindings."""
+        """Return all tasks with a command without an answer, and their bindings."""
         return [
             row
             for worker_id in list(self._unanswered_by_worker)
--- a/camphorchute/runs/tests/test_bound_tasks.py
+++ b/camphorchute/runs/tests/test_bound_tasks.py
@@ -415,3 +415,62 @@
         crashes += 1
         scheduler.set_workers(GROUP, site.entries(), site.groups())
     assert crashes <= 3
+
+
+# Number of renewals without an answer, whether the run is listed as ended, and for how long its
+# task is bound at 0.25 s after the stop, in milliseconds. The second renewal is under way then.
+STOPPED_RUNS = {
+    "no_renewal": (0, False, (0, 0)),
+    "one_renewal": (1, False, (1200, 2000)),
+    "two_renewals": (2, False, (2200, 3100)),
+    "one_renewal_and_a_listed_end": (1, True, (0, 0)),
+    "two_renewals_and_a_listed_end": (2, True, (0, 0)),
+}
+
+
+# A stopped run was kept alive by a late renewal while its job was sent again to another process.
+@pytest.mark.parametrize("name", STOPPED_RUNS)
+def test_stopped_run_binds_its_task_while_renewals_may_keep_it_alive(open_model, name):
+    renewals, does_end, (bound_min_ms, bound_max_ms) = STOPPED_RUNS[name]
+    site = open_model(workers=2, run_s=5.0)
+    scheduler, other = site.add_scheduler(7), site.add_scheduler(8, OTHER_GROUP, [])
+    site.dispatch(scheduler)
+    assert wait_until(lambda: any(worker.active() for worker in site.workers.values()))
+    worker, under_way = site.busy(), Held(CommandUnanswered("lost"))
+    if renewals:
+        late = Late()
+        worker.held["list"].append(late)
+        assert late.sent.wait(2.0)
+        gevent.sleep(1.1)
+    if renewals > 1:
+        worker.held["list"].append(under_way)
+        assert under_way.sent.wait(2.0)
+    if not does_end:
+        worker.late_s["stop"] = 60.0
+    scheduler.stop_tasks(OWNER, StopTasks(JOB_ID))
+    under_way.release()
+    gevent.sleep(0.25)
+    for process in (scheduler, other):
+        remaining_ms = process.binding_exchange._bindings.remaining_ms(TASK)
+        assert bound_min_ms <= remaining_ms <= bound_max_ms
+    assert ("runs.bindings_sent" in site.counts) is (bound_max_ms > 0)
+    assert ("runs.unended_run_bound" in site.counts) is (renewals > 0)
+
+
+# Its job, sent again to the same process, waits for the listed end and for nothing longer.
+def test_repeated_job_of_a_bound_run_starts_after_the_listed_end(open_model):
+    site = open_model(workers=2, run_s=5.0)
+    scheduler = site.add_scheduler(7)
+    site.dispatch(scheduler)
+    assert wait_until(lambda: any(worker.active() for worker in site.workers.values()))
+    worker, late = site.busy(), Late()
+    worker.held["list"].append(late)
+    assert late.sent.wait(2.0)
+    gevent.sleep(1.1)
+    worker.late_s["stop"] = 0.5
+    scheduler.stop_tasks(OWNER, StopTasks(JOB_ID))
+    gevent.sleep(0.05)
+    site.dispatch(scheduler)
+    assert wait_until(lambda: len(site.all_runs()) > 1, 2.0)
+    first, second = sorted(site.all_runs(), key=lambda run: run.started_s)
+    assert 0 <= second.started_s - first.end_s() < 0.5
--- a/camphorchute/runs/tests/test_found_sequences.py
+++ b/camphorchute/runs/tests/test_found_sequences.py
@@ -4,6 +4,16 @@
 
 from camphorchute.runs.tests.search_site import play
 
+# A renewal without an answer, sent while the job is wanted; stop commands are late from then on.
+LATE_RENEWAL = [
+    ("submit", 0),
+    ("submit", 0, 1),
+    ("wait", 0.3),
+    ("delay_next", 0, "list"),
+    ("wait", 1.2),
+    ("delay_stops", 0, 6.0),
+]
+
 SEQUENCES = {
     # A start without an answer was carried out by the next incarnation of its worker, beside the
     # run on another one. It was found by the set of faults "restarts".
@@ -131,12 +141,45 @@
     # A renewal that was sent while the job was wanted was carried out after its end, and its stop
     # commands were late; the job was sent again beside its run.
     "late_renewal_of_a_run_whose_job_was_sent_again": (
+        {"workers": 3, "first_group": 0},
+        [
+            *LATE_RENEWAL,
+            ("stop_job", 0),
+            ("deliver", 0),
+            ("resend_job", 1),
+        ],
+    ),
+    # The same, sent again to the same process, which has another worker in its group.
+    "late_renewal_of_a_run_whose_job_was_sent_again_to_its_scheduler": (
+        {"workers": 2, "first_group": 0},
+        [*LATE_RENEWAL, ("stop_job", 0), ("deliver", 0), ("resend_job", 0), ("wait", 1.0)],
+    ),
+    # Two renewals: the second one is carried out while the first one keeps the run alive.
+    "two_late_renewals_of_a_run_whose_job_was_sent_again": (
         {"workers": 3, "first_group": 0},
         [
             ("submit", 0),
             ("submit", 0, 1),
             ("wait", 0.3),
             ("delay_next", 0, "list"),
+            ("wait", 0.6),
+            ("delay_next", 0, "list"),
+            ("wait", 0.6),
+            ("delay_stops", 0, 6.0),
+            ("stop_job", 0),
+            ("deliver", 0),
+            ("deliver", 0),
+            ("resend_job", 1),
+        ],
+    ),
+    # A start without an answer extends the lease of the other runs of its worker as well.
+    "late_start_of_another_task_beside_a_run_whose_job_was_sent_again": (
+        {"workers": 3, "first_group": 0},
+        [
+            ("submit", 0),
+            ("wait", 0.3),
+            ("delay_next", 0, "start"),
+            ("submit", 0, 1),
             ("wait", 1.2),
             ("delay_stops", 0, 6.0),
             ("stop_job", 0),
@@ -144,6 +187,50 @@
             ("resend_job", 1),
         ],
     ),
+    # What ends the proof by lists: the link, the listing, the group, the incarnation, the process.
+    "late_renewal_at_a_worker_that_is_not_reached": (
+        {"workers": 3, "first_group": 0},
+        [*LATE_RENEWAL, ("stop_job", 0), ("cut_path", 0, 0), ("deliver", 0), ("resend_job", 1)],
+    ),
+    "late_renewal_at_a_worker_that_is_not_listed": (
+        {"workers": 3, "first_group": 0},
+        [*LATE_RENEWAL, ("stop_job", 0), ("unlist", 0, 3.0), ("deliver", 0), ("resend_job", 1)],
+    ),
+    "late_renewal_at_a_worker_that_was_not_listed_at_the_stop": (
+        {"workers": 2, "first_group": 0},
+        [*LATE_RENEWAL, ("unlist", 0, 1.0), ("stop_job", 0), ("deliver", 0), ("resend_job", 0)],
+    ),
+    "late_renewal_at_a_worker_that_moved": (
+        {"workers": 3, "first_group": 0},
+        [*LATE_RENEWAL, ("stop_job", 0), ("move", 0, 0.3), ("deliver", 0), ("resend_job", 1)],
+    ),
+    "late_renewal_at_a_restarted_worker": (
+        {"workers": 3, "first_group": 0},
+        [*LATE_RENEWAL, ("stop_job", 0), ("restart", 0, 0.8), ("deliver", 0), ("resend_job", 1)],
+    ),
+    "late_renewal_of_a_process_that_was_killed_after_the_stop": (
+        {"workers": 3, "first_group": 0},
+        [
+            *LATE_RENEWAL,
+            ("stop_job", 0),
+            ("wait", 0.3),
+            ("kill", 0),
+            ("deliver", 0),
+            ("resend_job", 1),
+        ],
+    ),
+    "late_renewal_of_a_process_that_was_killed_at_the_stop": (
+        {"workers": 3, "first_group": 0},
+        [*LATE_RENEWAL, ("stop_job", 0), ("kill", 0), ("deliver", 0), ("resend_job", 1)],
+    ),
+    "late_renewal_of_a_process_that_was_killed_before_the_stop": (
+        {"workers": 3, "first_group": 0},
+        [*LATE_RENEWAL, ("kill", 0), ("stop_job", 0), ("deliver", 0), ("resend_job", 1)],
+    ),
+    "late_renewal_after_the_second_start": (
+        {"workers": 3, "first_group": 0},
+        [*LATE_RENEWAL, ("stop_job", 0), ("resend_job", 1), ("deliver", 0), ("wait", 1.0)],
+    ),
 }
 
 
