--- a/bench/run_faults/command.py
+++ b/bench/run_faults/command.py
@@ -10,6 +10,7 @@
 from bench.run_faults.faults import FAULTS
 from bench.run_faults.play import play
 from bench.run_faults.shrink_play import ShrinkPlay
+from bench.run_faults.zones_play import ZonesPlay
 
 __all__ = ["main"]
 
@@ -27,7 +28,13 @@
 @click.option(
     "--shrinking-capacity", "play_type", flag_value=ShrinkPlay, help="The same, less capacity."
 )
+@click.option(
+    "--lost-owners", "play_type", flag_value=ZonesPlay, help="Four zones, long tasks, lost owners."
+)
 @click.option("--base", default=57, show_default=True, help="Second byte of their addresses.")
+@click.option(
+    "--log-dir", type=click.Path(path_type=Path), help="Folder that keeps their logs, by seed."
+)
 def main(
     seed: int,
     count: int,
@@ -35,13 +42,14 @@
     faults: tuple[str, ...],
     long_tasks: bool,
     counters: bool,
-    play_type: type[CrashPlay | ShrinkPlay] | None,
+    play_type: type[CrashPlay | ShrinkPlay | ZonesPlay] | None,
     base: int,
+    log_dir: Path | None,
 ) -> None:
     """Play schedulers under random faults and check that no task has two runs at a time."""
     if play_type is not None:
         seeds = range(seed, seed + count)
-        plays = [_play_processes(play_type, number, duration_s, base) for number in seeds]
+        plays = [_play_processes(play_type, number, duration_s, base, log_dir) for number in seeds]
         sys.exit(1 if any(plays) else 0)
     failed = 0
     for number in range(seed, seed + count):
@@ -60,11 +68,17 @@
 
 
 def _play_processes(
-    play_type: type[CrashPlay | ShrinkPlay], seed: int, duration_s: float, base: int
+    play_type: type[CrashPlay | ShrinkPlay | ZonesPlay],
+    seed: int,
+    duration_s: float,
+    base: int,
+    log_dir: Path | None,
 ) -> bool:
     """Play one run of entry processes; return whether anything was found."""
-    with tempfile.TemporaryDirectory() as log_dir:
-        process_play = play_type(seed, Path(log_dir), base)
+    with tempfile.TemporaryDirectory() as scratch_dir:
+        play_dir = log_dir / f"seed-{seed}" if log_dir else Path(scratch_dir)
+        play_dir.mkdir(parents=True, exist_ok=True)
+        process_play = play_type(seed, play_dir, base)
         try:
             process_play.start()
             process_play.execute(duration_s)
--- a/bench/run_faults/hosted_play.py
+++ b/bench/run_faults/hosted_play.py
@@ -84,7 +84,7 @@
             self._mute_worker,
             self._delay_commands,
         ]
-        self._fleet = HostedFleet([ZONE], WORKERS, log_dir, base, RUN_MS)
+        self._fleet = self._create_fleet(log_dir, base)
 
     def start(self) -> None:
         """Start the entry processes and wait until all of them complete jobs."""
@@ -127,6 +127,9 @@
         """Return the seed, the runs at the same time and the faults."""
         return "\n".join([f"seed {self._seed}", *map(repr, self.overlaps), *self.faults])
 
+    def _create_fleet(self, log_dir: Path, base: int) -> HostedFleet:
+        return HostedFleet([ZONE], WORKERS, log_dir, base, RUN_MS)
+
     def _add_entry(self, number: int) -> None:
         self._fleet.add_entry(ZONE, number)
 
