--- a/camphorchute/entry/http_server.py
+++ b/camphorchute/entry/http_server.py
@@ -211,6 +211,8 @@
     def close(self, timeout_ms: float) -> bool:
         """Stop accepting connections, wait for the requests in flight, then close.
 
+        Requests that do not end in time are answered as lost with this process.
+
         Args:
             timeout_ms: how long to wait for the requests in flight, in milliseconds.
 
@@ -249,7 +251,10 @@
             request = Request(environ, self._read_body(environ))
             if late_refusal is not None:
                 raise late_refusal
-            return self._find_handler(request)(request)
+            try:
+                return self._find_handler(request)(request)
+            except gevent.GreenletExit:
+                raise Refusal(ResultCode.OWNER_LOST, "the process that received it ends") from None
         except Refusal as refusal:
             self.count(f"http.refused.{refusal.code.name.lower()}")
             return problem_response(refusal)
--- a/camphorchute/entry/tests/test_http_server.py
+++ b/camphorchute/entry/tests/test_http_server.py
@@ -221,6 +221,18 @@
         assert running.server.close(SHORT_MS) is False
 
 
+# A caller got status 500, after which it does not send its job again.
+def test_request_that_is_cut_off_by_the_end_of_the_process_is_answered_as_lost(running):
+    with running.connect() as busy:
+        busy.sendall(post("/slow"))
+        running.endpoints.entered.wait(TIMEOUT_S)
+        running.server.close(SHORT_MS)
+        received = receive_all(busy)
+    assert received.startswith(b"HTTP/1.1 502") and b"Connection: close" in received
+    assert f'"code":{int(ResultCode.OWNER_LOST)}'.encode() in received
+    assert "http.refused.owner_lost" in running.counted
+
+
 def test_exception_in_an_endpoint_is_reported_as_internal_error(running, monkeypatch):
     def raise_key_error(request):
         raise KeyError("x")
--- a/camphorchute/queues/queue_owner.py
+++ b/camphorchute/queues/queue_owner.py
@@ -166,9 +166,9 @@
             gevent.wait([run.ended, caller_gone], count=1)
         finally:
             run.waiting_requests -= 1
-        if run.outcome is None and not run.waiting_requests:
-            self._count("queues.caller_left")
-            self.end_job(run, JobOutcome.LOST)
+            if run.outcome is None and not run.waiting_requests:
+                self._count("queues.caller_left")
+                self.end_job(run, JobOutcome.LOST)
         if run.outcome is JobOutcome.NOT_RUN:
             raise self.admission.make_late_start_refusal(run)
         return run.outcome or JobOutcome.LOST
--- a/camphorchute/queues/tests/test_queue_owner.py
+++ b/camphorchute/queues/tests/test_queue_owner.py
@@ -62,6 +62,7 @@
         if start_limit_ms is not None:
             self.owner.admission._start_limit_ms = lambda times: start_limit_ms
         self.outcome = None
+        self.request = None
         self.caller_gone = Event()
         for scheduler, free_workers in workers.items():
             self.report(scheduler, free_workers)
@@ -84,7 +85,7 @@
             BatchStep(count, DEMAND, 100.0, tuple(after[:n])) for n, count in enumerate(task_counts)
         )
         job = BatchJob("job1", "text", steps)
-        gevent.spawn(self._run, job)
+        self.request = gevent.spawn(self._run, job)
         gevent.sleep(0)
         gevent.sleep(0)
 
@@ -250,6 +251,16 @@
     assert site.owner.open_job_count() == 0
 
 
+# The tasks went on after the answer, beside those of the job that the caller sent again.
+def test_tasks_are_stopped_when_a_request_is_cut_off_by_the_end_of_the_process():
+    site = Site(h0=2)
+    site.submit(2)
+    site.take_start_commands()
+    site.request.kill()
+    assert [type(message) for _, message in site.peers.sent] == [StopTasks]
+    assert site.owner.open_job_count() == 0
+
+
 def test_service_without_workers_is_refused():
     site = Site()
     site.submit(1)
