--- a/camphorchute/runs/group_scheduler.py
+++ b/camphorchute/runs/group_scheduler.py
@@ -467,7 +467,8 @@
 
     def _sweep_loop(self) -> None:
         while True:
-            interval_ms = SWEEP_INTERVAL_MS if self._open_tasks else IDLE_SWEEP_INTERVAL_MS
+            is_idle = not self._open_tasks and self.pause_watch.is_settled()
+            interval_ms = IDLE_SWEEP_INTERVAL_MS if is_idle else SWEEP_INTERVAL_MS
             gevent.sleep(until_next_tick_s(interval_ms))
             if self.pause_watch.tick():
                 self._count("runs.process_paused")
