--- a/camphorchute/queues/job_run.py
+++ b/camphorchute/queues/job_run.py
@@ -23,6 +23,7 @@
 __all__ = ["JobOutcome", "JobRun", "TaskProgress", "TaskState"]
 
 FINISH_STARTED_FACTOR = 4 / 3  # estimates are off by as much, and the work done would be lost
+HOME_LOST = "home_lost"
 MS_PER_S = 1000.0
 
 
@@ -69,6 +70,8 @@
         bound_until_s: monotonic time until which a start command without an answer may reach the
             worker, so that it may start nowhere else; 0 if there is none.
         lost_runs: runs that were lost with their workers, None if there are none.
+        is_repeated: whether it was dispatched more than once.
+        came_back: how its last dispatch came back, as logs name it; empty if it has not.
     """
 
     __slots__ = (
@@ -84,6 +87,8 @@
         "placed_dispatch",
         "bound_until_s",
         "lost_runs",
+        "is_repeated",
+        "came_back",
     )
 
     def __init__(self) -> None:
@@ -99,6 +104,8 @@
         self.placed_dispatch = 0
         self.bound_until_s = 0.0
         self.lost_runs: LostRuns | None = None
+        self.is_repeated = False
+        self.came_back = ""
 
     def add_lost_run(self, place: RunPlace) -> bool:
         """Add a run that was lost with its worker; return whether that says anything new.
@@ -134,7 +141,7 @@
             now_s: the current monotonic time.
             late_arrival_max_s: time within which a start command without an answer arrives.
         """
-        self.state = TaskState.MAY_RUN
+        self.state, self.came_back = TaskState.MAY_RUN, HOME_LOST
         if self.placed_dispatch == self.dispatch or now_s < self.bound_until_s:
             self.bound_until_s = now_s + late_arrival_max_s
         else:
--- a/camphorchute/queues/queue_owner.py
+++ b/camphorchute/queues/queue_owner.py
@@ -30,6 +30,7 @@
 from camphorchute.queues.job_admission import JobAdmission, finish_by_s
 from camphorchute.queues.job_run import JobOutcome, JobRun, TaskProgress, TaskState
 from camphorchute.queues.job_withdrawals import JobWithdrawals
+from camphorchute.queues.repeated_dispatches import log_repeated_return
 from camphorchute.queues.task_dispatcher import TaskDispatcher
 from camphorchute.runs.late_commands import LATE_ARRIVAL_MAX_S
 
@@ -263,6 +264,10 @@
             return False
         is_change = self._apply_end(run, task, result)
         task.record_bound(result)
+        if task.state in (TaskState.WAITING, TaskState.MAY_RUN):
+            task.came_back = result.end.name.lower()
+            if task.is_repeated:
+                log_repeated_return(run, task, result)
         return is_change
 
     def _apply_end(self, run: JobRun, task: TaskProgress, result: TaskResult) -> bool:
--- a/camphorchute/queues/task_dispatcher.py
+++ b/camphorchute/queues/task_dispatcher.py
@@ -11,6 +11,7 @@
 from camphorchute.queues.crash_guard import CrashGuard
 from camphorchute.queues.free_capacity_view import FreeCapacityView, PlacementPlan
 from camphorchute.queues.job_run import JobOutcome, JobRun, TaskState
+from camphorchute.queues.repeated_dispatches import log_repeated_dispatch
 from camphorchute.runs.run import task_name
 
 __all__ = ["TaskDispatcher"]
@@ -229,6 +230,14 @@
             run.was_dispatched_with_capacity = (
                 run.was_dispatched_with_capacity or options.has_capacity
             )
+            for index, task, before in zip(indices, tasks, states_before, strict=True):
+                _, _, earlier_scheduler_id, earlier_dispatch = before
+                if earlier_dispatch:
+                    task.is_repeated = True
+                    log_repeated_dispatch(
+                        run, step_number, index, earlier_scheduler_id, earlier_dispatch
+                    )
+                    task.came_back = ""
             return True
         for task, state_before in zip(tasks, states_before, strict=True):
             task.state, task.group, task.scheduler_id, task.dispatch = state_before
--- a/camphorchute/runs/group_scheduler.py
+++ b/camphorchute/runs/group_scheduler.py
@@ -371,7 +371,7 @@
             self._supervisor.record_start()
             task.last_run = task.run
             if task.next_run > FIRST_RUN + 1:
-                self._places.log_restart(task)
+                self._places.log_restart(task, self.owner_contacts)
         for task in placement.not_found:
             self._count("runs.not_found")
             self.finish_task(task, task.next_run - 1, TaskResultKind.NOT_FOUND)
--- a/camphorchute/runs/run_events.py
+++ b/camphorchute/runs/run_events.py
@@ -13,6 +13,7 @@
 from camphorchute.hosting import RunOutcome
 from camphorchute.runs.leased_worker import LeasedWorker
 from camphorchute.runs.open_tasks import OpenTasks
+from camphorchute.runs.owner_fields import owner_fields
 from camphorchute.runs.run import PendingTask, Run
 from camphorchute.runs.run_supervisor import RunSupervisor
 from camphorchute.runs.worker_group import WorkerGroup
@@ -208,4 +209,5 @@
         alone=run.was_alone,
         failures=run.task.failures,
         ordered_stop=run.stop_requested,
+        **owner_fields(run.task, worker.owner_contacts),
     )
--- a/camphorchute/runs/task_places.py
+++ b/camphorchute/runs/task_places.py
@@ -6,6 +6,8 @@
 from eliot import log_message
 
 from camphorchute.decision_log import log_decision
+from camphorchute.runs.owner_contacts import OwnerContacts
+from camphorchute.runs.owner_fields import owner_fields
 from camphorchute.runs.run import PendingTask
 
 if TYPE_CHECKING:
@@ -63,8 +65,13 @@
                 places=places,
             )
 
-    def log_restart(self, task: PendingTask) -> None:
-        """Log the start of a task that had an earlier run, and check its places."""
+    def log_restart(self, task: PendingTask, contacts: OwnerContacts) -> None:
+        """Log the start of a task that had an earlier run, and check its places.
+
+        Args:
+            task: the task.
+            contacts: when the owners were last known to be running.
+        """
         log_decision(
             "runs",
             "task starts again",
@@ -74,6 +81,7 @@
             earlier_worker=task.avoided_worker_id or task.worker_id,
             may_run=task.may_run,
             evidence=_earlier_run_evidence(task),
+            **owner_fields(task, contacts),
         )
         self.check(task)
 
--- a/camphorchute/runs/tests/test_task_places.py
+++ b/camphorchute/runs/tests/test_task_places.py
@@ -1,7 +1,10 @@
+import time
 from types import SimpleNamespace
 
 import pytest
+from eliot.testing import MemoryLogger, swap_logger
 
+from camphorchute.runs.owner_contacts import OwnerContacts
 from camphorchute.runs.task_places import TaskPlaces
 
 TASK = SimpleNamespace(name="5c0e7a21d94b36f8.0.0.0", next_run=3)
@@ -33,3 +36,22 @@
     task_places.check(TASK)
     assert task_places.places_of(TASK) == places
     assert counted == ["runs.invariant.task_in_two_places"] * violations
+
+
+# Guards against a second run of which the log does not say whose dispatch it is for.
+@pytest.mark.parametrize(("age_s", "is_linked"), [(0.2, True), (0.0, False)])
+def test_restart_is_logged_with_its_dispatch_and_the_last_news_of_its_owner(age_s, is_linked):
+    task = SimpleNamespace(**vars(TASK), dispatch=17, owner_id="c3aed5b6f097", may_run=False)
+    task.avoided_worker_id, task.worker_id = "w0", ""
+    contacts = OwnerContacts()
+    contacts.running_at_s = lambda owner_id: time.monotonic() - age_s if is_linked else 0.0
+    logger = MemoryLogger()
+    previous_logger = swap_logger(logger)
+    try:
+        TaskPlaces(lambda: [make_group([], {"w1": [task]})], list).log_restart(task, contacts)
+    finally:
+        swap_logger(previous_logger)
+    (line,) = logger.messages
+    assert (line["text"], line["run"], line["worker"]) == ("runs: task starts again", 2, "w1")
+    assert (line["dispatch"], line["owner"]) == (17, "c3aed5b6f097")
+    assert 200 <= line["owner_seen_ms"] < 5000 if is_linked else line["owner_seen_ms"] is None
