--- a/camphorchute/entry/http_server.py
+++ b/camphorchute/entry/http_server.py
@@ -1,6 +1,7 @@
 """HTTP server for callers and operators, with routes, limits and graceful shutdown."""
 
 import re
+import select
 import socket
 import time
 from collections.abc import Callable
@@ -9,6 +10,7 @@
 import gevent
 import msgspec
 from eliot import write_traceback
+from gevent import monkey
 from gevent.event import Event
 from gevent.pool import Pool
 from gevent.pywsgi import WSGIHandler, WSGIServer
@@ -26,6 +28,9 @@
 LINE_TOO_LONG_STATUS = "414"
 SOCKET_KEY = "camphorchute.socket"
 READABLE = 1  # event mask of the event loop
+CLOSED_BY_PEER = select.POLLRDHUP | select.POLLHUP | select.POLLERR
+
+_poll = monkey.get_original("select", "poll")  # that of gevent runs the event loop
 
 
 def route(method: str, path: str) -> Callable:
@@ -130,8 +135,11 @@
         self._greenlet: gevent.Greenlet | None = None
 
     def start(self) -> None:
-        """Start watching the connection; a greenlet runs only once there is something to read."""
-        if self._socket.fileno() < 0:
+        """Start watching the connection; a greenlet runs only once there is something to read.
+
+        A caller that has gone already is known at once, before anything is done for its request.
+        """
+        if self._socket.fileno() < 0 or _is_closed_by_peer(self._socket.fileno()):
             self.disconnected.set()
             return
         self._watcher = gevent.get_hub().loop.io(self._socket.fileno(), READABLE)
@@ -165,6 +173,13 @@
             self.disconnected.set()
 
 
+def _is_closed_by_peer(descriptor: int) -> bool:
+    """Return whether the peer of a socket has closed or reset the connection, without waiting."""
+    poll = _poll()
+    poll.register(descriptor, CLOSED_BY_PEER)
+    return bool(poll.poll(0))
+
+
 class HttpServer:
     """Serves the methods of endpoint objects that :func:`route` has marked.
 
--- a/camphorchute/queues/tests/test_queue_owner.py
+++ b/camphorchute/queues/tests/test_queue_owner.py
@@ -250,6 +250,16 @@
     assert site.owner.open_job_count() == 0
 
 
+# Guards against a job that starts although its caller had gone and has sent it again.
+def test_job_whose_caller_has_gone_before_it_is_submitted_is_not_dispatched():
+    site = Site(h0=2)
+    site.caller_gone.set()
+    site.submit(2)
+    assert wait_until(lambda: site.outcome is not None)
+    assert site.outcome.code is ResultCode.OVERLOADED
+    assert (site.peers.sent, site.owner.open_job_count()) == ([], 0)
+
+
 def test_service_without_workers_is_refused():
     site = Site()
     site.submit(1)
