--- a/camphorchute/queues/job_run.py
+++ b/camphorchute/queues/job_run.py
@@ -222,7 +222,8 @@
         capacity_returns: how often schedulers immediately returned tasks for lack of capacity.
         changed: event that is set when the job may have to be acted on.
         ended: event that is set when the outcome is known.
-        waiting_requests: number of requests that wait for the outcome.
+        callers: for each request that waits for the outcome, the event that is set when its caller
+            has gone.
     """
 
     __slots__ = (
@@ -242,7 +243,7 @@
         "capacity_returns",
         "changed",
         "ended",
-        "waiting_requests",
+        "callers",
     )
 
     def __init__(
@@ -274,7 +275,7 @@
         self.capacity_returns = 0
         self.changed = Event()
         self.ended = Event()
-        self.waiting_requests = 0
+        self.callers: list[Event] = []
 
     @property
     def term(self) -> ShardTerm | None:
@@ -306,6 +307,10 @@
         waited_ms = (now_s - self.started_s) * MS_PER_S
         return self.queue.limits.slack_ms(self.job.longest_chain_ms()) - waited_ms
 
+    def is_caller_gone(self) -> bool:
+        """Return whether every caller that waited for the outcome has gone."""
+        return bool(self.callers) and all(gone.is_set() for gone in self.callers)
+
     def may_dispatch(self) -> bool:
         """Return whether tasks may be dispatched to schedulers now."""
         return not self.withdrawing_from
--- a/camphorchute/queues/queue_owner.py
+++ b/camphorchute/queues/queue_owner.py
@@ -159,15 +159,15 @@
                 self.admission.record_opened(run)
                 self._dispatch_ready_tasks(run)
                 gevent.spawn(self._dispatch_until_ended, run)
-        if run.waiting_requests:
+        if run.callers:
             self._count("queues.joined")
             run.finish_by_s = max(run.finish_by_s, finish_by_s(deadline_ms))
-        run.waiting_requests += 1
+        run.callers.append(caller_gone)
         try:
             gevent.wait([run.ended, caller_gone], count=1)
         finally:
-            run.waiting_requests -= 1
-        if run.outcome is None and not run.waiting_requests:
+            run.callers.remove(caller_gone)
+        if run.outcome is None and not run.callers:
             self._count("queues.caller_left")
             self.end_job(run, JobOutcome.LOST)
         if run.outcome is JobOutcome.NOT_RUN:
@@ -315,8 +315,14 @@
             run.changed.clear()
 
     def _dispatch_ready_tasks(self, run: JobRun) -> bool:
-        """Dispatch every task that is ready; return whether some could not be dispatched."""
-        return not self.is_settled() or self._dispatcher.dispatch_ready_tasks(run)
+        """Dispatch every task that is ready; return whether some could not be dispatched.
+
+        A caller that has gone may send its job again to another process. The job ends in the next
+        pass of the event loop.
+        """
+        if run.is_caller_gone() or not self.is_settled():
+            return True
+        return self._dispatcher.dispatch_ready_tasks(run)
 
     def end_job(self, run: JobRun, outcome: JobOutcome) -> None:
         """Set the outcome of a job and stop its remaining tasks unless it is done.
@@ -365,7 +371,7 @@
                 outcome=outcome.value,
                 took_ms=round(took_ms),
                 tasks=run.task_counts(),
-                waiters=run.waiting_requests,
+                waiters=len(run.callers),
             )
         if self._jobs.get(run.job.job_id) is run:
             del self._jobs[run.job.job_id]
--- a/camphorchute/queues/tests/test_queue_owner.py
+++ b/camphorchute/queues/tests/test_queue_owner.py
@@ -260,6 +260,27 @@
     assert (site.peers.sent, site.owner.open_job_count()) == ([], 0)
 
 
+# Guards against a dispatch in the pass of the event loop in which the end of the connection
+# is noticed: after a pause many callers may have gone, and have sent their jobs again.
+@pytest.mark.parametrize("is_joined", [False, True])
+def test_returned_task_is_not_dispatched_again_for_a_caller_that_has_gone(is_joined):
+    site = Site(h0=1)
+    site.submit(1)
+    site.take_start_commands()
+    second_caller_gone = Event()
+    if is_joined:
+        (run,) = site.owner._jobs.values()
+        gevent.spawn(site.owner.run, run.job, QUEUE, DEADLINE_MS, second_caller_gone)
+        gevent.sleep(0)
+    site.report("h0", 1)
+    site.owner.handle_tasks_finished(make_member("h0"), no_capacity_result())
+    site.caller_gone.set()
+    gevent.sleep(0.02)
+    started = [message for _, message in site.peers.sent if isinstance(message, StartTasks)]
+    assert len(started) == is_joined
+    second_caller_gone.set()
+
+
 def test_service_without_workers_is_refused():
     site = Site()
     site.submit(1)
