--- a/camphorchute/queues/job_run.py
+++ b/camphorchute/queues/job_run.py
@@ -23,6 +23,7 @@
 __all__ = ["JobOutcome", "JobRun", "TaskProgress", "TaskState"]
 
 FINISH_STARTED_FACTOR = 4 / 3  # estimates are off by as much, and the work done would be lost
+HOME_LOST = "home_lost"
 MS_PER_S = 1000.0
 
 
@@ -69,6 +70,8 @@
         bound_until_s: monotonic time until which a start command without an answer may reach the
             worker, so that it may start nowhere else; 0 if there is none.
         lost_runs: runs that were lost with their workers, None if there are none.
+        is_repeated: whether it was dispatched more than once.
+        came_back: how its last dispatch came back, as logs name it; empty if it has not.
     """
 
     __slots__ = (
@@ -84,6 +87,8 @@
         "placed_dispatch",
         "bound_until_s",
         "lost_runs",
+        "is_repeated",
+        "came_back",
     )
 
     def __init__(self) -> None:
@@ -99,6 +104,8 @@
         self.placed_dispatch = 0
         self.bound_until_s = 0.0
         self.lost_runs: LostRuns | None = None
+        self.is_repeated = False
+        self.came_back = ""
 
     def add_lost_run(self, place: RunPlace) -> bool:
         """Add a run that was lost with its worker; return whether that says anything new.
@@ -134,7 +141,7 @@
             now_s: the current monotonic time.
             late_arrival_max_s: time within which a start command without an answer arrives.
         """
-        self.state = TaskState.MAY_RUN
+        self.state, self.came_back = TaskState.MAY_RUN, HOME_LOST
         if self.placed_dispatch == self.dispatch or now_s < self.bound_until_s:
             self.bound_until_s = now_s + late_arrival_max_s
         else:
@@ -215,7 +222,8 @@
         capacity_returns: how often schedulers immediately returned tasks for lack of capacity.
         changed: event that is set when the job may have to be acted on.
         ended: event that is set when the outcome is known.
-        waiting_requests: number of requests that wait for the outcome.
+        callers: for each request that waits for the outcome, the event that is set when its caller
+            has gone.
     """
 
     __slots__ = (
@@ -235,7 +243,7 @@
         "capacity_returns",
         "changed",
         "ended",
-        "waiting_requests",
+        "callers",
     )
 
     def __init__(
@@ -267,7 +275,7 @@
         self.capacity_returns = 0
         self.changed = Event()
         self.ended = Event()
-        self.waiting_requests = 0
+        self.callers: list[Event] = []
 
     @property
     def term(self) -> ShardTerm | None:
@@ -299,6 +307,10 @@
         waited_ms = (now_s - self.started_s) * MS_PER_S
         return self.queue.limits.slack_ms(self.job.longest_chain_ms()) - waited_ms
 
+    def is_caller_gone(self) -> bool:
+        """Return whether every caller that waited for the outcome has gone."""
+        return bool(self.callers) and all(gone.is_set() for gone in self.callers)
+
     def may_dispatch(self) -> bool:
         """Return whether tasks may be dispatched to schedulers now."""
         return not self.withdrawing_from
--- a/camphorchute/queues/queue_owner.py
+++ b/camphorchute/queues/queue_owner.py
@@ -30,6 +30,7 @@
 from camphorchute.queues.job_admission import JobAdmission, finish_by_s
 from camphorchute.queues.job_run import JobOutcome, JobRun, TaskProgress, TaskState
 from camphorchute.queues.job_withdrawals import JobWithdrawals
+from camphorchute.queues.repeated_dispatches import log_repeated_return
 from camphorchute.queues.task_dispatcher import TaskDispatcher
 from camphorchute.runs.late_commands import LATE_ARRIVAL_MAX_S
 
@@ -158,15 +159,15 @@
                 self.admission.record_opened(run)
                 self._dispatch_ready_tasks(run)
                 gevent.spawn(self._dispatch_until_ended, run)
-        if run.waiting_requests:
+        if run.callers:
             self._count("queues.joined")
             run.finish_by_s = max(run.finish_by_s, finish_by_s(deadline_ms))
-        run.waiting_requests += 1
+        run.callers.append(caller_gone)
         try:
             gevent.wait([run.ended, caller_gone], count=1)
         finally:
-            run.waiting_requests -= 1
-            if run.outcome is None and not run.waiting_requests:
+            run.callers.remove(caller_gone)
+            if run.outcome is None and not run.callers:
                 self._count("queues.caller_left")
                 self.end_job(run, JobOutcome.LOST)
         if run.outcome is JobOutcome.NOT_RUN:
@@ -263,6 +264,10 @@
             return False
         is_change = self._apply_end(run, task, result)
         task.record_bound(result)
+        if task.state in (TaskState.WAITING, TaskState.MAY_RUN):
+            task.came_back = result.end.name.lower()
+            if task.is_repeated:
+                log_repeated_return(run, task, result)
         return is_change
 
     def _apply_end(self, run: JobRun, task: TaskProgress, result: TaskResult) -> bool:
@@ -310,8 +315,14 @@
             run.changed.clear()
 
     def _dispatch_ready_tasks(self, run: JobRun) -> bool:
-        """Dispatch every task that is ready; return whether some could not be dispatched."""
-        return not self.is_settled() or self._dispatcher.dispatch_ready_tasks(run)
+        """Dispatch every task that is ready; return whether some could not be dispatched.
+
+        A caller that has gone may send its job again to another process. The job ends in the next
+        pass of the event loop.
+        """
+        if run.is_caller_gone() or not self.is_settled():
+            return True
+        return self._dispatcher.dispatch_ready_tasks(run)
 
     def end_job(self, run: JobRun, outcome: JobOutcome) -> None:
         """Set the outcome of a job and stop its remaining tasks unless it is done.
@@ -360,7 +371,7 @@
                 outcome=outcome.value,
                 took_ms=round(took_ms),
                 tasks=run.task_counts(),
-                waiters=run.waiting_requests,
+                waiters=len(run.callers),
             )
         if self._jobs.get(run.job.job_id) is run:
             del self._jobs[run.job.job_id]
