--- a/camphorchute/runs/leased_worker.py
+++ b/camphorchute/runs/leased_worker.py
@@ -336,7 +336,9 @@
         return True
 
     def take_all_runs(self) -> list[Run]:
-        """Remove every run as :meth:`take_run` does, and return them."""
+        """Remove every run as :meth:`take_run` does, and return them; their ends are not known."""
+        for run in self.runs.values():
+            self._bind_unended_run(run)
         return [run for run in list(self.runs.values()) if self.take_run(run)]
 
     def stop_run(self, run: Run) -> None:
@@ -358,7 +360,7 @@
                 self._bind_unended_run(run)
 
     def _bind_unended_run(self, run: Run) -> None:
-        """Bind the task of a stopped run if commands without an answer may extend its lease."""
+        """Bind the task of a run that is to end or is left, if its lease may be extended late."""
         until_s = self.leases.latest_expiry_s()
         if until_s > self.leases.expiry_s:
             self._count("runs.unended_run_bound")
--- a/camphorchute/runs/run_events.py
+++ b/camphorchute/runs/run_events.py
@@ -117,7 +117,7 @@
             self._scheduler.requeue(task)
 
     def end_unproved(self, worker: LeasedWorker, run: Run) -> None:
-        """Tell the other schedulers of a stopped run that may go on; its job may be sent again."""
+        """Tell the other schedulers of a run that may go on; its job may be sent again."""
         self._scheduler.binding_exchange.add_job(run.task.message.job_id)
 
     def worker_changed(self, worker: LeasedWorker, is_usable_now: bool = False) -> None:
--- a/camphorchute/runs/run_listener.py
+++ b/camphorchute/runs/run_listener.py
@@ -37,7 +37,7 @@
         """
 
     def end_unproved(self, worker: LeasedWorker, run: Run) -> None:
-        """Handle a stopped run whose lease commands without an answer may still extend.
+        """Handle a stopped or left run whose lease commands without an answer may still extend.
 
         Args:
             worker: the worker.
--- a/camphorchute/runs/start_bindings.py
+++ b/camphorchute/runs/start_bindings.py
@@ -16,7 +16,8 @@
 class StartBinding:
     """The worker that a task is bound to, as a start command for it may still arrive there.
 
-    It is bound as well while commands that may arrive could extend the lease of a stopped run.
+    It is bound as well while commands that may arrive could extend the lease of a run that was
+    stopped or left to another scheduler.
 
     Attributes:
         worker_id: id of the worker, whichever incarnation has it then.
@@ -25,8 +26,8 @@
         under_way: number of commands that were sent and may still be answered.
         unanswered_until_s: monotonic time in seconds after which no command without an answer
             arrives any more, 0 if there is none.
-        active_until_s: monotonic time in seconds until which a stopped run may go on, 0 if its end
-            is known.
+        active_until_s: monotonic time in seconds until which such a run may go on, 0 if its end is
+            known.
         is_over: whether the task has ended, so that its run must not begin.
         barred_by: the scheduler's object for the worker that was last sent a stop command for the
             run of an ended task, None if there is none.
@@ -101,8 +102,8 @@
     next, which has seen neither the fencing token in force nor a stop command. Until no such
     command can arrive, its task may start on that worker only: the same run there is one run,
     however often and by whom it is started. The binding outlives the task, as its job may be sent
-    again. A run that was stopped while renewals without an answer may keep it alive binds its task
-    in the same way, until its end is known.
+    again. A run that was stopped, or left to another scheduler, while renewals without an answer
+    may keep it alive binds its task in the same way, until its end is known.
 
     Examples:
         >>> bindings = StartBindings()
@@ -173,7 +174,7 @@
             self._extend(task, duration_ms / MS_PER_S)
 
     def record_unended(self, task: str, worker_id: str, number: int, until_s: float) -> None:
-        """Bind a task whose stopped run may go on, as commands that may arrive renew its lease.
+        """Bind a task whose run may go on, as commands that may arrive renew its lease.
 
         It is ignored for a task that is bound to another worker.
 
--- a/camphorchute/runs/tests/test_found_sequences.py
+++ b/camphorchute/runs/tests/test_found_sequences.py
@@ -204,6 +204,20 @@
         {"workers": 3, "first_group": 0},
         [*LATE_RENEWAL, ("stop_job", 0), ("move", 0, 0.3), ("deliver", 0), ("resend_job", 1)],
     ),
+    # The scheduler left the run before the stop; the next one had granted its worker nothing.
+    "late_renewal_at_a_worker_that_moved_twice_before_the_stop": (
+        {"workers": 3, "first_group": 1},
+        [
+            *LATE_RENEWAL,
+            ("move", 0, 0.0),
+            ("wait", 0.1),
+            ("move", 0, 0.0),
+            ("stop_job", 0),
+            ("deliver", 0),
+            ("resend_job", 1),
+            ("wait", 1.0),
+        ],
+    ),
     "late_renewal_at_a_restarted_worker": (
         {"workers": 3, "first_group": 0},
         [*LATE_RENEWAL, ("stop_job", 0), ("restart", 0, 0.8), ("deliver", 0), ("resend_job", 1)],
