--- a/camphorchute/runs/run_commands.py
+++ b/camphorchute/runs/run_commands.py
@@ -73,6 +73,9 @@
             if self._worker.is_closed:
                 self._abandon_start(run)
                 return
+            if run.stop_requested and run.state is RunState.ORDERED:
+                self._give_up_run(run, "stopped")  # no command was sent yet
+                return
             if run.stop_requested and run.state is RunState.UNKNOWN:
                 self.send_stop(run.task.name, run.number)
                 return
