--- a/camphorchute/runs/tests/test_bound_tasks.py
+++ b/camphorchute/runs/tests/test_bound_tasks.py
@@ -415,3 +415,27 @@
         crashes += 1
         scheduler.set_workers(GROUP, site.entries(), site.groups())
     assert crashes <= 3
+
+
+# Guards against the refusal of a repeated start that is taken as a proof that the first was not
+# carried out: its answer was lost, and a worker that refuses does nothing for the second only.
+@pytest.mark.parametrize("reason", list(RefusalReason))
+def test_refusal_of_a_repeated_start_releases_no_run_of_the_first(open_model, reason):
+    site = open_model(workers=2, run_s=1.5)
+    scheduler = site.add_scheduler(7)
+    first = {worker: Late() for worker in site.workers.values()}
+    for worker, start in first.items():
+        refused, listed_late = Held(CommandRefused(reason)), Held()
+        refused.release()
+        start.executes.set()
+        worker.held["start"] += [start, refused]
+        worker.held["list"].append(listed_late)
+        gevent.spawn_later(0.3, listed_late.release)
+    site.dispatch(scheduler)
+    assert wait_until(lambda: len(site.all_runs()) == 1)
+    busy = site.busy()
+    assert wait_until(lambda: len(busy.held["start"]) == 0, 1.0)
+    gevent.sleep(1.0)
+    assert site.overlaps() == []
+    returned = [result.end for result in site.results if result.end is not TaskResultKind.MAY_RUN]
+    assert busy.active() == [] or returned == []
