--- a/camphorchute/cli/settings_table.py
+++ b/camphorchute/cli/settings_table.py
@@ -260,7 +260,7 @@
     SettingInfo(
         "resend_ms",
         "1300",
-        _integer_parser(1000, _HOUR_MS),
+        _integer_parser(1200, _HOUR_MS),
         "Time after which a caller that got no answer sends its job again, to any process; runs "
         "for a lost process have ended by then. Only with platform fleet.",
     ),
--- a/camphorchute/cluster/heartbeats.py
+++ b/camphorchute/cluster/heartbeats.py
@@ -157,7 +157,10 @@
                 elif self._is_unused(link, now_s):
                     self._count("roster.link_unused")
                     link.close()
-                elif link.peer.member_id in awaited_ids and _is_proof_old(link, now_s):
+                elif (
+                    link.peer.member_id in awaited_ids
+                    and link.echoed_times.age_ms() > PROOF_AGE_MAX_MS
+                ):
                     self.request_answer(link.peer.member_id)
                 elif self._is_heartbeat_due(link, now_s):
                     due_links.append(link)
@@ -225,11 +228,6 @@
             gevent.sleep(random.uniform(0.5, 1.0) * CONNECT_INTERVAL_MS / MS_PER_S)
 
 
-def _is_proof_old(link: Link, now_s: float) -> bool:
-    """Return whether the peer of a link has not been known to be running for a while."""
-    return (now_s - link.echoed_times.running_at_s) * MS_PER_S > PROOF_AGE_MAX_MS
-
-
 def _is_unresponsive(link: Link, now_s: float, observed_s: float) -> bool:
     """Return whether nothing was received on a link for too long.
 
--- a/camphorchute/links/echoed_times.py
+++ b/camphorchute/links/echoed_times.py
@@ -3,7 +3,7 @@
 import struct
 import time
 
-__all__ = ["ECHOED_TIMES_BYTES", "EchoedTimes", "now_ms"]
+__all__ = ["ECHOED_TIMES_BYTES", "EchoedTimes", "now_ms", "uptime_s"]
 
 MS_PER_S = 1000.0
 ARRAY_OF_3, ARRAY_OF_5 = b"\x83", b"\x85"  # first bytes of frames without and with the two times
@@ -12,9 +12,14 @@
 ECHOED_TIMES_BYTES = TIMES.size
 
 
+def uptime_s() -> float:
+    """Return the time of a clock in seconds that never jumps and counts suspensions as well."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
 def now_ms() -> int:
-    """Return the time of this process's monotonic clock in whole milliseconds."""
-    return int(time.monotonic() * MS_PER_S)
+    """Return that time in whole milliseconds."""
+    return int(uptime_s() * MS_PER_S)
 
 
 class EchoedTimes:
@@ -29,18 +34,18 @@
 
     Args:
         peer_time_ms: time of the peer that the first frame echoes, 0 if none was received.
-        running_at_s: monotonic time at which the peer is known to have been running, in seconds.
+        running_at_s: uptime at which the peer is known to have been running, in seconds.
 
     Attributes:
-        running_at_s: latest monotonic time at which the peer is known to have been running.
+        running_at_s: latest uptime at which the peer is known to have been running, in seconds.
 
     Examples:
         >>> here, there = EchoedTimes(), EchoedTimes()
         >>> frame = bytes.fromhex("83000000")
-        >>> sent_s = time.monotonic()
+        >>> sent_s = uptime_s()
         >>> there.read(here.add_to(frame)) == here.read(there.add_to(frame)) == frame
         True
-        >>> sent_s - 0.001 <= here.running_at_s <= time.monotonic()
+        >>> sent_s - 0.001 <= here.running_at_s <= uptime_s()
         True
         >>> there.running_at_s
         0.0
@@ -52,6 +57,10 @@
         self.running_at_s = running_at_s
         self._peer_time_ms = peer_time_ms
 
+    def age_ms(self) -> float:
+        """Return for how long the peer has not been known to be running, in milliseconds."""
+        return (uptime_s() - self.running_at_s) * MS_PER_S
+
     def add_to(self, data: bytes) -> bytes:
         """Return an encoded frame with the two times.
 
@@ -68,10 +77,11 @@
         """
         times = self._times_of(data)
         if times is None:
-            self.running_at_s = time.monotonic()
+            if data[:1] == ARRAY_OF_3:
+                self.running_at_s = uptime_s()
             return data
         self._peer_time_ms, echoed_ms = times
-        echoed_s = min(echoed_ms / MS_PER_S, time.monotonic())
+        echoed_s = min(echoed_ms / MS_PER_S, uptime_s())
         self.running_at_s = max(self.running_at_s, echoed_s)
         return ARRAY_OF_3 + data[1:-ECHOED_TIMES_BYTES]
 
--- a/camphorchute/links/link.py
+++ b/camphorchute/links/link.py
@@ -126,6 +126,8 @@
                 self.last_received_s = time.monotonic()
                 self.last_observed_s = observation_clock.now_s()
                 for data in messages:
+                    if not self._open:
+                        break
                     self._read_frame(data)
         except OSError:
             pass
--- a/camphorchute/links/peers.py
+++ b/camphorchute/links/peers.py
@@ -13,7 +13,7 @@
 from camphorchute.contracts.member import Member
 from camphorchute.contracts.messages import Hello, Message, Refused, Welcome
 from camphorchute.links.codec import Frame, FrameKind, decode_frame, encode_frame
-from camphorchute.links.echoed_times import EchoedTimes, now_ms
+from camphorchute.links.echoed_times import EchoedTimes, now_ms, uptime_s
 from camphorchute.links.handlers import Handlers
 from camphorchute.links.link import Link, LinkLost
 from camphorchute.links.web_socket import WebSocket, accept_web_socket, connect_web_socket
@@ -22,6 +22,7 @@
 
 CONNECT_TIMEOUT_MS = 1000.0
 PENDING_CONNECTIONS_MAX = 256
+MS_PER_S = 1000.0
 
 
 class Peers:
@@ -101,8 +102,8 @@
     def running_at_s(self, member_id: str) -> float:
         """Return the latest monotonic time at which a member is known to have been running.
 
-        Messages that arrive late do not count as news of it. The result is 0 for a member without
-        an open link, and the current time for this process.
+        Messages that arrive late do not count as news of it. The result is minus infinity for a
+        member without an open link, and the current time for this process.
 
         Args:
             member_id: id of the member.
@@ -110,7 +111,9 @@
         if member_id == self.member.member_id:
             return time.monotonic()
         link = self._links.get(member_id)
-        return 0.0 if link is None else link.echoed_times.running_at_s
+        if link is None:
+            return float("-inf")
+        return time.monotonic() - link.echoed_times.age_ms() / MS_PER_S
 
     def request(self, member: Member, message: Message, timeout_ms: float) -> Message:
         """Send a request to a member and return its reply, opening a link if there is none.
@@ -255,7 +258,7 @@
 
     def _perform_handshake(self, socket_: WebSocket, member: Member) -> Link:
         hello = Hello(self.member, self.zones)
-        sent_s = time.monotonic()
+        sent_s = uptime_s()
         try:
             socket_.send(encode_frame(Frame(FrameKind.ONE_WAY, 0, hello)))
             reply = decode_frame(socket_.recv_one(CONNECT_TIMEOUT_MS)).message
--- a/camphorchute/links/tests/test_peers.py
+++ b/camphorchute/links/tests/test_peers.py
@@ -383,3 +383,21 @@
 
     def __getattr__(self, name):
         return getattr(self._sock, name)
+
+
+# Guards against messages that are handled after the loss of their link: after a pause the timer
+# that closes a silent link is due before its socket is read, and a task started that nobody stops.
+def test_message_that_waits_in_the_socket_of_a_closed_link_is_not_handled(pair):
+    a, b = pair
+    a.request(b)
+    link = b.link(a)
+    gevent.spawn_later(0.01, link.close)
+    gevent.sleep(0)
+    frame = encode_frame(Frame(FrameKind.ONE_WAY, 0, CancelTasks("late")))
+    a.link(b)._socket.send(a.link(b).echoed_times.add_to(frame))
+    until_s = time.monotonic() + 0.05
+    while time.monotonic() < until_s:
+        pass
+    gevent.sleep(0.05)
+    assert b.unlinked_members == [a.member]
+    assert b.received == []
--- a/camphorchute/runs/group_scheduler.py
+++ b/camphorchute/runs/group_scheduler.py
@@ -34,7 +34,7 @@
 from camphorchute.runs.placement_notices import PlacementNotices
 from camphorchute.runs.result_batches import ResultBatches
 from camphorchute.runs.retained_ends import RetainedEnds
-from camphorchute.runs.run import PendingTask
+from camphorchute.runs.run import PendingTask, Run
 from camphorchute.runs.run_events import RunEvents
 from camphorchute.runs.run_supervisor import RunSupervisor
 from camphorchute.runs.sent_renewals import SentRenewals
@@ -47,6 +47,7 @@
 __all__ = ["GroupScheduler"]
 
 FIRST_RUN = 1
+NEWS_WAIT_MS = 40.0
 SWEEP_INTERVAL_MS = 20.0
 IDLE_SWEEP_INTERVAL_MS = 100.0
 MS_PER_S = 1000.0
@@ -259,8 +260,19 @@
                 self._accept_task(group, task)
         if group is not None:
             self.place_pending(group)
-            if message.hand_back_full:
+            if message.hand_back_full and self._is_heard_of(message, peer):
                 self._return_unplaced(group, message)
+            elif message.hand_back_full:
+                pause_s = NEWS_WAIT_MS / MS_PER_S
+                gevent.spawn_later(pause_s, self._return_unplaced, group, message)
+
+    def _is_heard_of(self, message: StartTasks, owner: Member) -> bool:
+        """Return whether tasks that were not placed lack capacity, and not news of their owner."""
+        return message.term is not None or self.owner_contacts.is_recent(owner.member_id)
+
+    def _may_go_on_for(self, task: PendingTask, run: Run) -> bool:
+        """Return whether the leases of a run end in time for the owner that a task names."""
+        return run.worker.leases.in_force_until_s <= self.owner_contacts.lease_end_s(task)
 
     @handles(StopTasks, nonblocking=True)
     def stop_tasks(self, peer: Member, message: StopTasks) -> None:
@@ -314,6 +326,13 @@
     def _accept_task(self, group: WorkerGroup, task: PendingTask) -> None:
         known_task = self._open_tasks.find_same(task)
         if known_task is not None:
+            run = known_task.run
+            if run is not None and not self._may_go_on_for(task, run):
+                self._count("runs.owner_change_refused")
+                self.finish_task(
+                    task, run.number, TaskResultKind.MAY_RUN, run.worker_id, place=run.place()
+                )
+                return
             self._count("runs.owner_changed")
             known_task.apply_dispatch(task)
             group.take_pending(known_task, self._groups.get(known_task.group))
@@ -487,6 +506,8 @@
 
     def _return_unplaced(self, group: WorkerGroup, message: StartTasks) -> None:
         """Return the new tasks of a message that could not be placed to their owner."""
+        if self._groups.get(group.name) is not group:
+            return
         for task in group.backlog.dispatched_by(message):
             if group.is_bound(task):
                 continue
--- a/camphorchute/runs/leased_worker.py
+++ b/camphorchute/runs/leased_worker.py
@@ -213,7 +213,6 @@
     def refresh_fence(self) -> None:
         """Request the list of runs again, under the fencing token in force now."""
         self.synced = False
-        self.leases.record_other_scheduler()
         self._poll_requested.set()
 
     def can_start(self, task: PendingTask, now_s: float) -> bool:
@@ -419,6 +418,8 @@
             if is_fence_in_force:
                 self._earlier_runs.apply_list({run.task for run in listing.running}, sent_s)
             was_synced, self.synced = self.synced, self.synced or is_fence_in_force
+            if self.synced and not was_synced:
+                self.leases.record_other_scheduler()
             self._listener.worker_changed(self, is_usable_now=self.synced and not was_synced)
 
     def _handle_unanswered_poll(self, unanswered: CommandUnanswered) -> None:
--- a/camphorchute/runs/owner_contacts.py
+++ b/camphorchute/runs/owner_contacts.py
@@ -9,7 +9,7 @@
 __all__ = ["OwnerContacts"]
 
 RESEND_MS = 1300.0
-RESEND_MARGIN_MS = 100.0  # a worker's clock may be slow, and ending a run takes time
+RESEND_MARGIN_MS = 60.0  # a worker's clock may be slow, and ending a run takes time
 MS_PER_S = 1000.0
 
 
@@ -31,7 +31,7 @@
         >>> contacts = OwnerContacts()
         >>> contacts.running_at_s = lambda owner_id: 50.0
         >>> contacts.ends_by_s("owner")
-        51.2
+        51.24
     """
 
     __slots__ = ("resend_ms", "running_at_s", "request_proof")
@@ -55,9 +55,17 @@
         Args:
             owner_id: member id of the owner.
         """
-        if self.ends_by_s(owner_id) - time.monotonic() < LEASE_MS / MS_PER_S:
+        if not self.is_recent(owner_id):
             self.request_proof(owner_id)
 
+    def is_recent(self, owner_id: str) -> bool:
+        """Return whether the last proof allows for a lease of the usual length.
+
+        Args:
+            owner_id: member id of the owner.
+        """
+        return self.ends_by_s(owner_id) - time.monotonic() >= LEASE_MS / MS_PER_S
+
     def allows_full_lease(self, task: PendingTask, now_s: float) -> bool:
         """Return whether a run of a task that starts now may have a lease of the usual length.
 
--- a/camphorchute/runs/owner_fields.py
+++ b/camphorchute/runs/owner_fields.py
@@ -33,5 +33,6 @@
         (7, 'c3aed5b6f097', True)
     """
     running_at_s = contacts.running_at_s(task.owner_id)
-    seen_ms = round((time.monotonic() - running_at_s) * MS_PER_S) if running_at_s else None
+    is_linked = running_at_s > float("-inf")
+    seen_ms = round((time.monotonic() - running_at_s) * MS_PER_S) if is_linked else None
     return {"dispatch": task.dispatch, "owner": task.owner_id, "owner_seen_ms": seen_ms}
--- a/camphorchute/runs/worker_group.py
+++ b/camphorchute/runs/worker_group.py
@@ -253,6 +253,7 @@
         placement = Placement()
         remaining: list[PendingTask] = []
         smallest_unplaced: Resources | None = None
+        smallest_by_owner: dict[str, Resources] = {}  # of owners without recent news
         for task in self.backlog:
             demand = task.message.demand
             binding = self._start_bindings.of_task(task.name)
@@ -272,7 +273,8 @@
                 if not self.adopt_run(task):
                     placement.not_found.append(task)
                 continue
-            if has_unknown_run or (smallest_unplaced and demand.can_hold(smallest_unplaced)):
+            smallest = smallest_by_owner.get(task.owner_id, smallest_unplaced)
+            if has_unknown_run or (smallest and demand.can_hold(smallest)):
                 remaining.append(task)
                 continue
             worker = self.choose_worker(task, now_s)
@@ -282,12 +284,13 @@
                 worker.start_task(task, bool(task.lost_runs) and self._may_isolate())
                 continue
             remaining.append(task)
-            if not self._owner_contacts.allows_full_lease(task, now_s):
-                self._count("runs.start_without_news_of_owner")
+            if binding is not None or (smallest and not smallest.can_hold(demand)):
                 continue
-            is_smallest = smallest_unplaced is None or smallest_unplaced.can_hold(demand)
-            if binding is None and is_smallest:
+            if self._owner_contacts.allows_full_lease(task, now_s):
                 smallest_unplaced = demand
+            else:
+                self._count("runs.start_without_news_of_owner")
+                smallest_by_owner[task.owner_id] = demand
         placement.has_changed = len(remaining) < len(self.backlog)
         self.backlog.replace(remaining)
         return placement
--- a/camphorchute/runs/worker_leases.py
+++ b/camphorchute/runs/worker_leases.py
@@ -14,7 +14,7 @@
     "WorkerLeases",
 ]
 
-LEASE_MS = 950.0
+LEASE_MS = 850.0  # a run may start beside others if its owner was heard of 350 ms ago
 LEASE_MAX_MS = 1000.0  # of an earlier version
 CLOCK_DRIFT_RATIO = 0.02
 LEASE_MARGIN_MS = 80.0
@@ -33,8 +33,8 @@
         expiry_s: monotonic time in seconds by which every lease known here has expired,
             also if the worker's clock is slow.
         in_force_until_s: monotonic time in seconds until which runs that start now may go on, as
-            a lease applies to every run of the worker. It includes the leases of an earlier
-            scheduler.
+            a lease applies to every run of the worker. It includes the leases of another scheduler
+            once the worker has listed its runs under the fencing token in force.
 
     Examples:
         >>> leases = WorkerLeases()
@@ -61,7 +61,6 @@
     def __init__(self) -> None:
         self.expiry_s = 0.0
         self.in_force_until_s = 0.0
-        self.record_other_scheduler()
         self._granted_until_ms = 0.0
         self._clock_ms = 0.0
         self._clock_read_s = 0.0
