--- a/camphorchute/runs/worker_leases.py
+++ b/camphorchute/runs/worker_leases.py
@@ -14,7 +14,7 @@
     "WorkerLeases",
 ]
 
-LEASE_MS = 850.0  # a run may start beside others if its owner was heard of 350 ms ago
+LEASE_MS = 850.0
 LEASE_MAX_MS = 1000.0  # of an earlier version
 CLOCK_DRIFT_RATIO = 0.02
 LEASE_MARGIN_MS = 80.0
