--- a/camphorchute/runs/worker_leases.py
+++ b/camphorchute/runs/worker_leases.py
@@ -39,7 +39,7 @@
     Examples:
         >>> leases = WorkerLeases()
         >>> leases.read_clock(5000.0)
-        >>> 5900.0 <= leases.grant() < 6000.0
+        >>> 5800.0 <= leases.grant() < 5900.0
         True
         >>> shorter = WorkerLeases()
         >>> shorter.read_clock(5000.0)
