--- a/camphorchute/runs/run_commands.py
+++ b/camphorchute/runs/run_commands.py
@@ -176,6 +176,16 @@
     ) -> bool:
         """Record a start command without an answer; return whether it must not be sent again."""
         self._count("runs.start_lost" if unanswered.sent else "runs.start_not_sent")
+        if unanswered.sent:
+            log_decision(
+                "runs",
+                "start not answered",
+                task=run.task.name,
+                run=run.number,
+                worker=run.worker_id,
+                incarnation=self._worker.entry.incarnation,
+                owner=run.task.owner_id,
+            )
         self._worker.health.record_failure(str(unanswered))
         self._worker.request_poll()
         if unanswered.sent:
