Tick the observation clock in tests of schedulers

Cause: an entry process ticks the observation clock, so that a pause of its own is no evidence against a worker. The schedulers of the tests had nobody who ticked it. A pause of 0.2 s while the warm-up jobs ran made runs overdue whose answers had arrived; one was stopped, its worker ejected and restored by its next success. The test took this ejection for that of the stalled worker.

Change: SchedulerSite starts the LoopLag that an entry process starts. The test waits for the ejection of the stalled worker itself, and checks that it is the only one.

--- a/camphorchute/runs/tests/scheduler_site.py
+++ b/camphorchute/runs/tests/scheduler_site.py
@@ -10,6 +10,7 @@
 from camphorchute.contracts.member import Member
 from camphorchute.contracts.resources import Resources
 from camphorchute.contracts.run_messages import StartTasks, StopTasks, TaskResultKind, TaskToStart
+from camphorchute.entry.loop_lag import LoopLag
 from camphorchute.hosting import make_platform
 from camphorchute.runs import GroupScheduler
 
@@ -92,6 +93,9 @@
 class SchedulerSite:
     """Stand-in workers of one zone and the schedulers that share them.
 
+    As in an entry process, the observation clock is ticked, so that a pause of the tests is no
+    evidence against a worker.
+
     Attributes:
         run_ms: duration of every run, in milliseconds.
         fleet: the stand-ins.
@@ -109,6 +113,8 @@
         self.counts = {}
         self.schedulers = []
         self._platform = make_platform("fleet", self.fleet.store.address, self._count)
+        self._loop_lag = LoopLag(self._count)
+        self._loop_lag.start()
 
     def add_scheduler(self, fence, worker_ids=None, policies=None):
         """Start a scheduler of the group with a fencing token and return it.
@@ -172,6 +178,7 @@
         for scheduler in self.schedulers:
             scheduler.close()
         self.fleet.close()
+        self._loop_lag.close()
 
     def _notify(self, scheduler, message):
         self.results.extend(dispatch_lost_tasks(scheduler, message))
--- a/camphorchute/runs/tests/test_run_supervisor.py
+++ b/camphorchute/runs/tests/test_run_supervisor.py
@@ -14,6 +14,7 @@
 from camphorchute.runs.tests.scheduler_site import (
     GROUP,
     OWNER,
+    block_event_loop,
     start_message,
     wait_until,
 )
@@ -131,17 +132,32 @@
     assert site.counts["runs.worker_ejected"] == 1
 
 
+# Guards against ejections for a pause of this process, after which a stalled worker was kept
+# because another one had been ejected.
+@pytest.mark.parametrize("completed", [5, 9, 21])
+def test_pause_of_the_process_ejects_no_worker(open_site, completed):
+    site = open_site(workers=2, run_ms=40.0)
+    scheduler = site.add_scheduler(7)
+    assert wait_until(lambda: all(worker.fence == 7 for worker in site.fleet.workers))
+    site.dispatch_tasks(scheduler, tasks=30, finish_within_ms=10_000.0, start_within_ms=9000.0)
+    assert wait_until(lambda: len(site.results) >= completed)
+    block_event_loop(0.2)
+    assert wait_until(lambda: len(site.results) == 30)
+    assert "runs.retry.overdue" not in site.counts
+    assert "runs.worker_ejected" not in site.counts
+
+
 def test_ejected_worker_returns_after_a_probe(open_site):
     site = open_site(workers=2, run_ms=40.0)
     scheduler, stalled = start_stalled_worker(site)
-    assert wait_until(lambda: site.counts.get("runs.worker_ejected"), 1.5)
-    stalled.faults.stall = False
     (leased,) = [
         worker
         for worker in scheduler.group(GROUP).workers.values()
         if worker.entry.worker_id == stalled._worker_id
     ]
-    assert leased.failures.ejected
+    assert wait_until(lambda: leased.failures.ejected, 1.5)
+    assert site.counts["runs.worker_ejected"] == 1
+    stalled.faults.stall = False
     for number in range(40):
         message = start_message(tasks=4)
         message.job_id = f"job{number}"
