Accept links again after a failed accept

A process that has no free descriptor for a moment accepts no link any more until it restarts, while its listening socket stays open: each peer that has no link to it yet waits for a handshake that never comes, and does not count it as dead either.

Cause: the accept loop ended at the first OSError, which it took for the end of its listener. EMFILE, ENFILE and ECONNABORTED come as OSError too.

Change: only a closed listener ends the loop. Any other error is counted (links.accept_failed) and tried again after 50 ms.

The test lowers the limit of open files while a connection waits.

--- a/camphorchute/links/peers.py
+++ b/camphorchute/links/peers.py
@@ -22,6 +22,7 @@
 
 CONNECT_TIMEOUT_MS = 1000.0
 PENDING_CONNECTIONS_MAX = 256
+ACCEPT_RETRY_MS = 50.0
 MS_PER_S = 1000.0
 
 
@@ -199,8 +200,12 @@
             try:
                 sock, _ = self._listener.accept()
             except OSError:
-                return
-            gevent.spawn(self._serve_connection, sock)
+                if self._listener.closed:
+                    return
+                self._handlers.count("links.accept_failed")
+                gevent.sleep(ACCEPT_RETRY_MS / MS_PER_S)
+            else:
+                gevent.spawn(self._serve_connection, sock)
 
     def _serve_connection(self, sock: socket.socket) -> None:
         try:
--- a/camphorchute/links/tests/test_peers.py
+++ b/camphorchute/links/tests/test_peers.py
@@ -1,5 +1,6 @@
 import gc
 import os
+import resource
 import socket
 import time
 
@@ -217,6 +218,25 @@
     assert not a.peers.links() and not b.peers.links()
 
 
+# Guards against a process that accepted no links any more after it had once run out of descriptors.
+def test_process_accepts_links_again_once_it_has_a_free_descriptor(pair):
+    a, b = pair
+    limits = resource.getrlimit(resource.RLIMIT_NOFILE)
+    with socket.socket() as waiting:
+        waiting.bind(("127.77.0.3", 0))
+        lowest_free = os.dup(waiting.fileno())
+        os.close(lowest_free)
+        resource.setrlimit(resource.RLIMIT_NOFILE, (lowest_free, limits[1]))
+        try:
+            host, _, port = b.member.link_address.rpartition(":")
+            waiting.connect((host, int(port)))
+            gevent.sleep(0.05)
+        finally:
+            resource.setrlimit(resource.RLIMIT_NOFILE, limits)
+    assert a.request(b).record == b"x"
+    assert b.counts["links.accept_failed"]
+
+
 @pytest.mark.parametrize("data", [b"", b"\xff\x00", b"\x80", "text", b"\x81" * 5000])
 @pytest.mark.parametrize("after_handshake", [True, False])
 def test_a_malformed_frame_closes_only_its_link(pair, data, after_handshake):
