Count a request without a free descriptor as not sent

Without a free descriptor, a request to a worker or to the store raised OSError, which no caller handles, instead of NotSent.

Cause: HttpChannel.connect created its socket before the try statement that turns errors into NotSent.

Change: the socket is created inside one.

The test lowers the limit of open files.

--- a/camphorchute/workers/http_channel.py
+++ b/camphorchute/workers/http_channel.py
@@ -121,7 +121,10 @@
         Raises:
             NotSent: the connection could not be opened.
         """
-        sock = socket.socket(self._family, sockets.SOCK_STREAM)
+        try:
+            sock = socket.socket(self._family, sockets.SOCK_STREAM)
+        except OSError as error:
+            raise NotSent(f"{self.address}: {error}") from error
         try:
             self._connect_in_time(sock)
             sock.setsockopt(sockets.IPPROTO_TCP, sockets.TCP_NODELAY, 1)
--- a/camphorchute/workers/tests/test_http_channel.py
+++ b/camphorchute/workers/tests/test_http_channel.py
@@ -1,3 +1,5 @@
+import os
+import resource
 import socket
 import time
 
@@ -148,6 +150,22 @@
     server.close()
 
 
+# Guards against an unexpected error for a request of a process that has no free descriptor.
+def test_connection_without_a_free_descriptor_is_not_sent():
+    limits = resource.getrlimit(resource.RLIMIT_NOFILE)
+    server = socket.create_server(("127.0.0.1", 0))
+    channel = HttpChannel(f"127.0.0.1:{server.getsockname()[1]}")
+    lowest_free = os.dup(server.fileno())
+    os.close(lowest_free)
+    resource.setrlimit(resource.RLIMIT_NOFILE, (lowest_free, limits[1]))
+    try:
+        with pytest.raises(NotSent):
+            channel.exchange("GET", "/", b"", 100)
+    finally:
+        resource.setrlimit(resource.RLIMIT_NOFILE, limits)
+    server.close()
+
+
 def test_address_that_does_not_answer_is_given_up():
     server = socket.create_server(("127.0.0.1", 0), backlog=0)
     address = server.getsockname()
