--- a/camphorchute/durable_jobs/end_confirmations.py
+++ b/camphorchute/durable_jobs/end_confirmations.py
@@ -14,8 +14,9 @@
 from camphorchute.contracts.member import Member
 from camphorchute.contracts.run_messages import StopTasks, TaskResultKind
 from camphorchute.durable_jobs.durable_job_record import DurableJobRecord, DurableJobState, job_key
-from camphorchute.durable_jobs.shard import JobShard, ShardContext
+from camphorchute.durable_jobs.shard import JobShard
 from camphorchute.durable_jobs.shard_claims import ShardClaims
+from camphorchute.durable_jobs.shard_context import ShardContext
 from camphorchute.hosting import StoreUnavailable
 from camphorchute.links import handles
 from camphorchute.loops import spawn_loop, wait_for_event
--- a/camphorchute/durable_jobs/run_search.py
+++ b/camphorchute/durable_jobs/run_search.py
@@ -1,9 +1,6 @@
 """Run search: asks the schedulers which unknown tasks of a shard may be running."""
 
-from __future__ import annotations
-
 from collections.abc import Callable, Iterable
-from typing import TYPE_CHECKING
 
 import gevent
 from eliot import log_message
@@ -13,13 +10,11 @@
 from camphorchute.contracts.member import Member
 from camphorchute.contracts.run_messages import ShardTerm
 from camphorchute.durable_jobs.durable_job_run import DurableJobRun
+from camphorchute.durable_jobs.shard_context import ShardContext
 from camphorchute.links import LinkLost
 from camphorchute.loops import spawn_loop
 from camphorchute.queues import TaskProgress, TaskState
 
-if TYPE_CHECKING:
-    from camphorchute.durable_jobs.shard import ShardContext
-
 __all__ = ["RunSearch"]
 
 QUERY_TIMEOUT_MS = 500.0
--- a/camphorchute/durable_jobs/shard.py
+++ b/camphorchute/durable_jobs/shard.py
@@ -1,12 +1,11 @@
 """Recovery, execution and storage of the durable jobs of one shard at its owner."""
 
 import time
-from collections.abc import Callable
 
 import gevent
 from eliot import log_message
 
-from camphorchute.cluster import ClusterView, MembershipLease, StoreFollower
+from camphorchute.cluster import StoreFollower
 from camphorchute.contracts.durable_job_messages import (
     EndsSaved,
     ReportedTask,
@@ -22,16 +21,15 @@
     shard_key_prefix,
 )
 from camphorchute.durable_jobs.durable_job_run import DurableJobRun, UnsavedCompletion
-from camphorchute.durable_jobs.job_writer import JobWriter
 from camphorchute.durable_jobs.run_search import RunSearch
 from camphorchute.durable_jobs.shard_claims import PreviousOwner
-from camphorchute.hosting import Store, StoredValue, StoreUnavailable, SwapConflict, SwapUnknown
-from camphorchute.links import Peers
+from camphorchute.durable_jobs.shard_context import ShardContext
+from camphorchute.hosting import StoredValue, StoreUnavailable, SwapConflict, SwapUnknown
 from camphorchute.loops import spawn_loop, wait_for_event
-from camphorchute.queues import QueueOwner, TaskState
+from camphorchute.queues import TaskState
 from camphorchute.runs import job_of
 
-__all__ = ["JobShard", "ShardContext"]
+__all__ = ["JobShard"]
 
 PREVIOUS_OWNER_EXPIRY_MS = 2500.0
 LOADED_CHECK_INTERVAL_MS = 10.0
@@ -44,40 +42,6 @@
 MS_PER_S = 1000.0
 
 
-class ShardContext:
-    """The collaborators that all shards of a process share.
-
-    Attributes:
-        store: the platform's store.
-        writer: writes job records in batches.
-        view: cluster view with the worker groups and their schedulers.
-        lease: lease of this process; it must be valid to act as a shard owner.
-        queue_owner: dispatches the tasks of jobs.
-        peers: links to the other members, the schedulers among them.
-        count: adds to a named counter.
-    """
-
-    __slots__ = ("store", "writer", "view", "lease", "queue_owner", "peers", "count")
-
-    def __init__(
-        self,
-        store: Store,
-        writer: JobWriter,
-        view: ClusterView,
-        lease: MembershipLease,
-        queue_owner: QueueOwner,
-        peers: Peers,
-        count: Callable[..., None],
-    ) -> None:
-        self.store = store
-        self.writer = writer
-        self.view = view
-        self.lease = lease
-        self.queue_owner = queue_owner
-        self.peers = peers
-        self.count = count
-
-
 class _EndedJob:
     """An ended job whose record has not been removed yet."""
 
--- a/camphorchute/durable_jobs/shard_owner.py
+++ b/camphorchute/durable_jobs/shard_owner.py
@@ -15,8 +15,9 @@
 from camphorchute.durable_jobs.durability_checks import DurabilityChecks
 from camphorchute.durable_jobs.durable_job_record import DurableJobRecord, DurableJobState, job_key
 from camphorchute.durable_jobs.end_confirmations import EndConfirmations
-from camphorchute.durable_jobs.shard import JobShard, ShardContext
+from camphorchute.durable_jobs.shard import JobShard
 from camphorchute.durable_jobs.shard_claims import PreviousOwner, ShardClaims
+from camphorchute.durable_jobs.shard_context import ShardContext
 from camphorchute.hosting import Queue, StoredValue, StoreUnavailable, SwapConflict, SwapUnknown
 from camphorchute.links import LinkLost, handles
 from camphorchute.loops import spawn_loop
--- a/camphorchute/durable_jobs/tests/test_retained_ends.py
+++ b/camphorchute/durable_jobs/tests/test_retained_ends.py
@@ -9,8 +9,8 @@
 from camphorchute.durable_jobs import DurableJobState, end_confirmations, job_key
 from camphorchute.durable_jobs import shard as shard_module
 from camphorchute.durable_jobs.end_confirmations import EndConfirmations, is_end_stored
-from camphorchute.durable_jobs.shard import ShardContext
 from camphorchute.durable_jobs.shard_claims import PreviousOwner
+from camphorchute.durable_jobs.shard_context import ShardContext
 from camphorchute.durable_jobs.tests.fakes import FakePeers, FakeView
 from camphorchute.durable_jobs.tests.test_shard import JOB_ID, SHARD, TERM, Site, make_record
 from camphorchute.hosting import StoredValue, StoreUnavailable
--- a/camphorchute/durable_jobs/tests/test_shard.py
+++ b/camphorchute/durable_jobs/tests/test_shard.py
@@ -13,8 +13,9 @@
 )
 from camphorchute.durable_jobs import DurableJobRecord, DurableJobState, JobWriter, job_key
 from camphorchute.durable_jobs import shard as shard_module
-from camphorchute.durable_jobs.shard import JobShard, ShardContext
+from camphorchute.durable_jobs.shard import JobShard
 from camphorchute.durable_jobs.shard_claims import PreviousOwner
+from camphorchute.durable_jobs.shard_context import ShardContext
 from camphorchute.durable_jobs.tests.fakes import (
     FakeLease,
     FakePeers,
--- a/camphorchute/durable_jobs/tests/test_shard_owner.py
+++ b/camphorchute/durable_jobs/tests/test_shard_owner.py
@@ -8,7 +8,7 @@
 from camphorchute.contracts.resources import Resources
 from camphorchute.durable_jobs import JobWriter, ShardClaims, ShardOwner, job_key
 from camphorchute.durable_jobs import shard_owner as owner_module
-from camphorchute.durable_jobs.shard import ShardContext
+from camphorchute.durable_jobs.shard_context import ShardContext
 from camphorchute.durable_jobs.shard_markers import NEVER_OWNED, OWNED, SHARD_MARKER_KEY_PREFIX
 from camphorchute.durable_jobs.tests.fakes import FakeLease, FakePeers, FakeQueueOwner, FakeStore
 from camphorchute.hosting import Queue, StoredValue, StoreUnavailable, SwapUnknown
