Reserve the loopback addresses of a fleet

Cause: the fleets of all checkouts used the same loopback addresses, and a fleet took every answer for that of its own process. An entry process that cannot listen ends; the process of the other run at its address answered instead.

Change: a fleet reserves its addresses with a listening socket, and takes others if they are reserved or a server listens at one of them, as of a run that was killed or of a checkout without reservations. The reservation of the soak runs is part of it. Waiting for a process fails at once if the process has ended. What was the base stays the first one tried; code that needs it takes it from the fleet.

A checkout without this change can still take the addresses of a fleet between the reservation and the start of its first process.

--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -11,13 +11,13 @@
 import msgspec
 from geventhttpclient import HTTPClient
 
+from bench.address_base import HTTP_PORT, PLATFORM_PORT, reserve_address_base
+
 __all__ = ["Entry", "Fleet", "call"]
 
 ROOT = Path(__file__).resolve().parent.parent
 TOKEN = "bench-operator-token"
-PLATFORM_PORT = 9000
 WORKER_PORT = 9100
-HTTP_PORT = 9200
 LINK_PORT = 9300
 START_TIMEOUT_S = 40.0
 CALL_TIMEOUT_S = 40.0
@@ -93,10 +93,11 @@
     Args:
         zones: names of the availability zones.
         log_dir: folder for the logs of the processes.
-        base: second byte of the loopback addresses; runs at the same time need different ones.
+        base: second byte of the loopback addresses, if no other run uses them.
         options: further settings of the entry processes, by name.
 
     Attributes:
+        base: second byte of the loopback addresses, reserved until `close`.
         platform_address: ``IP:port`` of the stand-in for the platform.
         entries: the entry processes.
         workers: addresses of the workers of each zone.
@@ -107,19 +108,20 @@
         self, zones: list[str], log_dir: Path, base: int, options: dict[str, str] | None = None
     ) -> None:
         self.zones = zones
-        self.platform_address = f"127.{base}.0.1:{PLATFORM_PORT}"
+        self._address_base = reserve_address_base(base)
+        self.base = self._address_base.number
+        self.platform_address = f"127.{self.base}.0.1:{PLATFORM_PORT}"
         self.entries: list[Entry] = []
         self.workers: dict[str, list[str]] = {}
         self.upstreams: dict[str, list[str]] = {}
         self._log_dir = log_dir
-        self._base = base
         self._options = options or {}
         self._processes: list[subprocess.Popen] = []
 
     def start_platform(self) -> None:
         """Start the stand-in for the platform and wait until it answers."""
-        self._spawn("platform", self._standin("platform", [self.platform_address]))
-        self._wait_for(self.platform_address, "/vms")
+        process = self._spawn("platform", self._standin("platform", [self.platform_address]))
+        self._wait_for(self.platform_address, "/vms", process)
 
     def start_workers(self, zone: str, speeds: list[float], slots: int = 8) -> list[str]:
         """Start stand-in workers of a zone in one process and return their addresses.
@@ -132,24 +134,23 @@
         zone_part = 100 + self.zones.index(zone)
         taken = len(self.workers.get(zone, []))
         addresses = [
-            f"127.{self._base}.{zone_part}.{taken + i + 1}:{WORKER_PORT}"
-            for i in range(len(speeds))
+            f"127.{self.base}.{zone_part}.{taken + i + 1}:{WORKER_PORT}" for i in range(len(speeds))
         ]
         arguments = [*self._standin("worker", addresses), "--slots", str(slots)]
         for speed in speeds:
             arguments += ["--speed", str(speed)]
-        self._spawn(f"workers-{zone}-{taken}", arguments)
+        process = self._spawn(f"workers-{zone}-{taken}", arguments)
         self.workers.setdefault(zone, []).extend(addresses)
-        self._wait_for(addresses[-1], "/v1/status")
+        self._wait_for(addresses[-1], "/v1/status", process)
         return addresses
 
     def start_upstream(self, zone: str) -> str:
         """Start a stand-in upstream of a zone and return its address."""
         zone_part = 150 + self.zones.index(zone)
-        address = f"127.{self._base}.{zone_part}.1:{WORKER_PORT}"
-        self._spawn(f"upstream-{zone}", self._standin("upstream", [address]))
+        address = f"127.{self.base}.{zone_part}.1:{WORKER_PORT}"
+        process = self._spawn(f"upstream-{zone}", self._standin("upstream", [address]))
         self.upstreams.setdefault(zone, []).append(address)
-        self._wait_for(address, "/record")
+        self._wait_for(address, "/record", process)
         return address
 
     def add_entry(self, zone: str, host_number: int, number: int = 0) -> Entry:
@@ -160,7 +161,7 @@
             host_number: last byte of the VM's loopback address.
             number: index among the processes of the VM.
         """
-        host = f"127.{self._base}.{self.zones.index(zone) + 1}.{host_number}"
+        host = f"127.{self.base}.{self.zones.index(zone) + 1}.{host_number}"
         entry = Entry(zone, host, number)
         self.list_vm(entry, "live")
         self.entries.append(entry)
@@ -196,10 +197,10 @@
         """Wait until entry processes, by default all, are ready.
 
         Raises:
-            RuntimeError: one is not ready within ``START_TIMEOUT_S``.
+            RuntimeError: one has ended, or is not ready within ``START_TIMEOUT_S``.
         """
         for entry in entries if entries is not None else self.entries:
-            self._wait_for(entry.http_address, "/readyz")
+            self._wait_for(entry.http_address, "/readyz", entry.process)
 
     def kill(self, entry: Entry) -> None:
         """Kill an entry process with SIGKILL and wait for its end."""
@@ -292,6 +293,7 @@
                 process.kill()
         for process in self._processes:
             process.wait()
+        self._address_base.close()
 
     def _is_status_of(self, entry: Entry, status: dict) -> bool:
         return status["member"]["http_address"] == entry.http_address
@@ -316,10 +318,12 @@
         self._processes.append(process)
         return process
 
-    def _wait_for(self, address: str, path: str) -> None:
-        """Wait until a GET request is answered with status 200."""
+    def _wait_for(self, address: str, path: str, process: subprocess.Popen) -> None:
+        """Wait until a GET request to a process is answered with status 200."""
         until_s = time.monotonic() + START_TIMEOUT_S
         while True:
+            if process.poll() is not None:
+                raise RuntimeError(f"{address}: process has ended; logs in {self._log_dir}")
             try:
                 if call(address, "GET", path, timeout_s=2.0)[0] == 200:
                     return
--- a/bench/hosted_fleet.py
+++ b/bench/hosted_fleet.py
@@ -12,7 +12,8 @@
 
 import msgspec
 
-from bench.fleet import HTTP_PORT, LINK_PORT, ROOT, call
+from bench.address_base import HTTP_PORT, reserve_address_base
+from bench.fleet import LINK_PORT, ROOT, call
 from bench.standins.fleet_site import QUEUE_HOST, QUEUE_PATH_PREFIX, FleetSite, job_body
 from camphorchute.cluster.cluster_view import CLAIM_PREFIX, MEMBER_PREFIX
 from camphorchute.contracts.member import Member
@@ -64,10 +65,11 @@
         zones: names of the availability zones.
         workers: number of workers in each zone.
         log_dir: folder for the logs of the entry processes.
-        base: second byte of the loopback addresses; runs at the same time need different ones.
+        base: second byte of the loopback addresses, if no other run uses them.
         run_ms: run time of every task in milliseconds.
 
     Attributes:
+        base: second byte of the loopback addresses, reserved until `close`.
         site: the stand-ins.
         entries: the entry processes.
         program: arguments of the interpreter that run the program.
@@ -78,12 +80,13 @@
     def __init__(
         self, zones: list[str], workers: int, log_dir: Path, base: int, run_ms: float = 40.0
     ) -> None:
-        self.site = FleetSite(zones, workers, f"127.{base}.0.1:0", run_ms)
+        self._address_base = reserve_address_base(base)
+        self.base = self._address_base.number
+        self.site = FleetSite(zones, workers, f"127.{self.base}.0.1:0", run_ms)
         self.site.start()
         self.entries: list[HostedEntry] = []
         self._zones = zones
         self._log_dir = log_dir
-        self._base = base
         self._run_ms = run_ms
         self._callers = ThreadPoolExecutor(CALLER_THREADS)
 
@@ -95,7 +98,7 @@
             number: last byte of the VM's loopback address.
             store_address: ``IP:port`` at which it calls the store, empty for the usual one.
         """
-        host = f"127.{self._base}.{self._zones.index(zone) + 1}.{number}"
+        host = f"127.{self.base}.{self._zones.index(zone) + 1}.{number}"
         entry = HostedEntry(zone, host, store_address or self.site.store.address)
         self.entries.append(entry)
         self.start_entry(entry)
@@ -128,17 +131,21 @@
         """Wait until every entry process has completed a job.
 
         Raises:
-            RuntimeError: one has not within ``START_TIMEOUT_S``, counted for all.
+            RuntimeError: one has ended, or has not within ``START_TIMEOUT_S``, counted for all.
         """
         until_s = time.monotonic() + START_TIMEOUT_S
         for number, entry in enumerate(self.entries):
-            while not self._completes_job(entry, f"ready{number:04}"):
+            while entry.process.poll() is None:
+                if self._completes_job(entry, f"ready{number:04}"):
+                    break
                 if time.monotonic() > until_s:
                     raise RuntimeError(
                         f"{entry.host}: no job completed within {START_TIMEOUT_S} s;"
                         f" logs in {self._log_dir}"
                     )
                 time.sleep(0.05)
+            else:
+                raise RuntimeError(f"{entry.host}: process has ended; logs in {self._log_dir}")
 
     def submit(self, entry: HostedEntry, job_id: str, tasks: int = 1) -> tuple[int, object]:
         """Submit a job and return status and body, or 0 and the error if there is no answer.
@@ -182,6 +189,7 @@
             entry.process.wait()
         self._callers.shutdown()
         self.site.close()
+        self._address_base.close()
 
     def _completes_job(self, entry: HostedEntry, job_id: str) -> bool:
         return self.submit(entry, job_id)[0] == 200
--- a/bench/run_faults/shrink_play.py
+++ b/bench/run_faults/shrink_play.py
@@ -81,12 +81,11 @@
 
     pause_max_ms = 8000.0
 
-    __slots__ = ("over_capacity", "_slots", "_base", "_proxy", "_cuts")
+    __slots__ = ("over_capacity", "_slots", "_proxy", "_cuts")
 
     def __init__(self, seed: int, log_dir: Path, base: int) -> None:
         super().__init__(seed, log_dir, base)
-        self._base = base
-        self._proxy = TcpProxy(f"127.{base}.0.1:0")
+        self._proxy = TcpProxy(f"127.{self._fleet.base}.0.1:0")
         self._cuts: list[Cut] = []
         self.over_capacity: list[RunRecord] = []
         self._slots: dict[FleetWorker, list[tuple[float, int]]] = {}
@@ -128,7 +127,7 @@
         return bool(self.over_capacity or self.overlaps)
 
     def _add_entry(self, number: int) -> None:
-        listen = f"127.{self._base}.{STORE_NETWORK}.{number}:{STORE_PORT}"
+        listen = f"127.{self._fleet.base}.{STORE_NETWORK}.{number}:{STORE_PORT}"
         source = f"{number}"
         self._proxy.open_route(Route(listen, self._fleet.site.store.address, STORE, source))
         self._fleet.add_entry(ZONE, number, listen)
--- a/bench/soak/command.py
+++ b/bench/soak/command.py
@@ -13,13 +13,13 @@
 from bench.soak.checker import complete_ratio, run_checks
 from bench.soak.records import Call, SoakRecords
 from bench.soak.schedule import make_schedule
-from bench.soak.soak_fleet import reserve_address_base
 from bench.soak.soak_run import SoakRun
 
 __all__ = ["main"]
 
 VIOLATIONS_SHOWN_MAX = 20
 LINES_SHOWN_MAX = 20
+FIRST_ADDRESS_BASE, ADDRESS_BASE_COUNT = 70, 130
 
 
 @click.command()
@@ -35,8 +35,8 @@
     faults = [] if no_faults else make_schedule(seed, duration_s)
     rng = random.Random(f"size {seed}")
     zones, entries = rng.choice([2, 3]), rng.choice([2, 3])
-    base, reservation = reserve_address_base(os.getpid())
-    with tempfile.TemporaryDirectory() as folder, reservation:
+    base = FIRST_ADDRESS_BASE + os.getpid() % ADDRESS_BASE_COUNT
+    with tempfile.TemporaryDirectory() as folder:
         run = SoakRun(seed, faults, duration_s, zones, entries, logs or Path(folder), base)
         click.echo(f"soak: seed {seed}, {zones} zones x {entries} entry VMs")
         run.execute()
--- a/bench/soak/soak_fleet.py
+++ b/bench/soak/soak_fleet.py
@@ -1,7 +1,6 @@
 """The processes of a soak run, a proxy that cuts their connections, and target selection."""
 
 import signal
-import socket
 import sys
 import time
 from http.client import HTTPException
@@ -9,7 +8,7 @@
 
 import gevent
 
-from bench.fleet import PLATFORM_PORT, Entry, Fleet, call
+from bench.fleet import Entry, Fleet, call
 from bench.soak.records import EntryIncarnation
 from bench.soak.schedule import PlannedFault
 
@@ -18,7 +17,6 @@
     "SERVICE",
     "SIDE_SERVICE",
     "SoakFleet",
-    "reserve_address_base",
     "now_unix_ms",
 ]
 
@@ -28,9 +26,6 @@
 PROXY_PORT = 9600
 PROXIED_LINK_PORT = 9400
 PROXIED_STORE_PORT = 9500
-RESERVATION_PORT = 9700
-FIRST_ADDRESS_BASE = 70
-ADDRESS_BASE_COUNT = 130
 BALANCER_LAG_S = 0.5
 PROCESS_POLL_INTERVAL_S = 0.05
 FAULT_CALL_TIMEOUT_S = 5.0
@@ -44,7 +39,7 @@
     Args:
         zones: names of the availability zones.
         log_dir: folder for logs.
-        base: second octet of the loopback addresses.
+        base: second byte of the loopback addresses, if no other run uses them.
         options: further settings of the entry processes.
 
     Attributes:
@@ -69,7 +64,7 @@
         self.unexpected_exits: list[str] = []
         self.callers: object | None = None
         self.operators: object | None = None
-        self._proxy_address = f"127.{base}.0.2:{PROXY_PORT}"
+        self._proxy_address = f"127.{self.base}.0.2:{PROXY_PORT}"
         self._cuts: dict[str, list[dict]] = {}
         self._next_host: dict[str, int] = dict.fromkeys(zones, 1)
         self._open_routes: set[str] = set()
@@ -77,8 +72,8 @@
     def start_proxy(self) -> None:
         """Start the proxy and wait until it answers."""
         command = [sys.executable, "-m", "bench.tcp_proxy", "--address", self._proxy_address]
-        self._spawn("relay", command)
-        self._wait_for(self._proxy_address, "/faults")
+        process = self._spawn("relay", command)
+        self._wait_for(self._proxy_address, "/faults", process)
 
     def add_next_entry(self, zone: str) -> Entry:
         """Start an entry process on a VM with an unused address."""
@@ -191,7 +186,7 @@
     def zone_hosts(self, zone: str) -> list[str]:
         """Return every host address that an entry of a zone has or may get."""
         part = self.zones.index(zone) + 1
-        return [f"127.{self._base}.{part}.{n}" for n in range(1, 64)]
+        return [f"127.{self.base}.{part}.{n}" for n in range(1, 64)]
 
     def set_faults(self, address: str, faults: dict) -> None:
         """Set faults of a stand-in, retrying calls that fail because of another fault.
@@ -272,41 +267,6 @@
             call(self._proxy_address, "DELETE", path, timeout_s=FAULT_CALL_TIMEOUT_S)
 
 
-def reserve_address_base(first_offset: int) -> tuple[int, socket.socket]:
-    """Reserve a second octet of loopback addresses that no other run uses.
-
-    Args:
-        first_offset: offset of the first octet to try, modulo the number of octets.
-
-    Returns:
-        The octet, and the socket that reserves it until it is closed.
-
-    Raises:
-        RuntimeError: if every octet is in use.
-    """
-    for step in range(ADDRESS_BASE_COUNT):
-        base = FIRST_ADDRESS_BASE + (first_offset + step) % ADDRESS_BASE_COUNT
-        reservation = socket.socket()
-        try:
-            reservation.bind((f"127.{base}.0.3", RESERVATION_PORT))
-            reservation.listen()
-        except OSError:
-            reservation.close()
-        else:
-            if _is_free(f"127.{base}.0.1", PLATFORM_PORT):
-                return base, reservation
-            reservation.close()
-    raise RuntimeError(
-        f"no free loopback network: all {ADDRESS_BASE_COUNT} from "
-        f"127.{FIRST_ADDRESS_BASE}.0.0 are in use"
-    )
-
-
 def now_unix_ms() -> float:
     """Return the wall clock time in milliseconds, as the stand-ins record it."""
     return time.time() * 1000.0
-
-
-def _is_free(host: str, port: int) -> bool:
-    with socket.socket() as probe:
-        return probe.connect_ex((host, port)) != 0
--- a/bench/soak/soak_run.py
+++ b/bench/soak/soak_run.py
@@ -43,7 +43,7 @@
         zones: number of availability zones.
         entries: number of entry VMs in each zone.
         log_dir: folder for logs.
-        base: second octet of the loopback addresses.
+        base: second byte of the loopback addresses, if no other run uses them.
 
     Attributes:
         records: the records of the run; complete once it has ended.
--- a/bench/tests/test_evacuated_zone.py
+++ b/bench/tests/test_evacuated_zone.py
@@ -64,7 +64,7 @@
     The rejected process is the scheduler of the zone; it learns of the changes from its peers only.
     """
     site = fleet.site
-    gate = FleetStoreGate(f"127.{BASE}.0.1:0", site.store)
+    gate = FleetStoreGate(f"127.{fleet.base}.0.1:0", site.store)
     gate.start()
     rejected = fleet.add_entry(NORTH, 1, gate.address)
     fleet.wait_ready()
