Keep the log's rate limit out of virtual time in tests

Cause: tests in virtual time begin at 1,000 s. They leave that time in the rate limit of the log, which all tests share; on a machine whose monotonic clock is behind it, the refill is negative and every line is dropped until the clock has passed it. Earlier machines had been up for longer. VirtualTime now gives the rate limit a state of its own and restores the old one.

--- a/camphorchute/runs/tests/virtual_time.py
+++ b/camphorchute/runs/tests/virtual_time.py
@@ -11,6 +11,7 @@
 from gevent.hub import get_hub
 
 from camphorchute import loops, pause_watch
+from camphorchute.decision_log import DecisionLog, log_decision
 from camphorchute.runs import leased_worker
 
 __all__ = ["VirtualTime"]
@@ -81,7 +82,8 @@
     """Context in which time passes only while every greenlet waits.
 
     The monotonic clock of the process shows that time, and schedulers draw the same random numbers
-    each time, so that a test which uses no sockets takes the same course each time.
+    each time, so that a test which uses no sockets takes the same course each time. The rate limit
+    of the log has a state of its own meanwhile.
 
     Examples:
         >>> with VirtualTime() as clock:
@@ -94,6 +96,7 @@
         self.now_s = START_S
         self._timers, self._numbers = [], itertools.count()
         self._patches, self._driver = [], None
+        self._log, self._log_state = log_decision.__self__, {}
 
     def __enter__(self):
         self._hub = get_hub()
@@ -105,8 +108,10 @@
             mock.patch.object(loops, "_PHASE_S", 0.0),
             mock.patch.object(leased_worker, "random", same_random),
         ]
+        self._log_state = _state_of(self._log)
         for patch in self._patches:
             patch.start()
+        _set_state(self._log, _state_of(DecisionLog()))
         self._hub.loop = VirtualLoop(self._loop, self)
         self._driver = gevent.spawn(self._drive)
         return self
@@ -116,6 +121,7 @@
         self._hub.loop = self._loop
         for patch in self._patches:
             patch.stop()
+        _set_state(self._log, self._log_state)
 
     def add(self, timer, after_s):
         """Let a timer fire after a time."""
@@ -134,3 +140,13 @@
                 timer.fire(self._loop)
             else:
                 self._hub.wait(self._loop.timer(IDLE_S))
+
+
+def _state_of(log):
+    """Return the attributes of a log."""
+    return {name: getattr(log, name) for name in type(log).__slots__}
+
+
+def _set_state(log, state):
+    for name, value in state.items():
+        setattr(log, name, value)
