Share the score of rendezvous hashing

Owners of shards and schedulers of back ends are chosen by the same hash, written twice; the choice of witnesses would be the third place. No change of behaviour; camphorchute/zones and its tests pass.

--- a/camphorchute/entry/scheduler_component.py
+++ b/camphorchute/entry/scheduler_component.py
@@ -4,7 +4,6 @@
 
 import gevent
 import msgspec
-import xxhash
 from eliot import log_message
 from gevent.event import Event
 
@@ -22,6 +21,7 @@
 from camphorchute.jobs.pools import upstream_pool
 from camphorchute.links import Peers, handles
 from camphorchute.loops import wait_for_event
+from camphorchute.rendezvous import rendezvous_score
 from camphorchute.services import Catalogue, ServiceDefinition, Upstream, Worker
 from camphorchute.workers import HttpWorker, TaskScheduler
 from camphorchute.workers.back_end import BackEndError, FoundAttempt
@@ -44,7 +44,7 @@
         >>> choose_scheduler("127.0.2.1:9000", [a]).member_id
         'a'
     """
-    return max(members, key=lambda m: xxhash.xxh64_intdigest(f"{m.member_id}/{address}".encode()))
+    return max(members, key=lambda member: rendezvous_score(member.member_id, address))
 
 
 class SchedulerComponent:
--- a/camphorchute/zones/record.py
+++ b/camphorchute/zones/record.py
@@ -6,11 +6,11 @@
 """
 
 import msgspec
-import xxhash
 
 from camphorchute.contracts.keys import SHARDS_PER_ZONE
 from camphorchute.contracts.member import Member
 from camphorchute.contracts.stored_values import decode_json
+from camphorchute.rendezvous import rendezvous_score
 
 __all__ = [
     "WITNESSES_MAX",
@@ -166,7 +166,7 @@
         ['a', 'b']
     """
     ranked = sorted(
-        members, key=lambda member: _rendezvous_score(member.member_id, shard), reverse=True
+        members, key=lambda member: rendezvous_score(member.member_id, shard), reverse=True
     )
     owner = ranked[0]
     others = sorted(ranked[1:], key=lambda member: _shares_host_and_rack(owner, member))
@@ -253,9 +253,5 @@
     return needed
 
 
-def _rendezvous_score(member_id: str, shard: int) -> int:
-    return xxhash.xxh64_intdigest(f"{member_id}/{shard}".encode())
-
-
 def _shares_host_and_rack(owner: Member, member: Member) -> tuple[bool, bool]:
     return (member.host == owner.host, bool(owner.rack) and member.rack == owner.rack)
