Announce starts to two other processes before they are sent

Cause: where a task may still start was known to its owner and its scheduler only. The class: a proof that only processes of the same job hold.

Change: before its start command is sent, a run is announced to two members that any process finds (rendezvous hash, two zones, neither the scheduler nor the owner), and the command waits for their answers. Each keeps the run until its scheduler has returned the task with nothing unproved, or until it cannot start any more. A scheduler that announces the task for another worker is told of the run and starts nothing: the task is bound to the known worker and goes to its group, where the same run is repeated. A silent witness is passed over after 30 ms, and after 120 ms at most the command is sent as before, counted. So four processes hold the knowledge, and any two of them may be lost.

Ruled out: to announce only starts without an answer (nothing knows of those of the last milliseconds), owners that announce their jobs (they do not know the workers), one witness (a slow one would be passed over).

--- a/camphorchute/contracts/messages.py
+++ b/camphorchute/contracts/messages.py
@@ -12,6 +12,7 @@
 from camphorchute.contracts.key_entries import DispatchRecord, KeyEntry, KeyOwner, Reach
 from camphorchute.contracts.member import Member
 from camphorchute.contracts.run_messages import RunMessage
+from camphorchute.contracts.start_messages import StartMessage
 from camphorchute.contracts.task_messages import (
     CancelTasks,
     Demand,
@@ -338,5 +339,6 @@
     | Done
     | Refused
     | RunMessage
+    | StartMessage
     | DurableJobMessage
 )
--- a/camphorchute/entry/hosted_process.py
+++ b/camphorchute/entry/hosted_process.py
@@ -36,7 +36,7 @@
 from camphorchute.policies.readiness import ServingState
 from camphorchute.queues import FreeCapacityReports, FreeCapacityView, QueueOwner, ServiceZones
 from camphorchute.retry_after import spread_retry_after_ms
-from camphorchute.runs import GroupScheduler
+from camphorchute.runs import GroupScheduler, WitnessChoice
 
 __all__ = ["HostedProcess", "run"]
 
@@ -103,6 +103,11 @@
         self._scheduler.binding_exchange.send_to_all = lambda message: self._peers.send_to_all(
             self._other_members(), message
         )
+        announcements = self._scheduler.start_announcements
+        announcements.own_id = self._member.member_id
+        announcements.choice = WitnessChoice(self._member.member_id, self._view.member_ring)
+        announcements.send = self._peers.send_or_open
+        self._scheduler.start_witness.send = self._peers.send_if_linked
         self._scheduler.zone_availability = zone_evacuations
         self._scheduler.on_paused = self._handle_pause
         self._scheduler.are_workers_current = self._worker_follower.is_current
@@ -241,6 +246,8 @@
             self._scheduler,
             self._scheduler.durable_tasks,
             self._scheduler.binding_exchange,
+            self._scheduler.start_witness,
+            self._scheduler.start_announcements,
             self._configuration_fetch,
             self._heartbeats,
             self._capacity_view,
--- a/camphorchute/runs/__init__.py
+++ b/camphorchute/runs/__init__.py
@@ -4,6 +4,7 @@
 from camphorchute.runs.group_scheduler import GroupScheduler
 from camphorchute.runs.leased_worker import LeasedWorker
 from camphorchute.runs.run import SHARD_COUNT, PendingTask, Run, RunState, job_of, shard_of
+from camphorchute.runs.witness_choice import WitnessChoice
 
 __all__ = [
     "SHARD_COUNT",
@@ -12,6 +13,7 @@
     "PendingTask",
     "Run",
     "RunState",
+    "WitnessChoice",
     "group_count",
     "group_of",
     "job_of",
--- a/camphorchute/runs/group_scheduler.py
+++ b/camphorchute/runs/group_scheduler.py
@@ -38,7 +38,9 @@
 from camphorchute.runs.run_events import RunEvents
 from camphorchute.runs.run_supervisor import RunSupervisor
 from camphorchute.runs.sent_renewals import SentRenewals
+from camphorchute.runs.start_announcements import StartAnnouncements
 from camphorchute.runs.start_bindings import StartBindings
+from camphorchute.runs.start_witness import StartWitness
 from camphorchute.runs.stopped_runs import StoppedRuns
 from camphorchute.runs.task_places import TaskPlaces
 from camphorchute.runs.worker_group import WorkerGroup
@@ -70,6 +72,9 @@
         durable_tasks: handles the messages of shard owners about durable jobs.
         retained_ends: reports completions to shard owners until they are saved.
         binding_exchange: tells other schedulers which tasks of ended jobs may still start.
+        start_witness: remembers the starts that other schedulers have announced.
+        start_announcements: announces the starts of this scheduler; its attributes are set before
+            the first group is acquired, and nothing is announced until then.
         placement_notices: tells owners where their tasks start; its ``notify`` is set before the
             first group is acquired, and nobody is told until then.
         owner_contacts: bounds the leases by the last news of the owners of the jobs.
@@ -92,6 +97,8 @@
         self.arrival_checks = ArrivalChecks(count)
         self.is_durable_job: Callable[[str], bool] = lambda job_id: True
         self.placement_notices = PlacementNotices(lambda owner_id, message: True, count)
+        self.start_witness = StartWitness(count)
+        self.start_announcements = StartAnnouncements(self.start_witness, count)
         self.owner_contacts = OwnerContacts()
         self.zone_availability = ZoneAvailability()
         self._open_worker_client = open_worker_client
@@ -128,6 +135,7 @@
         self.retained_ends.close()
         for name in list(self._groups):
             self.release_group(name)
+        self.start_announcements.send_forgotten()
         self._results.send()
         if self._greenlet is not None:
             self._greenlet.kill(block=False)
@@ -386,6 +394,7 @@
         self._return_expired(group, now_s)
         placement = group.place_pending(now_s)
         self.placement_notices.send(placement.started)
+        self.start_announcements.announce(placement.started, group.service)
         for task in placement.started:
             self._supervisor.record_start()
             task.last_run = task.run
@@ -482,6 +491,10 @@
             place,
             0.0 if binding is None else binding.remaining_ms(),
         )
+        if binding is not None or (task.cancelled and outcome is TaskResultKind.MAY_RUN):
+            self.start_announcements.keep(task.name)
+        else:
+            self.start_announcements.forget(task.name, outcome is TaskResultKind.DONE)
         self._results.add(task.owner_id, task.message.job_id, result)
 
     def _sweep_loop(self) -> None:
--- a/camphorchute/runs/leased_worker.py
+++ b/camphorchute/runs/leased_worker.py
@@ -223,12 +223,17 @@
         """
         if task.is_durable and self.completions.listed_count() >= LISTED_COMPLETIONS_MAX:
             return False
-        if not self._has_lease_for(task, now_s):
+        if not self.has_lease_for(task, now_s):
             return False
         return self.usable_capacity(now_s).can_hold(task.message.demand)
 
-    def _has_lease_for(self, task: PendingTask, now_s: float) -> bool:
-        """Whether a run can have a lease, and none in force outlasts what its owner allows for."""
+    def has_lease_for(self, task: PendingTask, now_s: float) -> bool:
+        """Whether a run can have a lease, and none in force outlasts what its owner allows for.
+
+        Args:
+            task: the task.
+            now_s: time of the monotonic clock in seconds.
+        """
         end_s = self.owner_contacts.lease_end_s(task)
         is_long_enough = (end_s - now_s) * MS_PER_S >= START_LEASE_MIN_MS
         return is_long_enough and self.leases.in_force_until_s <= end_s
--- a/camphorchute/runs/run.py
+++ b/camphorchute/runs/run.py
@@ -19,6 +19,7 @@
 if TYPE_CHECKING:
     from camphorchute.runs.job_tasks import JobTasks
     from camphorchute.runs.leased_worker import LeasedWorker
+    from camphorchute.runs.start_announcements import Announcement
 
 __all__ = [
     "SHARD_COUNT",
@@ -301,6 +302,7 @@
         end_evidence: why it counts as ended, None while it is active.
         was_alone: whether no other run was active on the worker since its start.
         was_acknowledged: whether the worker has answered the start command.
+        announcement: what its start command waits for, None if nothing.
     """
 
     __slots__ = (
@@ -316,6 +318,7 @@
         "end_evidence",
         "was_alone",
         "was_acknowledged",
+        "announcement",
         "_unobserved_before_s",
     )
 
@@ -334,6 +337,7 @@
         self.end_evidence: EndEvidence | None = None
         self.was_alone = True
         self.was_acknowledged = False
+        self.announcement: Announcement | None = None
         self._unobserved_before_s = observation_clock.unobserved_s()
 
     @property
--- a/camphorchute/runs/run_commands.py
+++ b/camphorchute/runs/run_commands.py
@@ -68,6 +68,8 @@
         run, which the worker starts once, while the run is neither listed nor stopped.
         """
         gevent.sleep(0)  # the notice to the owner of the job is written first
+        if not self._wait_until_witnessed(run):
+            return
         pause_ms = START_RETRY_PAUSE_MS
         while self._worker.holds(run) and run.state is not RunState.RUNNING:
             if self._worker.is_closed:
@@ -86,6 +88,31 @@
             gevent.sleep(pause_ms / MS_PER_S)
             pause_ms = min(START_RETRY_PAUSE_MAX_MS, 2 * pause_ms)
 
+    def _wait_until_witnessed(self, run: Run) -> bool:
+        """Wait until witnesses know of the start of a run; return whether it may take place.
+
+        The proof that the owner of its job is running may have become too old meanwhile.
+        """
+        if run.announcement is None:
+            return True
+        known = run.announcement.wait(run.task.name)
+        bindings = self._worker.start_bindings
+        for shared in run.announcement.shared:
+            if shared.task == run.task.name:
+                bindings.add(shared.task, shared.worker_id, shared.run, shared.remaining_ms)
+        if not self._worker.holds(run):
+            return False
+        if known is not None:
+            bindings.add(known.task, known.worker_id, known.run, known.remaining_ms)
+            self._worker.take_run(run)
+            self._listener.run_found_elsewhere(self._worker, run, known)
+            return False
+        if not self._worker.has_lease_for(run.task, time.monotonic()):
+            self._count("runs.start_without_news_of_owner")
+            self._give_up_run(run, "no_news_of_owner")
+            return False
+        return True
+
     def _abandon_start(self, run: Run) -> None:
         """Give up a run whose worker was removed, unless a start command for it may arrive."""
         if run.state is RunState.ORDERED:
--- a/camphorchute/runs/run_events.py
+++ b/camphorchute/runs/run_events.py
@@ -9,6 +9,7 @@
 import gevent
 
 from camphorchute.contracts.run_messages import TaskResultKind
+from camphorchute.contracts.start_messages import KnownStart
 from camphorchute.decision_log import log_decision
 from camphorchute.hosting import RunOutcome
 from camphorchute.runs.leased_worker import LeasedWorker
@@ -117,6 +118,32 @@
         if not group.adopt_run(task):
             self._scheduler.requeue(task)
 
+    def run_found_elsewhere(self, worker: LeasedWorker, run: Run, known: KnownStart) -> None:
+        """Leave a task to the group of the worker where another scheduler may have started it."""
+        task = run.task
+        log_decision(
+            "runs",
+            "task may run elsewhere",
+            task=task.name,
+            run=run.number,
+            worker=worker.entry.worker_id,
+            known_run=known.run,
+            known_worker=known.worker_id,
+            remaining_ms=round(known.remaining_ms),
+        )
+        if task not in self._open_tasks:
+            return
+        group = self._scheduler.group(task.group)
+        if group is None or task.cancelled or known.worker_id not in group.workers:
+            self._scheduler.finish_task(
+                task, known.run, TaskResultKind.MAY_RUN, known.worker_id, known.group
+            )
+            return
+        task.next_run = max(task.next_run, known.run + 1)
+        task.mark_may_run(known.worker_id, time.monotonic(), None)
+        if not group.adopt_run(task):
+            self._scheduler.requeue(task)
+
     def end_unproved(self, worker: LeasedWorker, run: Run) -> None:
         """Tell the other schedulers of a run that may go on; its job may be sent again."""
         self._scheduler.binding_exchange.add_job(run.task.message.job_id)
--- a/camphorchute/runs/run_listener.py
+++ b/camphorchute/runs/run_listener.py
@@ -7,6 +7,7 @@
 from camphorchute.hosting import RunOutcome
 
 if TYPE_CHECKING:
+    from camphorchute.contracts.start_messages import KnownStart
     from camphorchute.runs.leased_worker import LeasedWorker
     from camphorchute.runs.run import Run
 
@@ -36,6 +37,15 @@
             run: the run, which is no longer in ``worker.runs``.
         """
 
+    def run_found_elsewhere(self, worker: LeasedWorker, run: Run, known: KnownStart) -> None:
+        """Handle a run that was not started, as its task may run where another process started it.
+
+        Args:
+            worker: the worker.
+            run: the run, which is no longer in ``worker.runs``.
+            known: the run that may be active or start.
+        """
+
     def end_unproved(self, worker: LeasedWorker, run: Run) -> None:
         """Handle a stopped or left run whose lease commands without an answer may still extend.
 
