--- a/camphorchute/runs/group_scheduler.py
+++ b/camphorchute/runs/group_scheduler.py
@@ -464,7 +464,8 @@
             worker_id = worker_id or binding.worker_id
             is_final = outcome in (TaskResultKind.DONE, TaskResultKind.FAILED)
             is_too_late = time.monotonic() >= task.finish_by_s
-            binding.is_over = is_final or task.cancelled or is_too_late
+            is_over = is_final or task.cancelled or is_too_late
+            self._start_bindings.mark_over(task.name, is_over)
             if outcome in (TaskResultKind.NOT_STARTED, TaskResultKind.NO_ROOM):
                 outcome = TaskResultKind.MAY_RUN
         if outcome is TaskResultKind.MAY_RUN and not group and task.group != task.message.group:
--- a/camphorchute/runs/run_commands.py
+++ b/camphorchute/runs/run_commands.py
@@ -103,15 +103,15 @@
             clock_ms = self._client.start_run(command, self._current_fence(), lease_until_ms)
         except CommandUnanswered as unanswered:
             if unanswered.sent:
-                bindings.record_no_answer(task.name)
+                bindings.record_no_answer(task.name, run.worker_id)
             else:
-                bindings.record_answer(task.name)
+                bindings.record_answer(task.name, run.worker_id)
             return self._handle_unanswered_start(run, unanswered, sent_s)
         except CommandRefused as refused:
-            bindings.record_answer(task.name)
+            bindings.record_answer(task.name, run.worker_id)
             self._handle_start_refusal(run, refused.reason)
         else:
-            bindings.record_answer(task.name)
+            bindings.record_answer(task.name, run.worker_id)
             self._worker.leases.read_clock(clock_ms)
             self._worker.health.record_command_answer()
             self._mark_started(run)
@@ -144,7 +144,7 @@
             self._mark_started(run)
             return
         if reason is RefusalReason.OLD_RUN:
-            self._worker.start_bindings.mark_unrepeatable(run.task.name)
+            self._worker.start_bindings.mark_unrepeatable(run.task.name, run.worker_id)
             run.task.next_run = max(run.task.next_run, 2 * run.number)
             self._worker.leave_unresolved(run)
             return
--- a/camphorchute/runs/start_bindings.py
+++ b/camphorchute/runs/start_bindings.py
@@ -105,6 +105,9 @@
     again. A run that was stopped, or left to another scheduler, while renewals without an answer
     may keep it alive binds its task in the same way, until its end is known.
 
+    A task may be bound to several workers, as other processes may have sent start commands too. It
+    starts nowhere then until all bindings but one are over.
+
     Examples:
         >>> bindings = StartBindings()
         >>> bindings.record_sent("5c0e7a21d94b36f8.0.0.1", "w1", 1, incarnation=100)
@@ -112,7 +115,7 @@
         True
         >>> bindings.allows("5c0e7a21d94b36f8.0.0.1", "w2")
         False
-        >>> bindings.record_answer("5c0e7a21d94b36f8.0.0.1")
+        >>> bindings.record_answer("5c0e7a21d94b36f8.0.0.1", "w1")
         >>> bindings.allows("5c0e7a21d94b36f8.0.0.1", "w2")
         True
     """
@@ -120,7 +123,7 @@
     __slots__ = ("_by_task", "_unanswered_by_worker")
 
     def __init__(self) -> None:
-        self._by_task: OrderedDict[str, StartBinding] = OrderedDict()
+        self._by_task: OrderedDict[str, list[StartBinding]] = OrderedDict()
         self._unanswered_by_worker: dict[str, set[str]] = {}
 
     def record_sent(self, task: str, worker_id: str, number: int, incarnation: int) -> None:
@@ -137,47 +140,43 @@
         binding.add_incarnation(incarnation)
         binding.under_way += 1
 
-    def record_answer(self, task: str) -> None:
+    def record_answer(self, task: str, worker_id: str) -> None:
         """Record that a start command for a task was answered, or was not sent.
 
         Args:
             task: name of the task.
+            worker_id: id of the worker that it is for.
         """
-        binding = self._by_task[task]
-        binding.under_way -= 1
-        if not binding.is_open():
-            del self._by_task[task]
+        self._on_worker(task, worker_id).under_way -= 1
+        self._drop_closed(task)
 
-    def record_no_answer(self, task: str) -> None:
+    def record_no_answer(self, task: str, worker_id: str) -> None:
         """Record that a start command for a task has no answer.
 
         Args:
             task: name of the task.
+            worker_id: id of the worker that it is for.
         """
-        self._by_task[task].under_way -= 1
-        self._extend(task, LATE_ARRIVAL_MAX_S)
+        binding = self._on_worker(task, worker_id)
+        binding.under_way -= 1
+        self._extend(task, binding, LATE_ARRIVAL_MAX_S)
 
     def add(self, task: str, worker_id: str, number: int, duration_ms: float) -> None:
         """Bind a task that another process has sent a start command for.
 
-        It is ignored for a task that is bound to another worker here.
-
         Args:
             task: name of the task.
             worker_id: id of the worker.
             number: number of the run.
             duration_ms: for how long the command may arrive from now on, in milliseconds.
         """
-        binding = self.of_task(task)
-        if binding is None or binding.worker_id == worker_id:
-            self._bind(task, worker_id).set_run(number)
-            self._extend(task, duration_ms / MS_PER_S)
+        binding = self._bind(task, worker_id)
+        binding.set_run(number)
+        self._extend(task, binding, duration_ms / MS_PER_S)
 
     def record_unended(self, task: str, worker_id: str, number: int, until_s: float) -> None:
         """Bind a task whose run may go on, as commands that may arrive renew its lease.
 
-        It is ignored for a task that is bound to another worker.
-
         Args:
             task: name of the task.
             worker_id: id of the worker.
@@ -193,14 +192,11 @@
             >>> bindings.allows("5c0e7a21d94b36f8.0.0.1", "w2")
             True
         """
-        binding = self.of_task(task)
-        if binding is not None and binding.worker_id != worker_id:
-            return
         binding = self._bind(task, worker_id)
         if number > binding.number:
             binding.number, binding.is_repeatable = number, False
         binding.active_until_s = max(binding.active_until_s, until_s)
-        self._note_unanswered(task)
+        self._note_unanswered(task, worker_id)
 
     def record_end(self, task: str, worker_id: str, number: int) -> None:
         """Record that a run has ended; a start command for its task may still arrive.
@@ -210,39 +206,59 @@
             worker_id: id of the worker.
             number: number of the run.
         """
-        binding = self._by_task.get(task)
-        if binding is None or binding.worker_id != worker_id or number < binding.number:
-            return
-        binding.active_until_s = 0.0
-        if not binding.is_open():
-            del self._by_task[task]
+        binding = self._on_worker(task, worker_id)
+        if binding is not None and number >= binding.number:
+            binding.active_until_s = 0.0
+            self._drop_closed(task)
 
     def _bind(self, task: str, worker_id: str) -> StartBinding:
-        binding = self.of_task(task)
-        if binding is None:
-            binding = self._by_task[task] = StartBinding(worker_id)
+        binding = self._on_worker(task, worker_id)
+        if binding is None or not binding.is_open():
+            self._drop_closed(task)
+            binding = StartBinding(worker_id)
+            self._by_task.setdefault(task, []).append(binding)
         self._by_task.move_to_end(task)
         return binding
 
-    def _extend(self, task: str, duration_s: float) -> None:
-        binding = self._by_task[task]
+    def _on_worker(self, task: str, worker_id: str) -> StartBinding | None:
+        """Return the binding of a task to a worker, which may have been closed meanwhile."""
+        for binding in self._by_task.get(task, ()):
+            if binding.worker_id == worker_id:
+                return binding
+        return None
+
+    def _open_bindings(self, task: str) -> list[StartBinding]:
+        """Return the bindings of a task that are open."""
+        return [binding for binding in self._by_task.get(task, ()) if binding.is_open()]
+
+    def _drop_closed(self, task: str) -> None:
+        """Forget the bindings of a task that are closed."""
+        if task not in self._by_task:
+            return
+        bindings = self._open_bindings(task)
+        if bindings:
+            self._by_task[task] = bindings
+        else:
+            del self._by_task[task]
+
+    def _extend(self, task: str, binding: StartBinding, duration_s: float) -> None:
         until_s = time.monotonic() + duration_s
         binding.unanswered_until_s = max(binding.unanswered_until_s, until_s)
-        self._note_unanswered(task)
+        self._note_unanswered(task, binding.worker_id)
 
-    def _note_unanswered(self, task: str) -> None:
-        binding = self._by_task[task]
-        self._unanswered_by_worker.setdefault(binding.worker_id, set()).add(task)
-        while self._by_task and not next(iter(self._by_task.values())).is_open():
+    def _note_unanswered(self, task: str, worker_id: str) -> None:
+        self._unanswered_by_worker.setdefault(worker_id, set()).add(task)
+        while self._by_task and not self._open_bindings(next(iter(self._by_task))):
             self._by_task.popitem(last=False)
 
-    def mark_unrepeatable(self, task: str) -> None:
-        """Record that the worker of a task does not start its run again.
+    def mark_unrepeatable(self, task: str, worker_id: str) -> None:
+        """Record that a worker does not start the run of a task again.
 
         Args:
             task: name of the task.
+            worker_id: id of the worker.
         """
-        binding = self.of_task(task)
+        binding = self._on_worker(task, worker_id)
         if binding is not None:
             binding.is_repeatable = False
 
@@ -253,31 +269,29 @@
             task: name of the task.
             is_over: whether it has ended.
         """
-        binding = self.of_task(task)
-        if binding is not None:
+        for binding in self._open_bindings(task):
             binding.is_over = is_over
 
     def of_task(self, task: str) -> StartBinding | None:
-        """Return the binding of a task, None if it may start on any worker.
+        """Return the longest binding of a task, None if it may start on any worker.
 
         Args:
             task: name of the task.
         """
-        binding = self._by_task.get(task)
-        if binding is not None and not binding.is_open():
-            del self._by_task[task]
+        if task not in self._by_task:
             return None
-        return binding
+        self._drop_closed(task)
+        bindings = self._by_task.get(task, ())
+        return max(bindings, key=StartBinding.remaining_ms, default=None)
 
     def allows(self, task: str, worker_id: str) -> bool:
-        """Return whether a task may be started on a worker.
+        """Return whether a task may be started on a worker, as it is bound to no other one.
 
         Args:
             task: name of the task.
             worker_id: id of the worker.
         """
-        binding = self.of_task(task)
-        return binding is None or binding.worker_id == worker_id
+        return all(binding.worker_id == worker_id for binding in self._open_bindings(task))
 
     def is_over(self, task: str) -> bool:
         """Return whether a late start command can only be for a task that has ended.
@@ -285,8 +299,8 @@
         Args:
             task: name of the task.
         """
-        binding = self.of_task(task)
-        return binding is not None and binding.is_over
+        bindings = self._open_bindings(task)
+        return bool(bindings) and all(binding.is_over for binding in bindings)
 
     def remaining_ms(self, task: str) -> float:
         """Return for how long a start command for a task may still arrive, in milliseconds.
@@ -298,14 +312,14 @@
         return 0.0 if binding is None else binding.remaining_ms()
 
     def of_job(self, job_id: str) -> list[tuple[str, StartBinding]]:
-        """Return the bound tasks of a job, and their bindings.
+        """Return the bound tasks of a job, each with every binding that it has.
 
         Args:
             job_id: the job.
         """
         prefix = f"{job_id}."
         tasks = [task for task in self._by_task if task.startswith(prefix)]
-        return [(task, binding) for task in tasks if (binding := self.of_task(task)) is not None]
+        return [(task, binding) for task in tasks for binding in self._open_bindings(task)]
 
     def of_worker(self, worker_id: str) -> list[tuple[str, StartBinding]]:
         """Return the tasks with a command that a worker has not answered, and their bindings.
@@ -316,7 +330,11 @@
         tasks = self._unanswered_by_worker.get(worker_id)
         if not tasks:
             return []
-        bound = [(task, binding) for task in tasks if (binding := self.of_task(task)) is not None]
+        bound = [
+            (task, binding)
+            for task in tasks
+            if (binding := self._on_worker(task, worker_id)) is not None and binding.is_open()
+        ]
         if bound:
             self._unanswered_by_worker[worker_id] = {task for task, _ in bound}
         else:
--- a/camphorchute/runs/tests/test_bound_tasks.py
+++ b/camphorchute/runs/tests/test_bound_tasks.py
@@ -373,7 +373,7 @@
     bindings = StartBindings()
     bindings.record_sent(TASK, "w0", 1, incarnation=1)
     gevent.sleep(0.3)  # as for a process that is paused before it sends the command
-    bindings.record_no_answer(TASK)
+    bindings.record_no_answer(TASK, "w0")
     assert bindings.remaining_ms(TASK) > 1000 * LATE_ARRIVAL_MAX_S - 100
 
 
--- a/camphorchute/runs/worker_group.py
+++ b/camphorchute/runs/worker_group.py
@@ -303,6 +303,8 @@
         worker = self.workers.get(binding.worker_id)
         if worker is None or not worker.can_start(task, now_s):
             return False
+        if not self._start_bindings.allows(task.name, binding.worker_id):
+            return False
         is_lost = self._is_lost_with_worker(task) and task.last_place.was_acknowledged
         if (is_lost and task.is_durable) or not binding.may_be_sent_to(worker.entry.incarnation):
             return False
