--- a/camphorchute/pause_watch.py
+++ b/camphorchute/pause_watch.py
@@ -2,7 +2,7 @@
 
 import time
 
-__all__ = ["PauseWatch"]
+__all__ = ["PAUSE_MIN_MS", "PauseWatch"]
 
 PAUSE_MIN_MS = 500.0  # less than the silence after which other processes give a link up
 SETTLE_MS = 20.0
--- a/camphorchute/runs/run_commands.py
+++ b/camphorchute/runs/run_commands.py
@@ -16,6 +16,7 @@
     StartCommand,
     WorkerClient,
 )
+from camphorchute.pause_watch import PAUSE_MIN_MS
 from camphorchute.runs.earlier_run import EarlierRun
 from camphorchute.runs.run import EndEvidence, Run, RunState
 from camphorchute.runs.run_listener import RunListener
@@ -31,6 +32,7 @@
 UNHEALTHY_PAUSE_MS = 500.0
 START_RETRY_PAUSE_MS = 5.0
 START_RETRY_PAUSE_MAX_MS = 320.0
+START_DELAY_MAX_MS = PAUSE_MIN_MS
 MS_PER_S = 1000.0
 
 
@@ -79,6 +81,9 @@
             if run.stop_requested and run.state is RunState.UNKNOWN:
                 self.send_stop(run.task.name, run.number)
                 return
+            if not self._may_send_start(run):
+                self._give_up_unsent_start(run)
+                return
             if self._worker.health.is_responsive or run.state is RunState.ORDERED:
                 if self._try_start(run):
                     return
@@ -86,6 +91,27 @@
             gevent.sleep(pause_ms / MS_PER_S)
             pause_ms = min(START_RETRY_PAUSE_MAX_MS, 2 * pause_ms)
 
+    def _may_send_start(self, run: Run) -> bool:
+        """Return whether a start command may be sent on what was known when it was decided on.
+
+        After a pause of the process the task may be bound to another worker, or have started there
+        once other processes took it as bound no more.
+        """
+        bindings = self._worker.start_bindings
+        if not bindings.allows(run.task.name, run.worker_id):
+            return False
+        if run.state is RunState.ORDERED:
+            return time.monotonic() - run.start_sent_s < START_DELAY_MAX_MS / MS_PER_S
+        return bindings.of_task(run.task.name) is not None
+
+    def _give_up_unsent_start(self, run: Run) -> None:
+        """Give up a run whose start command must not be sent, or not again."""
+        self._count("runs.start_out_of_date")
+        if run.state is not RunState.ORDERED:
+            self._worker.leave_unresolved(run)
+        elif self._worker.take_run(run):
+            self._listener.start_refused(self._worker, run, "out_of_date")
+
     def _abandon_start(self, run: Run) -> None:
         """Give up a run whose worker was removed, unless a start command for it may arrive."""
         if run.state is RunState.ORDERED:
