Show two runs of a task whose owner had no notice of its place

The link from the scheduler to the owner is silent in one direction, so that the notice of the place is lost; the start command has no answer and the scheduler is killed 50 ms later. The owner logs "task held by a lost home" without a worker and dispatches the task to the next scheduler of the same group, which has all workers list their runs, waits for the leases, and starts the task on another worker 2.9 s after the first command. The next incarnation of the first worker then carries that command out: two runs at the same time.

A second test: the job is sent to another process while its first owner goes on, as it can't notice that its caller has gone. The second process starts the task in parallel.

--- a/bench/tests/test_lost_owner_and_scheduler.py
+++ b/bench/tests/test_lost_owner_and_scheduler.py
@@ -1,33 +1,65 @@
-"""Jobs whose owner and scheduler are both lost while a start command is still under way."""
+"""Starts and runs that few processes know of, when these are lost or cut off."""
 
 import signal
 import time
+from urllib.request import urlopen
 
 import pytest
 
+from bench.fleet import LINK_PORT
 from bench.hosted_fleet import HostedFleet
 from bench.run_faults.run_checker import find_overlaps, runs_of
 from bench.standins.server import Reply
+from bench.tcp_proxy import Cut, Route, TcpProxy
 
 BASE = 180
 NORTH, SOUTH = "north", "south"
 JOB_ID = "5c0e7a21d94b36f8"
 RUN_MS = 2500.0
+SHORT_RUN_MS = 1000.0
 STOP_MS = 50.0
 RESEND_S = 1.3
 LATE_S = 1.9
+STARTED_AGAIN_S = 3.6
 START_ROUTE = ("POST", "/run-start")
-START_TIMEOUT_S = 3.0
+PROXIED_LINK_PORT = 9500
+START_TIMEOUT_S = 5.0
 
 
-@pytest.fixture
-def fleet(tmp_path):
-    fleet = HostedFleet([NORTH, SOUTH], 3, tmp_path, BASE, RUN_MS)
+def open_fleet(log_dir, run_ms, monkeypatch=None, proxy=None):
+    """Start three processes in one zone and two in another; their links may use a proxy."""
+    fleet = HostedFleet([NORTH, SOUTH], 3, log_dir, BASE, run_ms)
     for zone, number in [(NORTH, 1), (NORTH, 2), (NORTH, 3), (SOUTH, 1), (SOUTH, 2)]:
+        if proxy is not None:
+            host = f"127.{BASE}.{[NORTH, SOUTH].index(zone) + 1}.{number}"
+            address = f"{host}:{PROXIED_LINK_PORT}"
+            proxy.open_route(Route(address, f"{host}:{LINK_PORT}", host))
+            monkeypatch.setenv("CAMPHORCHUTE_ADVERTISE_LINK_ADDRESS", address)
         fleet.add_entry(zone, number)
     fleet.wait_ready()
     for worker in fleet.site.workers:
         worker.faults.stop_ms = STOP_MS
+    return fleet
+
+
+@pytest.fixture
+def fleet(tmp_path):
+    fleet = open_fleet(tmp_path, RUN_MS)
+    yield fleet
+    fleet.close()
+
+
+@pytest.fixture
+def proxy():
+    proxy = TcpProxy(f"127.{BASE}.0.2:0")
+    proxy.start()
+    yield proxy
+    proxy.close()
+
+
+@pytest.fixture
+def proxied_fleet(tmp_path, monkeypatch, proxy):
+    fleet = open_fleet(tmp_path, SHORT_RUN_MS, monkeypatch, proxy)
     yield fleet
     fleet.close()
 
@@ -73,6 +105,10 @@
     time.sleep(max(0.0, at_s - time.monotonic()))
 
 
+def runs_of_job(fleet):
+    return [run for run in runs_of(fleet.site.workers) if run.task.startswith(JOB_ID)]
+
+
 def find_scheduler(fleet, zone):
     try:
         return fleet.scheduler_of(zone)
@@ -80,6 +116,33 @@
         return None
 
 
+def choose_entries(fleet):
+    """Return the scheduler of the first zone, another process there, and one of the other zone."""
+    scheduler = wait_until(lambda: find_scheduler(fleet, NORTH), "no scheduler of the workers")
+    owner = next(e for e in fleet.entries if e.zone == NORTH and e is not scheduler)
+    elsewhere = next(entry for entry in fleet.entries if entry.zone == SOUTH)
+    return scheduler, owner, elsewhere
+
+
+def delay_starts(fleet):
+    """Delay the start commands to the workers of the first zone, and return them by worker."""
+    return {worker: DelayedStarts(worker) for worker in fleet.site.workers if worker.zone == NORTH}
+
+
+def wait_for_start_command(delayed):
+    """Wait until a worker receives a start command, and return that worker."""
+    return wait_until(
+        lambda: next((worker for worker, starts in delayed.items() if starts.requests), None),
+        "no start command was sent",
+    )
+
+
+def read_counter(entry, name):
+    with urlopen(f"http://{entry.ready_address}/metrics", timeout=5) as reply:
+        counters = dict(line.split() for line in reply.read().decode().splitlines())
+    return int(counters.get(name, 0))
+
+
 # Guards against two runs of a task at the same time: only its owner and its scheduler, which were
 # both lost, knew of a start command that the next incarnation of the worker carried out.
 @pytest.mark.parametrize(
@@ -94,18 +157,11 @@
 def test_start_known_to_lost_processes_only_is_not_carried_out_beside_another_run(
     fleet, owner_lost_by, owner_lost_s, scheduler_lost_s
 ):
-    scheduler = wait_until(lambda: find_scheduler(fleet, NORTH), "no scheduler of the workers")
-    owner = next(e for e in fleet.entries if e.zone == NORTH and e is not scheduler)
-    elsewhere = next(entry for entry in fleet.entries if entry.zone == SOUTH)
-    delayed = {
-        worker: DelayedStarts(worker) for worker in fleet.site.workers if worker.zone == NORTH
-    }
+    scheduler, owner, elsewhere = choose_entries(fleet)
+    delayed = delay_starts(fleet)
 
     fleet.submit_later(owner, JOB_ID)
-    worker = wait_until(
-        lambda: next((worker for worker, starts in delayed.items() if starts.requests), None),
-        "no start command was sent",
-    )
+    worker = wait_for_start_command(delayed)
     sent_s = delayed[worker].received_s
     losses = [
         (owner_lost_s, owner, owner_lost_by),
@@ -123,6 +179,52 @@
     answer = second_call.result()
 
     assert 200 in statuses, "the worker refused the late start"
-    runs = [run for run in runs_of(fleet.site.workers) if run.task.startswith(JOB_ID)]
-    assert find_overlaps(runs) == []
-    assert answer[0] == 200, (answer, runs)
+    assert find_overlaps(runs_of_job(fleet)) == []
+    assert answer[0] == 200, (answer, runs_of_job(fleet))
+
+
+# Guards against two runs of a task at the same time for one owner: the notice of where its
+# scheduler, which was lost next, had sent the start command did not arrive on a one-way link.
+def test_start_of_which_its_owner_had_no_notice_is_not_carried_out_beside_another_run(
+    proxied_fleet, proxy
+):
+    fleet = proxied_fleet
+    scheduler, owner, _ = choose_entries(fleet)
+    delayed = delay_starts(fleet)
+
+    proxy.set_cuts([Cut([scheduler.host], [owner.host])])
+    call = fleet.submit_later(owner, JOB_ID)
+    worker = wait_for_start_command(delayed)
+    sleep_until(delayed[worker].received_s + 0.05)
+    proxy.close_route(f"{scheduler.host}:{PROXIED_LINK_PORT}")
+    scheduler.process.send_signal(signal.SIGKILL)
+    for starts in delayed.values():
+        starts.stop_receiving()
+    slots = worker.slots
+    worker.set_slots(0)
+    sent_s = delayed[worker].received_s
+    while not runs_of_job(fleet) and time.monotonic() < sent_s + STARTED_AGAIN_S:
+        time.sleep(0.002)
+    worker.set_slots(slots)
+    worker.restart()
+    statuses = delayed[worker].carry_out()
+    answer = call.result()
+
+    assert 200 in statuses, "the worker refused the late start"
+    assert find_overlaps(runs_of_job(fleet)) == []
+    assert answer[0] == 200, (answer, runs_of_job(fleet))
+
+
+# Guards against two runs of a task at the same time: its caller was cut off, without its owner
+# being able to notice, and sent the job to another process.
+def test_run_is_joined_by_the_next_owner_of_its_job_while_the_first_one_goes_on(fleet):
+    scheduler, owner, elsewhere = choose_entries(fleet)
+    fleet.submit_later(owner, JOB_ID)
+    run = wait_until(lambda: runs_of_job(fleet), "no run was started")[0]
+    sleep_until(run.started_s + RESEND_S)
+    answer = fleet.submit(elsewhere, JOB_ID)
+
+    assert find_overlaps(runs_of_job(fleet)) == []
+    assert runs_of_job(fleet) == [run]
+    assert answer[0] == 200, answer
+    assert read_counter(scheduler, "runs.owner_changed") == 1
