Test what an owner does with a task that may run for another owner

A scheduler whose start is in conflict with a known one returns the task as MAY_RUN with the worker and its group. The tests hold each step of the owner: the task goes to that group with the bound and without the place that its own scheduler had announced, also if the group has no scheduler yet or loses it; its job is never answered as not run, whatever the next scheduler says and whether it is being withdrawn; and its bound is reported when the job is lost.

--- /dev/null
+++ b/camphorchute/queues/tests/test_tasks_found_elsewhere.py
@@ -0,0 +1,152 @@
+"""Tasks that their scheduler did not start, as they may run for another owner of the same job."""
+
+import gevent
+import pytest
+
+from camphorchute.contracts import Refusal
+from camphorchute.contracts.run_messages import (
+    RunPlace,
+    StartTasks,
+    TaskPlace,
+    TaskResult,
+    TaskResultKind,
+    TasksFinished,
+    TasksPlaced,
+    WithdrawTasks,
+)
+from camphorchute.queues import JobOutcome
+from camphorchute.queues.tests.test_queue_owner import Site, make_member
+from camphorchute.runs.tests.scheduler_site import wait_until
+
+OWN_PLACE = RunPlace("w1", 100, "10.0.0.1:80", 1)
+GROUP, WORKER = "south/flags/h9", "w9"
+BOUND_MS = 15_000.0
+LIMIT_MS = 60.0
+
+
+def open_site(start_limit_ms=None, is_placed=True):
+    """Return a site with a job of one task, which h0 was about to start on a worker of its own."""
+    site = Site(start_limit_ms=start_limit_ms, h0=1)
+    site.submit(1)
+    if is_placed:
+        task = task_of(site)
+        message = TasksPlaced("job1", [TaskPlace(0, 0, task.dispatch, OWN_PLACE)])
+        site.owner.handle_tasks_placed(make_member("h0"), message)
+    site.peers.sent.clear()
+    return site
+
+
+def run_of(site):
+    (run,) = site.owner._jobs.values()
+    return run
+
+
+def task_of(site):
+    return run_of(site).steps[0][0]
+
+
+def report(site, scheduler, end=TaskResultKind.MAY_RUN, run=1, **fields):
+    result = TaskResult(0, 0, run, end, dispatch=task_of(site).dispatch, **fields)
+    site.owner.handle_tasks_finished(make_member(scheduler), TasksFinished("job1", [result]))
+    gevent.sleep(0)
+
+
+def report_found(site, run=1, bound_ms=BOUND_MS):
+    """Report that the task may run on a worker of another group, for another owner."""
+    report(site, "h0", run=run, worker_id=WORKER, group=GROUP, bound_ms=bound_ms)
+
+
+def start_commands(site):
+    return [
+        (receiver, message)
+        for receiver, message in site.peers.sent
+        if isinstance(message, StartTasks)
+    ]
+
+
+def next_command(site):
+    assert wait_until(lambda: start_commands(site))
+    return start_commands(site)[-1]
+
+
+# Guards against a second run on a worker of this owner's choice.
+@pytest.mark.parametrize("is_placed", [True, False])
+@pytest.mark.parametrize("run", [1, 3])
+@pytest.mark.parametrize("scheduled_after_s", [0.0, 0.2])
+def test_task_goes_to_the_group_where_it_may_run_and_starts_nowhere_else(
+    is_placed, run, scheduled_after_s
+):
+    site = open_site(is_placed=is_placed)
+    site.report("h0", 2)
+    if not scheduled_after_s:
+        site.claim_holders[GROUP] = make_member("h9")
+    report_found(site, run)
+    gevent.sleep(scheduled_after_s)
+    assert bool(start_commands(site)) == (not scheduled_after_s)
+    site.claim_holders[GROUP] = make_member("h9")
+    receiver, message = next_command(site)
+    (command,) = message.tasks
+    assert (receiver, message.group, message.hand_back_full) == ("h9", GROUP, False)
+    assert (command.may_run, command.worker_id, command.run) == (True, WORKER, run + 1)
+    assert command.last_place is None
+    assert BOUND_MS - 1000 * scheduled_after_s - 100 < command.bound_ms <= BOUND_MS
+
+
+# Guards against a start on a third worker after the scheduler of that group is lost in turn.
+@pytest.mark.parametrize("is_heir_known", [True, False])
+def test_bound_of_a_found_task_outlasts_the_loss_of_the_scheduler_that_it_was_sent_to(
+    is_heir_known,
+):
+    site = open_site()
+    site.claim_holders[GROUP] = make_member("h9")
+    report_found(site)
+    next_command(site)
+    site.peers.sent.clear()
+    site.claim_holders.clear()
+    if is_heir_known:
+        site.claim_holders[GROUP] = make_member("h8")
+    site.owner.mark_scheduler_lost("h9")
+    gevent.sleep(0.1)
+    assert bool(start_commands(site)) == is_heir_known
+    site.claim_holders[GROUP] = make_member("h8")
+    receiver, message = next_command(site)
+    (command,) = message.tasks
+    assert (receiver, message.group) == ("h8", GROUP)
+    assert (command.worker_id, command.may_run, command.run) == (WORKER, True, 2)
+    assert command.bound_ms > 0
+
+
+# "Not run" would let the caller send the job again while the run of the other owner goes on.
+@pytest.mark.parametrize("is_withdrawing", [True, False])
+@pytest.mark.parametrize(
+    "end", [None, TaskResultKind.MAY_RUN, TaskResultKind.NOT_STARTED, TaskResultKind.NO_ROOM]
+)
+def test_job_of_a_found_task_is_not_refused_as_not_run(is_withdrawing, end):
+    site = open_site(start_limit_ms=LIMIT_MS, is_placed=False)
+    run = run_of(site)
+    site.claim_holders[GROUP] = make_member("h9")
+    if is_withdrawing:
+        assert wait_until(lambda: run.withdrawing_from, 0.5)
+    report_found(site)
+    next_command(site)
+    if end is not None:
+        report(site, "h9", end)
+    site.peers.sent.clear()
+    gevent.sleep(2 * LIMIT_MS / 1000)
+    assert not isinstance(site.outcome, Refusal)
+    assert not any(isinstance(message, WithdrawTasks) for _, message in site.peers.sent)
+    site.caller_gone.set()
+    assert wait_until(lambda: site.outcome is JobOutcome.LOST)
+
+
+# Guards against a job that is done twice: the bound went to no other scheduler with its end.
+def test_bound_of_a_found_task_is_reported_when_its_job_is_lost():
+    site = open_site()
+    bound = []
+    site.owner.report_bound = bound.extend
+    report_found(site)
+    site.caller_gone.set()
+    assert wait_until(lambda: site.outcome is JobOutcome.LOST)
+    (row,) = bound
+    assert (row.task, row.worker_id, row.run) == ("job1.0.0.0", WORKER, 1)
+    assert BOUND_MS - 1000 < row.bound_ms <= BOUND_MS
