Pause before a bound task goes to the same process again

What was seen: a process that gets a bound task and does not schedule its group returns it as MAY_RUN with the worker of the binding.

Cause: a result counts as news if it names a worker or a group; with bindings it always does.

Change: the same words of the same scheduler are no news, and the owner waits 50 ms as for a result without a worker. The first such result is acted on at once, as before.

The test failed before.

--- a/camphorchute/queues/job_run.py
+++ b/camphorchute/queues/job_run.py
@@ -72,6 +72,7 @@
         lost_runs: runs that were lost with their workers, None if there are none.
         is_repeated: whether it was dispatched more than once.
         came_back: how its last dispatch came back, as logs name it; empty if it has not.
+        returned_as: scheduler, worker and group of its last result ``MAY_RUN``, None before.
     """
 
     __slots__ = (
@@ -89,6 +90,7 @@
         "lost_runs",
         "is_repeated",
         "came_back",
+        "returned_as",
     )
 
     def __init__(self) -> None:
@@ -106,6 +108,7 @@
         self.lost_runs: LostRuns | None = None
         self.is_repeated = False
         self.came_back = ""
+        self.returned_as: tuple[str, str, str] | None = None
 
     def add_lost_run(self, place: RunPlace) -> bool:
         """Add a run that was lost with its worker; return whether that says anything new.
--- a/camphorchute/queues/queue_owner.py
+++ b/camphorchute/queues/queue_owner.py
@@ -393,11 +393,16 @@
 
 
 def _apply_may_run(task: TaskProgress, result: TaskResult) -> bool:
-    """Record where a task may run; return whether the result names a worker or a group."""
-    task.state = TaskState.MAY_RUN
+    """Record where a task may run; return whether the result says anything new.
+
+    Its scheduler may say again and again what it was told, if it is not the one of the group.
+    """
+    returned_as = (task.scheduler_id, result.worker_id, result.group)
+    is_news = bool(result.worker_id or result.group) and returned_as != task.returned_as
+    task.state, task.returned_as = TaskState.MAY_RUN, returned_as
     if result.worker_id not in ("", task.worker_id):
         task.forget_place()
     task.worker_id = result.worker_id or task.worker_id
     task.place = result.place or task.place
     task.group = result.group or task.group
-    return bool(result.worker_id or result.group)
+    return is_news
--- a/camphorchute/queues/tests/test_tasks_found_elsewhere.py
+++ b/camphorchute/queues/tests/test_tasks_found_elsewhere.py
@@ -150,3 +150,18 @@
     (row,) = bound
     assert (row.task, row.worker_id, row.run) == ("job1.0.0.0", WORKER, 1)
     assert BOUND_MS - 1000 < row.bound_ms <= BOUND_MS
+
+
+# An owner and a process with a stale claim sent each other a bound task without a pause.
+def test_scheduler_that_returns_a_bound_task_is_asked_again_only_after_a_pause():
+    site = open_site()
+    site.claim_holders[GROUP] = make_member("h9")
+    report_found(site)
+    next_command(site)
+    for _ in range(5):
+        report(site, "h9", worker_id=WORKER, bound_ms=BOUND_MS)
+    site.peers.sent.clear()
+    report(site, "h9", worker_id=WORKER, bound_ms=BOUND_MS)
+    gevent.sleep(0.02)
+    assert start_commands(site) == []
+    assert wait_until(lambda: start_commands(site), 0.5)
