End a job at once whose task may start only on a worker that has left

What callers saw: a task with a start command that may still arrive is bound to its worker for 13 s. If that worker has left service discovery, the scheduler of its group keeps the task until its time is over, and the caller waits for an answer that is known: no other worker may start the task before the deadline.

Change: the owner looks for such a task whenever something changes, and every 250 ms while a task is bound. If the bound outlasts the time by which the job has to be finished and the worker is not listed (for 2.5 s, as the view keeps it that long), the job is lost: 504, never "not run", and its bindings are reported as at any such end. Durable jobs wait. A group without a scheduler is no reason as long as its worker is listed: the next scheduler takes it over within about a second, and most of such jobs are done.

The rows for a worker that has left can't pass before: the owner did not know the workers.

--- a/camphorchute/queues/queue_owner.py
+++ b/camphorchute/queues/queue_owner.py
@@ -24,6 +24,7 @@
     start_while_useful,
 )
 from camphorchute.policies.concurrency_limit import ConcurrencyLimitPolicy, set_no_limit
+from camphorchute.queues.bound_tasks import has_bound_task, has_unreachable_task
 from camphorchute.queues.crash_guard import CrashGuard
 from camphorchute.queues.done_jobs import DoneJobs
 from camphorchute.queues.free_capacity_view import FreeCapacityView
@@ -37,6 +38,7 @@
 __all__ = ["QueueOwner"]
 
 RETRY_INTERVAL_MS = 50.0
+BOUND_CHECK_INTERVAL_MS = 250.0
 POLL_INTERVAL_MAX_S = 60.0
 MS_PER_S = 1000.0
 
@@ -62,11 +64,13 @@
         report_bound: called with the tasks of a job that was not done and whose starts by a lost
             scheduler may still arrive.
         crash_guard: decides whether tasks that were lost with their workers start again.
+        is_worker_listed: returns whether the worker with an id is listed.
     """
 
     __slots__ = (
         "admission",
         "is_settled",
+        "is_worker_listed",
         "crash_guard",
         "report_bound",
         "_capacity_view",
@@ -89,6 +93,7 @@
     ) -> None:
         self.admission = JobAdmission(capacity_view, start_limit_ms, count, concurrency_limit)
         self.is_settled: Callable[[], bool] = lambda: True
+        self.is_worker_listed: Callable[[str], bool] = lambda worker_id: True
         self.report_bound: Callable[[list[TaskBinding]], None] = lambda tasks: None
         self._capacity_view = capacity_view
         self._peers = peers
@@ -301,7 +306,7 @@
         """Dispatch the tasks of a job as they become ready, until the job has ended."""
         while run.outcome is None:
             now_s = time.monotonic()
-            outcome = run.current_outcome(now_s)
+            outcome = run.current_outcome(now_s) or self._early_outcome(run)
             if outcome is not None:
                 self.end_job(run, outcome)
                 continue
@@ -311,9 +316,18 @@
             remaining_s = min(POLL_INTERVAL_MAX_S, max(0.0, run.next_check_s(now_s) - now_s))
             if is_incomplete:
                 remaining_s = min(remaining_s, RETRY_INTERVAL_MS / MS_PER_S)
+            elif run.term is None and has_bound_task(run, now_s):
+                remaining_s = min(remaining_s, BOUND_CHECK_INTERVAL_MS / MS_PER_S)
             wait_for_event(run.changed, remaining_s)
             run.changed.clear()
 
+    def _early_outcome(self, run: JobRun) -> JobOutcome | None:
+        """Return the outcome of a job that cannot be done in time any more, None if it can be."""
+        if run.term is not None or not has_unreachable_task(run, self.is_worker_listed):
+            return None
+        self._count("queues.bound_worker_gone")
+        return JobOutcome.LOST
+
     def _dispatch_ready_tasks(self, run: JobRun) -> bool:
         """Dispatch every task that is ready; return whether some could not be dispatched.
 
--- a/camphorchute/queues/tests/test_tasks_found_elsewhere.py
+++ b/camphorchute/queues/tests/test_tasks_found_elsewhere.py
@@ -14,7 +14,7 @@
     TasksPlaced,
     WithdrawTasks,
 )
-from camphorchute.queues import JobOutcome
+from camphorchute.queues import JobOutcome, TaskState
 from camphorchute.queues.tests.test_queue_owner import Site, make_member
 from camphorchute.runs.tests.scheduler_site import wait_until
 
@@ -165,3 +165,44 @@
     gevent.sleep(0.02)
     assert start_commands(site) == []
     assert wait_until(lambda: start_commands(site), 0.5)
+
+
+# Callers waited although the only worker where their task could start had left.
+@pytest.mark.parametrize(
+    ("is_listed", "bound_ms", "is_lost"),
+    [
+        (True, BOUND_MS, False),
+        (False, BOUND_MS, True),
+        (False, 500.0, False),
+        (False, 0.0, False),
+    ],
+)
+@pytest.mark.parametrize("has_scheduler", [True, False])
+def test_job_ends_at_once_if_its_task_may_start_on_a_worker_that_has_left_only(
+    is_listed, bound_ms, is_lost, has_scheduler
+):
+    site = open_site()
+    site.owner.is_worker_listed = lambda worker_id: is_listed or worker_id != WORKER
+    if has_scheduler:
+        site.claim_holders[GROUP] = make_member("h9")
+    report_found(site, bound_ms=bound_ms)
+    gevent.sleep(0.05)
+    assert (site.outcome is JobOutcome.LOST) == is_lost
+    if not is_lost:
+        assert site.outcome is None
+        assert task_of(site).state in (TaskState.MAY_RUN, TaskState.HANDED)
+
+
+# The scheduler of its group keeps a bound task whose worker has left until its time is over.
+def test_job_ends_soon_after_the_only_worker_of_its_task_has_left():
+    site = open_site()
+    site.claim_holders[GROUP] = make_member("h9")
+    listed = {WORKER}
+    site.owner.is_worker_listed = listed.__contains__
+    report_found(site)
+    next_command(site)
+    gevent.sleep(0.1)
+    assert site.outcome is None
+    listed.clear()
+    assert wait_until(lambda: site.outcome is JobOutcome.LOST, 0.5)
+    assert site.counts["queues.bound_worker_gone"] == 1
