Announce adopted runs, and starts that are sent again

A witness kept a run until the deadline of its task and 14 s more, up to 74 s for durable tasks: after the loss of a scheduler together with a worker, the task would have waited for as long. And a run that another scheduler adopted was forgotten by the witnesses when the first one returned it.

A run is kept for 16 s now. A start command that has no answer and is sent again is announced again, at most every second, so that this time covers the last command; an adopted run is announced by its new scheduler, without waiting.

--- a/camphorchute/runs/leased_worker.py
+++ b/camphorchute/runs/leased_worker.py
@@ -289,7 +289,9 @@
         self.orphans.pop(task.name, None)
         if not task.is_durable:
             self.completions.acknowledge_task(task.name)
-        if outcome is not None:
+        if outcome is None:
+            self._listener.run_adopted(self, run)
+        else:
             self.end_run(run, outcome, EndEvidence.LISTED)
 
     def _add_run(self, task: PendingTask, number: int) -> Run:
--- a/camphorchute/runs/run_commands.py
+++ b/camphorchute/runs/run_commands.py
@@ -242,6 +242,7 @@
         self._worker.health.record_failure(str(unanswered))
         self._worker.request_poll()
         if unanswered.sent:
+            self._listener.start_unanswered(self._worker, run)
             self._worker.record_unanswered_lease(sent_s)
             if run.state is RunState.ORDERED:
                 run.state = RunState.UNKNOWN
--- a/camphorchute/runs/run_events.py
+++ b/camphorchute/runs/run_events.py
@@ -118,6 +118,15 @@
         if not group.adopt_run(task):
             self._scheduler.requeue(task)
 
+    def run_adopted(self, worker: LeasedWorker, run: Run) -> None:
+        """Announce a run whose earlier scheduler may have the witnesses forget it."""
+        self._scheduler.start_announcements.announce([run.task], self._group.service)
+
+    def start_unanswered(self, worker: LeasedWorker, run: Run) -> None:
+        """Have the witnesses remember for longer a run whose start command is sent again."""
+        if run.task.run is run:
+            self._scheduler.start_announcements.renew(run.task, self._group.service)
+
     def run_found_elsewhere(self, worker: LeasedWorker, run: Run, known: KnownStart) -> None:
         """Leave a task to the group of the worker where another scheduler may have started it."""
         task = run.task
--- a/camphorchute/runs/run_listener.py
+++ b/camphorchute/runs/run_listener.py
@@ -37,6 +37,22 @@
             run: the run, which is no longer in ``worker.runs``.
         """
 
+    def run_adopted(self, worker: LeasedWorker, run: Run) -> None:
+        """Handle an active run that an earlier scheduler started and this one goes on with.
+
+        Args:
+            worker: the worker.
+            run: the run, which is in ``worker.runs``.
+        """
+
+    def start_unanswered(self, worker: LeasedWorker, run: Run) -> None:
+        """Handle a start command without an answer, which is sent again.
+
+        Args:
+            worker: the worker.
+            run: the run.
+        """
+
     def run_found_elsewhere(self, worker: LeasedWorker, run: Run, known: KnownStart) -> None:
         """Handle a run that was not started, as its task may run where another process started it.
 
--- a/camphorchute/runs/start_announcements.py
+++ b/camphorchute/runs/start_announcements.py
@@ -32,7 +32,9 @@
 WAVES_MAX = 4
 CONFLICT_PAUSE_MS = (25.0, 50.0)  # the scheduler of the other start may have seen its end just now
 FORGET_DELAY_MS = 500.0
-OPEN_TASK_MAX_MS = 60_000.0
+RENEWAL_MS = 2000.0
+# A start command may be sent until the next announcement, and arrive later with a lease of its own.
+DURATION_MS = RENEWAL_MS + LATE_ARRIVAL_MAX_S * 1000.0 + LONGEST_LEASE_MS
 MS_PER_S = 1000.0
 
 
@@ -43,6 +45,7 @@
         key: the key by which the witnesses are chosen.
         owner_id: member id of the owner of the job, which is no witness, as it is lost with it.
         starts: what is announced, by name of the task.
+        announced_s: monotonic time in seconds at which members were first asked.
         conflicts: runs beside which a start must not take place, by name of the task.
         shared: runs at the same workers that other schedulers may have started.
         asked_ids: ids of the members that were asked, which have to be told of the ends.
@@ -56,6 +59,7 @@
         "key",
         "owner_id",
         "starts",
+        "announced_s",
         "conflicts",
         "shared",
         "asked_ids",
@@ -69,6 +73,7 @@
         self.key = key
         self.owner_id = owner_id
         self.starts = starts
+        self.announced_s = time.monotonic()
         self.conflicts: dict[str, KnownStart] = {}
         self.shared: list[KnownStart] = []
         self.asked_ids: set[str] = set()
@@ -163,6 +168,19 @@
                 self._by_task[task.name] = announcement
             self._ask_first(announcement)
 
+    def renew(self, task: PendingTask, service: str) -> None:
+        """Announce a run once more whose start command has no answer and is sent again.
+
+        Args:
+            task: the task.
+            service: the service that it runs on.
+        """
+        announcement = self._by_task.get(task.name)
+        if announcement is not None:
+            age_ms = (time.monotonic() - announcement.announced_s) * MS_PER_S
+            if age_ms >= RENEWAL_MS / 2:
+                self.announce([task], service)
+
     def forget(self, task: str, is_done: bool) -> None:
         """Tell the witnesses of a task that its run is over, or that its owner knows of it.
 
@@ -282,7 +300,4 @@
 
 def _start_of(task: PendingTask) -> AnnouncedStart:
     """Return what to announce of the run of a task."""
-    open_ms = min(OPEN_TASK_MAX_MS, (task.finish_by_s - time.monotonic()) * MS_PER_S)
-    duration_ms = max(0.0, open_ms) + LATE_ARRIVAL_MAX_S * MS_PER_S + LONGEST_LEASE_MS
-    run = task.run
-    return AnnouncedStart(task.name, run.worker_id, task.group, run.number, duration_ms)
+    return AnnouncedStart(task.name, task.run.worker_id, task.group, task.run.number, DURATION_MS)
--- a/camphorchute/runs/start_witness.py
+++ b/camphorchute/runs/start_witness.py
@@ -16,7 +16,7 @@
 
 __all__ = ["StartWitness"]
 
-STARTS_MAX = 100_000
+STARTS_MAX = 50_000
 MS_PER_S = 1000.0
 
 
--- a/camphorchute/runs/tests/test_announced_starts.py
+++ b/camphorchute/runs/tests/test_announced_starts.py
@@ -11,6 +11,7 @@
     ForgetStarts,
     StartsWitnessed,
 )
+from camphorchute.runs import start_announcements
 from camphorchute.runs.start_witness import StartWitness
 from camphorchute.runs.tests.model_workers import ModelSite
 from camphorchute.runs.tests.scheduler_site import (
@@ -149,3 +150,28 @@
         member_id for member_id, message, _ in received if isinstance(message, ForgetStarts)
     }
     assert forgotten == ({"a", "b"} if is_answered else set())
+
+
+# Guards against a witness that forgets a run while its start command is still sent again.
+def test_start_that_is_sent_again_is_announced_again(site, monkeypatch):
+    monkeypatch.setattr(start_announcements, "RENEWAL_MS", 100.0)
+    scheduler, received = add_scheduler(site)
+    site.workers["w0"].late_s = site.workers["w1"].late_s = {"start": 5.0}
+    scheduler.start_tasks(OWNER, start_message())
+    gevent.sleep(0.6)
+    announced = [message for _, message, _ in received if isinstance(message, AnnounceStarts)]
+    assert len(announced) >= 4
+    assert len({message.starts[0].worker_id for message in announced}) == 1
+
+
+# Guards against an adopted run that no witness knows of after its first scheduler has returned it.
+def test_adopted_run_is_announced(site):
+    scheduler, received = add_scheduler(site)
+    site.workers["w0"].start(TASK, 2)
+    assert wait_until(lambda: "w0" in scheduler.group(GROUP).workers)
+    scheduler.group(GROUP).workers["w0"].request_poll()
+    assert wait_until(lambda: TASK in scheduler.group(GROUP).workers["w0"].orphans)
+    scheduler.start_tasks(OWNER, start_message(run=3, may_run=True, worker_id="w0"))
+    (start,) = received[0][1].starts
+    assert (start.worker_id, start.run) == ("w0", 2)
+    assert len(received) == 2
