--- a/camphorchute/runs/run_listener.py
+++ b/camphorchute/runs/run_listener.py
@@ -7,6 +7,7 @@
 from camphorchute.hosting import RunOutcome
 
 if TYPE_CHECKING:
+    from camphorchute.contracts.start_messages import KnownStart
     from camphorchute.runs.leased_worker import LeasedWorker
     from camphorchute.runs.run import Run
 
@@ -36,6 +37,31 @@
             run: the run, which is no longer in ``worker.runs``.
         """
 
+    def run_adopted(self, worker: LeasedWorker, run: Run) -> None:
+        """Handle an active run that an earlier scheduler started and this one goes on with.
+
+        Args:
+            worker: the worker.
+            run: the run, which is in ``worker.runs``.
+        """
+
+    def start_unanswered(self, worker: LeasedWorker, run: Run) -> None:
+        """Handle a start command without an answer, which is sent again.
+
+        Args:
+            worker: the worker.
+            run: the run.
+        """
+
+    def run_found_elsewhere(self, worker: LeasedWorker, run: Run, known: KnownStart) -> None:
+        """Handle a run that was not started, as its task may run where another process started it.
+
+        Args:
+            worker: the worker.
+            run: the run, which is no longer in ``worker.runs``.
+            known: the run that may be active or start.
+        """
+
     def end_unproved(self, worker: LeasedWorker, run: Run) -> None:
         """Handle a stopped or left run whose lease commands without an answer may still extend.
 
