Take the addresses of proxied links from the fleet

The fleet may have taken another second byte than BASE, so that the proxied links of test_lost_owner_and_scheduler would have led to the addresses of another run.

--- a/bench/tests/test_lost_owner_and_scheduler.py
+++ b/bench/tests/test_lost_owner_and_scheduler.py
@@ -31,7 +31,7 @@
     fleet = HostedFleet([NORTH, SOUTH], 3, log_dir, BASE, run_ms)
     for zone, number in [(NORTH, 1), (NORTH, 2), (NORTH, 3), (SOUTH, 1), (SOUTH, 2)]:
         if proxy is not None:
-            host = f"127.{BASE}.{[NORTH, SOUTH].index(zone) + 1}.{number}"
+            host = f"127.{fleet.base}.{[NORTH, SOUTH].index(zone) + 1}.{number}"
             address = f"{host}:{PROXIED_LINK_PORT}"
             proxy.open_route(Route(address, f"{host}:{LINK_PORT}", host))
             monkeypatch.setenv("CAMPHORCHUTE_ADVERTISE_LINK_ADDRESS", address)
