Assign back ends of each service by itself

A stored service record is checked for its shape, not for its addresses. One worker whose address has no port ended the greenlet that assigns back ends: from then on the process started no task on workers that it had not had before, for any service, until it restarted.

Cause: SchedulerComponent._follow_changes has no error handling, and HttpWorker raises ValueError for such an address.

Change: an error while a service is assigned is counted (home.assign_failed) and logged with its traceback; the next service goes on. Definitions that are confirmed through an entry process are validated as before.

--- a/camphorchute/entry/scheduler_component.py
+++ b/camphorchute/entry/scheduler_component.py
@@ -4,7 +4,7 @@
 
 import gevent
 import msgspec
-from eliot import log_message
+from eliot import log_message, write_traceback
 from gevent.event import Event
 
 from camphorchute.contracts import Refusal
@@ -167,9 +167,16 @@
     def _assign_back_ends(self) -> None:
         for record in self._catalogue.list_records():
             definition = record.definition or ServiceDefinition(record.name)
-            self._scheduler.set_workers(definition, self._filter_assigned(definition.workers))
-            requests = msgspec.structs.replace(definition, name=upstream_pool(record.name))
-            self._scheduler.set_workers(requests, self._filter_assigned(definition.upstreams))
+            try:
+                self._assign_back_ends_of(definition)
+            except Exception:  # noqa: BLE001 - the other services must get their back ends
+                self._count("home.assign_failed")
+                write_traceback()
+
+    def _assign_back_ends_of(self, definition: ServiceDefinition) -> None:
+        self._scheduler.set_workers(definition, self._filter_assigned(definition.workers))
+        requests = msgspec.structs.replace(definition, name=upstream_pool(definition.name))
+        self._scheduler.set_workers(requests, self._filter_assigned(definition.upstreams))
 
     def _filter_own_zone(self, back_ends: list) -> list:
         return [b for b in back_ends if b.zone == self._view.member.zone]
--- a/camphorchute/entry/tests/test_scheduler_component.py
+++ b/camphorchute/entry/tests/test_scheduler_component.py
@@ -1,3 +1,4 @@
+import gevent
 import pytest
 
 from camphorchute.contracts import Refusal, ResultCode, TaskSpec
@@ -16,6 +17,7 @@
     Upstream,
     Worker,
 )
+from camphorchute.workers.http_channel import HttpChannel
 from camphorchute.zones.tests.fakes import Counts, member, record_of
 from camphorchute.zones.view import ZoneView
 
@@ -102,3 +104,37 @@
     catalogue.apply_record(ServiceRecord("flags", 2))
     component._assign_back_ends()
     assert scheduler.assigned == {"flags": [], "flags/requests": []}
+
+
+class ConnectingScheduler(FakeScheduler):
+    """A scheduler that opens a channel to each of its back ends."""
+
+    def start(self):
+        pass
+
+    def set_workers(self, definition, back_ends):
+        for back_end in back_ends:
+            HttpChannel(back_end.address).close()
+        super().set_workers(definition, back_ends)
+
+    def close(self, timeout_ms):
+        pass
+
+
+# Guards against one stored definition with a malformed address, after which no service was assigned
+# back ends any more.
+def test_malformed_address_of_a_service_does_not_affect_other_services():
+    view = ZoneView(A)
+    view.adopt(record_of([A]))
+    catalogue, scheduler, counts = Catalogue(), ConnectingScheduler(), Counts()
+    component = SchedulerComponent(scheduler, view, catalogue, FakePeers(), counts)
+    component.start()
+    try:
+        for revision, name, address in [(1, "a", "127.0.2.1"), (2, "flags", "127.0.2.2:9000")]:
+            definition = ServiceDefinition(name, [Worker("w", address, "north")])
+            catalogue.apply_record(ServiceRecord(name, revision, definition))
+            gevent.sleep(0.01)
+    finally:
+        component.close(0.0)
+    assert scheduler.assigned["flags"] == ["w"]
+    assert counts["home.assign_failed"] == 2
