--- a/bench/tests/test_lost_owner_and_scheduler.py
+++ b/bench/tests/test_lost_owner_and_scheduler.py
@@ -1,4 +1,4 @@
-"""Starts and runs that few processes know of, when these are lost or cut off."""
+"""Starts and runs that few processes know of, when these are lost or a worker leaves."""
 
 import signal
 import time
@@ -7,7 +7,7 @@
 import pytest
 
 from bench.fleet import LINK_PORT
-from bench.hosted_fleet import HostedFleet
+from bench.hosted_fleet import DEADLINE_MS, HostedFleet
 from bench.run_faults.run_checker import find_overlaps, runs_of
 from bench.standins.server import Reply
 from bench.tcp_proxy import Cut, Route, TcpProxy
@@ -228,3 +228,19 @@
     assert runs_of_job(fleet) == [run]
     assert answer[0] == 200, answer
     assert read_counter(scheduler, "runs.owner_changed") == 1
+
+
+# Callers waited until their deadline although the only worker where the task could start had left.
+def test_job_ends_before_its_deadline_once_the_only_worker_of_its_task_has_left(fleet):
+    scheduler, owner, _ = choose_entries(fleet)
+    delayed = delay_starts(fleet)
+    sent_s = time.monotonic()
+    call = fleet.submit_later(owner, JOB_ID)
+    worker = wait_for_start_command(delayed)
+    scheduler.process.send_signal(signal.SIGKILL)
+    fleet.site.store.remove(f"servers/{worker.worker_id}")
+    status, body = call.result()
+
+    assert status == 504, body
+    assert time.monotonic() - sent_s < 0.9 * DEADLINE_MS / 1000
+    assert runs_of_job(fleet) == []
