--- a/camphorchute/runs/group_scheduler.py
+++ b/camphorchute/runs/group_scheduler.py
@@ -465,6 +465,7 @@
             group: the group that this worker moved to, empty if it did not move.
             place: where the run is or was, None if that is not known.
         """
+        was_open = task in self._open_tasks  # not so for a dispatch that is returned at once
         self._open_tasks.discard(task)
         if task.earlier_run is not None:
             task.earlier_run.worker.forget_earlier_runs(task.name)
@@ -492,11 +493,16 @@
             place,
             0.0 if binding is None else binding.remaining_ms(),
         )
-        if binding is not None or (task.cancelled and outcome is TaskResultKind.MAY_RUN):
+        if was_open:
+            self._end_announcement(task, outcome, binding is not None)
+        self._results.add(task.owner_id, task.message.job_id, result)
+
+    def _end_announcement(self, task: PendingTask, outcome: TaskResultKind, is_bound: bool) -> None:
+        """Have the witnesses forget the last run of a returned task, unless it may go on."""
+        if is_bound or (task.cancelled and outcome is TaskResultKind.MAY_RUN):
             self.start_announcements.keep(task.name)
         else:
             self.start_announcements.forget(task.name, outcome is TaskResultKind.DONE)
-        self._results.add(task.owner_id, task.message.job_id, result)
 
     def _sweep_loop(self) -> None:
         while True:
