--- a/camphorchute/runs/group_scheduler.py
+++ b/camphorchute/runs/group_scheduler.py
@@ -499,7 +499,8 @@
 
     def _end_announcement(self, task: PendingTask, outcome: TaskResultKind, is_bound: bool) -> None:
         """Have the witnesses forget the last run of a returned task, unless it may go on."""
-        if is_bound or (task.cancelled and outcome is TaskResultKind.MAY_RUN):
+        may_go_on = outcome is TaskResultKind.MAY_RUN
+        if is_bound or (may_go_on and self.start_announcements.is_decided(task.name)):
             self.start_announcements.keep(task.name)
         else:
             self.start_announcements.forget(task.name, outcome is TaskResultKind.DONE)
--- a/camphorchute/runs/start_announcements.py
+++ b/camphorchute/runs/start_announcements.py
@@ -163,6 +163,15 @@
                 self._by_task[task.name] = announcement
             self._ask_first(announcement)
 
+    def is_decided(self, task: str) -> bool:
+        """Return whether the start command of the last announced run of a task may have been sent.
+
+        Args:
+            task: name of the task.
+        """
+        announcement = self._by_task.get(task)
+        return announcement is not None and announcement.is_decided.is_set()
+
     def forget(self, task: str, is_done: bool) -> None:
         """Tell the witnesses of a task that its run is over, or that its owner knows of it.
 
