--- a/camphorchute/runs/start_announcements.py
+++ b/camphorchute/runs/start_announcements.py
@@ -42,7 +42,7 @@
     Attributes:
         key: the key by which the witnesses are chosen.
         owner_id: member id of the owner of the job, which is no witness, as it is lost with it.
-        starts: what is announced, by name of the task.
+        starts: what is announced, by name of the task; without those that were given up.
         conflicts: runs beside which a start must not take place, by name of the task.
         shared: runs at the same workers that other schedulers may have started.
         asked_ids: ids of the members that were asked, which have to be told of the ends.
@@ -182,6 +182,7 @@
         announcement = self._by_task.pop(task, None)
         if announcement is None:
             return
+        announcement.starts.pop(task, None)
         self._witness.forget(self.own_id, [task])
         if is_done and not self._forgotten:
             gevent.spawn_later(FORGET_DELAY_MS / MS_PER_S, self.send_forgotten)
@@ -246,7 +247,7 @@
             self._count("runs.announce.asked_further")
             for member_id in announcement.waiting_ids:
                 self.choice.mark_silent(member_id)
-        missing = WITNESSES - announcement.answered
+        missing = WITNESSES - announcement.answered if announcement.starts else 0
         starts = list(announcement.starts.values())
         while missing and wave <= WAVES_MAX:
             chosen = self.choice.first(announcement.key, excluded_ids)[:missing]
@@ -263,7 +264,9 @@
                 else:
                     self._count("runs.announce.unlinked")
                     self.choice.mark_silent(member.member_id)
-        if not announcement.waiting_ids or wave > WAVES_MAX:
+        if not announcement.starts:
+            self._decide(number)
+        elif not announcement.waiting_ids or wave > WAVES_MAX:
             name = "one_witness" if announcement.answered else "unwitnessed"
             self._count(f"runs.announce.{name}")
             self._decide(number)
@@ -276,7 +279,7 @@
         About a conflict the same members are asked once more, a little later.
         """
         announcement = self._undecided.pop(number)
-        if announcement.conflicts and not announcement.is_last:
+        if announcement.starts and announcement.conflicts and not announcement.is_last:
             self._count("runs.announce.asked_again")
             announcement.is_last = True
             announcement.conflicts.clear()
@@ -284,8 +287,9 @@
             gevent.spawn_later(pause_s, self._ask_first, announcement)
             return
         for task in announcement.conflicts:
-            self._count("runs.announce.conflict")
-            self.forget(task, is_done=False)
+            if self._by_task.get(task) is announcement:
+                self._count("runs.announce.conflict")
+                self.forget(task, is_done=False)
         announcement.is_decided.set()
 
 
