--- a/camphorchute/runs/start_announcements.py
+++ b/camphorchute/runs/start_announcements.py
@@ -43,7 +43,7 @@
         key: the key by which the witnesses are chosen.
         owner_id: member id of the owner of the job, which is no witness, as it is lost with it.
         starts: what is announced, by name of the task; without those that were given up.
-        conflicts: runs beside which a start must not take place, by name of the task.
+        conflicts: runs beside which a start must not take place, by member id of the witness.
         shared: runs at the same workers that other schedulers may have started.
         asked_ids: ids of the members that were asked, which have to be told of the ends.
         waiting_ids: those that have not answered, since the starts were last announced.
@@ -69,7 +69,7 @@
         self.key = key
         self.owner_id = owner_id
         self.starts = starts
-        self.conflicts: dict[str, KnownStart] = {}
+        self.conflicts: dict[str, list[KnownStart]] = {}
         self.shared: list[KnownStart] = []
         self.asked_ids: set[str] = set()
         self.waiting_ids: set[str] = set()
@@ -84,17 +84,29 @@
             task: name of the task.
         """
         wait_for_event(self.is_decided)
-        return self.conflicts.get(task)
+        return self.conflict(task)
 
-    def record_known(self, known: Iterable[KnownStart]) -> None:
-        """Record runs that a witness knows of."""
-        for row in known:
-            if not row.is_conflict:
-                self.shared.append(row)
-                continue
-            earlier = self.conflicts.get(row.task)
-            if earlier is None or earlier.remaining_ms < row.remaining_ms:
-                self.conflicts[row.task] = row
+    def conflict(self, task: str) -> KnownStart | None:
+        """Return the run that a start is in conflict with for the longest time, None if none is.
+
+        Args:
+            task: name of the task.
+        """
+        rows = [row for known in self.conflicts.values() for row in known if row.task == task]
+        return max(rows, key=lambda row: row.remaining_ms, default=None)
+
+    def record_known(self, witness_id: str, known: list[KnownStart]) -> None:
+        """Record runs that a witness knows of, instead of those that it has named before.
+
+        Args:
+            witness_id: member id of the witness.
+            known: the runs.
+        """
+        self.shared += [row for row in known if not row.is_conflict]
+        self.conflicts.pop(witness_id, None)
+        conflicts = [row for row in known if row.is_conflict]
+        if conflicts:
+            self.conflicts[witness_id] = conflicts
 
 
 class StartAnnouncements:
@@ -217,7 +229,7 @@
             return
         announcement.waiting_ids.discard(peer.member_id)
         announcement.answered += 1
-        announcement.record_known(message.known)
+        announcement.record_known(peer.member_id, message.known)
         if announcement.answered >= WITNESSES:
             self._decide(message.number)
 
@@ -227,9 +239,8 @@
         self._undecided[number] = announcement
         announcement.answered = 0
         announcement.waiting_ids.clear()
-        announcement.record_known(
-            self._witness.announce(self.own_id, [*announcement.starts.values()])
-        )
+        known = self._witness.announce(self.own_id, [*announcement.starts.values()])
+        announcement.record_known(self.own_id, known)
         self._ask(number, {announcement.owner_id}, 1)
 
     def _ask(self, number: int, excluded_ids: set[str], wave: int) -> None:
@@ -250,7 +261,7 @@
         missing = WITNESSES - announcement.answered if announcement.starts else 0
         starts = list(announcement.starts.values())
         while missing and wave <= WAVES_MAX:
-            chosen = self.choice.first(announcement.key, excluded_ids)[:missing]
+            chosen = self._next_witnesses(announcement, excluded_ids)[:missing]
             if not chosen:
                 break
             for member in chosen:
@@ -273,21 +284,30 @@
         else:
             gevent.spawn_later(ASK_NEXT_MS / MS_PER_S, self._ask, number, excluded_ids, wave + 1)
 
+    def _next_witnesses(self, announcement: Announcement, excluded_ids: set[str]) -> list[Member]:
+        """Return the next members to ask, first those that have reported a conflict."""
+        reporters = [self.choice.member(member_id) for member_id in announcement.conflicts]
+        reporters = [
+            member for member in reporters if member and member.member_id not in excluded_ids
+        ]
+        ids = {*excluded_ids, self.own_id, *(member.member_id for member in reporters)}
+        return reporters + self.choice.first(announcement.key, ids)
+
     def _decide(self, number: int) -> None:
         """Let the start commands be sent that are in no conflict.
 
-        About a conflict the same members are asked once more, a little later.
+        About a conflict the members are asked once more, a little later. It stands unless its
+        witness takes it back.
         """
         announcement = self._undecided.pop(number)
         if announcement.starts and announcement.conflicts and not announcement.is_last:
             self._count("runs.announce.asked_again")
             announcement.is_last = True
-            announcement.conflicts.clear()
             pause_s = random.uniform(*CONFLICT_PAUSE_MS) / MS_PER_S
             gevent.spawn_later(pause_s, self._ask_first, announcement)
             return
-        for task in announcement.conflicts:
-            if self._by_task.get(task) is announcement:
+        for task in list(announcement.starts):
+            if announcement.conflict(task) and self._by_task.get(task) is announcement:
                 self._count("runs.announce.conflict")
                 self.forget(task, is_done=False)
         announcement.is_decided.set()
