--- a/camphorchute/runs/start_announcements.py
+++ b/camphorchute/runs/start_announcements.py
@@ -29,6 +29,7 @@
 __all__ = ["Announcement", "StartAnnouncements"]
 
 ASK_NEXT_MS = 30.0
+LINK_WAIT_MS = 5.0
 WAVES_MAX = 4
 CONFLICT_PAUSE_MS = (25.0, 50.0)  # the scheduler of the other start may have seen its end just now
 FORGET_DELAY_MS = 500.0
@@ -259,22 +260,15 @@
             for member_id in announcement.waiting_ids:
                 self.choice.mark_silent(member_id)
         missing = WITNESSES - announcement.answered if announcement.starts else 0
-        starts = list(announcement.starts.values())
         while missing and wave <= WAVES_MAX:
             chosen = self._next_witnesses(announcement, excluded_ids)[:missing]
             if not chosen:
                 break
             for member in chosen:
                 excluded_ids.add(member.member_id)
-                forgotten = self._forgotten.get(member.member_id, [])
-                if self.send(member, AnnounceStarts(number, starts, forgotten)):
-                    self._forgotten.pop(member.member_id, None)
-                    announcement.waiting_ids.add(member.member_id)
-                    announcement.asked_ids.add(member.member_id)
-                    missing -= 1
-                else:
-                    self._count("runs.announce.unlinked")
-                    self.choice.mark_silent(member.member_id)
+                announcement.waiting_ids.add(member.member_id)
+                missing -= 1
+                self._send_starts(number, member)
         if not announcement.starts:
             self._decide(number)
         elif not announcement.waiting_ids or wave > WAVES_MAX:
@@ -284,6 +278,20 @@
         else:
             gevent.spawn_later(ASK_NEXT_MS / MS_PER_S, self._ask, number, excluded_ids, wave + 1)
 
+    def _send_starts(self, number: int, member: Member) -> None:
+        """Send an announcement to a member, once more as soon as the link to it may be open."""
+        announcement = self._undecided.get(number)
+        if announcement is None or member.member_id not in announcement.waiting_ids:
+            return
+        starts = list(announcement.starts.values())
+        forgotten = self._forgotten.get(member.member_id, [])
+        if self.send(member, AnnounceStarts(number, starts, forgotten)):
+            self._forgotten.pop(member.member_id, None)
+            announcement.asked_ids.add(member.member_id)
+        else:
+            self._count("runs.announce.unlinked")
+            gevent.spawn_later(LINK_WAIT_MS / MS_PER_S, self._send_starts, number, member)
+
     def _next_witnesses(self, announcement: Announcement, excluded_ids: set[str]) -> list[Member]:
         """Return the next members to ask, first those that have reported a conflict."""
         reporters = [self.choice.member(member_id) for member_id in announcement.conflicts]
