--- a/camphorchute/runs/start_witness.py
+++ b/camphorchute/runs/start_witness.py
@@ -17,6 +17,7 @@
 __all__ = ["StartWitness"]
 
 STARTS_MAX = 50_000
+DURATION_MAX_MS = 60_000.0
 MS_PER_S = 1000.0
 
 
@@ -32,7 +33,9 @@
 
     def __init__(self, start: AnnouncedStart) -> None:
         self.start = start
-        self.until_s = time.monotonic() + start.duration_ms / MS_PER_S
+        is_plausible = 0 <= start.duration_ms <= DURATION_MAX_MS
+        duration_ms = start.duration_ms if is_plausible else DURATION_MAX_MS
+        self.until_s = time.monotonic() + duration_ms / MS_PER_S
 
     def excludes(self, other: AnnouncedStart) -> bool:
         """Whether a start by another scheduler must not take place beside this one.
