--- a/camphorchute/runs/tests/search_site.py
+++ b/camphorchute/runs/tests/search_site.py
@@ -9,6 +9,8 @@
 from camphorchute.runs.binding_exchange import BindingExchange
 from camphorchute.runs.late_commands import LATE_ARRIVAL_MAX_S, LATE_ARRIVAL_MIN_S
 from camphorchute.runs.start_bindings import StartBindings
+from camphorchute.runs.start_witness import StartWitness
+from camphorchute.runs.tests.model_members import ModelMembers
 from camphorchute.runs.tests.model_owner import ModelOwner
 from camphorchute.runs.tests.model_workers import SERVICE, Late, ModelSite, ModelWorker
 from camphorchute.runs.tests.scheduler_site import GROUP
@@ -23,6 +25,8 @@
 RESEND_S = 1.3
 CLAIM_CHECK_S = 0.1
 FIRST_FENCE = 7
+WITNESSES = ("witness1", "witness2")
+OLD_MEMBERS_S = 20.0
 
 
 class SearchWorker(ModelWorker):
@@ -47,13 +51,15 @@
         workers: number of workers; the last one belongs to the second group, the others to the
             first.
         first_group: which of the groups was claimed first, so that its fencing token is lower.
+        are_starts_announced: whether other members are told of the starts.
 
     Attributes:
         claims: the process that holds each group, and its fencing token.
+        members: the processes, the owners and members that only witness starts.
         late: the commands that are held back, in the order of their arming.
     """
 
-    def __init__(self, workers=3, first_group=0):
+    def __init__(self, workers=3, first_group=0, are_starts_announced=True):
         super().__init__(0)
         self.workers = {f"w{n}": SearchWorker(f"w{n}", RUN_S) for n in range(workers)}
         self.group_by_worker = dict.fromkeys(self.workers, GROUPS[0])
@@ -61,6 +67,10 @@
         self.claims, self.late, self._sent_s = {}, [], {}
         self._unlisted = set()
         self._fence, self._stopped_jobs, self._job_count = FIRST_FENCE - 1, [], 0
+        self.members, self._are_starts_announced = ModelMembers(), are_starts_announced
+        self._lost_owners_s = {}
+        for member_id in OWNERS + WITNESSES:
+            self.members.add(member_id, StartWitness(self._count))
         self.owners = [
             ModelOwner(
                 owner_id, self._holder, self._has_room, GROUPS, self._open_exchange().add_tasks
@@ -69,6 +79,7 @@
         ]
         for _ in range(2):
             self._open_scheduler()
+        gevent.sleep(OLD_MEMBERS_S)
         for index in (first_group, 1 - first_group):
             self.claim(index, index)
         self._claim_checks = gevent.spawn(self._claim_again)
@@ -82,8 +93,10 @@
         super().close()
 
     def submit(self, group, owner=0):
-        """Submit a job of one task."""
+        """Submit a job of one task to an owner that was not lost."""
         self._job_count += 1
+        if self._is_lost(self.owners[owner]):
+            owner = 1 - owner
         self.owners[owner].submit(f"job{self._job_count}", GROUPS[group], FINISH_S)
         gevent.sleep(0.05)
 
@@ -98,11 +111,12 @@
                 return
 
     def resend_job(self, group):
-        """Send the job that was stopped first again, to the other owner."""
+        """Send the job that was stopped first again, to the other owner if that was not lost."""
         if self._stopped_jobs:
             stopped_s, job_id, _, owner = self._stopped_jobs.pop(0)
             gevent.sleep(max(0.0, stopped_s + RESEND_S - time.monotonic()))
             other = next(other for other in self.owners if other is not owner)
+            other = owner if self._is_lost(other) else other
             other.submit(job_id, GROUPS[group], FINISH_S)
             gevent.sleep(0.05)
 
@@ -174,12 +188,39 @@
         if scheduler is None:
             return
         super().kill(scheduler)
+        self.members.lose(f"process{process}")
         scheduler.close()
         for group in [name for name, (holder, _) in self.claims.items() if holder is scheduler]:
             del self.claims[group]
         for owner in self.owners:
             owner.mark_scheduler_lost(scheduler)
 
+    def kill_together(self, owner, process, witness):
+        """Kill an owner, a process and a member that only witnesses starts, once.
+
+        Callers notice the loss of the owner, and all processes do.
+
+        Args:
+            owner: the owner.
+            process: the process; none if it was killed.
+            witness: the member; none if there is no such one.
+        """
+        if self._lost_owners_s:
+            return
+        lost = self.owners[owner]
+        owner_id = lost.member.member_id
+        self._lost_owners_s[owner_id] = time.monotonic()
+        self.members.lose(owner_id)
+        if witness < len(WITNESSES):
+            self.members.lose(WITNESSES[witness])
+        for job_id, task in lost.tasks.items():
+            self._stopped_jobs.append((time.monotonic(), job_id, task.group, lost))
+        lost.tasks.clear()
+        self.kill(process)
+        for scheduler in self.schedulers:
+            if scheduler not in self._killed:
+                scheduler.drop_owner(owner_id)
+
     def claim(self, group, process):
         """Let a process claim a group, whether or not another one holds it and knows of that."""
         while process >= len(self.schedulers):
@@ -257,6 +298,9 @@
         scheduler.acquire_group(group, SERVICE, self._fence)
         self._set_workers(scheduler, group)
 
+    def _is_lost(self, owner):
+        return owner.member.member_id in self._lost_owners_s
+
     def _worker(self, index):
         return self.workers[f"w{index % len(self.workers)}"]
 
@@ -282,6 +326,12 @@
             self._count,
         )
         scheduler.is_durable_job = lambda job_id: False
+        scheduler.owner_contacts.running_at_s = lambda owner_id: self._lost_owners_s.get(
+            owner_id, time.monotonic()
+        )
+        if self._are_starts_announced:
+            announcements = scheduler.start_announcements
+            self.members.add(f"process{number}", scheduler.start_witness, announcements)
         scheduler.placement_notices.notify = lambda owner_id, message: self._notify_owner(
             scheduler, owner_id, message
         )
@@ -312,6 +362,8 @@
         scheduler.set_workers(group, self.entries(ids), listed)
 
     def _notify_owner(self, scheduler, owner_id, message):
+        if owner_id in self._lost_owners_s:
+            return False
         if scheduler not in self._killed:
             self.owners[OWNERS.index(owner_id)].handle(scheduler, message)
         return True
--- a/camphorchute/runs/tests/test_found_sequences.py
+++ b/camphorchute/runs/tests/test_found_sequences.py
@@ -14,6 +14,53 @@
     ("delay_stops", 0, 6.0),
 ]
 
+# Owner, scheduler and one witness are lost at once; nobody alive knew of the start, or of the run
+# that a late renewal keeps alive, unless the scheduler had announced it to two witnesses.
+LOST_TOGETHER = {
+    "late_start_of_a_lost_process_for_a_lost_owner": (
+        {"workers": 2, "first_group": 1},
+        [
+            ("delay_next", 0, "start"),
+            ("submit", 0),
+            ("restart", 0, 0.8),
+            ("kill_together", 0, 0, 0),
+            ("resend_job", 1),
+        ],
+    ),
+    "late_start_of_a_lost_process_for_a_lost_owner_beside_the_other_witness": (
+        {"workers": 2, "first_group": 1},
+        [
+            ("delay_next", 0, "start"),
+            ("submit", 0),
+            ("restart", 0, 0.8),
+            ("kill_together", 0, 0, 1),
+            ("resend_job", 1),
+        ],
+    ),
+    "late_start_of_a_lost_process_on_a_worker_in_the_group_of_another": (
+        {"workers": 3, "first_group": 0},
+        [
+            ("delay_next", 0, "start"),
+            ("submit", 0),
+            ("restart", 0, 0.2),
+            ("move", 2, 1.6),
+            ("kill_together", 0, 0, 1),
+            ("move", 2, 0.2),
+            ("resend_job", 1),
+        ],
+    ),
+    "late_renewal_of_a_lost_process_for_a_lost_owner": (
+        {"workers": 3, "first_group": 1},
+        [
+            *LATE_RENEWAL,
+            ("wait", 0.2),
+            ("kill_together", 0, 0, 0),
+            ("deliver", 0),
+            ("resend_job", 1),
+        ],
+    ),
+}
+
 SEQUENCES = {
     # A start without an answer was carried out by the next incarnation of its worker, beside the
     # run on another one. It was found by the set of faults "restarts".
@@ -237,10 +284,23 @@
         {"workers": 3, "first_group": 0},
         [*LATE_RENEWAL, ("stop_job", 0), ("kill", 0), ("deliver", 0), ("resend_job", 1)],
     ),
+    # The same a little later, so that a lease of 850 ms lasts until the renewal arrives.
+    "late_renewal_of_a_process_that_was_killed_at_a_later_stop": (
+        {"workers": 3, "first_group": 0},
+        [
+            *LATE_RENEWAL,
+            ("wait", 0.2),
+            ("stop_job", 0),
+            ("kill", 0),
+            ("deliver", 0),
+            ("resend_job", 1),
+        ],
+    ),
     "late_renewal_of_a_process_that_was_killed_before_the_stop": (
         {"workers": 3, "first_group": 0},
         [*LATE_RENEWAL, ("kill", 0), ("stop_job", 0), ("deliver", 0), ("resend_job", 1)],
     ),
+    **LOST_TOGETHER,
     "late_renewal_after_the_second_start": (
         {"workers": 3, "first_group": 0},
         [*LATE_RENEWAL, ("stop_job", 0), ("resend_job", 1), ("deliver", 0), ("wait", 1.0)],
@@ -252,3 +312,13 @@
 def test_found_sequence_gives_no_task_two_runs(name):
     arguments, steps = SEQUENCES[name]
     assert play(steps, **arguments) == []
+
+
+# Without announcements the sequences do give a task two runs, so that they still test what they are
+# to test.
+@pytest.mark.parametrize(
+    "name", [*LOST_TOGETHER, "late_renewal_of_a_process_that_was_killed_at_a_later_stop"]
+)
+def test_sequence_gives_a_task_two_runs_unless_starts_are_announced(name):
+    arguments, steps = SEQUENCES[name]
+    assert play(steps, **arguments, are_starts_announced=False) != []
--- a/camphorchute/runs/tests/test_overlap_search.py
+++ b/camphorchute/runs/tests/test_overlap_search.py
@@ -39,6 +39,9 @@
     "late_take_overs": {"submit", "late_stops", "late_list", "cut_path", "take_over"},
     "renewals": {"submit", "late_list", "late_stops", "cut_path", "restart", "set_silent"},
     "killed_renewals": {"submit", "late_list", "late_stops", "cut_path", "move", "kill"},
+    "lost_owners": {"late_start", "restart", "kill_together"},
+    "lost_owners_and_moves": {"late_start", "restart", "move", "kill_together"},
+    "lost_owners_and_renewals": {"late_list", "move", "stop_job", "kill_together"},
     "repeated_jobs": {
         "submit",
         "late_start",
@@ -82,7 +85,19 @@
 }
 
 # The first steps of the sequences of a set, and the arguments of its site; others are drawn.
+LATE_START = [("delay_next", 0, "start"), ("submit", 0, 0)]
+LATE_RENEWAL = [
+    ("submit", 0),
+    ("submit", 0, 1),
+    ("wait", 0.3),
+    ("delay_next", 0, "list"),
+    ("wait", 1.4),
+    ("delay_stops", 0, 6.0),
+]
 FIRST_STEPS_BY_SET = {
+    "lost_owners": LATE_START,
+    "lost_owners_and_moves": LATE_START,
+    "lost_owners_and_renewals": LATE_RENEWAL,
     "take_overs": [("submit", 0, 0), ("submit", 0, 1), ("delay_stops", 0, 2.5), ("cut_path", 0, 0)],
 }
 ARGUMENTS_BY_SET = {"take_overs": {"workers": 2, "first_group": 0}}
@@ -106,6 +121,7 @@
         faults: the faults that it may use.
         first_steps: the first steps of each sequence.
         arguments: the arguments of the site, None to draw them.
+        site_fields: further arguments of the site.
         played: the number of sequences that were played.
         found: the arguments and steps of the first sequence with two runs of a task, None if there
             was none.
@@ -115,6 +131,7 @@
     faults = frozenset()
     first_steps = ()
     arguments = None
+    site_fields = {}
     played = 0
     found = None
     found_at = None
@@ -133,7 +150,7 @@
     @initialize(workers=st.integers(2, 3), first_group=groups)
     def open_site(self, workers, first_group):
         drawn = {"workers": workers, "first_group": first_group}
-        self._arguments = self.arguments or drawn
+        self._arguments = (self.arguments or drawn) | self.site_fields
         self._site = SearchSite(**self._arguments)
         for step in self.first_steps:
             self._step(*step)
@@ -197,7 +214,12 @@
     def kill(self, process):
         self._step("kill", process)
 
-    @precondition(lambda machine: machine.faults & {"kill", "claim"})
+    @needs("kill_together")
+    @rule(owner=owners, process=processes, witness=st.integers(0, 2))
+    def kill_together(self, owner, process, witness):
+        self._step("kill_together", owner, process, witness)
+
+    @precondition(lambda machine: machine.faults & {"kill", "kill_together", "claim"})
     @rule(group=groups, process=processes)
     def claim(self, group, process):
         self._step("claim", group, process)
@@ -242,7 +264,7 @@
     def stop_job(self, job):
         self._step("stop_job", job)
 
-    @needs("stop_job")
+    @precondition(lambda machine: machine.faults & {"stop_job", "kill_together"})
     @rule(group=groups)
     def resend_job(self, group):
         self._step("resend_job", group)
@@ -270,7 +292,7 @@
         assert overlaps == [], (self._arguments, self._steps)
 
 
-def search(name, examples, number):
+def search(name, examples, number, **site_fields):
     """Search with a set of faults and a seed; return the class of the machines.
 
     Its attributes say what was found.
@@ -282,6 +304,7 @@
     Machine.faults = frozenset(FAULTS_BY_SET[name])
     Machine.first_steps = FIRST_STEPS_BY_SET.get(name, ())
     Machine.arguments = ARGUMENTS_BY_SET.get(name)
+    Machine.site_fields = site_fields
     machine_settings = settings(
         max_examples=examples,
         stateful_step_count=STEPS,
--- a/camphorchute/runs/tests/virtual_time.py
+++ b/camphorchute/runs/tests/virtual_time.py
@@ -12,7 +12,7 @@
 
 from camphorchute import loops, pause_watch
 from camphorchute.decision_log import DecisionLog, log_decision
-from camphorchute.runs import leased_worker
+from camphorchute.runs import leased_worker, start_announcements
 
 __all__ = ["VirtualTime"]
 
@@ -107,6 +107,7 @@
             mock.patch.object(pause_watch, "_uptime_s", lambda: self.now_s),
             mock.patch.object(loops, "_PHASE_S", 0.0),
             mock.patch.object(leased_worker, "random", same_random),
+            mock.patch.object(start_announcements, "random", random.Random(1)),
         ]
         self._log_state = _state_of(self._log)
         for patch in self._patches:
