--- a/camphorchute/runs/group_scheduler.py
+++ b/camphorchute/runs/group_scheduler.py
@@ -514,6 +514,8 @@
                 self._membership.hand_on_tasks(group, now_s)
                 self._return_expired(group, now_s)
                 self._supervisor.stop_overdue_runs(group.workers.values(), now_s)
+                for worker in group.workers.values():
+                    worker.stop_runs_of_silent_owners(now_s)
                 if group.backlog:
                     self.place_pending(group)
             self._stop_expired(now_s)
--- a/camphorchute/runs/leased_worker.py
+++ b/camphorchute/runs/leased_worker.py
@@ -45,6 +45,7 @@
 BOUND_TASK_POLL_INTERVAL_S = 0.1
 UNACKNOWLEDGED_POLL_INTERVAL_MS = 15.0
 START_LEASE_MIN_MS = 400.0
+SILENT_OWNER_STOP_MS = 250.0  # before the lease ends: for the stop, its end and a renewal
 LISTED_COMPLETIONS_MAX = 350  # a worker lists 500 at a time, and others end while runs start
 MS_PER_S = 1000.0
 
@@ -353,6 +354,22 @@
             self._bind_unended_run(run)
             gevent.spawn(self._commands.send_stop, run.task.name, run.number)
 
+    def stop_runs_of_silent_owners(self, now_s: float) -> None:
+        """Stop the runs whose owners are silent, before they end the lease of runs beside them.
+
+        Args:
+            now_s: time of the monotonic clock in seconds.
+        """
+        if len(self.runs) < 2:
+            return
+        earliest_s = now_s + SILENT_OWNER_STOP_MS / MS_PER_S
+        ends_s = [(self.owner_contacts.lease_end_s(run.task), run) for run in self.runs.values()]
+        ending = [run for end_s, run in ends_s if end_s < earliest_s and not run.stop_requested]
+        if ending and max(end_s for end_s, _ in ends_s) >= earliest_s:
+            self._count("runs.stopped_for_silent_owner", len(ending))
+            for run in ending:
+                self.stop_run(run)
+
     def record_unanswered_lease(self, sent_s: float) -> None:
         """Record that a command that grants leases has no answer.
 
