--- a/bench/hosted_fleet.py
+++ b/bench/hosted_fleet.py
@@ -33,15 +33,17 @@
         zone: availability zone of the process.
         host: loopback address that stands for its VM.
         store_address: ``IP:port`` at which it calls the store.
+        advertised_link_address: ``IP:port`` at which its peers open links to it.
         process: the running or last process; None before the first start.
     """
 
-    __slots__ = ("zone", "host", "store_address", "process")
+    __slots__ = ("zone", "host", "store_address", "advertised_link_address", "process")
 
-    def __init__(self, zone: str, host: str, store_address: str) -> None:
+    def __init__(self, zone: str, host: str, store_address: str, link_address: str = "") -> None:
         self.zone = zone
         self.host = host
         self.store_address = store_address
+        self.advertised_link_address = link_address or self.link_address
         self.process: subprocess.Popen | None = None
 
     @property
@@ -49,6 +51,11 @@
         """``IP:port`` for callers."""
         return f"{self.host}:{HTTP_PORT}"
 
+    @property
+    def link_address(self) -> str:
+        """``IP:port`` on which it listens for links."""
+        return f"{self.host}:{LINK_PORT}"
+
     @property
     def ready_address(self) -> str:
         """``IP:port`` for the readiness probes of the load balancer."""
@@ -87,16 +94,29 @@
         self._run_ms = run_ms
         self._callers = ThreadPoolExecutor(CALLER_THREADS)
 
-    def add_entry(self, zone: str, number: int, store_address: str = "") -> HostedEntry:
+    def host_of(self, zone: str, number: int) -> str:
+        """Return the loopback address that stands for a VM.
+
+        Args:
+            zone: availability zone.
+            number: last byte of the address.
+        """
+        return f"127.{self._base}.{self._zones.index(zone) + 1}.{number}"
+
+    def add_entry(
+        self, zone: str, number: int, store_address: str = "", link_address: str = ""
+    ) -> HostedEntry:
         """Start an entry process on a new VM.
 
         Args:
             zone: availability zone.
             number: last byte of the VM's loopback address.
             store_address: ``IP:port`` at which it calls the store, empty for the usual one.
+            link_address: ``IP:port`` that it advertises for links, empty for the one on which it
+                listens.
         """
-        host = f"127.{self._base}.{self._zones.index(zone) + 1}.{number}"
-        entry = HostedEntry(zone, host, store_address or self.site.store.address)
+        host = self.host_of(zone, number)
+        entry = HostedEntry(zone, host, store_address or self.site.store.address, link_address)
         self.entries.append(entry)
         self.start_entry(entry)
         return entry
@@ -109,7 +129,8 @@
             "ZONES": ",".join(self._zones),
             "HTTP_ADDRESS": entry.http_address,
             "READY_ADDRESS": entry.ready_address,
-            "LINK_ADDRESS": f"{entry.host}:{LINK_PORT}",
+            "LINK_ADDRESS": entry.link_address,
+            "ADVERTISE_LINK_ADDRESS": entry.advertised_link_address,
             "STORE_URL": f"http://{entry.store_address}",
             "DRAIN_MS": str(DRAIN_MS),
         }
--- a/bench/run_faults/command.py
+++ b/bench/run_faults/command.py
@@ -2,18 +2,23 @@
 
 import sys
 import tempfile
+from collections.abc import Callable
+from functools import partial
 from pathlib import Path
 
 import click
 
 from bench.run_faults.crash_play import CrashPlay
 from bench.run_faults.faults import FAULTS
+from bench.run_faults.late_zones_play import LateZonesPlay
 from bench.run_faults.play import play
 from bench.run_faults.shrink_play import ShrinkPlay
-from bench.run_faults.zones_play import ZonesPlay
+from bench.run_faults.zones_play import ATTEMPTS_MAX, ZonesPlay
 
 __all__ = ["main"]
 
+ProcessPlay = CrashPlay | ShrinkPlay | ZonesPlay
+
 
 @click.command()
 @click.option("--seed", default=1, show_default=True, help="First seed.")
@@ -31,6 +36,23 @@
 @click.option(
     "--lost-owners", "play_type", flag_value=ZonesPlay, help="Four zones, long tasks, lost owners."
 )
+@click.option(
+    "--late-zones",
+    "play_type",
+    flag_value=LateZonesPlay,
+    help="The same, late commands and restarted workers.",
+)
+@click.option(
+    "--attempts",
+    default=ATTEMPTS_MAX,
+    show_default=True,
+    help="How often callers send a job, with --late-zones.",
+)
+@click.option(
+    "--silent-links",
+    is_flag=True,
+    help="Links that are silent in one direction, with --late-zones.",
+)
 @click.option("--base", default=57, show_default=True, help="Second byte of their addresses.")
 @click.option(
     "--log-dir", type=click.Path(path_type=Path), help="Folder that keeps their logs, by seed."
@@ -42,14 +64,21 @@
     faults: tuple[str, ...],
     long_tasks: bool,
     counters: bool,
-    play_type: type[CrashPlay | ShrinkPlay | ZonesPlay] | None,
+    play_type: type[ProcessPlay] | None,
+    attempts: int,
+    silent_links: bool,
     base: int,
     log_dir: Path | None,
 ) -> None:
     """Play schedulers under random faults and check that no task has two runs at a time."""
-    if play_type is not None:
+    open_play: Callable[..., ProcessPlay] | None = play_type
+    if play_type is LateZonesPlay:
+        open_play = partial(LateZonesPlay, attempts_max=attempts, has_silent_links=silent_links)
+    elif silent_links or attempts != ATTEMPTS_MAX:
+        raise click.UsageError("--attempts and --silent-links need --late-zones")
+    if open_play is not None:
         seeds = range(seed, seed + count)
-        plays = [_play_processes(play_type, number, duration_s, base, log_dir) for number in seeds]
+        plays = [_play_processes(open_play, number, duration_s, base, log_dir) for number in seeds]
         sys.exit(1 if any(plays) else 0)
     failed = 0
     for number in range(seed, seed + count):
@@ -68,7 +97,7 @@
 
 
 def _play_processes(
-    play_type: type[CrashPlay | ShrinkPlay | ZonesPlay],
+    open_play: Callable[..., ProcessPlay],
     seed: int,
     duration_s: float,
     base: int,
@@ -78,7 +107,7 @@
     with tempfile.TemporaryDirectory() as scratch_dir:
         play_dir = log_dir / f"seed-{seed}" if log_dir else Path(scratch_dir)
         play_dir.mkdir(parents=True, exist_ok=True)
-        process_play = play_type(seed, play_dir, base)
+        process_play = open_play(seed, play_dir, base)
         try:
             process_play.start()
             process_play.execute(duration_s)
--- a/bench/run_faults/zones_play.py
+++ b/bench/run_faults/zones_play.py
@@ -52,12 +52,23 @@
         seed: seed of the zones, jobs and faults; times differ from play to play.
         log_dir: folder for the logs of the entry processes.
         base: second byte of the loopback addresses.
+        attempts_max: how often callers send a job at most.
     """
 
-    __slots__ = ("_cut_off", "_cut_s", "_jobs", "_faulty_hosts", "_fault_greenlets")
-
-    def __init__(self, seed: int, log_dir: Path, base: int) -> None:
+    __slots__ = (
+        "_cut_off",
+        "_cut_s",
+        "_jobs",
+        "_faulty_hosts",
+        "_fault_greenlets",
+        "_attempts_max",
+    )
+
+    def __init__(
+        self, seed: int, log_dir: Path, base: int, attempts_max: int = ATTEMPTS_MAX
+    ) -> None:
         super().__init__(seed, log_dir, base)
+        self._attempts_max = attempts_max
         self._cut_off: dict[str, Event] = {}
         self._cut_s: dict[str, float] = {}
         self._jobs: dict[str, set[str]] = {}
@@ -76,7 +87,7 @@
         counts = self._random.sample(ENTRIES, len(ENTRIES))
         for zone, count in zip(ZONES, counts, strict=True):
             for number in range(count):
-                entry = self._fleet.add_entry(zone, number + 1)
+                entry = self._start_entry(zone, number + 1)
                 self._cut_off[entry.host] = Event()
                 self._jobs[entry.host] = set()
         self._fleet.wait_ready()
@@ -115,6 +126,9 @@
     def _create_fleet(self, log_dir: Path, base: int) -> HostedFleet:
         return HostedFleet(list(ZONES), WORKERS, log_dir, base, RUN_TIMES_MS[SHORT])
 
+    def _start_entry(self, zone: str, number: int) -> HostedEntry:
+        return self._fleet.add_entry(zone, number)
+
     def _note(self, text: str) -> None:
         self.faults.append(f"{time.monotonic():.3f} s {text}")
 
@@ -123,7 +137,7 @@
             job_id, tasks = f"{rng.getrandbits(64):016x}", rng.randint(1, TASKS_MAX)
             payload = LONG if rng.random() < LONG_SHARE else SHORT
             last_host = ""
-            for _ in range(ATTEMPTS_MAX):
+            for _ in range(self._attempts_max):
                 entry = rng.choice(self._reachable_entries(last_host))
                 last_host = entry.host
                 status, ended_s = self._submit(entry, job_id, tasks, payload)
--- a/bench/tcp_proxy.py
+++ b/bench/tcp_proxy.py
@@ -75,14 +75,16 @@
         source: name of the host that opened it.
         destination: name of the host that it is forwarded to.
         is_stalled: whether its bytes are held back permanently.
+        lost_hosts: names of the hosts whose bytes are held back permanently.
     """
 
-    __slots__ = ("source", "destination", "is_stalled")
+    __slots__ = ("source", "destination", "is_stalled", "lost_hosts")
 
     def __init__(self, source: str, destination: str) -> None:
         self.source = source
         self.destination = destination
         self.is_stalled = False
+        self.lost_hosts: set[str] = set()
 
 
 class TcpProxy(Standin):
@@ -153,6 +155,20 @@
             connection.is_stalled = True
         return len(stalled)
 
+    def lose_host(self, host: str) -> None:
+        """Permanently stop the bytes of a host where a cut covers them, as when it loses power.
+
+        A host that still runs would send them again after the cut. New connections are not
+        affected.
+
+        Args:
+            host: name of the host.
+        """
+        for connection in self.open:
+            for receiver in (connection.source, connection.destination):
+                if self.is_cut(host, receiver):
+                    connection.lost_hosts.add(host)
+
     def _open_route(self, request: Request) -> Reply:
         self.open_route(msgspec.convert(request.json(), Route))
         return Reply({"open": sorted(self._listeners)})
@@ -231,11 +247,12 @@
         _shut_down(target, socket.SHUT_WR)
 
     def _wait_for_direction(self, connection: ForwardedConnection, forward: bool) -> None:
-        """Wait until no cut covers a direction; forever if the connection is stalled."""
+        """Wait until no cut covers a direction; forever if it is stalled or its host is lost."""
         hosts = (connection.source, connection.destination)
-        while self.is_cut(*(hosts if forward else reversed(hosts))):
+        sender, receiver = hosts if forward else reversed(hosts)
+        while self.is_cut(sender, receiver):
             self._cuts_changed.wait()
-        if connection.is_stalled:
+        if connection.is_stalled or sender in connection.lost_hosts:
             wait_forever()
 
 
