--- a/bench/run_faults/late_zones_play.py
+++ b/bench/run_faults/late_zones_play.py
@@ -18,6 +18,7 @@
 
 LATE_SHARES = (0.02, 0.1, 0.3)
 LATE_FAULTS = {"late_outlives_restart": True, "late_min_ms": 200.0, "late_max_ms": 6000.0}
+LATE_ORDER_SHARE = 0.5
 RESTART_SHARE = 0.5
 RESTARTS_AFTER_S = (0.1, 2.5)
 SILENCES_S = (1.0, 2.0)
@@ -154,7 +155,10 @@
         return f"{source.host} is not heard by {destination.host} for {duration_s:.2f} s"
 
     def _silence_and_lose(self) -> str:
-        """Silence a scheduler towards an owner of its tasks, and kill it soon after."""
+        """Silence a scheduler towards an owner of its tasks, and kill it soon after.
+
+        Commands to the workers of its zone are often late meanwhile.
+        """
         free = self._free_entries()
         pairs = [(s, owner) for owner in free for s in self._schedulers_for(owner)]
         if not pairs or len(free) < len(self._fleet.entries) - 2:
@@ -162,6 +166,7 @@
         scheduler, owner = self._random.choice(pairs)
         after_s = self._random.uniform(*LOSSES_AFTER_S)
         duration_s = self._silence(scheduler, owner)
+        self._delay_orders(scheduler.zone, after_s)
         self._spawn(self._lose_silent, scheduler, after_s)
         return (
             f"{scheduler.host} is not heard by {owner.host} for {duration_s:.2f} s, "
@@ -173,6 +178,13 @@
         gevent.spawn_later(after_s, self._proxy.lose_host, entry.host)
         self._lose(entry, signal.SIGKILL, after_s)
 
+    def _delay_orders(self, zone: str, duration_s: float) -> None:
+        """Delay more of the start and stop commands to the workers of a zone for a while."""
+        for worker in self._fleet.site.workers:
+            if worker.zone == zone:
+                worker.faults.late_order_share = LATE_ORDER_SHARE
+                gevent.spawn_later(duration_s, setattr, worker.faults, "late_order_share", 0.0)
+
     def _silence(self, source: HostedEntry, destination: HostedEntry) -> float:
         """Cut one direction between two processes for a while and return its length in seconds."""
         duration_s = self._random.uniform(*SILENCES_S)
