--- a/bench/run_faults/late_zones_play.py
+++ b/bench/run_faults/late_zones_play.py
@@ -12,6 +12,7 @@
 from bench.run_faults.run_checker import runs_of
 from bench.run_faults.run_gaps import RunGap, StartLog, find_gaps, lines_of_job
 from bench.run_faults.zones_play import ATTEMPTS_MAX, LONG, TASKS_MAX, ZonesPlay
+from bench.standins.fleet_worker import FleetWorker
 from bench.tcp_proxy import Cut, Route, TcpProxy
 
 __all__ = ["LateZonesPlay"]
@@ -20,6 +21,9 @@
 LATE_FAULTS = {"late_outlives_restart": True, "late_min_ms": 200.0, "late_max_ms": 6000.0}
 LATE_ORDER_SHARE = 0.9
 BURST_JOBS = 4
+CRASH_LOOP_SHARE = 0.4
+CRASH_LOOP_RESTARTS = 6
+CRASH_LOOP_PAUSES_S = (0.4, 0.9)
 FAULTY_MAX = 3
 RESTART_SHARE = 0.5
 RESTARTS_AFTER_S = (0.1, 2.5)
@@ -159,8 +163,8 @@
     def _silence_and_lose(self) -> str:
         """Silence a scheduler towards an owner, and kill it soon after.
 
-        The owner gets several jobs at once meanwhile, and commands to the workers of the zone are
-        mostly late.
+        The owner gets several jobs at once meanwhile, commands to the workers of the zone are
+        mostly late, and some of these workers crash over and over afterwards.
         """
         free = self._free_entries()
         pairs = [(s, owner) for owner in free for s in self._schedulers_for(owner)]
@@ -170,6 +174,10 @@
         after_s = self._random.uniform(*LOSSES_AFTER_S)
         duration_s = self._silence(scheduler, owner)
         self._delay_orders(scheduler.zone, after_s)
+        for worker in self._fleet.site.workers:
+            if worker.zone == scheduler.zone and self._random.random() < CRASH_LOOP_SHARE:
+                greenlet = gevent.spawn(self._restart_repeatedly, worker, after_s)
+                self._fault_greenlets.append(greenlet)
         for _ in range(BURST_JOBS):
             job_id = f"{self._random.getrandbits(64):016x}"
             self._fault_greenlets.append(gevent.spawn(self._submit, owner, job_id, TASKS_MAX, LONG))
@@ -184,6 +192,15 @@
         gevent.spawn_later(after_s, self._proxy.lose_host, entry.host)
         self._lose(entry, signal.SIGKILL, after_s)
 
+    def _restart_repeatedly(self, worker: FleetWorker, after_s: float) -> None:
+        """Restart a worker several times, so that its incarnations are new to the schedulers."""
+        gevent.sleep(after_s)
+        for _ in range(CRASH_LOOP_RESTARTS):
+            gevent.sleep(self._random.uniform(*CRASH_LOOP_PAUSES_S))
+            if worker.is_up:
+                self._note(f"{worker.worker_id} restarts")
+                worker.restart()
+
     def _delay_orders(self, zone: str, duration_s: float) -> None:
         """Delay more of the start and stop commands to the workers of a zone for a while."""
         for worker in self._fleet.site.workers:
