--- a/bench/hosted_fleet.py
+++ b/bench/hosted_fleet.py
@@ -12,7 +12,8 @@
 
 import msgspec
 
-from bench.fleet import HTTP_PORT, LINK_PORT, ROOT, call
+from bench.address_base import HTTP_PORT, reserve_address_base
+from bench.fleet import LINK_PORT, ROOT, call
 from bench.standins.fleet_site import QUEUE_HOST, QUEUE_PATH_PREFIX, FleetSite, job_body
 from camphorchute.cluster.cluster_view import CLAIM_PREFIX, MEMBER_PREFIX
 from camphorchute.contracts.member import Member
@@ -33,15 +34,17 @@
         zone: availability zone of the process.
         host: loopback address that stands for its VM.
         store_address: ``IP:port`` at which it calls the store.
+        advertised_link_address: ``IP:port`` at which its peers open links to it.
         process: the running or last process; None before the first start.
     """
 
-    __slots__ = ("zone", "host", "store_address", "process")
+    __slots__ = ("zone", "host", "store_address", "advertised_link_address", "process")
 
-    def __init__(self, zone: str, host: str, store_address: str) -> None:
+    def __init__(self, zone: str, host: str, store_address: str, link_address: str = "") -> None:
         self.zone = zone
         self.host = host
         self.store_address = store_address
+        self.advertised_link_address = link_address or self.link_address
         self.process: subprocess.Popen | None = None
 
     @property
@@ -49,6 +52,11 @@
         """``IP:port`` for callers."""
         return f"{self.host}:{HTTP_PORT}"
 
+    @property
+    def link_address(self) -> str:
+        """``IP:port`` on which it listens for links."""
+        return f"{self.host}:{LINK_PORT}"
+
     @property
     def ready_address(self) -> str:
         """``IP:port`` for the readiness probes of the load balancer."""
@@ -64,10 +72,11 @@
         zones: names of the availability zones.
         workers: number of workers in each zone.
         log_dir: folder for the logs of the entry processes.
-        base: second byte of the loopback addresses; runs at the same time need different ones.
+        base: second byte of the loopback addresses, if no other run uses them.
         run_ms: run time of every task in milliseconds.
 
     Attributes:
+        base: second byte of the loopback addresses, reserved until `close`.
         site: the stand-ins.
         entries: the entry processes.
         program: arguments of the interpreter that run the program.
@@ -78,25 +87,39 @@
     def __init__(
         self, zones: list[str], workers: int, log_dir: Path, base: int, run_ms: float = 40.0
     ) -> None:
-        self.site = FleetSite(zones, workers, f"127.{base}.0.1:0", run_ms)
+        self._address_base = reserve_address_base(base)
+        self.base = self._address_base.number
+        self.site = FleetSite(zones, workers, f"127.{self.base}.0.1:0", run_ms)
         self.site.start()
         self.entries: list[HostedEntry] = []
         self._zones = zones
         self._log_dir = log_dir
-        self._base = base
         self._run_ms = run_ms
         self._callers = ThreadPoolExecutor(CALLER_THREADS)
 
-    def add_entry(self, zone: str, number: int, store_address: str = "") -> HostedEntry:
+    def host_of(self, zone: str, number: int) -> str:
+        """Return the loopback address that stands for a VM.
+
+        Args:
+            zone: availability zone.
+            number: last byte of the address.
+        """
+        return f"127.{self.base}.{self._zones.index(zone) + 1}.{number}"
+
+    def add_entry(
+        self, zone: str, number: int, store_address: str = "", link_address: str = ""
+    ) -> HostedEntry:
         """Start an entry process on a new VM.
 
         Args:
             zone: availability zone.
             number: last byte of the VM's loopback address.
             store_address: ``IP:port`` at which it calls the store, empty for the usual one.
+            link_address: ``IP:port`` that it advertises for links, empty for the one on which it
+                listens.
         """
-        host = f"127.{self._base}.{self._zones.index(zone) + 1}.{number}"
-        entry = HostedEntry(zone, host, store_address or self.site.store.address)
+        host = self.host_of(zone, number)
+        entry = HostedEntry(zone, host, store_address or self.site.store.address, link_address)
         self.entries.append(entry)
         self.start_entry(entry)
         return entry
@@ -109,7 +132,8 @@
             "ZONES": ",".join(self._zones),
             "HTTP_ADDRESS": entry.http_address,
             "READY_ADDRESS": entry.ready_address,
-            "LINK_ADDRESS": f"{entry.host}:{LINK_PORT}",
+            "LINK_ADDRESS": entry.link_address,
+            "ADVERTISE_LINK_ADDRESS": entry.advertised_link_address,
             "STORE_URL": f"http://{entry.store_address}",
             "DRAIN_MS": str(DRAIN_MS),
         }
@@ -128,17 +152,21 @@
         """Wait until every entry process has completed a job.
 
         Raises:
-            RuntimeError: one has not within ``START_TIMEOUT_S``, counted for all.
+            RuntimeError: one has ended, or has not within ``START_TIMEOUT_S``, counted for all.
         """
         until_s = time.monotonic() + START_TIMEOUT_S
         for number, entry in enumerate(self.entries):
-            while not self._completes_job(entry, f"ready{number:04}"):
+            while entry.process.poll() is None:
+                if self._completes_job(entry, f"ready{number:04}"):
+                    break
                 if time.monotonic() > until_s:
                     raise RuntimeError(
                         f"{entry.host}: no job completed within {START_TIMEOUT_S} s;"
                         f" logs in {self._log_dir}"
                     )
                 time.sleep(0.05)
+            else:
+                raise RuntimeError(f"{entry.host}: process has ended; logs in {self._log_dir}")
 
     def submit(self, entry: HostedEntry, job_id: str, tasks: int = 1) -> tuple[int, object]:
         """Submit a job and return status and body, or 0 and the error if there is no answer.
@@ -182,6 +210,7 @@
             entry.process.wait()
         self._callers.shutdown()
         self.site.close()
+        self._address_base.close()
 
     def _completes_job(self, entry: HostedEntry, job_id: str) -> bool:
         return self.submit(entry, job_id)[0] == 200
