--- a/camphorchute/runs/group_scheduler.py
+++ b/camphorchute/runs/group_scheduler.py
@@ -374,15 +374,20 @@
     def earlier_run_of(self, task: PendingTask) -> tuple[str, int]:
         """Return the worker that may have an earlier run of a pending task, and the run's number.
 
-        The worker is empty if it is not known, or if there is no such run.
+        The worker is empty if it is not known, or if there is no such run. The one that the owner
+        has named comes before another one that the task is bound to, as its run may be active.
 
         Args:
             task: the task.
         """
         binding, number = self._start_bindings.of_task(task.name), task.next_run - 1
-        if binding is not None:
-            return binding.worker_id, max(binding.number, number)
-        return (task.worker_id if task.may_run else ""), number
+        if binding is None:
+            return (task.worker_id if task.may_run else ""), number
+        group = self._groups.get(task.group)
+        is_named = task.may_run and task.worker_id not in ("", binding.worker_id)
+        if is_named and (group is None or not group.are_earlier_runs_known(task)):
+            return task.worker_id, number
+        return binding.worker_id, max(binding.number, number)
 
     def place_pending(self, group: WorkerGroup) -> None:
         """Start the pending tasks that fit into the free capacity."""
--- a/camphorchute/runs/tests/test_found_sequences.py
+++ b/camphorchute/runs/tests/test_found_sequences.py
@@ -301,6 +301,20 @@
         [*LATE_RENEWAL, ("kill", 0), ("stop_job", 0), ("deliver", 0), ("resend_job", 1)],
     ),
     **LOST_TOGETHER,
+    # Others had heard that the task was bound to a worker, and took that for the place of its later
+    # run, which was active on another worker that had moved ("lost_owners_and_renewals", seed 7).
+    "later_run_on_another_worker_than_the_one_that_others_take_for_bound": (
+        {"workers": 3, "first_group": 0},
+        [
+            *LATE_RENEWAL,
+            ("wait", 0.2),
+            ("deliver", 0),
+            ("kill_together", 0, 2, 0),
+            ("resend_job", 0),
+            ("claim", 0, 3),
+            ("move", 1, 0.2),
+        ],
+    ),
     "late_renewal_after_the_second_start": (
         {"workers": 3, "first_group": 0},
         [*LATE_RENEWAL, ("stop_job", 0), ("resend_job", 1), ("deliver", 0), ("wait", 1.0)],
