--- a/camphorchute/runs/run_commands.py
+++ b/camphorchute/runs/run_commands.py
@@ -153,7 +153,7 @@
         bindings.record_sent(task.name, run.worker_id, run.number, incarnation)
         sent_s = time.monotonic()
         try:
-            clock_ms = self._client.start_run(command, self._current_fence(), lease_until_ms)
+            clock_ms = self._send_start(command, lease_until_ms)
         except CommandUnanswered as unanswered:
             if unanswered.sent:
                 bindings.record_no_answer(task.name, run.worker_id)
@@ -170,6 +170,21 @@
             self._mark_started(run)
         return True
 
+    def _send_start(self, command: StartCommand, lease_until_ms: float) -> float:
+        """Send a start command and return the reading of the worker's clock in milliseconds.
+
+        Raises:
+            CommandRefused: the worker refused it.
+            CommandUnanswered: it may be carried out, or was not sent.
+        """
+        try:
+            return self._client.start_run(command, self._current_fence(), lease_until_ms)
+        except (CommandRefused, CommandUnanswered):
+            raise
+        except Exception as error:
+            self._count("runs.start_error")
+            raise CommandUnanswered(f"unexpected error: {error!r}") from error
+
     def _mark_started(self, run: Run) -> None:
         """Record that the worker has started a run; stop a run that was taken as ended before."""
         run.state = RunState.RUNNING
--- a/camphorchute/runs/tests/test_delayed_starts.py
+++ b/camphorchute/runs/tests/test_delayed_starts.py
@@ -6,10 +6,10 @@
 import gevent
 import pytest
 
-from camphorchute.contracts.run_messages import TaskBinding, TasksBound
+from camphorchute.contracts.run_messages import TaskBinding, TaskResultKind, TasksBound
 from camphorchute.runs import start_bindings
 from camphorchute.runs.late_commands import LATE_ARRIVAL_MAX_S
-from camphorchute.runs.tests.model_workers import Late
+from camphorchute.runs.tests.model_workers import Held, Late
 from camphorchute.runs.tests.scheduler_site import GROUP, block_event_loop, wait_until
 from camphorchute.runs.tests.test_concurrent_runs import TASK
 
@@ -69,3 +69,19 @@
         gevent.sleep(0.01)
     assert time.monotonic() >= until_s
     assert not repeated.sent.is_set()
+
+
+# An unexpected error ended the greenlet that sends a start command; the run was neither sent again
+# nor ended, and its task stayed bound to the worker.
+@pytest.mark.parametrize("error", [RuntimeError("broken"), ValueError("broken"), OSError("broken")])
+def test_start_with_an_unexpected_error_is_one_without_an_answer(open_model, error):
+    site = open_model(workers=1, run_s=0.2)
+    scheduler = site.add_scheduler(7)
+    failing = Held(error)
+    failing.release()
+    site.workers["w0"].held["start"].append(failing)
+    site.dispatch(scheduler)
+    assert failing.sent.wait(1.0)
+    assert wait_until(lambda: site.results, 2.0)
+    assert [result.end for result in site.results] == [TaskResultKind.DONE]
+    assert scheduler.binding_exchange._bindings.of_task(TASK).under_way == 0
