--- a/camphorchute/runs/start_bindings.py
+++ b/camphorchute/runs/start_bindings.py
@@ -9,6 +9,7 @@
 
 __all__ = ["StartBinding", "StartBindings"]
 
+BOUND_MAX_S = 120.0  # that another process can bind a task for
 INCARNATIONS_MAX = 2  # a task that crashes its workers is not repeated on one after the other
 MS_PER_S = 1000.0
 
@@ -242,7 +243,7 @@
             del self._by_task[task]
 
     def _extend(self, task: str, binding: StartBinding, duration_s: float) -> None:
-        until_s = time.monotonic() + duration_s
+        until_s = time.monotonic() + min(duration_s, BOUND_MAX_S)
         binding.unanswered_until_s = max(binding.unanswered_until_s, until_s)
         self._note_unanswered(task, binding.worker_id)
 
--- a/camphorchute/runs/tests/test_start_bindings.py
+++ b/camphorchute/runs/tests/test_start_bindings.py
@@ -188,3 +188,13 @@
         told(bindings, "w1")
         told(bindings, "w2")
         assert len(bindings._by_task) == 1
+
+
+# A malformed time of another process bound a task for good, and kept later ones from being forgotten.
+@pytest.mark.parametrize("duration_ms", [float("inf"), float("nan"), 1e300, -1.0])
+def test_malformed_time_binds_no_task_for_good(duration_ms):
+    with VirtualTime():
+        bindings = StartBindings()
+        told(bindings, "w1", duration_ms=duration_ms)
+        gevent.sleep(600.0)
+        assert bindings.allows(TASK, "w2")
