--- a/camphorchute/runs/run_commands.py
+++ b/camphorchute/runs/run_commands.py
@@ -238,6 +238,7 @@
                 worker=run.worker_id,
                 incarnation=self._worker.entry.incarnation,
                 owner=run.task.owner_id,
+                witnesses=run.announcement.witness_ids() if run.announcement else [],
             )
         self._worker.health.record_failure(str(unanswered))
         self._worker.request_poll()
--- a/camphorchute/runs/start_announcements.py
+++ b/camphorchute/runs/start_announcements.py
@@ -18,6 +18,7 @@
     KnownStart,
     StartsWitnessed,
 )
+from camphorchute.decision_log import log_decision
 from camphorchute.links import handles
 from camphorchute.loops import wait_for_event
 from camphorchute.runs.late_commands import LATE_ARRIVAL_MAX_S
@@ -101,6 +102,10 @@
         rows = [row for known in self.conflicts.values() for row in known if row.task == task]
         return max(rows, key=lambda row: row.remaining_ms, default=None)
 
+    def witness_ids(self) -> list[str]:
+        """Return the ids of the members that have answered."""
+        return sorted(self.asked_ids - self.waiting_ids)
+
     def record_known(self, witness_id: str, known: list[KnownStart]) -> None:
         """Record runs that a witness knows of, instead of those that it has named before.
 
@@ -312,6 +317,13 @@
         elif not announcement.waiting_ids or wave > WAVES_MAX:
             name = "one_witness" if announcement.answered else "unwitnessed"
             self._count(f"runs.announce.{name}")
+            log_decision(
+                "runs",
+                "starts without enough witnesses",
+                tasks=list(announcement.starts),
+                witnesses=announcement.witness_ids(),
+                silent=sorted(announcement.waiting_ids),
+            )
             self._decide(number)
         else:
             gevent.spawn_later(ASK_NEXT_MS / MS_PER_S, self._ask, number, excluded_ids, wave + 1)
