Let one of two schedulers that announce a task at once start it

The first witness in rank decides: who is in conflict there withdraws from the others and asks again later than the other scheduler does. A full table is swept once a second.

--- a/camphorchute/runs/start_announcements.py
+++ b/camphorchute/runs/start_announcements.py
@@ -32,7 +32,8 @@
 ASK_NEXT_MS = 30.0
 LINK_WAIT_MS = 5.0
 WAVES_MAX = 4
-CONFLICT_PAUSE_MS = (25.0, 50.0)  # the scheduler of the other start may have seen its end just now
+CONFLICT_PAUSE_MS = (25.0, 40.0)  # the scheduler of the other start may have seen its end just now
+YIELD_MS = 40.0
 FORGET_DELAY_MS = 500.0
 RENEWAL_MS = 2000.0
 # A start command may be sent until the next announcement, and arrive later with a lease of its own.
@@ -50,6 +51,7 @@
         announced_s: monotonic time in seconds at which members were first asked.
         conflicts: runs beside which a start must not take place, by member id of the witness.
         shared: runs at the same workers that other schedulers may have started.
+        first_id: member id of the first in rank, which decides between two starts at the same time.
         asked_ids: ids of the members that were asked, which have to be told of the ends.
         waiting_ids: those that have not answered, since the starts were last announced.
         answered: number of those that have.
@@ -64,6 +66,7 @@
         "announced_s",
         "conflicts",
         "shared",
+        "first_id",
         "asked_ids",
         "waiting_ids",
         "answered",
@@ -78,6 +81,7 @@
         self.announced_s = time.monotonic()
         self.conflicts: dict[str, list[KnownStart]] = {}
         self.shared: list[KnownStart] = []
+        self.first_id = ""
         self.asked_ids: set[str] = set()
         self.waiting_ids: set[str] = set()
         self.answered = 0
@@ -307,6 +311,7 @@
             chosen = self._next_witnesses(announcement, excluded_ids)[:missing]
             if not chosen:
                 break
+            announcement.first_id = announcement.first_id or chosen[0].member_id
             for member in chosen:
                 excluded_ids.add(member.member_id)
                 announcement.waiting_ids.add(member.member_id)
@@ -363,8 +368,11 @@
         if announcement.starts and announcement.conflicts and not announcement.is_last:
             self._count("runs.announce.asked_again")
             announcement.is_last = True
-            pause_s = random.uniform(*CONFLICT_PAUSE_MS) / MS_PER_S
-            gevent.spawn_later(pause_s, self._ask_first, announcement)
+            pause_ms = random.uniform(*CONFLICT_PAUSE_MS)
+            if announcement.first_id in announcement.conflicts:
+                self._yield_to_others(announcement)
+                pause_ms += YIELD_MS
+            gevent.spawn_later(pause_ms / MS_PER_S, self._ask_first, announcement)
             return
         for task in list(announcement.starts):
             if announcement.conflict(task) and self._by_task.get(task) is announcement:
@@ -372,6 +380,17 @@
                 self.forget(task, is_done=False)
         announcement.is_decided.set()
 
+    def _yield_to_others(self, announcement: Announcement) -> None:
+        """Withdraw starts from the witnesses that were asked later than that of another scheduler.
+
+        That one is in conflict with them, and asks again before this one does.
+        """
+        tasks = [task for task in announcement.starts if announcement.conflict(task)]
+        self._witness.forget(self.own_id, tasks)
+        for member_id in announcement.asked_ids:
+            self._forgotten.setdefault(member_id, []).extend(tasks)
+        self.send_forgotten()
+
 
 def _start_of(task: PendingTask) -> AnnouncedStart:
     """Return what to announce of the run of a task."""
--- a/camphorchute/runs/start_witness.py
+++ b/camphorchute/runs/start_witness.py
@@ -18,6 +18,7 @@
 
 STARTS_MAX = 50_000
 DURATION_MAX_MS = 60_000.0
+SWEEP_INTERVAL_S = 1.0
 MS_PER_S = 1000.0
 
 
@@ -82,11 +83,12 @@
         []
     """
 
-    __slots__ = ("send", "_count", "_starts")
+    __slots__ = ("send", "_count", "_starts", "_swept_s")
 
     def __init__(self, count: Callable[..., None]) -> None:
         self.send: Callable[[str, StartsWitnessed], bool] = lambda member_id, message: False
         self._count = count
+        self._swept_s = float("-inf")
         # By task, then by scheduler; the tasks are in the order of their last announcement.
         self._starts: OrderedDict[str, dict[str, _WitnessedStart]] = OrderedDict()
 
@@ -145,6 +147,11 @@
         self.forget(peer.member_id, message.tasks)
 
     def _drop_expired(self, now_s: float) -> None:
+        if len(self._starts) >= STARTS_MAX and now_s - self._swept_s >= SWEEP_INTERVAL_S:
+            self._swept_s = now_s
+            for task, by_scheduler in list(self._starts.items()):
+                if all(witnessed.until_s <= now_s for witnessed in by_scheduler.values()):
+                    del self._starts[task]
         while self._starts:
             task, by_scheduler = next(iter(self._starts.items()))
             is_expired = all(witnessed.until_s <= now_s for witnessed in by_scheduler.values())
