--- a/camphorchute/runs/group_scheduler.py
+++ b/camphorchute/runs/group_scheduler.py
@@ -374,15 +374,20 @@
     def earlier_run_of(self, task: PendingTask) -> tuple[str, int]:
         """Return the worker that may have an earlier run of a pending task, and the run's number.
 
-        The worker is empty if it is not known, or if there is no such run.
+        The worker is empty if it is not known, or if there is no such run. The one that the owner
+        has named comes before another one that the task is bound to, as its run may be active.
 
         Args:
             task: the task.
         """
         binding, number = self._start_bindings.of_task(task.name), task.next_run - 1
-        if binding is not None:
-            return binding.worker_id, max(binding.number, number)
-        return (task.worker_id if task.may_run else ""), number
+        if binding is None:
+            return (task.worker_id if task.may_run else ""), number
+        group = self._groups.get(task.group)
+        is_named = task.may_run and task.worker_id not in ("", binding.worker_id)
+        if is_named and (group is None or not group.are_earlier_runs_known(task)):
+            return task.worker_id, number
+        return binding.worker_id, max(binding.number, number)
 
     def place_pending(self, group: WorkerGroup) -> None:
         """Start the pending tasks that fit into the free capacity."""
@@ -465,6 +470,7 @@
             group: the group that this worker moved to, empty if it did not move.
             place: where the run is or was, None if that is not known.
         """
+        was_open = task in self._open_tasks  # not so for a dispatch that is returned at once
         self._open_tasks.discard(task)
         if task.earlier_run is not None:
             task.earlier_run.worker.forget_earlier_runs(task.name)
@@ -492,11 +498,19 @@
             place,
             0.0 if binding is None else binding.remaining_ms(),
         )
-        if binding is not None or (task.cancelled and outcome is TaskResultKind.MAY_RUN):
+        if was_open:
+            self._end_announcement(task, outcome, binding is not None)
+        self._results.add(task.owner_id, task.message.job_id, result)
+
+    def _end_announcement(self, task: PendingTask, outcome: TaskResultKind, is_bound: bool) -> None:
+        """Have the witnesses forget the last run of a returned task, unless it may go on."""
+        may_go_on = outcome is TaskResultKind.MAY_RUN
+        if is_bound:
             self.start_announcements.keep(task.name)
+        elif may_go_on and self.start_announcements.is_decided(task.name):
+            self.start_announcements.forget_later(task.name)
         else:
             self.start_announcements.forget(task.name, outcome is TaskResultKind.DONE)
-        self._results.add(task.owner_id, task.message.job_id, result)
 
     def _sweep_loop(self) -> None:
         while True:
@@ -514,6 +528,8 @@
                 self._membership.hand_on_tasks(group, now_s)
                 self._return_expired(group, now_s)
                 self._supervisor.stop_overdue_runs(group.workers.values(), now_s)
+                for worker in group.workers.values():
+                    worker.stop_runs_of_silent_owners(now_s)
                 if group.backlog:
                     self.place_pending(group)
             self._stop_expired(now_s)
--- a/camphorchute/runs/run_events.py
+++ b/camphorchute/runs/run_events.py
@@ -120,7 +120,9 @@
 
     def run_adopted(self, worker: LeasedWorker, run: Run) -> None:
         """Announce a run whose earlier scheduler may have the witnesses forget it."""
-        self._scheduler.start_announcements.announce([run.task], self._group.service)
+        self._scheduler.start_announcements.announce(
+            [run.task], self._group.service, are_started=True
+        )
 
     def start_unanswered(self, worker: LeasedWorker, run: Run) -> None:
         """Have the witnesses remember for longer a run whose start command is sent again."""
--- a/camphorchute/runs/start_announcements.py
+++ b/camphorchute/runs/start_announcements.py
@@ -18,6 +18,7 @@
     KnownStart,
     StartsWitnessed,
 )
+from camphorchute.decision_log import log_decision
 from camphorchute.links import handles
 from camphorchute.loops import wait_for_event
 from camphorchute.runs.late_commands import LATE_ARRIVAL_MAX_S
@@ -29,8 +30,10 @@
 __all__ = ["Announcement", "StartAnnouncements"]
 
 ASK_NEXT_MS = 30.0
+LINK_WAIT_MS = 5.0
 WAVES_MAX = 4
-CONFLICT_PAUSE_MS = (25.0, 50.0)  # the scheduler of the other start may have seen its end just now
+CONFLICT_PAUSE_MS = (25.0, 40.0)  # the scheduler of the other start may have seen its end just now
+YIELD_MS = 40.0
 FORGET_DELAY_MS = 500.0
 RENEWAL_MS = 2000.0
 # A start command may be sent until the next announcement, and arrive later with a lease of its own.
@@ -44,10 +47,11 @@
     Attributes:
         key: the key by which the witnesses are chosen.
         owner_id: member id of the owner of the job, which is no witness, as it is lost with it.
-        starts: what is announced, by name of the task.
+        starts: what is announced, by name of the task; without those that were given up.
         announced_s: monotonic time in seconds at which members were first asked.
-        conflicts: runs beside which a start must not take place, by name of the task.
+        conflicts: runs beside which a start must not take place, by member id of the witness.
         shared: runs at the same workers that other schedulers may have started.
+        first_id: member id of the first in rank, which decides between two starts at the same time.
         asked_ids: ids of the members that were asked, which have to be told of the ends.
         waiting_ids: those that have not answered, since the starts were last announced.
         answered: number of those that have.
@@ -62,6 +66,7 @@
         "announced_s",
         "conflicts",
         "shared",
+        "first_id",
         "asked_ids",
         "waiting_ids",
         "answered",
@@ -74,8 +79,9 @@
         self.owner_id = owner_id
         self.starts = starts
         self.announced_s = time.monotonic()
-        self.conflicts: dict[str, KnownStart] = {}
+        self.conflicts: dict[str, list[KnownStart]] = {}
         self.shared: list[KnownStart] = []
+        self.first_id = ""
         self.asked_ids: set[str] = set()
         self.waiting_ids: set[str] = set()
         self.answered = 0
@@ -89,17 +95,33 @@
             task: name of the task.
         """
         wait_for_event(self.is_decided)
-        return self.conflicts.get(task)
+        return self.conflict(task)
 
-    def record_known(self, known: Iterable[KnownStart]) -> None:
-        """Record runs that a witness knows of."""
-        for row in known:
-            if not row.is_conflict:
-                self.shared.append(row)
-                continue
-            earlier = self.conflicts.get(row.task)
-            if earlier is None or earlier.remaining_ms < row.remaining_ms:
-                self.conflicts[row.task] = row
+    def conflict(self, task: str) -> KnownStart | None:
+        """Return the run that a start is in conflict with for the longest time, None if none is.
+
+        Args:
+            task: name of the task.
+        """
+        rows = [row for known in self.conflicts.values() for row in known if row.task == task]
+        return max(rows, key=lambda row: row.remaining_ms, default=None)
+
+    def witness_ids(self) -> list[str]:
+        """Return the ids of the members that have answered."""
+        return sorted(self.asked_ids - self.waiting_ids)
+
+    def record_known(self, witness_id: str, known: list[KnownStart]) -> None:
+        """Record runs that a witness knows of, instead of those that it has named before.
+
+        Args:
+            witness_id: member id of the witness.
+            known: the runs.
+        """
+        self.shared += [row for row in known if not row.is_conflict]
+        self.conflicts.pop(witness_id, None)
+        conflicts = [row for row in known if row.is_conflict]
+        if conflicts:
+            self.conflicts[witness_id] = conflicts
 
 
 class StartAnnouncements:
@@ -146,12 +168,15 @@
         self._forgotten: dict[str, list[str]] = {}
         self._is_sent_next = False
 
-    def announce(self, tasks: Iterable[PendingTask], service: str) -> None:
+    def announce(
+        self, tasks: Iterable[PendingTask], service: str, are_started: bool = False
+    ) -> None:
         """Announce the runs of tasks; each run then has the announcement to wait for.
 
         Args:
-            tasks: tasks that have just been given a run whose start command is not sent yet.
+            tasks: tasks that have a run.
             service: the service that they run on.
+            are_started: whether the runs may be active, so that nothing waits for the witnesses.
         """
         if self.choice is None:
             return
@@ -166,6 +191,8 @@
                 if task.name in self._by_task:
                     announcement.asked_ids |= self._by_task[task.name].asked_ids
                 self._by_task[task.name] = announcement
+            if are_started:
+                announcement.is_decided.set()
             self._ask_first(announcement)
 
     def renew(self, task: PendingTask, service: str) -> None:
@@ -179,10 +206,34 @@
         if announcement is not None:
             age_ms = (time.monotonic() - announcement.announced_s) * MS_PER_S
             if age_ms >= RENEWAL_MS / 2:
-                self.announce([task], service)
+                self.announce([task], service, are_started=True)
+
+    def is_decided(self, task: str) -> bool:
+        """Return whether the start command of the last announced run of a task may have been sent.
+
+        Args:
+            task: name of the task.
+        """
+        announcement = self._by_task.get(task)
+        return announcement is not None and announcement.is_decided.is_set()
+
+    def forget_later(self, task: str) -> None:
+        """Have the witnesses forget a run that is left to its lease, once that has expired.
+
+        Args:
+            task: name of the task.
+        """
+        announcement = self._by_task.get(task)
+        if announcement is not None:
+            delay_s = LONGEST_LEASE_MS / MS_PER_S
+            gevent.spawn_later(delay_s, self._forget_announced, task, announcement)
+
+    def _forget_announced(self, task: str, announcement: Announcement) -> None:
+        if self._by_task.get(task) is announcement:
+            self.forget(task, is_done=False)
 
     def forget(self, task: str, is_done: bool) -> None:
-        """Tell the witnesses of a task that its run is over, or that its owner knows of it.
+        """Tell the witnesses of a task that its run is over, or was not started.
 
         Args:
             task: name of the task.
@@ -191,6 +242,7 @@
         announcement = self._by_task.pop(task, None)
         if announcement is None:
             return
+        announcement.starts.pop(task, None)
         self._witness.forget(self.own_id, [task])
         if is_done and not self._forgotten:
             gevent.spawn_later(FORGET_DELAY_MS / MS_PER_S, self.send_forgotten)
@@ -225,7 +277,7 @@
             return
         announcement.waiting_ids.discard(peer.member_id)
         announcement.answered += 1
-        announcement.record_known(message.known)
+        announcement.record_known(peer.member_id, message.known)
         if announcement.answered >= WITNESSES:
             self._decide(message.number)
 
@@ -235,9 +287,8 @@
         self._undecided[number] = announcement
         announcement.answered = 0
         announcement.waiting_ids.clear()
-        announcement.record_known(
-            self._witness.announce(self.own_id, [*announcement.starts.values()])
-        )
+        known = self._witness.announce(self.own_id, [*announcement.starts.values()])
+        announcement.record_known(self.own_id, known)
         self._ask(number, {announcement.owner_id}, 1)
 
     def _ask(self, number: int, excluded_ids: set[str], wave: int) -> None:
@@ -255,48 +306,91 @@
             self._count("runs.announce.asked_further")
             for member_id in announcement.waiting_ids:
                 self.choice.mark_silent(member_id)
-        missing = WITNESSES - announcement.answered
-        starts = list(announcement.starts.values())
+        missing = WITNESSES - announcement.answered if announcement.starts else 0
         while missing and wave <= WAVES_MAX:
-            chosen = self.choice.first(announcement.key, excluded_ids)[:missing]
+            chosen = self._next_witnesses(announcement, excluded_ids)[:missing]
             if not chosen:
                 break
+            announcement.first_id = announcement.first_id or chosen[0].member_id
             for member in chosen:
                 excluded_ids.add(member.member_id)
-                forgotten = self._forgotten.get(member.member_id, [])
-                if self.send(member, AnnounceStarts(number, starts, forgotten)):
-                    self._forgotten.pop(member.member_id, None)
-                    announcement.waiting_ids.add(member.member_id)
-                    announcement.asked_ids.add(member.member_id)
-                    missing -= 1
-                else:
-                    self._count("runs.announce.unlinked")
-                    self.choice.mark_silent(member.member_id)
-        if not announcement.waiting_ids or wave > WAVES_MAX:
+                announcement.waiting_ids.add(member.member_id)
+                missing -= 1
+                self._send_starts(number, member)
+        if not announcement.starts:
+            self._decide(number)
+        elif not announcement.waiting_ids or wave > WAVES_MAX:
             name = "one_witness" if announcement.answered else "unwitnessed"
             self._count(f"runs.announce.{name}")
+            log_decision(
+                "runs",
+                "starts without enough witnesses",
+                tasks=list(announcement.starts),
+                witnesses=announcement.witness_ids(),
+                silent=sorted(announcement.waiting_ids),
+            )
             self._decide(number)
         else:
             gevent.spawn_later(ASK_NEXT_MS / MS_PER_S, self._ask, number, excluded_ids, wave + 1)
 
+    def _send_starts(self, number: int, member: Member) -> None:
+        """Send an announcement to a member, once more as soon as the link to it may be open."""
+        announcement = self._undecided.get(number)
+        if announcement is None or member.member_id not in announcement.waiting_ids:
+            return
+        starts = list(announcement.starts.values())
+        forgotten = self._forgotten.get(member.member_id, [])
+        if self.send(member, AnnounceStarts(number, starts, forgotten)):
+            self._forgotten.pop(member.member_id, None)
+            announcement.asked_ids.add(member.member_id)
+        else:
+            self._count("runs.announce.unlinked")
+            gevent.spawn_later(LINK_WAIT_MS / MS_PER_S, self._send_starts, number, member)
+
+    def _next_witnesses(self, announcement: Announcement, excluded_ids: set[str]) -> list[Member]:
+        """Return the next members to ask, first those that have reported a conflict."""
+        reporters = [self.choice.member(member_id) for member_id in announcement.conflicts]
+        reporters = [
+            member for member in reporters if member and member.member_id not in excluded_ids
+        ]
+        ids = {*excluded_ids, self.own_id, *(member.member_id for member in reporters)}
+        return reporters + self.choice.first(announcement.key, ids)
+
     def _decide(self, number: int) -> None:
         """Let the start commands be sent that are in no conflict.
 
-        About a conflict the same members are asked once more, a little later.
+        About a conflict the members are asked once more, a little later. It stands unless its
+        witness takes it back.
         """
         announcement = self._undecided.pop(number)
-        if announcement.conflicts and not announcement.is_last:
+        if announcement.is_decided.is_set():
+            return
+        if announcement.starts and announcement.conflicts and not announcement.is_last:
             self._count("runs.announce.asked_again")
             announcement.is_last = True
-            announcement.conflicts.clear()
-            pause_s = random.uniform(*CONFLICT_PAUSE_MS) / MS_PER_S
-            gevent.spawn_later(pause_s, self._ask_first, announcement)
+            pause_ms = random.uniform(*CONFLICT_PAUSE_MS)
+            if announcement.first_id in announcement.conflicts:
+                self._yield_to_others(announcement)
+                pause_ms += YIELD_MS
+            gevent.spawn_later(pause_ms / MS_PER_S, self._ask_first, announcement)
             return
-        for task in announcement.conflicts:
-            self._count("runs.announce.conflict")
-            self.forget(task, is_done=False)
+        for task in list(announcement.starts):
+            if announcement.conflict(task) and self._by_task.get(task) is announcement:
+                self._count("runs.announce.conflict")
+                self.forget(task, is_done=False)
         announcement.is_decided.set()
 
+    def _yield_to_others(self, announcement: Announcement) -> None:
+        """Withdraw starts from the witnesses that were asked later than that of another scheduler.
+
+        That one is in conflict with them, and asks again before this one does.
+        """
+        tasks = [task for task in announcement.starts if announcement.conflict(task)]
+        self._witness.forget(self.own_id, tasks)
+        for member_id in announcement.asked_ids:
+            self._forgotten.setdefault(member_id, []).extend(tasks)
+        self.send_forgotten()
+
 
 def _start_of(task: PendingTask) -> AnnouncedStart:
     """Return what to announce of the run of a task."""
--- a/camphorchute/runs/start_witness.py
+++ b/camphorchute/runs/start_witness.py
@@ -17,6 +17,8 @@
 __all__ = ["StartWitness"]
 
 STARTS_MAX = 50_000
+DURATION_MAX_MS = 60_000.0
+SWEEP_INTERVAL_S = 1.0
 MS_PER_S = 1000.0
 
 
@@ -32,7 +34,9 @@
 
     def __init__(self, start: AnnouncedStart) -> None:
         self.start = start
-        self.until_s = time.monotonic() + start.duration_ms / MS_PER_S
+        is_plausible = 0 <= start.duration_ms <= DURATION_MAX_MS
+        duration_ms = start.duration_ms if is_plausible else DURATION_MAX_MS
+        self.until_s = time.monotonic() + duration_ms / MS_PER_S
 
     def excludes(self, other: AnnouncedStart) -> bool:
         """Whether a start by another scheduler must not take place beside this one.
@@ -79,11 +83,12 @@
         []
     """
 
-    __slots__ = ("send", "_count", "_starts")
+    __slots__ = ("send", "_count", "_starts", "_swept_s")
 
     def __init__(self, count: Callable[..., None]) -> None:
         self.send: Callable[[str, StartsWitnessed], bool] = lambda member_id, message: False
         self._count = count
+        self._swept_s = float("-inf")
         # By task, then by scheduler; the tasks are in the order of their last announcement.
         self._starts: OrderedDict[str, dict[str, _WitnessedStart]] = OrderedDict()
 
@@ -142,6 +147,11 @@
         self.forget(peer.member_id, message.tasks)
 
     def _drop_expired(self, now_s: float) -> None:
+        if len(self._starts) >= STARTS_MAX and now_s - self._swept_s >= SWEEP_INTERVAL_S:
+            self._swept_s = now_s
+            for task, by_scheduler in list(self._starts.items()):
+                if all(witnessed.until_s <= now_s for witnessed in by_scheduler.values()):
+                    del self._starts[task]
         while self._starts:
             task, by_scheduler = next(iter(self._starts.items()))
             is_expired = all(witnessed.until_s <= now_s for witnessed in by_scheduler.values())
