Send the links of the proxied test fleet through the proxy again

Seen: since HostedFleet sets the advertised link address of each process, the environment variable by which test_start_of_which_its_owner_had_no_notice did so has no effect. All five processes were registered at port 9300 in place of the proxy's 9500, so that no notice was cut and the test could not fail for its fault.

Change: the test passes the address to add_entry, and checks before it cuts anything that all processes are registered at the addresses of the proxy.

--- a/bench/tests/test_lost_owner_and_scheduler.py
+++ b/bench/tests/test_lost_owner_and_scheduler.py
@@ -1,9 +1,11 @@
 """Starts and runs that few processes know of, when these are lost or a worker leaves."""
 
+import base64
 import signal
 import time
 from urllib.request import urlopen
 
+import msgspec
 import pytest
 
 from bench.fleet import LINK_PORT
@@ -11,6 +13,8 @@
 from bench.run_faults.run_checker import find_overlaps, runs_of
 from bench.standins.server import Reply
 from bench.tcp_proxy import Cut, Route, TcpProxy
+from camphorchute.cluster.cluster_view import MEMBER_PREFIX
+from camphorchute.contracts.member import Member
 
 BASE = 180
 NORTH, SOUTH = "north", "south"
@@ -26,16 +30,16 @@
 START_TIMEOUT_S = 5.0
 
 
-def open_fleet(log_dir, run_ms, monkeypatch=None, proxy=None):
+def open_fleet(log_dir, run_ms, proxy=None):
     """Start three processes in one zone and two in another; their links may use a proxy."""
     fleet = HostedFleet([NORTH, SOUTH], 3, log_dir, BASE, run_ms)
     for zone, number in [(NORTH, 1), (NORTH, 2), (NORTH, 3), (SOUTH, 1), (SOUTH, 2)]:
+        address = ""
         if proxy is not None:
             host = fleet.host_of(zone, number)
             address = f"{host}:{PROXIED_LINK_PORT}"
             proxy.open_route(Route(address, f"{host}:{LINK_PORT}", host))
-            monkeypatch.setenv("CAMPHORCHUTE_ADVERTISE_LINK_ADDRESS", address)
-        fleet.add_entry(zone, number)
+        fleet.add_entry(zone, number, link_address=address)
     fleet.wait_ready()
     for worker in fleet.site.workers:
         worker.faults.stop_ms = STOP_MS
@@ -58,12 +62,20 @@
 
 
 @pytest.fixture
-def proxied_fleet(tmp_path, monkeypatch, proxy):
-    fleet = open_fleet(tmp_path, SHORT_RUN_MS, monkeypatch, proxy)
+def proxied_fleet(tmp_path, proxy):
+    fleet = open_fleet(tmp_path, SHORT_RUN_MS, proxy)
     yield fleet
     fleet.close()
 
 
+def registered_link_ports(fleet):
+    """Return the ports at which the processes are registered for links."""
+    items = fleet.site.store.items
+    values = [items[key]["value"] for key in items if key.startswith(MEMBER_PREFIX)]
+    members = [msgspec.json.decode(base64.b64decode(value), type=Member) for value in values]
+    return {int(member.link_address.rpartition(":")[2]) for member in members}
+
+
 class DelayedStarts:
     """The start commands that a worker receives, which it leaves unanswered.
 
@@ -189,6 +201,7 @@
     proxied_fleet, proxy
 ):
     fleet = proxied_fleet
+    assert registered_link_ports(fleet) == {PROXIED_LINK_PORT}
     scheduler, owner, _ = choose_entries(fleet)
     delayed = delay_starts(fleet)
 
