--- a/camphorchute/runs/run_commands.py
+++ b/camphorchute/runs/run_commands.py
@@ -100,7 +100,7 @@
         """
         if run.announcement is None:
             return True
-        known = run.announcement.wait(run.task.name)
+        known = run.announcement.wait_until_decided(run.task.name)
         bindings = self._worker.start_bindings
         for shared in run.announcement.shared:
             if shared.task == run.task.name:
--- a/camphorchute/runs/start_announcements.py
+++ b/camphorchute/runs/start_announcements.py
@@ -34,6 +34,7 @@
 WAVES_MAX = 4
 CONFLICT_PAUSE_MS = (25.0, 40.0)  # the scheduler of the other start may have seen its end just now
 YIELD_MS = 40.0
+DECIDED_WITHIN_MS = 400.0  # each member is silent, twice
 FORGET_DELAY_MS = 500.0
 RENEWAL_MS = 2000.0
 # A start command may be sent until the next announcement, and arrive later with a lease of its own.
@@ -88,13 +89,15 @@
         self.is_last = False
         self.is_decided = Event()
 
-    def wait(self, task: str) -> KnownStart | None:
+    def wait_until_decided(self, task: str) -> KnownStart | None:
         """Wait until the start of a task is decided; return the run that it is in conflict with.
 
+        It takes ``DECIDED_WITHIN_MS`` at most.
+
         Args:
             task: name of the task.
         """
-        wait_for_event(self.is_decided)
+        wait_for_event(self.is_decided, DECIDED_WITHIN_MS / MS_PER_S)
         return self.conflict(task)
 
     def conflict(self, task: str) -> KnownStart | None:
--- a/camphorchute/runs/tests/test_start_announcements.py
+++ b/camphorchute/runs/tests/test_start_announcements.py
@@ -52,7 +52,7 @@
             name=TASK, message=message, owner_id=owner_id, run=run, group="g", finish_by_s=0.0
         )
         self.announcements[scheduler_id].announce([task], "flags")
-        return run.announcement.wait(TASK)
+        return run.announcement.wait_until_decided(TASK)
 
     def informed(self):
         """Return the ids of the members that know of a start of the task."""
