--- a/camphorchute/runs/run_commands.py
+++ b/camphorchute/runs/run_commands.py
@@ -20,7 +20,7 @@
 from camphorchute.runs.earlier_run import EarlierRun
 from camphorchute.runs.run import EndEvidence, Run, RunState
 from camphorchute.runs.run_listener import RunListener
-from camphorchute.runs.start_bindings import StartBinding
+from camphorchute.runs.start_binding import StartBinding
 from camphorchute.runs.worker_health import RETRY_PAUSE_MS
 
 if TYPE_CHECKING:
--- a/camphorchute/runs/tests/test_start_bindings.py
+++ b/camphorchute/runs/tests/test_start_bindings.py
@@ -190,7 +190,7 @@
         assert len(bindings._by_task) == 1
 
 
-# A malformed time of another process bound a task for good, and kept later ones from being forgotten.
+# A malformed time of another process bound a task for good, and later ones were not forgotten.
 @pytest.mark.parametrize("duration_ms", [float("inf"), float("nan"), 1e300, -1.0])
 def test_malformed_time_binds_no_task_for_good(duration_ms):
     with VirtualTime():
--- a/camphorchute/runs/worker_group.py
+++ b/camphorchute/runs/worker_group.py
@@ -18,7 +18,8 @@
 from camphorchute.runs.leased_worker import LeasedWorker
 from camphorchute.runs.owner_contacts import OwnerContacts
 from camphorchute.runs.run import PendingTask
-from camphorchute.runs.start_bindings import StartBinding, StartBindings
+from camphorchute.runs.start_binding import StartBinding
+from camphorchute.runs.start_bindings import StartBindings
 from camphorchute.runs.zone_availability import ZoneAvailability
 
 __all__ = ["WorkerGroup"]
