--- a/bench/run_faults/command.py
+++ b/bench/run_faults/command.py
@@ -53,6 +53,11 @@
     is_flag=True,
     help="Links that are silent in one direction, with --late-zones.",
 )
+@click.option(
+    "--spaced-losses",
+    is_flag=True,
+    help="At most two processes lost in 20 s, with --late-zones.",
+)
 @click.option("--base", default=57, show_default=True, help="Second byte of their addresses.")
 @click.option(
     "--log-dir", type=click.Path(path_type=Path), help="Folder that keeps their logs, by seed."
@@ -67,15 +72,21 @@
     play_type: type[ProcessPlay] | None,
     attempts: int,
     silent_links: bool,
+    spaced_losses: bool,
     base: int,
     log_dir: Path | None,
 ) -> None:
     """Play schedulers under random faults and check that no task has two runs at a time."""
     open_play: Callable[..., ProcessPlay] | None = play_type
     if play_type is LateZonesPlay:
-        open_play = partial(LateZonesPlay, attempts_max=attempts, has_silent_links=silent_links)
-    elif silent_links or attempts != ATTEMPTS_MAX:
-        raise click.UsageError("--attempts and --silent-links need --late-zones")
+        open_play = partial(
+            LateZonesPlay,
+            attempts_max=attempts,
+            has_silent_links=silent_links,
+            has_spaced_losses=spaced_losses,
+        )
+    elif silent_links or spaced_losses or attempts != ATTEMPTS_MAX:
+        raise click.UsageError("--attempts, --silent-links, --spaced-losses need --late-zones")
     if open_play is not None:
         seeds = range(seed, seed + count)
         plays = [_play_processes(open_play, number, duration_s, base, log_dir) for number in seeds]
--- a/bench/run_faults/late_zones_play.py
+++ b/bench/run_faults/late_zones_play.py
@@ -3,6 +3,7 @@
 import signal
 import time
 from collections import defaultdict
+from collections.abc import Callable
 from pathlib import Path
 
 import gevent
@@ -25,6 +26,7 @@
 CRASH_LOOP_RESTARTS = 6
 CRASH_LOOP_PAUSES_S = (0.4, 0.9)
 FAULTY_MAX = 3
+LOSS_INTERVAL_S = 20.0
 RESTART_SHARE = 0.5
 RESTARTS_AFTER_S = (0.1, 2.5)
 SILENCES_S = (1.0, 2.0)
@@ -45,12 +47,14 @@
         attempts_max: how often callers send a job; each task has one owner if it is 1.
         has_silent_links: whether links between entry processes are silent in one direction at
             times, also right before the silent process is killed.
+        has_spaced_losses: whether at most two processes are lost or stopped within
+            ``LOSS_INTERVAL_S``, so that two of those that know of a start remain.
 
     Attributes:
         gaps: the gaps between successive runs of a task on two workers.
     """
 
-    __slots__ = ("gaps", "_log_dir", "_proxy", "_cuts")
+    __slots__ = ("gaps", "_log_dir", "_proxy", "_cuts", "_next_loss_s")
 
     def __init__(
         self,
@@ -59,15 +63,20 @@
         base: int,
         attempts_max: int = ATTEMPTS_MAX,
         has_silent_links: bool = False,
+        has_spaced_losses: bool = False,
     ) -> None:
         super().__init__(seed, log_dir, base, attempts_max)
         self.gaps: list[RunGap] = []
         self._log_dir = log_dir
         self._proxy = TcpProxy(f"127.{base}.0.1:0") if has_silent_links else None
         self._cuts: list[Cut] = []
+        self._next_loss_s = 0.0
         self._actions += [self._restart_worker, self._mute_worker, self._restart_worker]
         if has_silent_links:
             self._actions += [self._silence_link, self._silence_and_lose, self._silence_and_lose]
+        if has_spaced_losses:
+            losses = (self._lose_owner_and_scheduler, self._stop_entry, self._silence_and_lose)
+            self._actions = [self._spaced(a) if a in losses else a for a in self._actions]
 
     def start(self) -> None:
         """Start the processes, and delay a share of the commands of all workers."""
@@ -134,6 +143,16 @@
         self._proxy.open_route(Route(advertised, f"{host}:{LINK_PORT}", host))
         return self._fleet.add_entry(zone, number, link_address=advertised)
 
+    def _spaced(self, action: Callable[[], str]) -> Callable[[], str]:
+        """Return an action that loses processes no sooner than some time after the last loss."""
+        return lambda: "no loss now" if time.monotonic() < self._next_loss_s else action()
+
+    def _spawn(self, fault: object, entry: HostedEntry, *arguments: object) -> None:
+        """Start a fault of a process, and note the time of the next loss after a loss."""
+        super()._spawn(fault, entry, *arguments)
+        if fault != self._stop_in_slices:
+            self._next_loss_s = time.monotonic() + LOSS_INTERVAL_S
+
     def _lose(self, entry: HostedEntry, by: signal.Signals, after_s: float) -> None:
         """Lose a process; workers of its zone restart some time later."""
         self._fault_greenlets.append(gevent.spawn(self._restart_workers, entry.zone, after_s))
