Dispatch a witnessed task to the place where it may run

Callers saw two runs of a task at the same time.

A process that gets a job asks its own witness for starts of its tasks before the first dispatch, which costs a look into a table, and has such tasks go to the group and worker named there.

--- a/camphorchute/entry/hosted_process.py
+++ b/camphorchute/entry/hosted_process.py
@@ -142,6 +142,7 @@
         self._owner.crash_guard.policy = self._policies.crash_limit
         self._owner.crash_guard.fate_of = self._view.worker_fates.fate_of
         self._owner.admission.has_workers = self._view.has_workers
+        self._owner.find_start = self._scheduler.start_witness.find
         self._owner.is_worker_listed = lambda worker_id: worker_id in self._view.workers
         self._owner.admission.own_delay_ms = lambda: self._loop_lag.job_delay_ms()
         self._owner.report_bound = self._scheduler.binding_exchange.add_tasks
--- a/camphorchute/queues/job_run.py
+++ b/camphorchute/queues/job_run.py
@@ -3,6 +3,7 @@
 import math
 import time
 from collections import Counter
+from collections.abc import Callable
 from enum import Enum
 
 from gevent.event import Event
@@ -15,6 +16,7 @@
     TaskPlace,
     TaskResult,
 )
+from camphorchute.contracts.start_messages import KnownStart
 from camphorchute.hosting import Queue
 from camphorchute.policies.admission import useful_time_ms
 from camphorchute.queues.lost_runs import LostRuns
@@ -150,6 +152,16 @@
         else:
             self.forget_place()
 
+    def record_found(self, known: KnownStart) -> None:
+        """Record that the task may run where another owner's scheduler has started it.
+
+        Args:
+            known: that start.
+        """
+        self.state, self.group, self.worker_id = TaskState.MAY_RUN, known.group, known.worker_id
+        self.run = max(self.run, known.run + 1)
+        self.bound_until_s = time.monotonic() + known.remaining_ms / MS_PER_S
+
     def forget_place(self) -> None:
         """Record that no run is known that may be active."""
         self.worker_id, self.place = "", None
@@ -460,6 +472,21 @@
             return None
         return self.steps[step][index]
 
+    def record_found_tasks(self, find: Callable[[str], KnownStart | None]) -> int:
+        """Record which tasks may run for another owner of the job; return their number.
+
+        Args:
+            find: returns the start of a task that another owner's scheduler has announced.
+        """
+        found = 0
+        for step_number, step in enumerate(self.steps):
+            for index, task in enumerate(step):
+                known = find(task_name(self.job.job_id, step_number, index))
+                if known is not None:
+                    task.record_found(known)
+                    found += 1
+        return found
+
     def is_step_done(self, step_number: int) -> bool:
         """Return whether every task of a step is done."""
         return all(task.state is TaskState.DONE for task in self.steps[step_number])
--- a/camphorchute/queues/queue_owner.py
+++ b/camphorchute/queues/queue_owner.py
@@ -15,6 +15,7 @@
     TasksFinished,
     TasksPlaced,
 )
+from camphorchute.contracts.start_messages import KnownStart
 from camphorchute.decision_log import log_decision
 from camphorchute.hosting import Queue
 from camphorchute.links import Peers, handles
@@ -64,12 +65,15 @@
         report_bound: called with the tasks of a job that was not done and whose starts by a lost
             scheduler may still arrive.
         crash_guard: decides whether tasks that were lost with their workers start again.
+        find_start: returns the start of a task that a scheduler has announced to this process, None
+            if it knows of none.
         is_worker_listed: returns whether the worker with an id is listed.
     """
 
     __slots__ = (
         "admission",
         "is_settled",
+        "find_start",
         "is_worker_listed",
         "crash_guard",
         "report_bound",
@@ -93,6 +97,7 @@
     ) -> None:
         self.admission = JobAdmission(capacity_view, start_limit_ms, count, concurrency_limit)
         self.is_settled: Callable[[], bool] = lambda: True
+        self.find_start: Callable[[str], KnownStart | None] = lambda task: None
         self.is_worker_listed: Callable[[str], bool] = lambda worker_id: True
         self.report_bound: Callable[[list[TaskBinding]], None] = lambda tasks: None
         self._capacity_view = capacity_view
@@ -162,6 +167,9 @@
             run = self._jobs.setdefault(job.job_id, accepted)
             if run is accepted:
                 self.admission.record_opened(run)
+                found = run.record_found_tasks(self.find_start)
+                if found:
+                    self._count("queues.task_found_elsewhere", found)
                 self._dispatch_ready_tasks(run)
                 gevent.spawn(self._dispatch_until_ended, run)
         if run.callers:
--- a/camphorchute/queues/tests/test_tasks_found_elsewhere.py
+++ b/camphorchute/queues/tests/test_tasks_found_elsewhere.py
@@ -14,6 +14,7 @@
     TasksPlaced,
     WithdrawTasks,
 )
+from camphorchute.contracts.start_messages import KnownStart
 from camphorchute.queues import JobOutcome, TaskState
 from camphorchute.queues.tests.test_queue_owner import Site, make_member
 from camphorchute.runs.tests.scheduler_site import wait_until
@@ -206,3 +207,25 @@
     listed.clear()
     assert wait_until(lambda: site.outcome is JobOutcome.LOST, 0.5)
     assert site.counts["queues.bound_worker_gone"] == 1
+
+
+# Guards against two runs of a task: the process that the job is sent to again is the last one that
+# knows of the first run, as a witness.
+@pytest.mark.parametrize("is_known", [True, False])
+def test_task_that_this_process_has_witnessed_for_another_owner_goes_to_its_place(is_known):
+    site = Site(h0=1)
+    site.claim_holders[GROUP] = make_member("h9")
+    known = KnownStart("job1.0.0.0", WORKER, GROUP, 3, BOUND_MS, True)
+    site.owner.find_start = {known.task: known}.get if is_known else lambda task: None
+    site.submit(2)
+    sent = {
+        (receiver, message.group, task.index): task
+        for receiver, message in start_commands(site)
+        for task in message.tasks
+    }
+    assert ("h0", "north/flags/h0", 1) in sent
+    assert (("h9", GROUP, 0) in sent) is is_known
+    if is_known:
+        task = sent["h9", GROUP, 0]
+        assert (task.worker_id, task.may_run, task.run) == (WORKER, True, 4)
+        assert BOUND_MS - 1000 < task.bound_ms <= BOUND_MS
--- a/camphorchute/runs/start_witness.py
+++ b/camphorchute/runs/start_witness.py
@@ -120,6 +120,19 @@
             self._starts.move_to_end(start.task)
         return known
 
+    def find(self, task: str) -> KnownStart | None:
+        """Return the start of a task that may happen for the longest time, None if none is known.
+
+        Args:
+            task: name of the task.
+        """
+        witnessed = max(
+            self._starts.get(task, {}).values(), key=lambda row: row.until_s, default=None
+        )
+        if witnessed is None or witnessed.until_s <= time.monotonic():
+            return None
+        return witnessed.known_to(witnessed.start)
+
     def forget(self, scheduler_id: str, tasks: list[str]) -> None:
         """Forget the starts of tasks that a scheduler has announced.
 
