--- a/camphorchute/runs/start_witness.py
+++ b/camphorchute/runs/start_witness.py
@@ -17,6 +17,7 @@
 __all__ = ["StartWitness"]
 
 STARTS_MAX = 100_000
+DURATION_MAX_MS = 90_000.0
 MS_PER_S = 1000.0
 
 
@@ -31,8 +32,11 @@
     __slots__ = ("start", "until_s")
 
     def __init__(self, start: AnnouncedStart) -> None:
+        duration_ms = start.duration_ms
+        if not 0.0 <= duration_ms <= DURATION_MAX_MS:
+            duration_ms = DURATION_MAX_MS
         self.start = start
-        self.until_s = time.monotonic() + start.duration_ms / MS_PER_S
+        self.until_s = time.monotonic() + duration_ms / MS_PER_S
 
     def excludes(self, other: AnnouncedStart) -> bool:
         """Whether a start by another scheduler must not take place beside this one.
