--- a/camphorchute/runs/tests/test_review_witness_reach.py
+++ b/camphorchute/runs/tests/test_review_witness_reach.py
@@ -167,6 +167,44 @@
             assert informed & asked, (key, later.member_id)
 
 
+# Guards against a second start once members that have joined rank as the others.
+@pytest.mark.parametrize("restarted_zones", [(), ("yard",), ("south", "yard")], ids=len)
+def test_starts_from_before_new_members_rank_as_others_are_found_after(
+    monkeypatch, restarted_zones
+):
+    clock = [100.0]
+    monkeypatch.setattr(witness_choice.time, "monotonic", lambda: clock[0])
+    listed = [SITE]
+    choices = {row.member_id: WitnessChoice(row.member_id, lambda: listed[0]) for row in SITE}
+    old = [row for row in SITE if row.zone not in restarted_zones]
+    new = [
+        Member(f"{row.member_id}-2", row.zone, row.host, "", "", "")
+        for row in SITE
+        if row.zone in restarted_zones
+    ]
+
+    def first(member_id, excluded_ids):
+        return {
+            key: {row.member_id for row in choices[member_id].first(key, excluded_ids)}
+            for key in KEYS
+        }
+
+    for row in old:
+        first(row.member_id, ())
+    clock[0] += 100.0
+    listed[0] = old + new
+    for row in old:
+        first(row.member_id, ())
+    scheduler, owner, *others = (row.member_id for row in old)
+    clock[0] += witness_choice.NEW_MEMBER_S - 0.1
+    informed = first(scheduler, {owner})
+    clock[0] += 0.2
+    for later in others:
+        asked = first(later, {scheduler, owner})
+        for key in KEYS:
+            assert informed[key] & (asked[key] | {later}), (key, later)
+
+
 # Guards against a start that is forgotten while the table is full of starts that are over.
 def test_starts_that_are_over_make_room_first(monkeypatch):
     monkeypatch.setattr(start_witness, "STARTS_MAX", 3)
