Wait for processes that a play is starting before it ends them

A play on left an entry process behind, so that the next plays on its addresses could not start. By reading: the greenlet that started it can be killed after the start of the process, before its entry into the table. Starts run in greenlets of their own now, for which the end of the play waits. The race itself was not reproduced.

--- a/bench/run_faults/zones_play.py
+++ b/bench/run_faults/zones_play.py
@@ -61,6 +61,7 @@
         "_jobs",
         "_faulty_hosts",
         "_fault_greenlets",
+        "_starts",
         "_attempts_max",
     )
 
@@ -74,6 +75,7 @@
         self._jobs: dict[str, set[str]] = {}
         self._faulty_hosts: set[str] = set()
         self._fault_greenlets: list[gevent.Greenlet] = []
+        self._starts: list[gevent.Greenlet] = []
         self._actions = [
             self._lose_owner_and_scheduler,
             self._lose_owner_and_scheduler,
@@ -113,6 +115,7 @@
         """Stop entry processes and stand-ins; start no process again."""
         self._is_closed = True
         gevent.killall(self._fault_greenlets)
+        gevent.joinall(self._starts)
         super().close()
 
     def summary(self) -> str:
@@ -214,7 +217,7 @@
         if is_killed:
             entry.process.kill()
             entry.process.wait()
-            self._fleet.start_entry(entry)
+            self._start_process(entry)
         else:
             entry.process.send_signal(signal.SIGCONT)
         self._note(f"{entry.host} is {'started' if is_killed else 'woken'}")
@@ -266,9 +269,15 @@
             self._note(f"{entry.host} has not ended {EXIT_TIMEOUT_S} s after SIGTERM")
             entry.process.kill()
             entry.process.wait()
-        self._fleet.start_entry(entry)
+        self._start_process(entry)
         self._rest(entry)
 
+    def _start_process(self, entry: HostedEntry) -> None:
+        """Start a process in a greenlet of its own, which is not killed while it does so."""
+        start = gevent.spawn(self._fleet.start_entry, entry)
+        self._starts.append(start)
+        start.join()
+
     def _rest(self, entry: HostedEntry) -> None:
         gevent.sleep(REST_S)
         self._faulty_hosts.discard(entry.host)
