--- a/camphorchute/runs/run_commands.py
+++ b/camphorchute/runs/run_commands.py
@@ -20,7 +20,7 @@
 from camphorchute.runs.earlier_run import EarlierRun
 from camphorchute.runs.run import EndEvidence, Run, RunState
 from camphorchute.runs.run_listener import RunListener
-from camphorchute.runs.start_bindings import StartBinding
+from camphorchute.runs.start_binding import StartBinding
 from camphorchute.runs.worker_health import RETRY_PAUSE_MS
 
 if TYPE_CHECKING:
@@ -100,7 +100,7 @@
         """
         if run.announcement is None:
             return True
-        known = run.announcement.wait(run.task.name)
+        known = run.announcement.wait_until_decided(run.task.name)
         bindings = self._worker.start_bindings
         for shared in run.announcement.shared:
             if shared.task == run.task.name:
--- a/camphorchute/runs/start_witness.py
+++ b/camphorchute/runs/start_witness.py
@@ -18,6 +18,7 @@
 
 STARTS_MAX = 50_000
 DURATION_MAX_MS = 60_000.0
+SWEEP_INTERVAL_S = 1.0
 MS_PER_S = 1000.0
 
 
@@ -82,11 +83,12 @@
         []
     """
 
-    __slots__ = ("send", "_count", "_starts")
+    __slots__ = ("send", "_count", "_starts", "_swept_s")
 
     def __init__(self, count: Callable[..., None]) -> None:
         self.send: Callable[[str, StartsWitnessed], bool] = lambda member_id, message: False
         self._count = count
+        self._swept_s = float("-inf")
         # By task, then by scheduler; the tasks are in the order of their last announcement.
         self._starts: OrderedDict[str, dict[str, _WitnessedStart]] = OrderedDict()
 
@@ -118,6 +120,19 @@
             self._starts.move_to_end(start.task)
         return known
 
+    def find(self, task: str) -> KnownStart | None:
+        """Return the start of a task that may happen for the longest time, None if none is known.
+
+        Args:
+            task: name of the task.
+        """
+        witnessed = max(
+            self._starts.get(task, {}).values(), key=lambda row: row.until_s, default=None
+        )
+        if witnessed is None or witnessed.until_s <= time.monotonic():
+            return None
+        return witnessed.known_to(witnessed.start)
+
     def forget(self, scheduler_id: str, tasks: list[str]) -> None:
         """Forget the starts of tasks that a scheduler has announced.
 
@@ -145,6 +160,11 @@
         self.forget(peer.member_id, message.tasks)
 
     def _drop_expired(self, now_s: float) -> None:
+        if len(self._starts) >= STARTS_MAX and now_s - self._swept_s >= SWEEP_INTERVAL_S:
+            self._swept_s = now_s
+            for task, by_scheduler in list(self._starts.items()):
+                if all(witnessed.until_s <= now_s for witnessed in by_scheduler.values()):
+                    del self._starts[task]
         while self._starts:
             task, by_scheduler = next(iter(self._starts.items()))
             is_expired = all(witnessed.until_s <= now_s for witnessed in by_scheduler.values())
