--- a/camphorchute/runs/start_announcements.py
+++ b/camphorchute/runs/start_announcements.py
@@ -56,7 +56,6 @@
         asked_ids: ids of the members that were asked, which have to be told of the ends.
         waiting_ids: those that have not answered, since the starts were last announced.
         answered: number of those that have.
-        needed: number of answers to wait for.
         is_last: whether a conflict is not asked about once more.
         is_decided: event that is set when the start commands may be sent or are in conflict.
     """
@@ -72,7 +71,6 @@
         "asked_ids",
         "waiting_ids",
         "answered",
-        "needed",
         "is_last",
         "is_decided",
     )
@@ -88,7 +86,6 @@
         self.asked_ids: set[str] = set()
         self.waiting_ids: set[str] = set()
         self.answered = 0
-        self.needed = WITNESSES
         self.is_last = False
         self.is_decided = Event()
 
@@ -284,7 +281,7 @@
         announcement.waiting_ids.discard(peer.member_id)
         announcement.answered += 1
         announcement.record_known(peer.member_id, message.known)
-        if announcement.answered >= announcement.needed:
+        if announcement.answered >= WITNESSES:
             self._decide(message.number)
 
     def _ask_first(self, announcement: Announcement) -> None:
@@ -295,18 +292,8 @@
         announcement.waiting_ids.clear()
         known = self._witness.announce(self.own_id, [*announcement.starts.values()])
         announcement.record_known(self.own_id, known)
-        self._ask_owner(number, announcement)
         self._ask(number, {announcement.owner_id}, 1)
 
-    def _ask_owner(self, number: int, announcement: Announcement) -> None:
-        """Ask the owner of the job too, as it may be a witness of runs for an earlier owner."""
-        owner = self.choice.member(announcement.owner_id)
-        announcement.needed = WITNESSES
-        if owner is not None and owner.member_id != self.own_id and announcement.starts:
-            announcement.needed += 1
-            announcement.waiting_ids.add(owner.member_id)
-            self._send_starts(number, owner)
-
     def _ask(self, number: int, excluded_ids: set[str], wave: int) -> None:
         """Ask as many members as answers are missing; ask the next ones if they are silent.
 
@@ -322,11 +309,7 @@
             self._count("runs.announce.asked_further")
             for member_id in announcement.waiting_ids:
                 self.choice.mark_silent(member_id)
-        missing = 0
-        if announcement.starts and wave == 1:
-            missing = WITNESSES
-        elif announcement.starts:
-            missing = announcement.needed - announcement.answered
+        missing = WITNESSES - announcement.answered if announcement.starts else 0
         while missing and wave <= WAVES_MAX:
             chosen = self._next_witnesses(announcement, excluded_ids)[:missing]
             if not chosen:
