Count no witness that is shutting down, and keep the second in another zone

A witness says that it is shutting down: what it knows counts, its answer does not, and another member is asked in its place. A member that is asked in place of a silent one is in another zone than the witness that has answered, where possible.

--- a/camphorchute/contracts/start_messages.py
+++ b/camphorchute/contracts/start_messages.py
@@ -74,10 +74,12 @@
     Attributes:
         number: number of the announcement.
         known: runs of the announced tasks by other schedulers.
+        is_leaving: whether the witness is about to end, so that it remembers nothing for long.
     """
 
     number: int
     known: list[KnownStart]
+    is_leaving: bool = False
 
 
 class ForgetStarts(msgspec.Struct, tag="forget_starts", array_like=True):
--- a/camphorchute/entry/hosted_process.py
+++ b/camphorchute/entry/hosted_process.py
@@ -108,6 +108,7 @@
         announcements.choice = WitnessChoice(self._member.member_id, self._view.member_ring)
         announcements.send = self._peers.send_or_open
         self._scheduler.start_witness.send = self._peers.send_if_linked
+        self._scheduler.start_witness.is_leaving = self.stopping.is_set
         self._scheduler.zone_availability = zone_evacuations
         self._scheduler.on_paused = self._handle_pause
         self._scheduler.are_workers_current = self._worker_follower.is_current
--- a/camphorchute/runs/start_announcements.py
+++ b/camphorchute/runs/start_announcements.py
@@ -36,6 +36,7 @@
 YIELD_MS = 40.0
 DECIDED_WITHIN_MS = 400.0  # each member is silent, twice
 FORGET_DELAY_MS = 500.0
+LEAVING_S = 20.0  # longer than a graceful shutdown takes
 RENEWAL_MS = 2000.0
 # A start command may be sent until the next announcement, and arrive later with a lease of its own.
 DURATION_MS = RENEWAL_MS + LATE_ARRIVAL_MAX_S * 1000.0 + LONGEST_LEASE_MS
@@ -55,7 +56,8 @@
         first_id: member id of the first in rank, which decides between two starts at the same time.
         asked_ids: ids of the members that were asked, which have to be told of the ends.
         waiting_ids: those that have not answered, since the starts were last announced.
-        answered: number of those that have.
+        answered: number of those that have, without those that are shutting down.
+        zones: availability zones of these.
         is_last: whether a conflict is not asked about once more.
         is_decided: event that is set when the start commands may be sent or are in conflict.
     """
@@ -71,6 +73,7 @@
         "asked_ids",
         "waiting_ids",
         "answered",
+        "zones",
         "is_last",
         "is_decided",
     )
@@ -86,6 +89,7 @@
         self.asked_ids: set[str] = set()
         self.waiting_ids: set[str] = set()
         self.answered = 0
+        self.zones: set[str] = set()
         self.is_last = False
         self.is_decided = Event()
 
@@ -279,8 +283,12 @@
             self._count("runs.announce.late_answer")
             return
         announcement.waiting_ids.discard(peer.member_id)
-        announcement.answered += 1
         announcement.record_known(peer.member_id, message.known)
+        if message.is_leaving:
+            self.choice.mark_silent(peer.member_id, LEAVING_S)
+            return
+        announcement.answered += 1
+        announcement.zones.add(peer.zone)
         if announcement.answered >= WITNESSES:
             self._decide(message.number)
 
@@ -289,6 +297,7 @@
         number = next(self._numbers)
         self._undecided[number] = announcement
         announcement.answered = 0
+        announcement.zones.clear()
         announcement.waiting_ids.clear()
         known = self._witness.announce(self.own_id, [*announcement.starts.values()])
         announcement.record_known(self.own_id, known)
@@ -357,7 +366,7 @@
             member for member in reporters if member and member.member_id not in excluded_ids
         ]
         ids = {*excluded_ids, self.own_id, *(member.member_id for member in reporters)}
-        return reporters + self.choice.first(announcement.key, ids)
+        return reporters + self.choice.first(announcement.key, ids, announcement.zones)
 
     def _decide(self, number: int) -> None:
         """Let the start commands be sent that are in no conflict.
--- a/camphorchute/runs/start_witness.py
+++ b/camphorchute/runs/start_witness.py
@@ -68,6 +68,7 @@
         count: adds to a named counter.
 
     Attributes:
+        is_leaving: returns whether this process is shutting down.
         send: sends a one-way message to a member; returns whether it could be sent.
 
     Examples:
@@ -83,9 +84,10 @@
         []
     """
 
-    __slots__ = ("send", "_count", "_starts", "_swept_s")
+    __slots__ = ("is_leaving", "send", "_count", "_starts", "_swept_s")
 
     def __init__(self, count: Callable[..., None]) -> None:
+        self.is_leaving: Callable[[], bool] = lambda: False
         self.send: Callable[[str, StartsWitnessed], bool] = lambda member_id, message: False
         self._count = count
         self._swept_s = float("-inf")
@@ -151,7 +153,8 @@
         """Witness the starts of another process, and answer it."""
         self.forget(peer.member_id, message.forgotten)
         known = self.announce(peer.member_id, message.starts)
-        if not self.send(peer.member_id, StartsWitnessed(message.number, known)):
+        answer = StartsWitnessed(message.number, known, self.is_leaving())
+        if not self.send(peer.member_id, answer):
             self._count("runs.witness.answer_unsent")
 
     @handles(ForgetStarts, nonblocking=True)
--- a/camphorchute/runs/tests/test_review_announced_ends.py
+++ b/camphorchute/runs/tests/test_review_announced_ends.py
@@ -32,7 +32,7 @@
             name=name, message=message, owner_id="owner", run=run, group="g", finish_by_s=0.0
         )
         self.announcements["a"].announce([task], "flags")
-        return run.announcement.wait(name)
+        return run.announcement.wait_until_decided(name)
 
     def _make_send(self, sender_id):
         send = super()._make_send(sender_id)
--- a/camphorchute/runs/tests/test_start_announcements.py
+++ b/camphorchute/runs/tests/test_start_announcements.py
@@ -182,3 +182,27 @@
     ]
     gevent.joinall(both)
     assert sum(greenlet.value is None for greenlet in both) <= 1
+
+
+# Guards against a start that only lost processes and witnesses that were shutting down knew of.
+def test_a_witness_that_shuts_down_is_not_counted():
+    fleet = Fleet()
+    fleet.announce("a", "w1")
+    leaving, _ = sorted(fleet.informed() - {"a"})
+    fleet.announcements["a"].forget(TASK, is_done=False)
+    assert wait_until(lambda: not fleet.informed(), 2.0)
+    fleet.witnesses[leaving].is_leaving = lambda: True
+    for _ in range(2):
+        assert fleet.announce("a", "w1") is None
+        assert len(fleet.informed() - {"a", leaving}) == 2
+
+
+def test_a_witness_that_shuts_down_still_tells_what_it_knows():
+    fleet = Fleet()
+    fleet.announce("a", "w1")
+    first, second = sorted(fleet.informed() - {"a"})
+    fleet.witnesses[first].is_leaving = lambda: True
+    fleet.lost |= {"owner", "a", second}
+    for scheduler_id in sorted(set(IDS[2:]) - fleet.lost - {first}):
+        known = fleet.announce(scheduler_id, "w2", owner_id="other_owner")
+        assert known is not None and known.worker_id == "w1", scheduler_id
--- a/camphorchute/runs/tests/test_witness_choice.py
+++ b/camphorchute/runs/tests/test_witness_choice.py
@@ -81,3 +81,10 @@
 
 def _first_of(key):
     return WitnessChoice("elsewhere", lambda: MEMBERS).first(key, ())[0].member_id
+
+
+def test_the_second_witness_is_in_another_zone_than_the_one_that_has_answered():
+    choice = WitnessChoice("elsewhere", lambda: MEMBERS)
+    for key, member in itertools.product(KEYS[:8], MEMBERS):
+        following = choice.first(key, {member.member_id}, {member.zone})[0]
+        assert following.zone != member.zone
--- a/camphorchute/runs/witness_choice.py
+++ b/camphorchute/runs/witness_choice.py
@@ -76,12 +76,15 @@
         self._orders: dict[str, list[Member]] = {}
         self._orders_until_s = 0.0
 
-    def first(self, key: str, excluded_ids: Collection[str]) -> list[Member]:
+    def first(
+        self, key: str, excluded_ids: Collection[str], avoided_zones: Collection[str] = ()
+    ) -> list[Member]:
         """Return the first members for a key, in two zones if possible.
 
         Args:
             key: the key, see :func:`witness_key`.
             excluded_ids: ids of members to leave out.
+            avoided_zones: zones whose members come after the others.
         """
         now_s = time.monotonic()
         candidates = [
@@ -90,6 +93,8 @@
             if member.member_id not in excluded_ids
             and self._silent_until_s.get(member.member_id, 0.0) <= now_s
         ]
+        if avoided_zones:
+            candidates.sort(key=lambda member: member.zone in avoided_zones)
         if len(candidates) <= WITNESSES:
             return candidates
         chosen = candidates[0]
@@ -100,13 +105,15 @@
         """Return a listed member by its id, None if it is not listed any more."""
         return next((m for m in self._members() if m.member_id == member_id), None)
 
-    def mark_silent(self, member_id: str) -> None:
-        """Record that a member has not answered.
+    def mark_silent(self, member_id: str, duration_s: float = SILENCE_S) -> None:
+        """Leave a member out for a while, as it has not answered or is about to end.
 
         Args:
             member_id: id of the member.
+            duration_s: for how long, in seconds.
         """
-        self._silent_until_s[member_id] = time.monotonic() + SILENCE_S
+        until_s = time.monotonic() + duration_s
+        self._silent_until_s[member_id] = max(until_s, self._silent_until_s.get(member_id, 0.0))
 
     def _order(self, key: str, now_s: float) -> list[Member]:
         """Return all other members in the order of their ranks for a key."""
