--- a/camphorchute/zones/tests/test_ledger.py
+++ b/camphorchute/zones/tests/test_ledger.py
@@ -36,15 +36,15 @@
 @pytest.mark.parametrize(
     "held, refused, code",
     [
-        (entry(digest=b"1"), entry(digest=b"2"), ResultCode.KEY_CONFLICT),
-        (entry("k"), entry("other"), ResultCode.LEDGER_FULL),
+        ({"digest": b"1"}, {"digest": b"2"}, ResultCode.KEY_CONFLICT),
+        ({"key": "k"}, {"key": "other"}, ResultCode.LEDGER_FULL),
     ],
 )
 def test_a_conflicting_or_surplus_key_is_refused_and_not_held(held, refused, code):
-    ledger = Ledger(1)
+    ledger, held = Ledger(1), entry(**held)
     ledger.hold(held)
     with pytest.raises(Refusal) as refusal:
-        ledger.hold(refused)
+        ledger.hold(entry(**refused))
     assert refusal.value.code is code
     assert ledger.entries_of_shard(3) == [held]
 
