--- a/camphorchute/runs/run.py
+++ b/camphorchute/runs/run.py
@@ -17,9 +17,9 @@
 from camphorchute.runs.earlier_run import EarlierRun
 
 if TYPE_CHECKING:
+    from camphorchute.runs.announcement import Announcement
     from camphorchute.runs.job_tasks import JobTasks
     from camphorchute.runs.leased_worker import LeasedWorker
-    from camphorchute.runs.start_announcements import Announcement
 
 __all__ = [
     "SHARD_COUNT",
