--- a/bench/standins/fleet_site.py
+++ b/bench/standins/fleet_site.py
@@ -46,13 +46,12 @@
         store_address: str = "127.0.0.1:0",
         run_ms: float = 40.0,
     ) -> None:
-        host = store_address.rpartition(":")[0]
+        self._host = store_address.rpartition(":")[0]
+        self._run_ms = run_ms
         self.store = FleetStore(store_address)
         self.store.start()
         self.workers = [
-            FleetWorker(f"{host}:0", self.store, f"{zone}-w{number}", zone, SERVICE_NAME, run_ms)
-            for zone in zones
-            for number in range(workers)
+            self._make_worker(zone, number) for zone in zones for number in range(workers)
         ]
 
     def start(self, version: int = 1) -> None:
@@ -61,6 +60,24 @@
             worker.start()
         self.configure(version, [QUEUE_PATH_PREFIX])
 
+    def add_workers(self, zone: str, workers: int) -> None:
+        """Start further workers in a zone.
+
+        Args:
+            zone: the availability zone.
+            workers: number of workers to add.
+        """
+        known = sum(worker.zone == zone for worker in self.workers)
+        added = [self._make_worker(zone, known + number) for number in range(workers)]
+        self.workers += added
+        for worker in added:
+            worker.start()
+
+    def _make_worker(self, zone: str, number: int) -> FleetWorker:
+        worker_id = f"{zone}-w{number}"
+        address = f"{self._host}:0"
+        return FleetWorker(address, self.store, worker_id, zone, SERVICE_NAME, self._run_ms)
+
     def close(self) -> None:
         """Stop the workers and the store."""
         for worker in self.workers:
--- a/bench/standins/fleet_worker.py
+++ b/bench/standins/fleet_worker.py
@@ -20,6 +20,7 @@
 TICK_INTERVAL_MS = 2.0
 ENTRY_EXPIRY_MS = 1000.0
 SLOT_CPU_MILLICORES = 14_000
+MEMORY_MB = 65_536
 EXPECTED_WORKER_HEADER = "Camphorchute-Expect-Instance"
 
 
@@ -49,6 +50,8 @@
         clock_rate: rate of its clock, below 1.0 if it is slow.
         run_ms_by_payload: duration of the runs of some payloads, in milliseconds.
         commands: every start and stop command that was carried out, in order.
+        gpus: number of its GPUs, written in its entry when it registers.
+        memory_mb: its memory in MB, written likewise.
     """
 
     faults_type = FleetWorkerFaults
@@ -76,6 +79,8 @@
         self._service = service
         self._run_ms = run_ms
         self._slots = slots
+        self.gpus = 0
+        self.memory_mb = MEMORY_MB
         self._tick_greenlet = None
         self._begin_incarnation()
         commands = CommandFaults(
@@ -184,7 +189,11 @@
             "version": "v1",
             "slots": self._slots,
             "state": state,
-            "capacity": {"cpu": self._slots * SLOT_CPU_MILLICORES, "mem-mb": 65_536, "gpu": 0},
+            "capacity": {
+                "cpu": self._slots * SLOT_CPU_MILLICORES,
+                "mem-mb": self.memory_mb,
+                "gpu": self.gpus,
+            },
             "labels": ["a", "r1-1"],
             "born": self.born,
             "seq": 1,
--- a/camphorchute/cluster/__init__.py
+++ b/camphorchute/cluster/__init__.py
@@ -7,6 +7,7 @@
 from camphorchute.cluster.heartbeats import Heartbeats
 from camphorchute.cluster.membership_lease import MembershipLease
 from camphorchute.cluster.store_follower import StoreFollower
+from camphorchute.cluster.worker_capacities import WorkerCapacities
 from camphorchute.cluster.worker_fates import WorkerFate, WorkerFates
 from camphorchute.cluster.zone_evacuations import ZoneEvacuations
 
@@ -20,6 +21,7 @@
     "Heartbeats",
     "MembershipLease",
     "StoreFollower",
+    "WorkerCapacities",
     "WorkerFate",
     "WorkerFates",
     "ZoneEvacuations",
--- a/camphorchute/cluster/cluster_view.py
+++ b/camphorchute/cluster/cluster_view.py
@@ -7,6 +7,7 @@
 from gevent.event import Event
 
 from camphorchute.cluster.group_followers import GroupFollowers
+from camphorchute.cluster.worker_capacities import WorkerCapacities
 from camphorchute.cluster.worker_fates import WorkerFates
 from camphorchute.cluster.worker_groups import WorkerGroups
 from camphorchute.cluster.zone_evacuations import ZoneEvacuations
@@ -57,6 +58,7 @@
         changed: event that is set when members, workers, claims or the queues have changed.
         zone_evacuations: which zones are evacuated.
         worker_fates: what became of workers that stopped answering.
+        capacities: which groups have a worker that is large enough for a demand.
         on_worker_changed: called with the entry of a worker that says anything new.
     """
 
@@ -70,6 +72,7 @@
         "changed",
         "zone_evacuations",
         "worker_fates",
+        "capacities",
         "on_worker_changed",
         "_platform",
         "_count",
@@ -105,6 +108,7 @@
         self._registration_by_address: dict[str, tuple[str, int]] = {}
         self._tables_by_prefix: dict[str, dict[str, StoredValue]] = {}
         self._worker_groups = WorkerGroups(self._forget_followers)
+        self.capacities = WorkerCapacities(self._worker_groups)
         self._followers: GroupFollowers | None = None
         self._ring: list[Member] | None = None
 
--- a/camphorchute/cluster/worker_groups.py
+++ b/camphorchute/cluster/worker_groups.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable, Collection
 
 from camphorchute.hosting import WorkerEntry
-from camphorchute.runs import group_count, group_of
+from camphorchute.runs import group_count, group_name, group_of
 
 __all__ = ["WorkerGroups"]
 
@@ -21,6 +21,7 @@
         by_name: the workers by group name and worker id. The inner mappings are replaced and never
             changed, so that they can be read while others change.
         group_by_worker: name of the group of each worker, by worker id.
+        generation: number of changes so far.
 
     Examples:
         >>> from camphorchute.contracts.resources import Resources
@@ -33,11 +34,19 @@
         {}
     """
 
-    __slots__ = ("by_name", "group_by_worker", "_on_names_changed", "_entries_by_pool", "_zones")
+    __slots__ = (
+        "by_name",
+        "group_by_worker",
+        "generation",
+        "_on_names_changed",
+        "_entries_by_pool",
+        "_zones",
+    )
 
     def __init__(self, on_names_changed: Callable[[], None] = lambda: None) -> None:
         self.by_name: dict[str, dict[str, WorkerEntry]] = {}
         self.group_by_worker: dict[str, str] = {}
+        self.generation = 0
         self._on_names_changed = on_names_changed
         self._entries_by_pool: dict[tuple[str, str], dict[str, WorkerEntry]] = {}
         self._zones: dict[str, set[str]] = {}
@@ -59,6 +68,18 @@
         zones = self._zones.get(service, ())
         return [name for zone in zones for name in self._entries_by_pool[zone, service]]
 
+    def names_of(self, service: str) -> list[str]:
+        """Return the names of the groups of a service, those without a worker included.
+
+        Args:
+            service: name of the service.
+        """
+        return [
+            group_name(zone, service, number)
+            for zone in self._zones.get(service, ())
+            for number in range(group_count(len(self._entries_by_pool[zone, service])))
+        ]
+
     def set_worker(self, entry: WorkerEntry) -> None:
         """Add a worker or replace its entry."""
         pool = (entry.zone, entry.service)
@@ -106,6 +127,7 @@
                 self._set_in_group(group, entry)
 
     def _set_in_group(self, group: str, entry: WorkerEntry) -> None:
+        self.generation += 1
         is_new = group not in self.by_name
         self.by_name[group] = {**self.by_name.get(group, {}), entry.worker_id: entry}
         self.group_by_worker[entry.worker_id] = group
@@ -116,6 +138,7 @@
         group = self.group_by_worker.pop(worker_id, None)
         if group is None:
             return
+        self.generation += 1
         remaining = {k: v for k, v in self.by_name[group].items() if k != worker_id}
         if remaining:
             self.by_name[group] = remaining
--- a/camphorchute/contracts/run_messages.py
+++ b/camphorchute/contracts/run_messages.py
@@ -379,6 +379,16 @@
     changes: list[GroupChange] = []
 
 
+class RequestReports(msgspec.Struct, tag="request_reports", array_like=True):
+    """Request for the reports of a scheduler whose groups the sender does not follow; one way.
+
+    Attributes:
+        for_ms: for how long the sender wants them, in milliseconds from the receipt.
+    """
+
+    for_ms: float
+
+
 class ZoneEvacuation(msgspec.Struct, array_like=True, frozen=True):
     """Last known state of one availability zone.
 
@@ -447,6 +457,7 @@
     | TasksPlaced
     | TasksBound
     | RoomReport
+    | RequestReports
     | MemberBeat
     | FetchQueues
     | QueuesPart
--- a/camphorchute/entry/hosted_process.py
+++ b/camphorchute/entry/hosted_process.py
@@ -34,7 +34,13 @@
 from camphorchute.loops import spawn_loop
 from camphorchute.policies import POLICY_REGISTRIES, DecisionPolicies
 from camphorchute.policies.readiness import ServingState
-from camphorchute.queues import FreeCapacityReports, FreeCapacityView, QueueOwner, ServiceZones
+from camphorchute.queues import (
+    FreeCapacityReports,
+    FreeCapacityView,
+    QueueOwner,
+    ReportSubscriptions,
+    ServiceZones,
+)
 from camphorchute.retry_after import spread_retry_after_ms
 from camphorchute.runs import GroupScheduler, WitnessChoice
 
@@ -115,6 +121,14 @@
         self._view.on_worker_changed = self._scheduler.update_worker_entry
         self._capacity_view = FreeCapacityView(settings.zone, self._policies.worker_choice, count)
         self._capacity_view.service_zones = ServiceZones(self._view.zones_of, zone_evacuations)
+        self._capacity_view.capacities = self._view.capacities
+        self._capacity_view.request_reports = ReportSubscriptions(
+            self._member,
+            self._view,
+            self._capacity_view.service_zones.is_zone_evacuated,
+            self._peers.send_or_open,
+            count,
+        ).request
         self._claims = GroupClaims(
             store,
             self._view,
@@ -254,6 +268,7 @@
             self._configuration_fetch,
             self._heartbeats,
             self._capacity_view,
+            self._capacity_reports,
             self._owner,
             self._shard_owner,
             self._shard_owner.end_confirmations,
--- a/camphorchute/queues/__init__.py
+++ b/camphorchute/queues/__init__.py
@@ -4,6 +4,7 @@
 from camphorchute.queues.free_capacity_view import FreeCapacityView
 from camphorchute.queues.job_run import JobOutcome, JobRun, TaskProgress, TaskState
 from camphorchute.queues.queue_owner import QueueOwner
+from camphorchute.queues.report_subscriptions import ReportSubscriptions
 from camphorchute.queues.service_zones import ServiceZones
 
 __all__ = [
@@ -12,6 +13,7 @@
     "QueueOwner",
     "FreeCapacityReports",
     "FreeCapacityView",
+    "ReportSubscriptions",
     "ServiceZones",
     "TaskProgress",
     "TaskState",
--- a/camphorchute/queues/free_capacity_reports.py
+++ b/camphorchute/queues/free_capacity_reports.py
@@ -8,8 +8,8 @@
 
 from camphorchute.cluster import ClusterView
 from camphorchute.contracts.member import Member
-from camphorchute.contracts.run_messages import GroupFreeCapacity, RoomReport
-from camphorchute.links import Peers
+from camphorchute.contracts.run_messages import GroupFreeCapacity, RequestReports, RoomReport
+from camphorchute.links import Peers, handles
 from camphorchute.loops import spawn_loop, wait_for_event
 from camphorchute.queues.capacity_changes import find_changes
 from camphorchute.runs import GroupScheduler
@@ -22,6 +22,7 @@
 MINOR_CHANGE_INTERVAL_MS = 150.0
 COMPLETE_REPORT_AFTER_MS = 300.0  # a report of minor changes may follow 170 ms later
 MINOR_CHANGE_SHARE = 0.3
+SUBSCRIPTION_MAX_MS = 10_000.0
 MS_PER_S = 1000.0
 
 
@@ -74,6 +75,7 @@
         "_count",
         "_changed",
         "_last_receivers",
+        "_subscribed_until_s",
         "_last_summaries",
         "_reported_s",
         "_last_report",
@@ -91,6 +93,7 @@
         self._count = count
         self._changed = Event()
         self._last_receivers: dict[str, Member] = {}
+        self._subscribed_until_s: dict[str, float] = {}
         self._last_summaries: dict[str, _Summary] = {}
         self._reported_s = 0.0
         self._last_report: list[GroupFreeCapacity] = []
@@ -108,6 +111,17 @@
         if self._greenlet is not None:
             self._greenlet.kill(block=False)
 
+    @handles(RequestReports, nonblocking=True)
+    def handle_request(self, peer: Member, message: RequestReports) -> None:
+        """Send reports to a member that needs them for a time; the last one at once."""
+        until_s = time.monotonic() + min(message.for_ms, SUBSCRIPTION_MAX_MS) / MS_PER_S
+        self._subscribed_until_s[peer.member_id] = until_s
+        if self._last_report and peer.member_id not in self._last_receivers:
+            self._count("queues.report_subscribed")
+            self._last_receivers[peer.member_id] = peer
+            last = RoomReport(self._last_report, self._last_number)
+            self._peers.send_if_linked(peer.member_id, last)
+
     def _report_changes(self) -> None:
         """Report on every change that matters.
 
@@ -182,10 +196,11 @@
         return RoomReport([], self._last_number, changes)
 
     def _find_receivers(self) -> dict[str, Member]:
-        """Return this process and the members that follow one of its groups, by member id.
+        """Return this process and the members that need the reports of its groups, by member id.
 
-        A member whose registration has disappeared but whose link is open continues to serve, for
-        example while the store rejects it, and still receives reports.
+        They follow one of the groups or have requested the reports. A member whose registration has
+        disappeared but whose link is open continues to serve, for example while the store rejects
+        it, and still receives reports.
         """
         own_groups = self._scheduler.groups()
         if not own_groups:
@@ -195,6 +210,12 @@
         for group in own_groups:
             for member in followers.followers_of(group):
                 receivers_by_id[member.member_id] = member
+        now_s = time.monotonic()
+        for member_id, until_s in list(self._subscribed_until_s.items()):
+            if until_s < now_s:
+                del self._subscribed_until_s[member_id]
+            elif member_id in members:
+                receivers_by_id[member_id] = members[member_id]
         for member_id, member in self._last_receivers.items():
             if member_id not in members and self._peers.is_linked(member_id):
                 receivers_by_id[member_id] = member
--- a/camphorchute/queues/free_capacity_view.py
+++ b/camphorchute/queues/free_capacity_view.py
@@ -1,11 +1,12 @@
 """Free-capacity view: free resources of worker groups as their schedulers last reported them."""
 
 import time
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Collection, Iterator
 from heapq import heapify, heapreplace
 
 from gevent.event import Event
 
+from camphorchute.cluster import WorkerCapacities
 from camphorchute.contracts.batch_job import BatchStep, QueueLimits
 from camphorchute.contracts.member import Member
 from camphorchute.contracts.resources import Resources
@@ -48,12 +49,18 @@
         report_received: event that is set when a report arrives; cleared by who waits for it.
         service_zones: which zones are evacuated; no tasks are planned there.
         scheduler_delay_ms: returns the delay of jobs at a scheduler, by its member id.
+        capacities: the capacities of all listed workers; None if every group reports to this
+            process, so that the reports alone tell what can run.
+        request_reports: requests reports of groups that can hold a demand of a service, called with
+            the groups that can and have reported.
     """
 
     __slots__ = (
         "report_received",
         "service_zones",
         "scheduler_delay_ms",
+        "capacities",
+        "request_reports",
         "_zone",
         "_worker_choice",
         "_reports",
@@ -71,6 +78,10 @@
         self.report_received = Event()
         self.service_zones = ServiceZones()
         self.scheduler_delay_ms: Callable[[str], float] = lambda member_id: 0.0
+        self.capacities: WorkerCapacities | None = None
+        self.request_reports: Callable[[str, Resources, Collection[str]], None] = (
+            lambda service, demand, able_groups: None
+        )
         self._zone = zone
         self._worker_choice = worker_choice
         self._reports: dict[str, ReceivedReport] = {}
@@ -169,12 +180,44 @@
         return bool(self._fresh_reports(service))
 
     def can_ever_run(self, service: str, demand: Resources) -> bool:
-        """Return whether some worker of a service has capacity for a demand, free or not."""
+        """Return whether some listed worker of a service has capacity for a demand, free or not.
+
+        Groups whose reports this process does not receive count as well.
+        """
+        if self.capacities is None:
+            return self.can_plan(service, demand)
         return any(
-            received.free_capacity.can_ever_hold(demand)
-            for received in self._fresh_reports(service)
+            not self.service_zones.is_zone_evacuated(zone_of_group(group))
+            for group in self.capacities.groups_for(service, demand)
         )
 
+    def can_plan(self, service: str, demand: Resources) -> bool:
+        """Return whether a group that can hold a demand, now or later, has reported recently.
+
+        Reports of such groups are requested if there are few.
+        """
+        return bool(self._find_able(self._fresh_reports(service), service, demand))
+
+    def _find_able(
+        self, reports: list[ReceivedReport], service: str, demand: Resources
+    ) -> list[ReceivedReport]:
+        """Return the reports of groups that can hold a demand; request more if there are few.
+
+        The most of each resource in a report may be that of different workers, so that the listed
+        workers decide too.
+        """
+        able = [
+            received
+            for received in reports
+            if received.free_capacity.can_ever_hold(demand)
+            and (
+                self.capacities is None
+                or self.capacities.can_hold(received.free_capacity.group, demand)
+            )
+        ]
+        self.request_reports(service, demand, [received.free_capacity.group for received in able])
+        return able
+
     def plan(self, service: str, step: BatchStep, tasks: int, limits: QueueLimits) -> PlacementPlan:
         """Plan the placement of tasks of one step, without reserving capacity.
 
@@ -187,7 +230,8 @@
         memo = self._last_plan
         if memo is not None and memo.is_for(service, step, tasks, limits, self._generation):
             return memo.plan
-        plan = self._make_plan(self._fresh_reports(service), step, tasks, limits)
+        able = self._find_able(self._fresh_reports(service), service, step.demand)
+        plan = self._make_plan(able, step, tasks, limits)
         self._last_plan = PlanMemo(plan, service, step, tasks, limits, self._generation)
         return plan
 
@@ -309,18 +353,13 @@
             The number of tasks by group, and the expected waiting time of the last one in
             milliseconds.
         """
-        able = [
-            received for received in reports if received.free_capacity.can_ever_hold(step.demand)
-        ]
-        groups = [received.free_capacity.group for received in able]
+        groups = [received.free_capacity.group for received in reports]
         waits = [
             GroupWait(received.free_capacity, step, limits, received.is_own_zone)
-            for received in able
+            for received in reports
         ]
         chosen: dict[str, int] = {}
-        if not waits:
-            return chosen, 0.0
-        delays_ms = [self._scheduler_delay_ms(received) for received in able]
+        delays_ms = [self._scheduler_delay_ms(received) for received in reports]
         costs = [(wait.cost_ms() + delays_ms[number], number) for number, wait in enumerate(waits)]
         heapify(costs)
         for _ in range(tasks):
--- a/camphorchute/queues/job_admission.py
+++ b/camphorchute/queues/job_admission.py
@@ -26,6 +26,8 @@
 ANSWER_MARGIN_MS = 60.0
 GROUP_HANDOVER_MS = 60.0
 NO_SCHEDULER_WAIT_MAX_MS = 1000.0
+REQUESTED_REPORT_WAIT_MS = 300.0
+REPORT_CHECK_INTERVAL_MS = 50.0
 MS_PER_S = 1000.0
 
 
@@ -101,12 +103,10 @@
         )
         run = JobRun(job, queue, finish_by_s(deadline_ms), start_limit_ms)
         self._wait_for_group(job, queue.service, start_limit_ms)
-        if not self._can_ever_run(job, queue.service):
+        if not self._can_plan(job, queue.service):
             if zones.is_reduced(queue.service):
                 raise self._refuse_evacuated(job, queue.service)
-            self._count("queues.refused.no_worker")
-            log_decision("queues", "refused, no worker", job=job.job_id, service=queue.service)
-            raise Refusal(ResultCode.NO_WORKER, f"service {queue.service}", spread_retry_after_ms())
+            raise self._refuse_without_worker(job, queue.service)
         if caller_gone.is_set():
             raise self.make_overload_refusal("caller has gone", 0.0)
         first = job.steps[0]
@@ -228,6 +228,13 @@
         plan = self._capacity_view.plan(run.queue.service, first, first.tasks, run.step_limits)
         return self.make_overload_refusal("no room in time", plan.wait_ms)
 
+    def _refuse_without_worker(self, job: BatchJob, service: str) -> Refusal:
+        """Count and return the refusal of a job for which no worker can be used at present."""
+        reason = "no_report" if self._can_ever_run(job, service) else "no_worker"
+        self._count(f"queues.refused.{reason}")
+        log_decision("queues", f"refused, {reason}", job=job.job_id, service=service)
+        return Refusal(ResultCode.NO_WORKER, f"service {service}", spread_retry_after_ms())
+
     def _refuse_evacuated(self, job: BatchJob, service: str) -> Refusal:
         """Count and return the refusal of a job for which evacuations have left no worker."""
         self._count("queues.refused.evacuated")
@@ -235,10 +242,11 @@
         return make_evacuated_refusal(service)
 
     def _wait_for_group(self, job: BatchJob, service: str, start_limit_ms: float) -> None:
-        """Wait until a group can run a job, while one may be between two schedulers.
+        """Wait until groups that can run a job have reported, while they may do so soon.
 
-        Where workers are listed and no scheduler is known, as after the start of all processes,
-        a scheduler will report soon, and the job waits as long as it may.
+        That is the case between two schedulers of a group, and where its report was requested for
+        this job. Where workers are listed and no scheduler is known, as after the start of all
+        processes, a scheduler will report soon, and the job waits as long as it may.
 
         Args:
             job: the job.
@@ -246,19 +254,30 @@
             start_limit_ms: time within which the job must start.
         """
         is_start = not self._capacity_view.has_scheduler(service) and self.has_workers(service)
-        wait_ms = min(NO_SCHEDULER_WAIT_MAX_MS, start_limit_ms) if is_start else GROUP_HANDOVER_MS
+        if is_start:
+            wait_ms = min(NO_SCHEDULER_WAIT_MAX_MS, start_limit_ms)
+        elif self._can_ever_run(job, service):
+            wait_ms = min(REQUESTED_REPORT_WAIT_MS, start_limit_ms)
+        else:
+            wait_ms = GROUP_HANDOVER_MS
         wait_until_s = time.monotonic() + wait_ms / MS_PER_S
-        while not self._can_ever_run(job, service):
+        while not self._can_plan(job, service):
             remaining_s = wait_until_s - time.monotonic()
             if remaining_s <= 0:
                 return
             self._capacity_view.report_received.clear()
-            wait_for_event(self._capacity_view.report_received, remaining_s)
+            pause_s = min(remaining_s, REPORT_CHECK_INTERVAL_MS / MS_PER_S)
+            wait_for_event(self._capacity_view.report_received, pause_s)
 
     def _can_ever_run(self, job: BatchJob, service: str) -> bool:
-        """Return whether some worker has capacity for the tasks of each step, free or not."""
+        """Return whether some listed worker has capacity for each step's tasks, free or not."""
         return all(self._capacity_view.can_ever_run(service, step.demand) for step in job.steps)
 
+    def _can_plan(self, job: BatchJob, service: str) -> bool:
+        """Return whether groups with capacity for each step's tasks, free or not, have reported."""
+        are_reported = [self._capacity_view.can_plan(service, step.demand) for step in job.steps]
+        return all(are_reported)  # each call requests what is missing
+
 
 def _task_count(run: JobRun) -> int:
     return sum(map(len, run.steps))
--- a/camphorchute/queues/tests/test_free_capacity_reports.py
+++ b/camphorchute/queues/tests/test_free_capacity_reports.py
@@ -6,7 +6,11 @@
 from camphorchute.cluster import GroupFollowers
 from camphorchute.contracts.member import Member
 from camphorchute.contracts.resources import Resources
-from camphorchute.contracts.run_messages import GroupFreeCapacity, WorkerFreeCapacity
+from camphorchute.contracts.run_messages import (
+    GroupFreeCapacity,
+    RequestReports,
+    WorkerFreeCapacity,
+)
 from camphorchute.queues import free_capacity_reports as module
 from camphorchute.queues.free_capacity_reports import FreeCapacityReports
 
@@ -42,12 +46,17 @@
         self.member = member
         self.receivers_by_report = []
         self.messages = []
+        self.sent_alone = []
         self.linked = set()
 
     def send_to_all(self, members, message):
         self.receivers_by_report.append(sorted(member.member_id for member in members))
         self.messages.append(message)
 
+    def send_if_linked(self, member_id, message):
+        self.sent_alone.append((member_id, message.number))
+        return True
+
     def is_linked(self, member_id):
         return member_id in self.linked
 
@@ -209,3 +218,16 @@
     pauses_s = [later - earlier for earlier, later in zip(complete_s, complete_s[1:], strict=False)]
     assert len(site.peers.messages) > 2 * len(complete_s)
     assert max(pauses_s) < 0.5 + 0.05
+
+
+def test_member_that_requests_reports_receives_them_for_a_time(make_site):
+    site = make_site([GROUPS[0]])
+    site.scheduler.free_capacity_report = lambda: [group_report()]
+    receivers = site.next_receivers()
+    other = next(m for m in site.view.members.values() if m.member_id not in receivers)
+    site.reports.handle_request(other, RequestReports(400.0))
+    assert site.peers.sent_alone == [(other.member_id, 1)]
+    assert other.member_id in site.next_receivers()
+    gevent.sleep(0.45)
+    site.next_receivers()  # the last one, for members that need no more
+    assert site.next_receivers() == receivers
--- a/camphorchute/queues/tests/test_free_capacity_view.py
+++ b/camphorchute/queues/tests/test_free_capacity_view.py
@@ -2,6 +2,8 @@
 
 import pytest
 
+from camphorchute.cluster import WorkerCapacities
+from camphorchute.cluster.worker_groups import WorkerGroups
 from camphorchute.contracts.batch_job import BatchStep, QueueLimits
 from camphorchute.contracts.member import Member
 from camphorchute.contracts.resources import Resources
@@ -11,6 +13,7 @@
     RoomReport,
     WorkerFreeCapacity,
 )
+from camphorchute.hosting import WorkerEntry
 from camphorchute.queues import FreeCapacityView
 
 LIMITS = QueueLimits(1, 4, 1.6, 60.0)
@@ -208,3 +211,20 @@
     assert len(ranks) == 2
     assert view.plan("flags", step, 4, LIMITS) is not plan
     assert [worker.free.cpu_millicores for worker in group.workers] == [32_000] * 12
+
+
+def test_tasks_do_not_wait_in_a_group_in_which_no_single_worker_holds_them():
+    """Tasks for a worker with GPUs waited in groups where another worker had the processors."""
+    entries = [("w1", Resources(32_000, 64)), ("w2", Resources(1000, 64, 2))]
+    groups = WorkerGroups()
+    for name, capacity in entries:
+        groups.set_worker(WorkerEntry(name, 1, "", "flags", "north", capacity))
+    groups.set_worker(WorkerEntry("w3", 1, "", "flags", "south", Resources(32_000, 64, 1)))
+    largest, total = Resources(32_000, 64, 2), Resources(33_000, 128, 2)
+    view = FreeCapacityView("north")
+    view.capacities = WorkerCapacities(groups)
+    for zone in ("north", "south"):
+        report = GroupFreeCapacity(f"{zone}/flags/0", "flags", total, {}, [], largest=largest)
+        view.handle_report(make_member(zone), RoomReport([report]))
+    step = BatchStep(2, Resources(14_000, 64, 1), 60.0)
+    assert view.plan("flags", step, 2, LIMITS).pending == {"south/flags/0": 2}
--- a/camphorchute/runs/group_names.py
+++ b/camphorchute/runs/group_names.py
@@ -2,7 +2,7 @@
 
 import xxhash
 
-__all__ = ["group_count", "group_of", "zone_of_group"]
+__all__ = ["group_count", "group_name", "group_of", "zone_of_group"]
 
 MAX_WORKERS_PER_GROUP = 12
 GROUP_SEPARATOR = "/"
@@ -38,6 +38,17 @@
         'north/flags/0'
     """
     number = xxhash.xxh32_intdigest(worker_id.encode()) % count
+    return group_name(zone, service, number)
+
+
+def group_name(zone: str, service: str, number: int) -> str:
+    """Return the name of a group by its number.
+
+    Args:
+        zone: availability zone of its workers.
+        service: service of its workers.
+        number: number of the group among those of this service and zone.
+    """
     return GROUP_SEPARATOR.join((zone, service, str(number)))
 
 
