Give every worker group a follower where few members are left

After the loss of most members, jobs waited in the groups that the others followed while workers of further groups stayed idle: a member follows eight groups at most, so that one member of 20 groups left 12 to nobody.

Cause: the number of groups that a member follows did not depend on how many members share them. A subscription does not help here, as enough followed groups can hold the demand. Ruled out: a fixed larger number, which fails with the next loss.

Change: members of a group's zone, or of any zone if that one has no member, follow at least their share of its groups.

The row of 300 groups and 14 members expected eight groups a member, of which 112 in all were followed; it expects 22 now, as exactly as before.

Fleets in which eight groups a member cover all follow as before (the other rows).

--- a/camphorchute/cluster/group_followers.py
+++ b/camphorchute/cluster/group_followers.py
@@ -1,7 +1,7 @@
 """Assignment of worker groups to the members that receive their free-capacity reports."""
 
 from collections.abc import Iterable
-from math import gcd
+from math import ceil, gcd
 
 from camphorchute.contracts.member import Member
 from camphorchute.runs.group_names import zone_of_group
@@ -19,7 +19,8 @@
     groups, every member follows all of them. Otherwise half of the groups followed are in the
     member's own availability zone and the rest are spread over the other zones. Within a zone,
     members that are next to each other in the order of their ids follow the next groups of each
-    zone, so that each group has about as many followers as any other of its zone.
+    zone, so that each group has about as many followers as any other of its zone. Where the
+    members are too few for that, they follow more groups, so that every group has a follower.
 
     Building the table sorts members and groups once. A question costs as much as its answer is
     long, so it does not depend on how many members and groups there are.
@@ -28,7 +29,7 @@
         members: all members, the same at every process.
         groups: names of all groups.
         max_groups: how many groups a member follows at most, except that it follows at least one
-            of each zone.
+            of each zone, and that every group has a follower.
 
     Examples:
         >>> north = [Member(str(n), "north", "", "", "", "") for n in range(4)]
@@ -130,6 +131,15 @@
         """Return how many groups of a zone a member of a zone follows; more than there are: all."""
         if self._group_total <= self._max_groups:
             return self._group_total
+        size = self._preferred_groups(member_zone, group_zone)
+        is_responsible = member_zone == group_zone or group_zone not in self._members_by_zone
+        members = len(self._members_by_zone.get(member_zone, ()))
+        if not is_responsible or not members:
+            return size
+        return max(size, ceil(len(self._groups_by_zone.get(group_zone, ())) / members))
+
+    def _preferred_groups(self, member_zone: str, group_zone: str) -> int:
+        """Return how many groups of a zone a member follows if the members are many."""
         other_zones = len(self._groups_by_zone) - (member_zone in self._groups_by_zone)
         if not other_zones:
             return self._max_groups
