Read chunked bodies in blocks, in the memory of the body, and with breaks

Eight clients with bodies in chunks of two bytes took 340 MB; a hundred held up the process, so that an ordinary caller got no answer. Trailers and chunk extensions without end were taken for 10 s. A legal body of 2,000,000 bytes in chunks of one byte was answered 503, as reading it delayed everything.

Cause: the library's reader keeps a list of pieces, some 50 bytes of bookkeeping each, reads sizes and trailers byte by byte, limits one line but not their sum, and does not yield while bytes are there. After a refusal it reads the rest of the body without a time limit, so that the caller keeps its connection for as long as it likes.

Weighed: httptools, which does not tell where a message ends, so that the whole connection would have to be parsed with it; h11, some events of Python code for each chunk (by reading; not measured, and neither is a dependency).

One body at a time decodes, and yields after a block that took over 0.5 ms. The connection of a request whose body was not read to its end is closed, after a second at most in which the caller can read the response. An upgrade request without a body no longer reads from the raw stream.

--- a/camphorchute/entry/http_server.py
+++ b/camphorchute/entry/http_server.py
@@ -17,6 +17,7 @@
 
 from camphorchute.contracts import Refusal, ResultCode
 from camphorchute.entry.problem import Response, problem_response
+from camphorchute.entry.request_body import BodyReading, RequestBody
 from camphorchute.entry.request_headers import read_headers
 
 __all__ = ["HttpServer", "Request", "route"]
@@ -27,6 +28,7 @@
 CLOSE_CHECK_INTERVAL_MS = 10.0
 LINE_TOO_LONG_STATUS = "414"
 SOCKET_KEY = "camphorchute.socket"
+BODY_KEY = "wsgi.input"
 READABLE = 1  # event mask of the event loop
 CLOSED_BY_PEER = select.POLLRDHUP | select.POLLHUP | select.POLLERR
 
@@ -192,6 +194,7 @@
         is_closing: whether the server is shutting down; connections close after their request.
         is_ending_idle: whether connections that wait for a request are ended.
         idle_handlers: handlers of the connections that wait for a request.
+        body_reading: limits of the bodies of all requests.
         late_refusal: response to every request that arrives during a shutdown. With one, idle
             connections stay open while requests are in flight; without, they end at its begin.
         count: adds to a named counter.
@@ -203,7 +206,7 @@
         self.is_ending_idle = False
         self.idle_handlers: set[_Handler] = set()
         self.late_refusal: Refusal | None = None
-        self._body_max_bytes = body_max_bytes
+        self.body_reading = BodyReading(body_max_bytes)
         self.count = count
         self._routes: list[tuple[str, re.Pattern, Callable]] = []
         self._pool = Pool(CONNECTIONS_MAX)
@@ -255,7 +258,7 @@
     def _serve(self, environ: dict, start_response: Callable) -> list[bytes]:
         response = self._respond(environ)
         headers = [*response.headers, ("Content-Length", str(len(response.body)))]
-        if self.is_closing:
+        if self.is_closing or environ[BODY_KEY].is_unread:
             headers.append(("Connection", "close"))
         start_response(response.status_line, headers)
         return [response.body]
@@ -292,26 +295,14 @@
         raise Refusal(code, f"{request.method} {request.path[:100]}")
 
     def _read_body(self, environ: dict) -> bytes:
-        length = _content_length(environ)
-        if length is not None and length > self._body_max_bytes:
-            raise Refusal(
-                ResultCode.BODY_TOO_LARGE, f"{length} bytes, at most {self._body_max_bytes}"
-            )
+        _check_content_length(environ)
         try:
             with gevent.Timeout(BODY_TIMEOUT_MS / 1000):
-                body = environ["wsgi.input"].read(self._body_max_bytes + 1)
+                return environ[BODY_KEY].read()
         except gevent.Timeout:
-            environ[SOCKET_KEY].shutdown(socket.SHUT_RD)
             raise Refusal(ResultCode.REQUEST_TIMEOUT, "the body was not received in time") from None
         except OSError as error:
             raise Refusal(ResultCode.MALFORMED_BODY, f"body: {error}") from error
-        if len(body) > self._body_max_bytes:
-            raise Refusal(ResultCode.BODY_TOO_LARGE, f"over {self._body_max_bytes} bytes")
-        if length is not None and len(body) < length:
-            raise Refusal(
-                ResultCode.MALFORMED_BODY, f"received {len(body)} of {length} bytes of the body"
-            )
-        return body
 
 
 class _HeadersTooSlow(Exception):  # noqa: N818
@@ -370,6 +361,14 @@
     def get_environ(self) -> dict:
         environ = super().get_environ()
         environ[SOCKET_KEY] = self.socket
+        self.wsgi_input = environ[BODY_KEY] = RequestBody(
+            self.rfile,
+            self.socket,
+            self.content_length,
+            environ.get("HTTP_TRANSFER_ENCODING", "").lower() == "chunked",
+            environ.get("HTTP_EXPECT") == "100-continue",
+            self.server.http_server.body_reading,
+        )
         return environ
 
     def _write_with_headers(self, data: bytes) -> None:
@@ -404,10 +403,8 @@
     return "\r\n".join([*lines, "", ""]).encode() + response.body
 
 
-def _content_length(environ: dict) -> int | None:
-    text = environ.get("CONTENT_LENGTH") or ""
-    if not text:
-        return None
+def _check_content_length(environ: dict) -> None:
+    """Raise the refusal of a length that is not well formed although it can be converted."""
+    text = environ.get("CONTENT_LENGTH") or "0"
     if not text.isascii() or not text.isdigit():
         raise Refusal(ResultCode.MALFORMED_BODY, f"Content-Length {text!r}")
-    return int(text)
--- /dev/null
+++ b/camphorchute/entry/request_body.py
@@ -0,0 +1,148 @@
+"""Bodies of HTTP requests, read from their connection in blocks."""
+
+import socket
+import time
+from io import BufferedReader
+
+import gevent
+from gevent.lock import BoundedSemaphore
+
+from camphorchute.contracts import Refusal, ResultCode
+from camphorchute.entry.chunk_decoder import ChunkDecoder
+
+__all__ = ["BodyReading", "RequestBody"]
+
+BLOCK_BYTES = 65_536
+LINGER_MS = 1000.0
+LINGER_MAX_BYTES = 2_000_000
+DECODE_SLICE_MS = 0.5
+CONTINUE_RESPONSE = b"HTTP/1.1 100 Continue\r\n\r\n"
+MS_PER_S = 1000.0
+
+
+class BodyReading:
+    """What the bodies of all connections of a server have in common.
+
+    Args:
+        max_bytes: the largest accepted body.
+
+    Attributes:
+        max_bytes: the largest accepted body.
+        decode_turn: held while a block of small chunks is decoded, so that many such bodies hold up
+            the other greenlets no longer than one.
+    """
+
+    __slots__ = ("max_bytes", "decode_turn")
+
+    def __init__(self, max_bytes: int) -> None:
+        self.max_bytes = max_bytes
+        self.decode_turn = BoundedSemaphore(1)
+
+
+class RequestBody:
+    """Body of one request. Takes the place of gevent's input object.
+
+    Args:
+        stream: buffered stream of the connection, after the headers.
+        sock: the socket of the connection.
+        length: number of bytes of the body, None without Content-Length.
+        is_chunked: whether the body is chunked.
+        is_continue_expected: whether the caller waits for "100 Continue" before the body.
+        reading: limits of all bodies.
+    """
+
+    __slots__ = (
+        "_stream",
+        "_socket",
+        "_length",
+        "_is_chunked",
+        "_is_continue_expected",
+        "_reading",
+        "_is_read",
+    )
+
+    def __init__(
+        self,
+        stream: BufferedReader,
+        sock: socket.socket,
+        length: int | None,
+        is_chunked: bool,
+        is_continue_expected: bool,
+        reading: BodyReading,
+    ) -> None:
+        self._stream = stream
+        self._socket = sock
+        self._length = length
+        self._is_chunked = is_chunked
+        self._is_continue_expected = is_continue_expected
+        self._reading = reading
+        self._is_read = not is_chunked and not length
+
+    @property
+    def is_unread(self) -> bool:
+        """Whether the connection cannot be used again, as a part of the body was not read."""
+        return not self._is_read
+
+    def read(self) -> bytes:
+        """Return the whole body.
+
+        Raises:
+            OSError: the connection failed.
+            Refusal: ``MALFORMED_BODY`` or ``BODY_TOO_LARGE``.
+        """
+        if self._is_read:
+            return b""
+        if self._is_continue_expected:
+            self._is_continue_expected = False
+            self._socket.sendall(CONTINUE_RESPONSE)
+        body = self._read_chunked() if self._is_chunked else self._read_plain()
+        self._is_read = True
+        return body
+
+    def _read_plain(self) -> bytes:
+        length = self._length
+        if length > self._reading.max_bytes:
+            raise Refusal(
+                ResultCode.BODY_TOO_LARGE, f"{length} bytes, at most {self._reading.max_bytes}"
+            )
+        body = bytearray()
+        while len(body) < length:
+            block = self._stream.read1(min(BLOCK_BYTES, length - len(body)))
+            if not block:
+                raise Refusal(
+                    ResultCode.MALFORMED_BODY, f"received {len(body)} of {length} bytes of the body"
+                )
+            if len(block) == length:
+                return block
+            body += block
+            if len(block) == BLOCK_BYTES:
+                gevent.sleep(0)
+        return bytes(body)
+
+    def _read_chunked(self) -> bytes:
+        decoder = ChunkDecoder(self._reading.max_bytes)
+        while not decoder.is_complete:
+            block = self._stream.peek(1)
+            if not block:
+                raise Refusal(ResultCode.MALFORMED_BODY, "body: it ends before the last chunk")
+            with self._reading.decode_turn:
+                started_s = time.perf_counter()
+                used = decoder.feed(block)
+                if (time.perf_counter() - started_s) * MS_PER_S > DECODE_SLICE_MS:
+                    gevent.sleep(0)
+            self._stream.read(used)
+        return bytes(decoder.body)
+
+    def _discard(self) -> None:
+        """Let the caller read the response before the connection is closed; called by gevent.
+
+        Closing a connection with unread bytes resets it, and the response may be lost with it.
+        """
+        if self._is_read or self._is_continue_expected:
+            return
+        self._socket._sock.shutdown(socket.SHUT_WR)
+        remaining_bytes = LINGER_MAX_BYTES
+        with gevent.Timeout(LINGER_MS / MS_PER_S, False):
+            while remaining_bytes > 0 and (block := self._stream.read1(BLOCK_BYTES)):
+                remaining_bytes -= len(block)
+                gevent.sleep(0)
