Bound the memory for the bodies of all requests together

A hundred and twenty clients that stopped one byte short of a body of legal size took 230 MB of a process; four hundred took 770 MB, more than the machine has.

Cause: a body had a limit and the connections had one, but nothing bounded their product, 8 GB. A connection may hold its bytes for 10 s and the client open the next one at once.

Weighed: fewer connections or smaller bodies, which refuse callers inside the limits in calm; a share for each client address, as callers come through a balancer; refusing whoever comes last, which lets the crowd keep out ordinary callers.

Change: ReceiveBudget reserves a body of known length before it is read, a chunked one as it grows, until the response. If there is no room, the bodies that have been incomplete for longest are given up: their memory is freed at once and they are answered 503, overloaded, not run, with a time to return. The setting receive_max_bytes defaults to a quarter of the machine's memory.

--- a/camphorchute/cli/settings.py
+++ b/camphorchute/cli/settings.py
@@ -4,12 +4,15 @@
 from typing import Any
 
 from camphorchute.cli.settings_table import SETTINGS, SettingInfo
+from camphorchute.machine_limits import machine_memory_bytes
 
 __all__ = ["SettingError", "Settings", "load_settings"]
 
 HIDDEN_TEXT = "(hidden)"
 UNSPECIFIED_HOSTS = ("0.0.0.0", "[::]")
 MS_PER_S = 1000
+MEMORY_DIVISOR = 4
+RECEIVE_DEFAULT_MAX_BYTES = 256_000_000
 
 
 class SettingError(Exception):
@@ -60,6 +63,7 @@
         "rack",
         "readiness_policy",
         "ready_address",
+        "receive_max_bytes",
         "sources",
         "statsd_address",
         "store_writes_per_s",
@@ -153,6 +157,9 @@
             values[f"advertise_{kind}_address"] = values[f"{kind}_address"]
     if not values.get("host") and "advertise_link_address" in values:
         values["host"] = values["advertise_link_address"].rpartition(":")[0]
+    if values.get("receive_max_bytes") == 0 and "body_max_bytes" in values:
+        by_memory = min(machine_memory_bytes() // MEMORY_DIVISOR, RECEIVE_DEFAULT_MAX_BYTES)
+        values["receive_max_bytes"] = max(by_memory, 2 * values["body_max_bytes"])
 
 
 def _check_rules(values: Mapping[str, Any]) -> list[SettingError]:
@@ -201,6 +208,11 @@
         lambda suspect_ms, window_s: suspect_ms < window_s * MS_PER_S,
         "{0} must be less than window_s ({1})",
     ),
+    (
+        ("receive_max_bytes", "body_max_bytes"),
+        lambda receive, body: receive >= 2 * body,
+        "{0} must be at least twice body_max_bytes ({1})",
+    ),
     (
         ("link_address", "http_address"),
         lambda link, http: link != http,
--- a/camphorchute/cli/settings_table.py
+++ b/camphorchute/cli/settings_table.py
@@ -270,6 +270,13 @@
         _integer_parser(1024, 1_000_000_000),
         "Largest body of a request.",
     ),
+    SettingInfo(
+        "receive_max_bytes",
+        "0",
+        _integer_parser(0, 1_000_000_000_000),
+        "Memory for the bodies of all requests that are being received or answered; at least twice "
+        "body_max_bytes. 0 stands for a quarter of the machine's memory, at most 256 MB.",
+    ),
     SettingInfo(
         "clock_skew_ms",
         "5000",
--- a/camphorchute/entry/chunk_decoder.py
+++ b/camphorchute/entry/chunk_decoder.py
@@ -20,6 +20,7 @@
 
     Args:
         max_bytes: the largest accepted body.
+        body: empty buffer for the body; a new one if it is None.
 
     Attributes:
         body: what has been decoded so far.
@@ -37,13 +38,13 @@
 
     __slots__ = ("body", "is_complete", "_max_bytes", "_left", "_partial", "_read", "_framing")
 
-    def __init__(self, max_bytes: int) -> None:
-        self.body = bytearray()
+    def __init__(self, max_bytes: int, body: bytearray | None = None) -> None:
+        self.body = bytearray() if body is None else body
         self.is_complete = False
         self._max_bytes = max_bytes
         self._left = 0
         self._partial = b""
-        self._read = self._read_chunk
+        self._read = ChunkDecoder._read_chunk  # not bound, which would make a reference cycle
         self._framing = 0
 
     def feed(self, block: bytes) -> int:
@@ -59,7 +60,7 @@
         partial_bytes = len(self._partial)
         position = 0
         while not self.is_complete:
-            next_position = self._read(data, position)
+            next_position = self._read(self, data, position)
             if next_position < 0:
                 break
             position = next_position
@@ -85,12 +86,12 @@
             content_at = match.end()
             content_end = content_at + size
             if size == 0:
-                self._read = self._read_trailer
+                self._read = ChunkDecoder._read_trailer
                 return content_at
             if content_end + 2 > end:
                 self._check_size(len(body) + size)
                 self._left = size
-                self._read = self._read_content
+                self._read = ChunkDecoder._read_content
                 return content_at
             if data[content_end : content_end + 2] != b"\r\n":
                 raise _malformed("a chunk is longer than its size")
@@ -108,7 +109,7 @@
         self._left -= taken
         self.body += memoryview(data)[position : position + taken]
         if not self._left:
-            self._read = self._read_end_of_chunk
+            self._read = ChunkDecoder._read_end_of_chunk
         return position + taken
 
     def _read_end_of_chunk(self, data: bytes, position: int) -> int:
@@ -118,7 +119,7 @@
             raise _malformed("a chunk is longer than its size")
         if len(line_end) < 2:
             return -1
-        self._read = self._read_chunk
+        self._read = ChunkDecoder._read_chunk
         return position + 2
 
     def _read_trailer(self, data: bytes, position: int) -> int:
--- a/camphorchute/entry/daemon.py
+++ b/camphorchute/entry/daemon.py
@@ -18,6 +18,7 @@
 from camphorchute.contracts.messages import Heartbeat, PoolUse, StatusIs
 from camphorchute.entry.caller_endpoints import CallerEndpoints, HealthEndpoints
 from camphorchute.entry.config_component import ConfigComponent
+from camphorchute.entry.http_limits import HttpLimits
 from camphorchute.entry.http_server import HttpServer
 from camphorchute.entry.logs import start_logs
 from camphorchute.entry.metrics import Metrics
@@ -155,7 +156,11 @@
         self._status_board = StatusBoard(
             self._make_status, self._view, self._records, self._peers, zones
         )
-        self._http = HttpServer(settings.http_address, settings.body_max_bytes, count)
+        self._http = HttpServer(
+            settings.http_address,
+            HttpLimits(settings.body_max_bytes, settings.receive_max_bytes),
+            count,
+        )
         self._http.late_refusal = Refusal(ResultCode.LEAVING, "", LEAVING_RETRY_AFTER_MS)
         self._greenlets: list[gevent.Greenlet] = []
         self._connect_components(zones)
--- a/camphorchute/entry/hosted_process.py
+++ b/camphorchute/entry/hosted_process.py
@@ -24,6 +24,7 @@
 from camphorchute.contracts.run_messages import TasksPlaced
 from camphorchute.durable_jobs import JobWriter, ShardClaims, ShardOwner
 from camphorchute.durable_jobs.shard import ShardContext
+from camphorchute.entry.http_limits import HttpLimits
 from camphorchute.entry.http_server import HttpServer
 from camphorchute.entry.logs import start_logs
 from camphorchute.entry.loop_lag import LoopLag
@@ -50,7 +51,7 @@
 WORKER_CHANGES_BATCH_MS = 600.0
 CLUSTER_CHANGES_BATCH_MS = 80.0
 ACCEPT_DRAIN_FRACTION = 0.45
-READY_BODY_BYTES = 1024
+READY_LIMITS = HttpLimits(body_max_bytes=1024, receive_max_bytes=65_536)
 COUNTERS_LOG_INTERVAL_S = 60.0
 JOB_WRITES_FRACTION = 0.5
 LONG_PAUSE_MS = 2000.0
@@ -175,8 +176,9 @@
         self._shard_owner = ShardOwner(
             self._member, self._shard_claims, self._capacity_view, shard_context
         )
-        self._http = HttpServer(settings.http_address, settings.body_max_bytes, count)
-        self._ready_http = HttpServer(settings.ready_address, READY_BODY_BYTES, count)
+        limits = HttpLimits(settings.body_max_bytes, settings.receive_max_bytes)
+        self._http = HttpServer(settings.http_address, limits, count)
+        self._ready_http = HttpServer(settings.ready_address, READY_LIMITS, count)
         self._greenlets: list[gevent.Greenlet] = []
         self._connect_components(count)
 
--- a/camphorchute/entry/http_server.py
+++ b/camphorchute/entry/http_server.py
@@ -16,6 +16,7 @@
 from gevent.pywsgi import WSGIHandler, WSGIServer
 
 from camphorchute.contracts import Refusal, ResultCode
+from camphorchute.entry.http_limits import HttpLimits
 from camphorchute.entry.problem import Response, problem_response
 from camphorchute.entry.request_body import BodyReading, RequestBody
 from camphorchute.entry.request_headers import read_headers
@@ -187,7 +188,7 @@
 
     Args:
         address: ``IP:port`` to listen on.
-        body_max_bytes: the largest accepted request body.
+        limits: limits on what it holds for its callers.
         count: adds to a named counter.
 
     Attributes:
@@ -200,13 +201,13 @@
         count: adds to a named counter.
     """
 
-    def __init__(self, address: str, body_max_bytes: int, count: Callable[..., None]) -> None:
+    def __init__(self, address: str, limits: HttpLimits, count: Callable[..., None]) -> None:
         host, _, port = address.rpartition(":")
         self.is_closing = False
         self.is_ending_idle = False
         self.idle_handlers: set[_Handler] = set()
         self.late_refusal: Refusal | None = None
-        self.body_reading = BodyReading(body_max_bytes)
+        self.body_reading = BodyReading(limits, count)
         self.count = count
         self._routes: list[tuple[str, re.Pattern, Callable]] = []
         self._pool = Pool(CONNECTIONS_MAX)
@@ -280,6 +281,8 @@
             self.count("http.fault")
             write_traceback()
             return problem_response(Refusal(ResultCode.INTERNAL, repr(error)))
+        finally:
+            environ[BODY_KEY].release()
 
     def _find_handler(self, request: Request) -> Callable[[Request], Response]:
         path_exists = False
--- a/camphorchute/entry/request_body.py
+++ b/camphorchute/entry/request_body.py
@@ -2,6 +2,8 @@
 
 import socket
 import time
+from collections.abc import Callable
+from contextlib import suppress
 from io import BufferedReader
 
 import gevent
@@ -9,6 +11,8 @@
 
 from camphorchute.contracts import Refusal, ResultCode
 from camphorchute.entry.chunk_decoder import ChunkDecoder
+from camphorchute.entry.http_limits import HttpLimits
+from camphorchute.entry.receive_budget import ReceiveBudget
 
 __all__ = ["BodyReading", "RequestBody"]
 
@@ -24,18 +28,21 @@
     """What the bodies of all connections of a server have in common.
 
     Args:
-        max_bytes: the largest accepted body.
+        limits: limits of the server.
+        count: adds to a named counter.
 
     Attributes:
         max_bytes: the largest accepted body.
+        budget: bounds the memory of all bodies.
         decode_turn: held while a block of small chunks is decoded, so that many such bodies hold up
             the other greenlets no longer than one.
     """
 
-    __slots__ = ("max_bytes", "decode_turn")
+    __slots__ = ("max_bytes", "budget", "decode_turn")
 
-    def __init__(self, max_bytes: int) -> None:
-        self.max_bytes = max_bytes
+    def __init__(self, limits: HttpLimits, count: Callable[..., None]) -> None:
+        self.max_bytes = limits.body_max_bytes
+        self.budget = ReceiveBudget(limits.receive_max_bytes, count)
         self.decode_turn = BoundedSemaphore(1)
 
 
@@ -59,6 +66,8 @@
         "_is_continue_expected",
         "_reading",
         "_is_read",
+        "_reservation",
+        "_received",
     )
 
     def __init__(
@@ -77,6 +86,8 @@
         self._is_continue_expected = is_continue_expected
         self._reading = reading
         self._is_read = not is_chunked and not length
+        self._received = bytearray()
+        self._reservation = None if self._is_read else reading.budget.open(self._end_receipt)
 
     @property
     def is_unread(self) -> bool:
@@ -88,26 +99,44 @@
 
         Raises:
             OSError: the connection failed.
-            Refusal: ``MALFORMED_BODY`` or ``BODY_TOO_LARGE``.
+            Refusal: ``MALFORMED_BODY`` or ``BODY_TOO_LARGE``, or ``OVERLOADED`` if other bodies
+                take the memory.
         """
         if self._is_read:
             return b""
         if self._is_continue_expected:
             self._is_continue_expected = False
             self._socket.sendall(CONTINUE_RESPONSE)
-        body = self._read_chunked() if self._is_chunked else self._read_plain()
+        try:
+            body = self._read_chunked() if self._is_chunked else self._read_plain()
+        finally:
+            self._received.clear()
+        self._reservation.end_receipt()
         self._is_read = True
         return body
 
+    def release(self) -> None:
+        """Release the memory that was reserved for the body."""
+        if self._reservation is not None:
+            self._reservation.close()
+
+    def _end_receipt(self) -> None:
+        """Free what has been received, and let the read that waits for the rest return."""
+        self._received.clear()
+        with suppress(OSError):
+            self._socket._sock.shutdown(socket.SHUT_RD)
+
     def _read_plain(self) -> bytes:
         length = self._length
         if length > self._reading.max_bytes:
             raise Refusal(
                 ResultCode.BODY_TOO_LARGE, f"{length} bytes, at most {self._reading.max_bytes}"
             )
-        body = bytearray()
+        self._reservation.grow_to(length)
+        body = self._received
         while len(body) < length:
             block = self._stream.read1(min(BLOCK_BYTES, length - len(body)))
+            self._reservation.check()
             if not block:
                 raise Refusal(
                     ResultCode.MALFORMED_BODY, f"received {len(body)} of {length} bytes of the body"
@@ -120,9 +149,10 @@
         return bytes(body)
 
     def _read_chunked(self) -> bytes:
-        decoder = ChunkDecoder(self._reading.max_bytes)
+        decoder = ChunkDecoder(self._reading.max_bytes, self._received)
         while not decoder.is_complete:
             block = self._stream.peek(1)
+            self._reservation.grow_to(len(decoder.body) + len(block))
             if not block:
                 raise Refusal(ResultCode.MALFORMED_BODY, "body: it ends before the last chunk")
             with self._reading.decode_turn:
--- a/camphorchute/entry/tests/test_chunk_decoder.py
+++ b/camphorchute/entry/tests/test_chunk_decoder.py
@@ -1,3 +1,6 @@
+import gc
+import weakref
+
 import pytest
 
 from camphorchute.contracts import Refusal, ResultCode
@@ -80,3 +83,20 @@
     assert len(decoder.body) == 100_000
     assert decoder.body.__sizeof__() < 1.3 * 100_000
     assert len(decoder._partial) < chunk_decoder.LINE_MAX_BYTES
+
+
+def test_body_is_freed_without_a_search_for_cycles():
+    """Bodies of refused requests stayed in memory until the next search for reference cycles."""
+
+    class Decoder(ChunkDecoder):
+        __slots__ = ("__weakref__",)
+
+    gc.disable()
+    try:
+        decoder = Decoder(MAX_BYTES)
+        decoder.feed(b"5\r\nflags\r\n3\r\nab")
+        reference = weakref.ref(decoder)
+        del decoder
+        assert reference() is None
+    finally:
+        gc.enable()
--- a/camphorchute/entry/tests/test_http_server.py
+++ b/camphorchute/entry/tests/test_http_server.py
@@ -9,6 +9,7 @@
 
 from camphorchute.contracts import Refusal, ResultCode
 from camphorchute.entry import http_server
+from camphorchute.entry.http_limits import HttpLimits
 from camphorchute.entry.http_server import HttpServer, Request, route
 from camphorchute.entry.problem import PROBLEM_TYPE, json_response
 
@@ -42,7 +43,9 @@
         self.counted = []
         self.endpoints = Endpoints()
         self.server = HttpServer(
-            "127.0.0.1:0", BODY_MAX_BYTES, lambda name, n=1: self.counted.append(name)
+            "127.0.0.1:0",
+            HttpLimits(BODY_MAX_BYTES, 10 * BODY_MAX_BYTES),
+            lambda name, n=1: self.counted.append(name),
         )
         self.server.add(self.endpoints)
         self.server.start()
--- a/camphorchute/entry/tests/test_request_body.py
+++ b/camphorchute/entry/tests/test_request_body.py
@@ -7,16 +7,21 @@
 from camphorchute.contracts import Refusal, ResultCode
 from camphorchute.entry import request_body
 from camphorchute.entry.chunk_decoder import ChunkDecoder
+from camphorchute.entry.http_limits import HttpLimits
 from camphorchute.entry.request_body import BodyReading, RequestBody
 
 MAX_BYTES = 200_000
 SMALL_CHUNKS = b"2\r\nab\r\n" * 20_000 + b"0\r\n\r\n"
 
 
+def make_reading(max_bytes=MAX_BYTES, receive_max_bytes=8 * MAX_BYTES):
+    return BodyReading(HttpLimits(max_bytes, receive_max_bytes), lambda name, n=1: None)
+
+
 def make_body(data, length=None, reading=None):
     stream = BufferedReader(BytesIO(data))
     is_chunked = length is None
-    return RequestBody(stream, None, length, is_chunked, False, reading or BodyReading(MAX_BYTES))
+    return RequestBody(stream, None, length, is_chunked, False, reading or make_reading())
 
 
 @pytest.mark.parametrize(
@@ -81,7 +86,7 @@
             gevent.sleep(0)
 
     monkeypatch.setattr(ChunkDecoder, "feed", counted_feed)
-    other, reading = gevent.spawn(take_turns), BodyReading(MAX_BYTES)
+    other, reading = gevent.spawn(take_turns), make_reading()
     readers = [gevent.spawn(make_body(SMALL_CHUNKS, reading=reading).read) for _ in range(bodies)]
     gevent.joinall(readers, raise_error=True)
     other.kill()
@@ -92,7 +97,7 @@
 def test_response_reaches_a_caller_that_still_sends(sent_after):
     """A connection that is closed with unread bytes is reset, and the response may be lost."""
     server, client = gevent.socket.socketpair()
-    body = RequestBody(server.makefile("rb"), server, MAX_BYTES + 1, False, False, BodyReading(1))
+    body = RequestBody(server.makefile("rb"), server, MAX_BYTES + 1, False, False, make_reading(1))
     with pytest.raises(Refusal):
         body.read()
     client.sendall(b"a" * sent_after)
@@ -101,3 +106,30 @@
     body._discard()
     assert client.recv(100) == b"response"
     assert not body._stream.read()
+
+
+# Refused bodies stayed in memory for as long as their connections.
+@pytest.mark.parametrize(
+    ("data", "length"), [(b"ab", 3), (b"2\r\nab\r\n", None), (b"2\r\nab\r\nx", None)]
+)
+def test_refused_body_is_freed_and_its_bytes_are_released(data, length):
+    reading = make_reading()
+    body = make_body(data, length, reading)
+    with pytest.raises(Refusal):
+        body.read()
+    body.release()
+    assert (len(body._received), reading.budget.held_bytes) == (0, 0)
+
+
+def test_body_that_is_given_up_is_freed_at_once_and_answered_with_a_refusal():
+    server, client = gevent.socket.socketpair()
+    reading = make_reading(receive_max_bytes=2 * MAX_BYTES)
+    first = RequestBody(server.makefile("rb"), server, MAX_BYTES, False, False, reading)
+    waiting = gevent.spawn(first.read)
+    client.sendall(b"a" * (MAX_BYTES - 1))
+    while len(first._received) < MAX_BYTES - 1:
+        gevent.sleep(0.001)
+    assert make_body(b"b" * MAX_BYTES, MAX_BYTES, reading).read() == b"b" * MAX_BYTES
+    assert len(first._received) == 0
+    waiting.join(5)
+    assert waiting.exception.code is ResultCode.OVERLOADED
