Close the connection that waits longest where too many are open

Four hundred clients that were silent, or dripped a head without end, took a descriptor and up to 57 KB each for 60 s; 4,096 of them are more than the descriptors and the memory of most machines, and the next caller waits until one leaves.

Cause: the number of connections was a constant, not the machine's, and at the limit the server stopped to accept instead of choosing.

Change: OpenConnections keeps the order in which connections began to wait for their caller; a new one closes the first of them. A request that has begun is answered 503, overloaded, not run; a connection between two requests is closed. Those that serve a request are never closed. The setting connections_max defaults to one for each 512 KB of the machine's memory and half of its descriptors; the receive buffer of each is 32 KiB, since unread bytes take the machine's memory as well.

--- a/camphorchute/cli/settings.py
+++ b/camphorchute/cli/settings.py
@@ -4,7 +4,7 @@
 from typing import Any
 
 from camphorchute.cli.settings_table import SETTINGS, SettingInfo
-from camphorchute.machine_limits import machine_memory_bytes
+from camphorchute.machine_limits import descriptors_max, machine_memory_bytes
 
 __all__ = ["SettingError", "Settings", "load_settings"]
 
@@ -13,6 +13,9 @@
 MS_PER_S = 1000
 MEMORY_DIVISOR = 4
 RECEIVE_DEFAULT_MAX_BYTES = 256_000_000
+MEMORY_PER_CONNECTION_BYTES = 512 * 1024  # a quarter of it for headers, unread bytes and objects
+CONNECTIONS_DEFAULT_MIN, CONNECTIONS_DEFAULT_MAX = 64, 4096
+FILE_DESCRIPTORS = 200
 
 
 class SettingError(Exception):
@@ -46,6 +49,7 @@
         "answer_retention_s",
         "body_max_bytes",
         "clock_skew_ms",
+        "connections_max",
         "drain_ms",
         "evacuation_return_ms",
         "resend_ms",
@@ -160,6 +164,11 @@
     if values.get("receive_max_bytes") == 0 and "body_max_bytes" in values:
         by_memory = min(machine_memory_bytes() // MEMORY_DIVISOR, RECEIVE_DEFAULT_MAX_BYTES)
         values["receive_max_bytes"] = max(by_memory, 2 * values["body_max_bytes"])
+    if values.get("connections_max") == 0:
+        by_memory = machine_memory_bytes() // MEMORY_PER_CONNECTION_BYTES
+        by_descriptors = (descriptors_max() - FILE_DESCRIPTORS) // 2
+        most = min(by_memory, by_descriptors, CONNECTIONS_DEFAULT_MAX)
+        values["connections_max"] = max(most, CONNECTIONS_DEFAULT_MIN)
 
 
 def _check_rules(values: Mapping[str, Any]) -> list[SettingError]:
--- a/camphorchute/cli/settings_table.py
+++ b/camphorchute/cli/settings_table.py
@@ -277,6 +277,14 @@
         "Memory for the bodies of all requests that are being received or answered; at least twice "
         "body_max_bytes. 0 stands for a quarter of the machine's memory, at most 256 MB.",
     ),
+    SettingInfo(
+        "connections_max",
+        "0",
+        _integer_parser(0, 100_000),
+        "Open connections of callers and operators; at more, those that wait for their caller "
+        "longest are closed. 0 stands for one for each 512 KB of the machine's memory and half of "
+        "the descriptors, 64 to 4096.",
+    ),
     SettingInfo(
         "clock_skew_ms",
         "5000",
--- a/camphorchute/entry/daemon.py
+++ b/camphorchute/entry/daemon.py
@@ -158,7 +158,9 @@
         )
         self._http = HttpServer(
             settings.http_address,
-            HttpLimits(settings.body_max_bytes, settings.receive_max_bytes),
+            HttpLimits(
+                settings.body_max_bytes, settings.receive_max_bytes, settings.connections_max
+            ),
             count,
         )
         self._http.late_refusal = Refusal(ResultCode.LEAVING, "", LEAVING_RETRY_AFTER_MS)
--- a/camphorchute/entry/hosted_process.py
+++ b/camphorchute/entry/hosted_process.py
@@ -51,7 +51,7 @@
 WORKER_CHANGES_BATCH_MS = 600.0
 CLUSTER_CHANGES_BATCH_MS = 80.0
 ACCEPT_DRAIN_FRACTION = 0.45
-READY_LIMITS = HttpLimits(body_max_bytes=1024, receive_max_bytes=65_536)
+READY_LIMITS = HttpLimits(body_max_bytes=1024, receive_max_bytes=65_536, connections_max=64)
 COUNTERS_LOG_INTERVAL_S = 60.0
 JOB_WRITES_FRACTION = 0.5
 LONG_PAUSE_MS = 2000.0
@@ -176,7 +176,9 @@
         self._shard_owner = ShardOwner(
             self._member, self._shard_claims, self._capacity_view, shard_context
         )
-        limits = HttpLimits(settings.body_max_bytes, settings.receive_max_bytes)
+        limits = HttpLimits(
+            settings.body_max_bytes, settings.receive_max_bytes, settings.connections_max
+        )
         self._http = HttpServer(settings.http_address, limits, count)
         self._ready_http = HttpServer(settings.ready_address, READY_LIMITS, count)
         self._greenlets: list[gevent.Greenlet] = []
--- a/camphorchute/entry/http_server.py
+++ b/camphorchute/entry/http_server.py
@@ -17,18 +17,22 @@
 
 from camphorchute.contracts import Refusal, ResultCode
 from camphorchute.entry.http_limits import HttpLimits
+from camphorchute.entry.open_connections import OpenConnections
 from camphorchute.entry.problem import Response, problem_response
 from camphorchute.entry.request_body import BodyReading, RequestBody
 from camphorchute.entry.request_headers import read_headers
 
 __all__ = ["HttpServer", "Request", "route"]
 
-CONNECTIONS_MAX = 4096
+CLOSING_CONNECTIONS_MAX = 32
+RECEIVE_BUFFER_BYTES = 32_768
 BODY_TIMEOUT_MS = 10_000.0
 IDLE_TIMEOUT_MS = 60_000.0
 CLOSE_CHECK_INTERVAL_MS = 10.0
 LINE_TOO_LONG_STATUS = "414"
 SOCKET_KEY = "camphorchute.socket"
+TOO_MANY_CONNECTIONS = "too many open connections"
+HANDLER_KEY = "camphorchute.handler"
 BODY_KEY = "wsgi.input"
 READABLE = 1  # event mask of the event loop
 CLOSED_BY_PEER = select.POLLRDHUP | select.POLLHUP | select.POLLERR
@@ -196,6 +200,7 @@
         is_ending_idle: whether connections that wait for a request are ended.
         idle_handlers: handlers of the connections that wait for a request.
         body_reading: limits of the bodies of all requests.
+        connections: the open connections.
         late_refusal: response to every request that arrives during a shutdown. With one, idle
             connections stay open while requests are in flight; without, they end at its begin.
         count: adds to a named counter.
@@ -210,7 +215,8 @@
         self.body_reading = BodyReading(limits, count)
         self.count = count
         self._routes: list[tuple[str, re.Pattern, Callable]] = []
-        self._pool = Pool(CONNECTIONS_MAX)
+        self.connections = OpenConnections(limits.connections_max, count)
+        self._pool = Pool(limits.connections_max + CLOSING_CONNECTIONS_MAX)
         self._server = _Server(
             (host, int(port)), self._serve, log=None, spawn=self._pool, handler_class=_Handler
         )
@@ -268,6 +274,7 @@
         late_refusal = self.late_refusal if self.is_closing else None
         try:
             request = Request(environ, self._read_body(environ))
+            self.connections.begin_request(environ[HANDLER_KEY])
             if late_refusal is not None:
                 raise late_refusal
             try:
@@ -302,6 +309,10 @@
         try:
             with gevent.Timeout(BODY_TIMEOUT_MS / 1000):
                 return environ[BODY_KEY].read()
+        except Refusal:
+            if environ[HANDLER_KEY].is_given_up:
+                raise Refusal(ResultCode.OVERLOADED, TOO_MANY_CONNECTIONS) from None
+            raise
         except gevent.Timeout:
             raise Refusal(ResultCode.REQUEST_TIMEOUT, "the body was not received in time") from None
         except OSError as error:
@@ -312,16 +323,44 @@
     """The headers of a request were not received in time."""
 
 
+class _GivenUp(Exception):  # noqa: N818
+    """The connection was needed for others before its request was complete."""
+
+
 class _Server(WSGIServer):
     http_server: HttpServer
 
+    def init_socket(self) -> None:
+        super().init_socket()
+        # Bytes that nobody has read yet take memory of the machine for each connection.
+        self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+
     def do_handle(self, client_socket: socket.socket, address: tuple) -> None:
         client_socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         super().do_handle(client_socket, address)
 
 
 class _Handler(WSGIHandler):
-    """Registers itself with the server while idle, so that a shutdown can end its connection."""
+    """Handles the requests of one connection.
+
+    It registers itself with the server while idle, so that a shutdown can end its connection, and
+    while open, so that the connection can be closed for others.
+    """
+
+    is_given_up = False  # whether it was closed for others
+
+    def handle(self) -> None:
+        connections = self.server.http_server.connections
+        connections.add(self)
+        try:
+            super().handle()
+        finally:
+            connections.remove(self)
+
+    def give_up(self) -> None:
+        """Close the connection for others; a request that has begun is refused."""
+        self.is_given_up = True
+        self.end_idle()
 
     def read_requestline(self) -> str:
         http_server = self.server.http_server
@@ -330,14 +369,19 @@
         http_server.idle_handlers.add(self)
         try:
             with gevent.Timeout(IDLE_TIMEOUT_MS / 1000, False):
-                return super().read_requestline()
+                line = super().read_requestline()
+                return "" if self.is_given_up and not line.strip() else line
             return ""
         finally:
             http_server.idle_handlers.discard(self)
 
     def read_request(self, raw_requestline: str) -> bool:
-        with gevent.Timeout(IDLE_TIMEOUT_MS / 1000, _HeadersTooSlow):
-            return super().read_request(raw_requestline)
+        try:
+            with gevent.Timeout(IDLE_TIMEOUT_MS / 1000, _HeadersTooSlow):
+                return super().read_request(raw_requestline)
+        finally:
+            if self.is_given_up:
+                raise _GivenUp
 
     def MessageClass(self, stream: object, *_: object) -> object:  # noqa: N802 - name in gevent
         return read_headers(stream)
@@ -347,10 +391,13 @@
             return self._refuse_and_close(
                 ResultCode.REQUEST_TIMEOUT, "the headers were not received in time"
             )
+        if isinstance(ex, _GivenUp):
+            return self._refuse_and_close(ResultCode.OVERLOADED, TOO_MANY_CONNECTIONS)
         return self._refuse_and_close(ResultCode.MALFORMED_BODY, f"invalid HTTP request: {ex}")
 
     def handle_one_request(self) -> object:
         result = super().handle_one_request()
+        self.server.http_server.connections.end_request(self)
         if isinstance(result, tuple) and result[0] == LINE_TOO_LONG_STATUS:
             return self._refuse_and_close(ResultCode.MALFORMED_BODY, "the request line is too long")
         return result
@@ -364,6 +411,7 @@
     def get_environ(self) -> dict:
         environ = super().get_environ()
         environ[SOCKET_KEY] = self.socket
+        environ[HANDLER_KEY] = self
         self.wsgi_input = environ[BODY_KEY] = RequestBody(
             self.rfile,
             self.socket,
@@ -385,7 +433,7 @@
         self._sendall(b"".join(parts))
 
     def end_idle(self) -> None:
-        """End the connection while it waits for its next request.
+        """End the connection while it waits for its caller.
 
         A request that has arrived is read nevertheless; the method of gevent's socket would
         cancel the wait for it.
--- a/camphorchute/entry/tests/test_http_server.py
+++ b/camphorchute/entry/tests/test_http_server.py
@@ -39,12 +39,12 @@
 class RunningServer:
     """A started server with its endpoints and counters."""
 
-    def __init__(self):
+    def __init__(self, connections_max=100):
         self.counted = []
         self.endpoints = Endpoints()
         self.server = HttpServer(
             "127.0.0.1:0",
-            HttpLimits(BODY_MAX_BYTES, 10 * BODY_MAX_BYTES),
+            HttpLimits(BODY_MAX_BYTES, 10 * BODY_MAX_BYTES, connections_max),
             lambda name, n=1: self.counted.append(name),
         )
         self.server.add(self.endpoints)
@@ -328,3 +328,31 @@
         ours.recv(1)
     for sock in (ours, theirs):
         sock.close()
+
+
+# A crowd that sends nothing, or stops within a request, took all connections of a process.
+@pytest.mark.parametrize(
+    ("data", "status"),
+    [
+        (b"", b""),
+        (b"POST /quick HT", b"503"),
+        (b"POST /quick HTTP/1.1\r\nHost: a\r\nContent-Le", b"503"),
+        (b"POST /quick HTTP/1.1\r\nContent-Length: 9\r\n\r\n{", b"503"),
+        (b"POST /quick HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n5\r\n{", b"503"),
+    ],
+    ids=["nothing", "request line", "headers", "body", "chunked body"],
+)
+def test_connection_that_waits_longest_is_refused_for_a_new_one(data, status):
+    running = RunningServer(connections_max=3)
+    waiting = running.connect()
+    waiting.sendall(data)
+    gevent.sleep(0.05)
+    others = [running.connect() for _ in range(3)]
+    response = waiting.recv(65536)
+    assert response.partition(b" ")[2][:3] == status
+    if status:
+        assert b"Retry-After: " in response
+        assert b'"may_have_run":"not run"' in response
+    others[-1].sendall(b"POST /quick HTTP/1.1\r\nContent-Length: 2\r\n\r\n{}")
+    assert others[-1].recv(65536).startswith(b"HTTP/1.1 200")
+    running.server.close(0)
--- a/camphorchute/entry/tests/test_request_body.py
+++ b/camphorchute/entry/tests/test_request_body.py
@@ -15,7 +15,7 @@
 
 
 def make_reading(max_bytes=MAX_BYTES, receive_max_bytes=8 * MAX_BYTES):
-    return BodyReading(HttpLimits(max_bytes, receive_max_bytes), lambda name, n=1: None)
+    return BodyReading(HttpLimits(max_bytes, receive_max_bytes, 100), lambda name, n=1: None)
 
 
 def make_body(data, length=None, reading=None):
--- a/camphorchute/machine_limits.py
+++ b/camphorchute/machine_limits.py
@@ -1,8 +1,20 @@
 """What the machine allows this process, for defaults of its limits."""
 
 import os
+import resource
 
-__all__ = ["machine_memory_bytes"]
+__all__ = ["descriptors_max", "machine_memory_bytes"]
+
+
+def descriptors_max() -> int:
+    """Return how many descriptors this process may have open.
+
+    Examples:
+        >>> descriptors_max() > 16
+        True
+    """
+    limit, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    return limit if limit != resource.RLIM_INFINITY else 2**20
 
 
 def machine_memory_bytes() -> int:
