Close the connection of a caller that reads no response for 30 s

A client that sends requests and reads no answers kept its connection, its greenlet and the response for as long as it liked; connections that serve a request are never closed for others.

Cause: the response was written without a time limit.

Change: 30 s for each part of a response, then the connection is closed and counted as http.response_unread.

--- a/camphorchute/entry/http_server.py
+++ b/camphorchute/entry/http_server.py
@@ -1,5 +1,6 @@
 """HTTP server for callers and operators, with routes, limits and graceful shutdown."""
 
+import errno
 import re
 import select
 import socket
@@ -28,6 +29,7 @@
 RECEIVE_BUFFER_BYTES = 32_768
 BODY_TIMEOUT_MS = 10_000.0
 IDLE_TIMEOUT_MS = 60_000.0
+RESPONSE_TIMEOUT_MS = 30_000.0
 CLOSE_CHECK_INTERVAL_MS = 10.0
 LINE_TOO_LONG_STATUS = "414"
 SOCKET_KEY = "camphorchute.socket"
@@ -422,6 +424,19 @@
         )
         return environ
 
+    def _sendall(self, data: bytes) -> None:
+        """Send a part of a response; a caller that does not read it loses its connection.
+
+        Raises:
+            ConnectionResetError: the caller has not read it within ``RESPONSE_TIMEOUT_MS``.
+        """
+        try:
+            with gevent.Timeout(RESPONSE_TIMEOUT_MS / 1000):
+                super()._sendall(data)
+        except gevent.Timeout:
+            self.server.http_server.count("http.response_unread")
+            raise ConnectionResetError(errno.ECONNRESET, "the response is not read") from None
+
     def _write_with_headers(self, data: bytes) -> None:
         """Send the headers and the first part of the body with one write."""
         parts: list[bytes] = []
--- a/camphorchute/entry/tests/test_http_server.py
+++ b/camphorchute/entry/tests/test_http_server.py
@@ -356,3 +356,17 @@
     others[-1].sendall(b"POST /quick HTTP/1.1\r\nContent-Length: 2\r\n\r\n{}")
     assert others[-1].recv(65536).startswith(b"HTTP/1.1 200")
     running.server.close(0)
+
+
+def test_caller_that_reads_no_response_loses_its_connection(running, monkeypatch):
+    """Such callers kept their connections, which served nobody else, for as long as they liked."""
+    monkeypatch.setattr(http_server, "RESPONSE_TIMEOUT_MS", SHORT_MS)
+    running.endpoints.release.set()
+    connection = running.connect()
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+    connection.sendall(post("/slow") * 200)
+    with gevent.Timeout(TIMEOUT_S):
+        while "http.response_unread" not in running.counted:
+            gevent.sleep(0.01)
+        while len(running.server.connections):
+            gevent.sleep(0.01)
