Let the refusal of a request without a complete head reach its caller

A caller whose headers or request line were too long got a reset connection instead of the 400, in 2 of 2 tests; one that read no responses and then sent no request kept its connection for ever (by reading).

Cause: the refusal was written without a time limit and the connection closed while bytes of the caller were unread, which resets it.

Measured: test_refusal_reaches_a_caller_that_is_still_sending, [headers] and [request line] failed before and pass; its row [body] passed before.

--- a/camphorchute/entry/http_server.py
+++ b/camphorchute/entry/http_server.py
@@ -6,6 +6,7 @@
 import socket
 import time
 from collections.abc import Callable
+from contextlib import suppress
 from urllib.parse import parse_qs, unquote
 
 import gevent
@@ -20,7 +21,7 @@
 from camphorchute.entry.http_limits import HttpLimits
 from camphorchute.entry.open_connections import OpenConnections
 from camphorchute.entry.problem import Response, problem_response
-from camphorchute.entry.request_body import BodyReading, RequestBody
+from camphorchute.entry.request_body import BodyReading, RequestBody, linger
 from camphorchute.entry.request_headers import read_headers
 
 __all__ = ["HttpServer", "Request", "route"]
@@ -400,12 +401,19 @@
     def handle_one_request(self) -> object:
         result = super().handle_one_request()
         self.server.http_server.connections.end_request(self)
-        if isinstance(result, tuple) and result[0] == LINE_TOO_LONG_STATUS:
-            return self._refuse_and_close(ResultCode.MALFORMED_BODY, "the request line is too long")
-        return result
+        if not isinstance(result, tuple):
+            return result
+        if result[0] == LINE_TOO_LONG_STATUS:
+            result = self._refuse_and_close(
+                ResultCode.MALFORMED_BODY, "the request line is too long"
+            )
+        with suppress(OSError):
+            self._send_in_time(self.socket.sendall, result[1])
+            linger(self.socket, self.rfile)
+        return None
 
     def _refuse_and_close(self, code: ResultCode, detail: str) -> tuple[str, bytes]:
-        """Return the response to an invalid request; it closes the connection."""
+        """Return the response to a request without a complete head; it closes the connection."""
         self.server.http_server.count(f"http.refused.{code.name.lower()}")
         response = problem_response(Refusal(code, detail))
         return str(response.status), _encode_message(response)
@@ -425,14 +433,22 @@
         return environ
 
     def _sendall(self, data: bytes) -> None:
+        self._send_in_time(super()._sendall, data)
+
+    def _send_in_time(self, send: Callable[[bytes], None], data: bytes) -> None:
         """Send a part of a response; a caller that does not read it loses its connection.
 
+        Args:
+            send: sends all bytes.
+            data: the part.
+
         Raises:
             ConnectionResetError: the caller has not read it within ``RESPONSE_TIMEOUT_MS``.
+            OSError: the connection has ended.
         """
         try:
             with gevent.Timeout(RESPONSE_TIMEOUT_MS / 1000):
-                super()._sendall(data)
+                send(data)
         except gevent.Timeout:
             self.server.http_server.count("http.response_unread")
             raise ConnectionResetError(errno.ECONNRESET, "the response is not read") from None
--- a/camphorchute/entry/request_body.py
+++ b/camphorchute/entry/request_body.py
@@ -14,7 +14,7 @@
 from camphorchute.entry.http_limits import HttpLimits
 from camphorchute.entry.receive_budget import ReceiveBudget
 
-__all__ = ["BodyReading", "RequestBody"]
+__all__ = ["BodyReading", "RequestBody", "linger"]
 
 BLOCK_BYTES = 65_536
 LINGER_MS = 1000.0
@@ -164,15 +164,26 @@
         return bytes(decoder.body)
 
     def _discard(self) -> None:
-        """Let the caller read the response before the connection is closed; called by gevent.
+        """Let the caller read a refusal before the connection is closed; called by gevent."""
+        if not self._is_read and not self._is_continue_expected:
+            linger(self._socket, self._stream)
 
-        Closing a connection with unread bytes resets it, and the response may be lost with it.
-        """
-        if self._is_read or self._is_continue_expected:
-            return
-        self._socket._sock.shutdown(socket.SHUT_WR)
-        remaining_bytes = LINGER_MAX_BYTES
-        with gevent.Timeout(LINGER_MS / MS_PER_S, False):
-            while remaining_bytes > 0 and (block := self._stream.read1(BLOCK_BYTES)):
-                remaining_bytes -= len(block)
-                gevent.sleep(0)
+
+def linger(sock: socket.socket, stream: BufferedReader) -> None:
+    """Read what a caller still sends after its last response, for a short time.
+
+    Closing a connection with unread bytes resets it, and the response may be lost with it.
+
+    Args:
+        sock: socket of the connection.
+        stream: buffered stream of the connection.
+
+    Raises:
+        OSError: the connection has ended.
+    """
+    sock._sock.shutdown(socket.SHUT_WR)
+    remaining_bytes = LINGER_MAX_BYTES
+    with gevent.Timeout(LINGER_MS / MS_PER_S, False):
+        while remaining_bytes > 0 and (block := stream.read1(BLOCK_BYTES)):
+            remaining_bytes -= len(block)
+            gevent.sleep(0)
--- a/camphorchute/entry/tests/test_http_server.py
+++ b/camphorchute/entry/tests/test_http_server.py
@@ -370,3 +370,38 @@
             gevent.sleep(0.01)
         while len(running.server.connections):
             gevent.sleep(0.01)
+
+
+@pytest.mark.parametrize(
+    ("head", "status"),
+    [
+        (b"POST /quick HTTP/1.1\r\n" + b"X: " + b"a" * 1_000_000, b"400"),
+        (b"POST /quick HTTP/1.1\r\nContent-Length: 900000\r\n\r\n" + b"a" * 900_000, b"413"),
+        (b"POST /" + b"a" * 1_000_000, b"400"),
+    ],
+    ids=["headers", "body", "request line"],
+)
+def test_refusal_reaches_a_caller_that_is_still_sending(running, head, status):
+    """The connection was closed with unread bytes, which resets it, so that the answer was lost."""
+    connection = running.connect()
+    sending = gevent.spawn(connection.sendall, head)
+    sending.join(TIMEOUT_S)
+    assert sending.successful()
+    connection.shutdown(socket.SHUT_WR)
+    response = receive_all(connection)
+    assert response.startswith(b"HTTP/1.1 " + status)
+    assert b"Retry-After" in response or status != b"503"
+
+
+def test_refusal_is_not_sent_without_end_to_a_caller_that_does_not_read(running, monkeypatch):
+    monkeypatch.setattr(http_server, "RESPONSE_TIMEOUT_MS", SHORT_MS)
+    connection = running.connect()
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+    valid = b"GET /nothing HTTP/1.1\r\n\r\n"
+    sending = gevent.spawn(connection.sendall, valid * 40_000 + b"no request\r\n\r\n")
+    with gevent.Timeout(TIMEOUT_S):
+        while not running.server.connections:
+            gevent.sleep(0.01)
+        while len(running.server.connections):
+            gevent.sleep(0.01)
+    sending.kill()
