--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -23,7 +23,7 @@
 from bench.measure.registry import MEASUREMENTS, print_json_line, register_measurement  # noqa: E402
 from bench.measure.sizes import SERVICE, ZONE  # noqa: E402
 from bench.measure.usage import Usage, total_usage  # noqa: E402
-from camphorchute.cluster import GroupFollowers  # noqa: E402
+from camphorchute.cluster import GroupFollowers, WorkerCapacities  # noqa: E402
 from camphorchute.cluster.worker_groups import WorkerGroups  # noqa: E402
 from camphorchute.contracts import new_key  # noqa: E402
 from camphorchute.contracts.member import Member  # noqa: E402
@@ -193,6 +193,12 @@
     ]
     for entry in entries:
         workers.set_worker(entry)
+    capacities, scarce = WorkerCapacities(workers), Resources(0, 0, 1)
+
+    def find_scarce_after_change() -> None:
+        workers.set_worker(entries[0])
+        capacities.groups_for("flags", scarce)
+
     return {
         "members": member_count,
         "groups": len(groups),
@@ -200,6 +206,8 @@
         "followers_us": _mean_us(lambda: table.followers_of(groups[0]), 1000),
         "is_follower_us": _mean_us(lambda: table.is_follower(members[0], groups[0]), 1000),
         "worker_change_us": _mean_us(lambda: workers.set_worker(entries[0]), 1000),
+        "scarce_us": _mean_us(lambda: capacities.groups_for("flags", scarce), 1000),
+        "scarce_after_change_us": _mean_us(find_scarce_after_change, 100),
     }
 
 
