Ask for the reports of a scheduler in a heartbeat

During an upgrade, a process of the earlier version closes its link to one that asks for reports, once a second for as long as jobs with a scarce demand wait, and the runs of both across that link are given up (by reading).

Cause: a message of an unknown kind is malformed to earlier versions, while a further field of a known one is ignored.

Change: MemberBeat carries for how long the sender wants reports; the message of its own is gone. The row of test_codec with a later field has one more element before it, as MemberBeat has a new field, and a row with the fields of the earlier version is added.

Measured: tests of links, cluster, contracts, the subscriptions, the reports and test_scarce_workers pass. An upgrade was not played.

--- a/camphorchute/cluster/heartbeats.py
+++ b/camphorchute/cluster/heartbeats.py
@@ -66,10 +66,13 @@
 
     Attributes:
         awaited_members: returns the ids of the members that have to be known to be running.
+        on_reports_requested: called with a member that wants free-capacity reports, and for how
+            long in milliseconds.
     """
 
     __slots__ = (
         "awaited_members",
+        "on_reports_requested",
         "_peers",
         "_view",
         "_configuration_fetch",
@@ -86,6 +89,7 @@
         count: Callable[..., None],
     ) -> None:
         self.awaited_members: Callable[[], set[str]] = set
+        self.on_reports_requested: Callable[[Member, float], None] = lambda member, for_ms: None
         self._peers = peers
         self._view = view
         self._configuration_fetch = configuration_fetch
@@ -111,6 +115,8 @@
             message.evacuations, message.evacuations_revision
         )
         self._configuration_fetch.offer(peer, message.queues_version)
+        if message.reports_ms > 0:
+            self.on_reports_requested(peer, message.reports_ms)
         if message.wants_answer:
             self._peers.send_if_linked(peer.member_id, self._make_heartbeat())
 
@@ -123,6 +129,15 @@
         self._count("roster.answer_requested")
         self._peers.send_if_linked(member_id, self._make_heartbeat(wants_answer=True))
 
+    def request_reports(self, member: Member, for_ms: float) -> bool:
+        """Ask a member for its free-capacity reports; return whether there is a link to it yet.
+
+        Args:
+            member: the member; a link to it is opened if there is none.
+            for_ms: for how long, in milliseconds.
+        """
+        return self._peers.send_or_open(member, self._make_heartbeat(reports_ms=for_ms))
+
     def is_isolated(self) -> bool:
         """Return whether this process has links to fewer than half of its neighbours."""
         neighbours = self._ring_neighbours(RING_DISTANCE_MAX)
@@ -132,13 +147,14 @@
     def _queues_version(self) -> int:
         return self._view.queues.version if self._view.queues else 0
 
-    def _make_heartbeat(self, wants_answer: bool = False) -> MemberBeat:
+    def _make_heartbeat(self, wants_answer: bool = False, reports_ms: float = 0.0) -> MemberBeat:
         evacuations = self._view.zone_evacuations
         return MemberBeat(
             self._queues_version(),
             evacuations.states(),
             evacuations.complete_revision,
             wants_answer,
+            reports_ms,
         )
 
     def _check_links(self) -> None:
--- a/camphorchute/cluster/tests/test_heartbeats.py
+++ b/camphorchute/cluster/tests/test_heartbeats.py
@@ -188,3 +188,14 @@
     gevent.sleep(0.05)
     heartbeats.close()
     assert links[1].sent == [MemberBeat(0)]
+
+
+@pytest.mark.parametrize("for_ms", [3000.0, 0.0, -1.0, float("nan")])
+def test_request_for_reports_is_passed_on(for_ms):
+    """The reports are wanted in a heartbeat, as earlier versions close a link for a new message."""
+    heartbeats, _ = start_heartbeats(10, 42, [])
+    wanted = []
+    heartbeats.on_reports_requested = lambda member, ms: wanted.append((member.member_id, ms))
+    heartbeats.handle_heartbeat(make_member(20), MemberBeat(0, reports_ms=for_ms))
+    heartbeats.close()
+    assert wanted == ([("m20", for_ms)] if for_ms > 0 else [])
--- a/camphorchute/contracts/run_messages.py
+++ b/camphorchute/contracts/run_messages.py
@@ -379,16 +379,6 @@
     changes: list[GroupChange] = []
 
 
-class RequestReports(msgspec.Struct, tag="request_reports", array_like=True):
-    """Request for the reports of a scheduler whose groups the sender does not follow; one way.
-
-    Attributes:
-        for_ms: for how long the sender wants them, in milliseconds from the receipt.
-    """
-
-    for_ms: float
-
-
 class ZoneEvacuation(msgspec.Struct, array_like=True, frozen=True):
     """Last known state of one availability zone.
 
@@ -413,12 +403,16 @@
             a zone without an entry is not evacuated; 0 if it has not read the operators' keys.
         wants_answer: whether the receiver answers at once with a heartbeat, which proves that it is
             running.
+        reports_ms: for how long the sender wants the receiver's free-capacity reports though it
+            does not follow its groups, in milliseconds; a field here and no message of its own,
+            which earlier versions would close the link for.
     """
 
     queues_version: int
     evacuations: list[ZoneEvacuation] = []
     evacuations_revision: int = 0
     wants_answer: bool = False
+    reports_ms: float = 0.0
 
 
 class FetchQueues(msgspec.Struct, tag="fetch_queues"):
@@ -457,7 +451,6 @@
     | TasksPlaced
     | TasksBound
     | RoomReport
-    | RequestReports
     | MemberBeat
     | FetchQueues
     | QueuesPart
--- a/camphorchute/entry/hosted_process.py
+++ b/camphorchute/entry/hosted_process.py
@@ -127,7 +127,7 @@
             self._member,
             self._view,
             self._capacity_view.service_zones.is_zone_evacuated,
-            self._peers.send_or_open,
+            lambda member, for_ms: self._heartbeats.request_reports(member, for_ms),
             count,
         ).request
         self._claims = GroupClaims(
@@ -272,7 +272,6 @@
             self._configuration_fetch,
             self._heartbeats,
             self._capacity_view,
-            self._capacity_reports,
             self._owner,
             self._shard_owner,
             self._shard_owner.end_confirmations,
@@ -285,6 +284,7 @@
         self._scheduler.retained_ends.report = self._shard_owner.end_confirmations.report
         self._scheduler.is_durable_job = self._shard_owner.is_durable
         self._claims.is_isolated = self._heartbeats.is_isolated
+        self._heartbeats.on_reports_requested = self._capacity_reports.subscribe
         self._peers.on_link_closed = self._handle_lost_peer
         endpoints = QueueEndpoints(
             self._platform,
--- a/camphorchute/links/tests/test_codec.py
+++ b/camphorchute/links/tests/test_codec.py
@@ -118,7 +118,8 @@
     ("message", "is_complete"),
     [
         (["member_beat"], False),
-        (["member_beat", 3, [], 0, False, "a later field"], True),
+        (["member_beat", 3, [], 0, False, 0.0, "a later field"], True),
+        (["member_beat", 3, [], 0, False], True),
         (["stop_tasks"], False),
         ({"type": "ask_record"}, False),
         ({"type": "ask_record", "zone": "north", "later": 1}, True),
--- a/camphorchute/queues/free_capacity_reports.py
+++ b/camphorchute/queues/free_capacity_reports.py
@@ -8,8 +8,8 @@
 
 from camphorchute.cluster import ClusterView
 from camphorchute.contracts.member import Member
-from camphorchute.contracts.run_messages import GroupFreeCapacity, RequestReports, RoomReport
-from camphorchute.links import Peers, handles
+from camphorchute.contracts.run_messages import GroupFreeCapacity, RoomReport
+from camphorchute.links import Peers
 from camphorchute.loops import spawn_loop, wait_for_event
 from camphorchute.queues.capacity_changes import find_changes
 from camphorchute.runs import GroupScheduler
@@ -111,10 +111,14 @@
         if self._greenlet is not None:
             self._greenlet.kill(block=False)
 
-    @handles(RequestReports, nonblocking=True)
-    def handle_request(self, peer: Member, message: RequestReports) -> None:
-        """Send reports to a member that needs them for a time; the last one at once."""
-        until_s = time.monotonic() + min(message.for_ms, SUBSCRIPTION_MAX_MS) / MS_PER_S
+    def subscribe(self, peer: Member, for_ms: float) -> None:
+        """Send reports to a member that needs them for a time; the last one at once.
+
+        Args:
+            peer: the member.
+            for_ms: for how long, in milliseconds.
+        """
+        until_s = time.monotonic() + min(for_ms, SUBSCRIPTION_MAX_MS) / MS_PER_S
         self._subscribed_until_s[peer.member_id] = until_s
         if self._last_report and peer.member_id not in self._last_receivers:
             self._count("queues.report_subscribed")
--- a/camphorchute/queues/report_subscriptions.py
+++ b/camphorchute/queues/report_subscriptions.py
@@ -8,7 +8,6 @@
 from camphorchute.cluster import ClusterView
 from camphorchute.contracts.member import Member
 from camphorchute.contracts.resources import Resources
-from camphorchute.contracts.run_messages import RequestReports
 from camphorchute.runs.group_names import zone_of_group
 
 __all__ = ["ReportSubscriptions"]
@@ -32,7 +31,7 @@
         member: this process.
         view: the cluster view, which lists all groups and their schedulers.
         is_zone_evacuated: returns whether no task may start in an availability zone.
-        send: sends a message to a member and returns whether it was sent.
+        send: asks a member for its reports for some milliseconds; returns whether that was sent.
         count: adds to a named counter.
     """
 
@@ -51,7 +50,7 @@
         member: Member,
         view: ClusterView,
         is_zone_evacuated: Callable[[str], bool],
-        send: Callable[[Member, RequestReports], bool],
+        send: Callable[[Member, float], bool],
         count: Callable[..., None],
     ) -> None:
         self._member = member
@@ -104,7 +103,7 @@
             until_s = self._requested_until_s.items()
             self._requested_until_s = {name: end_s for name, end_s in until_s if end_s > now_s}
         scheduler = self._view.scheduler_of(group)
-        if scheduler is None or not self._send(scheduler, RequestReports(SUBSCRIPTION_MS)):
+        if scheduler is None or not self._send(scheduler, SUBSCRIPTION_MS):
             self._count("queues.retry.request_reports")
             return False
         self._requested_until_s[group] = now_s + SUBSCRIPTION_MS / MS_PER_S
--- a/camphorchute/queues/tests/test_free_capacity_reports.py
+++ b/camphorchute/queues/tests/test_free_capacity_reports.py
@@ -8,7 +8,6 @@
 from camphorchute.contracts.resources import Resources
 from camphorchute.contracts.run_messages import (
     GroupFreeCapacity,
-    RequestReports,
     WorkerFreeCapacity,
 )
 from camphorchute.queues import free_capacity_reports as module
@@ -225,7 +224,7 @@
     site.scheduler.free_capacity_report = lambda: [group_report()]
     receivers = site.next_receivers()
     other = next(m for m in site.view.members.values() if m.member_id not in receivers)
-    site.reports.handle_request(other, RequestReports(400.0))
+    site.reports.subscribe(other, 400.0)
     assert site.peers.sent_alone == [(other.member_id, 1)]
     assert other.member_id in site.next_receivers()
     gevent.sleep(0.45)
--- a/camphorchute/queues/tests/test_report_subscriptions.py
+++ b/camphorchute/queues/tests/test_report_subscriptions.py
@@ -5,7 +5,7 @@
 from camphorchute.cluster.worker_groups import WorkerGroups
 from camphorchute.contracts.member import Member
 from camphorchute.contracts.resources import Resources
-from camphorchute.contracts.run_messages import GroupFreeCapacity, RequestReports, RoomReport
+from camphorchute.contracts.run_messages import GroupFreeCapacity, RoomReport
 from camphorchute.hosting import WorkerEntry
 from camphorchute.queues import FreeCapacityView, ReportSubscriptions
 from camphorchute.queues import report_subscriptions as module
@@ -51,8 +51,8 @@
             MEMBER, view, lambda zone: zone in evacuated, self.send, self.count
         )
 
-    def send(self, member, message):
-        assert isinstance(message, RequestReports)
+    def send(self, member, for_ms):
+        assert for_ms == module.SUBSCRIPTION_MS
         self.asked.append(member.member_id)
         return self.is_linked
 
