Let other greenlets run between the requests of one connection

One caller that sent requests without a pause and read the answers held up the process: an ordinary job got its 503 after 10.9 s, and with eight such callers no answer in 40 s; heartbeats, links and readiness stood still.

Cause: a socket that has data is read without a switch to other greenlets, and a response that fits into the socket's buffer is written without one, so that a connection whose next request has arrived is served without a break.

Change: a switch after each response.

Measured: test_other_greenlets_run_between_requests_of_one_caller failed before and passes.

--- a/camphorchute/entry/http_server.py
+++ b/camphorchute/entry/http_server.py
@@ -332,6 +332,7 @@
         result = super().handle_one_request()
         self.server.http_server.connections.end_request(self)
         if not isinstance(result, tuple):
+            gevent.sleep(0)  # the next request may have arrived already, and others wait
             return result
         if result[0] == LINE_TOO_LONG_STATUS:
             result = self._refuse_and_close(
--- a/camphorchute/entry/tests/test_http_server.py
+++ b/camphorchute/entry/tests/test_http_server.py
@@ -405,3 +405,31 @@
         while len(running.server.connections):
             gevent.sleep(0.01)
     sending.kill()
+
+
+def test_other_greenlets_run_between_requests_of_one_caller(running):
+    """A caller that sent requests without a pause held up the whole process while it was served."""
+    served_since_turn, most_served = 0, 0
+    respond = running.server._respond
+
+    def counted_respond(environ):
+        nonlocal served_since_turn, most_served
+        served_since_turn += 1
+        most_served = max(most_served, served_since_turn)
+        return respond(environ)
+
+    def take_turns():
+        nonlocal served_since_turn
+        while True:
+            served_since_turn = 0
+            gevent.sleep(0)
+
+    running.server._respond = counted_respond
+    connection = running.connect()
+    connection.sendall(post("/quick") * 100)
+    other = gevent.spawn(take_turns)
+    received = b""
+    while received.count(b"HTTP/1.1 200") < 100:
+        received += connection.recv(65536)
+    other.kill()
+    assert most_served <= 2
