Limit the steps and tasks of a job that is handed in, and its payload

One request of 100 KB with 2,000 steps of 1,000 tasks takes 323 MB and holds up the process for 2.2 s before it is admitted; a few of them end it.

Cause: a step had a limit of 1,000 tasks, but not the job, while the process makes an object for each task, and looks for workers for each step.

--- a/camphorchute/contracts/batch_job.py
+++ b/camphorchute/contracts/batch_job.py
@@ -1,12 +1,17 @@
 """Jobs of several steps, which callers submit to queues, and the limits of a queue."""
 
+from collections.abc import Collection
+
 import msgspec
 
 from camphorchute.contracts.resources import Resources
 
-__all__ = ["BatchJob", "BatchStep", "QueueLimits"]
+__all__ = ["BatchJob", "BatchStep", "QueueLimits", "check_job_size"]
 
 STEP_MAX_TASKS = 1000
+JOB_MAX_STEPS = 1000
+JOB_MAX_TASKS = 10_000
+PAYLOAD_MAX_BYTES = 4000
 
 
 class BatchStep(msgspec.Struct, frozen=True):
@@ -64,6 +69,35 @@
         return max(chain_lengths)
 
 
+def check_job_size(payload: str, task_counts: Collection[int]) -> None:
+    """Check that a job is not too large to be held.
+
+    Args:
+        payload: text that each task is started with.
+        task_counts: number of tasks of each step.
+
+    Raises:
+        ValueError: a step, the job or its payload is too large.
+
+    Examples:
+        >>> check_job_size("check", [1000] * 11)
+        Traceback (most recent call last):
+            ...
+        ValueError: the job has 11000 tasks, at most 10000
+    """
+    if len(task_counts) > JOB_MAX_STEPS:
+        raise ValueError(f"the job has {len(task_counts)} steps, at most {JOB_MAX_STEPS}")
+    for number, count in enumerate(task_counts):
+        if not 1 <= count <= STEP_MAX_TASKS:
+            raise ValueError(f"step {number}: count is {count}, expected 1 to {STEP_MAX_TASKS}")
+    tasks = sum(task_counts)
+    if tasks > JOB_MAX_TASKS:
+        raise ValueError(f"the job has {tasks} tasks, at most {JOB_MAX_TASKS}")
+    payload_bytes = len(payload.encode())
+    if payload_bytes > PAYLOAD_MAX_BYTES:
+        raise ValueError(f"the payload has {payload_bytes} bytes, at most {PAYLOAD_MAX_BYTES}")
+
+
 class QueueLimits(msgspec.Struct, frozen=True):
     """Priority, attempts and target times of the jobs of a queue.
 
--- a/camphorchute/platform/fleet_platform.py
+++ b/camphorchute/platform/fleet_platform.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from camphorchute.contracts.batch_job import STEP_MAX_TASKS, BatchJob, BatchStep, QueueLimits
+from camphorchute.contracts.batch_job import BatchJob, BatchStep, QueueLimits, check_job_size
 from camphorchute.contracts.resources import Resources
 from camphorchute.contracts.stored_values import decode_json, is_address
 from camphorchute.hosting.platform import HostingPlatform, UnsupportedFeature, register_platform
@@ -149,11 +149,8 @@
     """
     if not job.steps:
         raise ValueError("the job has no steps, expected at least one")
+    check_job_size(job.spec, [step.count for step in job.steps])
     for number, step in enumerate(job.steps):
-        if not 1 <= step.count <= STEP_MAX_TASKS:
-            raise ValueError(
-                f"step {number}: count is {step.count}, expected 1 to {STEP_MAX_TASKS}"
-            )
         if min(step.cpu, step.mem_mb, step.gpu) < 0:
             raise ValueError(
                 f"step {number}: negative demand: cpu {step.cpu}, mem-mb {step.mem_mb}, "
--- a/camphorchute/platform/tests/test_fleet_platform.py
+++ b/camphorchute/platform/tests/test_fleet_platform.py
@@ -111,6 +111,9 @@
         ({"steps": []}, "no steps, expected at least one"),
         ({"steps": [STEP | {"count": 0}]}, "count is 0,"),
         ({"steps": [STEP | {"count": 10**9}]}, "count is 1000000000,"),
+        ({"steps": [STEP | {"count": 1000}] * 11}, "the job has 11000 tasks, at most 10000"),
+        ({"steps": [STEP] * 1001}, "the job has 1001 steps, at most 1000"),
+        ({"spec": "\u00fc" * 2001}, "the payload has 4002 bytes, at most 4000"),
         ({"steps": [STEP | {"cpu": -1}]}, "negative demand"),
         ({"steps": [STEP | {"after": [0]}]}, "after"),
         ({"spec": 7}, "spec"),
@@ -166,3 +169,8 @@
         if name in path.read_text()
     ]
     assert found == []
+
+
+def test_largest_job_is_decoded(platform):
+    body = encode(JOB, spec="s" * 4000, steps=[STEP | {"count": 1000}] * 10)
+    assert sum(step.tasks for step in platform.decode_job("a" * 16, body).steps) == 10_000
