Test an ordinary caller beside callers that make no pause, on a real process

Eight callers send requests without a pause and read the answers. It checks no time: each attempt ends by the time limit of its call.

--- a/bench/hostile_clients.py
+++ b/bench/hostile_clients.py
@@ -8,12 +8,13 @@
 
 from bench.standins.fleet_site import QUEUE_HOST, QUEUE_PATH_PREFIX
 
-__all__ = ["CLIENT_KINDS", "Crowd", "job_head"]
+__all__ = ["CLIENT_KINDS", "Crowd", "HastyClient", "job_head"]
 
 SEND_TIMEOUT_S = 20.0
 BODY_BYTES = 2_000_000
 PIECE_BYTES = 4096
 PIECE_PAUSE_S = 0.002
+HASTY_MAX_BYTES = 200_000_000
 
 CLIENT_KINDS: dict[str, Callable[[int], Iterator[bytes]]] = {}
 
@@ -134,6 +135,43 @@
         yield f"GET /nothing/here HTTP/1.1\r\nHost: {QUEUE_HOST}\r\n\r\n".encode()
 
 
+class HastyClient:
+    """Sends requests without a pause and reads the answers, from `start` to `close`.
+
+    Args:
+        address: ``IP:port`` to connect to.
+    """
+
+    def __init__(self, address: str) -> None:
+        host, _, port = address.rpartition(":")
+        self._connection = socket.create_connection((host, int(port)), SEND_TIMEOUT_S)
+        self._threads = [Thread(target=self._send), Thread(target=self._read)]
+
+    def start(self) -> None:
+        """Start to send and to read."""
+        for thread in self._threads:
+            thread.start()
+
+    def _send(self) -> None:
+        requests = f"GET /nothing/here HTTP/1.1\r\nHost: {QUEUE_HOST}\r\n\r\n".encode() * 500
+        with suppress(OSError):
+            for _ in range(HASTY_MAX_BYTES // len(requests)):
+                self._connection.sendall(requests)
+
+    def _read(self) -> None:
+        with suppress(OSError):
+            while self._connection.recv(65_536):
+                pass
+
+    def close(self) -> None:
+        """Close the connection."""
+        with suppress(OSError):
+            self._connection.shutdown(socket.SHUT_RDWR)
+        for thread in self._threads:
+            thread.join()
+        self._connection.close()
+
+
 class Crowd:
     """Clients that send what their kind says, stop, and stay connected until `close`.
 
--- a/bench/tests/test_hostile_clients.py
+++ b/bench/tests/test_hostile_clients.py
@@ -11,7 +11,7 @@
 import pytest
 
 from bench.hosted_fleet import HostedFleet
-from bench.hostile_clients import BODY_BYTES, Crowd, job_head
+from bench.hostile_clients import BODY_BYTES, Crowd, HastyClient, job_head
 from bench.standins.fleet_site import job_body
 from bench.tests.raw_http import connect, read_reply
 
@@ -25,6 +25,8 @@
 ENDLESS_MAX_BYTES = 12_000_000  # what the buffers of both sides take, beside what is read
 ATTEMPTS = 30
 ATTEMPT_PAUSE_S = 0.5
+HASTY_CLIENTS = 8
+HASTY_ATTEMPTS = 3
 
 
 @pytest.fixture
@@ -142,6 +144,21 @@
     assert_answers_ordinary_caller(fleet, entry, "after")
 
 
+def test_ordinary_caller_is_answered_beside_callers_that_make_no_pause(start_entry):
+    """Such callers were served without a break, so that the process did nothing else."""
+    fleet, entry = start_entry()
+    clients = [HastyClient(entry.http_address) for _ in range(HASTY_CLIENTS)]
+    for client in clients:
+        client.start()
+    try:
+        answers = [fleet.submit(entry, f"{number:016}") for number in range(HASTY_ATTEMPTS)]
+    finally:
+        for client in clients:
+            client.close()
+    assert 200 in [status for status, _ in answers], answers
+    assert entry.process.poll() is None
+
+
 def largest_job():
     """Return the body of an ordinary job, padded to the largest size."""
     return msgspec.json.encode(job_body(1)).ljust(BODY_BYTES)
