--- a/bench/tests/test_scarce_workers.py
+++ b/bench/tests/test_scarce_workers.py
@@ -37,6 +37,15 @@
     Some processes receive no report of the only worker that the jobs can run on.
     """
     fleet = HostedFleet(ZONES, FIRST_PER_ZONE, tmp_path_factory.mktemp("scarce"), BASE)
+    try:
+        make_worker_scarce(fleet)
+        yield fleet
+    finally:
+        fleet.close()
+
+
+def make_worker_scarce(fleet):
+    """Start the processes, then give one worker that some of them do not know more than others."""
     for zone in ZONES:
         for number in range(ENTRIES_PER_ZONE):
             fleet.add_entry(zone, number + 1)
@@ -49,8 +58,6 @@
     worker.gpus, worker.memory_mb = 2, 200_000
     worker.register("ready")
     time.sleep(ENTRY_READ_S)
-    yield fleet
-    fleet.close()
 
 
 def partly_unknown_groups(fleet):
