--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,76 +1,78 @@
-"""All entry processes are killed three times while a task runs that has lost one worker."""
+"""A zone is cut off while the store is down; tasks that run in it are started again elsewhere."""
+
+import time
 
 import gevent
-from lab import Lab, RESTART_DELAY_S, run_case, step
+from lab import SERVICE, Lab, run_case, step
 
-RUN_S = 20.0
-CRASH_AFTER_S = 2.0
-CRASH_DOWN_S = 3.0
-KILLS = 3
-RUNS_BEFORE_KILL_S = 1.0
-WAIT_MAX_S = 25.0
-CHECK_S = 0.1
-JOB = "7a0e7a21d94b3600"
+RUN_S = 30.0
+BEFORE_S = 16.0
+OUTAGE_S = 3.4
+CUT_AFTER_S = 2.5
+CUT_S = 6.2
+AFTER_S = 4.0
+OVERLAP_MIN_S = 0.1
+JOBS = 8
 
 
 def play(lab: Lab) -> bool:
-    """Return whether the job is shown as failed, although no run of it has failed."""
-    for number in range(3):
-        lab.add_worker("north", f"w{number}", 4)
+    """Return whether a task had two runs at the same time."""
+    north, south = (lab.add_worker(zone, f"{SERVICE}-{zone}", 10) for zone in lab.zones)
     lab.set_run_s("long", RUN_S)
-    lab.start_entries(3)
-    lab.submit(lab.entries[0], JOB, [step(RUN_S)], "long")
-    gevent.sleep(CRASH_AFTER_S)
+    lab.start_entries(1, has_link_proxy=True)
+    for number in range(JOBS):
+        entry = lab.entries[number % len(lab.entries)]
+        lab.submit(entry, f"7a0e7a21d94b36{number:02x}", [step(RUN_S)], "long")
+    gevent.sleep(BEFORE_S)
     if lab.is_troubled:
-        crash_worker(lab)
-        for _ in range(KILLS):
-            if wait_for_run(lab):
-                gevent.sleep(RUNS_BEFORE_KILL_S)
-                kill_all(lab)
-    state = wait_for_end(lab)
-    failed = [run for run in lab.runs() if run.outcome == "failed"]
-    crashed = [run for run in lab.runs() if run.outcome == "crashed"]
-    lab.record(f"{state}; runs that failed: {len(failed)}, lost in a crash: {len(crashed)}")
-    return state == "failed" and not failed and len(crashed) < 2
-
-
-def crash_worker(lab: Lab) -> None:
-    """Crash the worker that runs the task; it is back some seconds later."""
-    worker = next(worker for worker in lab.workers if worker.active_count())
-    lab.record(f"{worker.worker_id} crashes")
-    gevent.spawn(worker.restart, CRASH_DOWN_S * 1000)
-    gevent.sleep(CHECK_S)
-
-
-def wait_for_run(lab: Lab) -> bool:
-    """Return whether the task began to run within WAIT_MAX_S."""
-    for _ in range(round(WAIT_MAX_S / CHECK_S)):
-        if lab.active_runs():
-            return True
-        gevent.sleep(CHECK_S)
-    return False
+        disrupt(lab, north, south)
+    else:
+        gevent.sleep(CUT_AFTER_S + CUT_S)
+    gevent.sleep(AFTER_S)
+    return has_overlap(lab)
 
 
-def kill_all(lab: Lab) -> None:
-    """Kill every entry process and start it again; wait until the run has lapsed."""
-    for entry in lab.entries:
-        entry.kill()
-    gevent.sleep(RESTART_DELAY_S)
-    for entry in lab.entries:
-        entry.start()
-    while lab.active_runs():
-        gevent.sleep(CHECK_S)
+def disrupt(lab: Lab, north: object, south: object) -> None:
+    """Bring the store down for OUTAGE_S, and cut the zone of a worker off during that time."""
+    north_entry, south_entry = lab.entries
+    for gate in (north_entry.gate, south_entry.gate):
+        gate.mode = "busy"
+    north.reaches_store = south.reaches_store = False
+    lab.record("the store is down")
+    gevent.sleep(CUT_AFTER_S)
+    lab.cut_links()
+    north_entry.gate.mode = "cut"
+    north.hears_fences_to = lab.store.put("cut", b"")  # those of south are higher from now on
+    lab.record("zone north is cut off")
+    gevent.sleep(OUTAGE_S - CUT_AFTER_S)
+    south_entry.gate.mode = "open"
+    south.reaches_store = True
+    south.register("ready")
+    lab.record("the store is back")
+    gevent.sleep(CUT_S - (OUTAGE_S - CUT_AFTER_S))
+    lab.heal_links()
+    north_entry.gate.mode = "open"
+    north.hears_fences_to = None
+    north.reaches_store = True
+    lab.record("zone north is back")
 
 
-def wait_for_end(lab: Lab) -> str:
-    """Return the state of the job once it has ended, or after WAIT_MAX_S."""
-    state = ""
-    for _ in range(round(WAIT_MAX_S)):
-        state = lab.state(lab.entries[0], JOB)
-        if state in ("done", "failed"):
-            return state
-        gevent.sleep(1.0)
-    return state
+def has_overlap(lab: Lab) -> bool:
+    """Record the tasks with two runs at the same time, and return whether there are any."""
+    now_s = time.monotonic()
+    spans: dict[str, list[tuple[float, float, str]]] = {}
+    for run in lab.runs():
+        span = (run.started_s, run.ended_s or now_s, run.worker_id)
+        spans.setdefault(run.task, []).append(span)
+    is_broken = False
+    for task, task_spans in sorted(spans.items()):
+        task_spans.sort()
+        for earlier, later in zip(task_spans, task_spans[1:], strict=False):
+            overlap_s = min(earlier[1], later[1]) - later[0]
+            if overlap_s > OVERLAP_MIN_S:
+                is_broken = True
+                lab.record(f"{task} ran on {earlier[2]} and {later[2]} at once: {overlap_s:.3f} s")
+    return is_broken
 
 
-run_case(__file__, ["north"], play)
+run_case(__file__, ["north", "south"], play)
--- a/review/9/case.py
+++ b/review/9/case.py
@@ -1,47 +1,42 @@
-"""A worker restarts under its id and all entry processes are killed after a run has failed."""
+"""Jobs are cancelled while the store turns away the process that looks after them."""
 
 import gevent
-from lab import Lab, RESTART_DELAY_S, run_case, step
+from lab import CANCEL_S, CONTACT_S, Lab, SERVICE, STOP_S, run_case, step
 
-RUN_S = 3.0
-MAX_ATTEMPTS = 2
-KILL_AFTER_FAILURE_S = 1.0
-CRASH_DOWN_S = 2.0
-WAIT_MAX_S = 40.0
-CHECK_S = 0.05
-JOB = "9a0e7a21d94b3600"
+SHORT_S, LONG_S = 4.0, 16.0
+REJECT_AFTER_S = 3.5
+REJECT_S = 1.6
+CANCEL_AFTER_S = 1.1
+MARGIN_S = 0.4
+JOBS = 12
 
 
 def play(lab: Lab) -> bool:
-    """Return whether the task was started after as many runs had failed as its queue allows."""
-    worker = lab.add_worker("north", "w0", 4)
-    worker.failing_payload = "failing"
-    lab.set_run_s("failing", RUN_S)
-    lab.start_entries(2, max_attempts=MAX_ATTEMPTS)
-    lab.submit(lab.entries[0], JOB, [step(RUN_S)], "failing")
-    while not any(run.outcome == "failed" for run in worker.runs):
-        gevent.sleep(CHECK_S)
-    gevent.sleep(KILL_AFTER_FAILURE_S)
+    """Return whether a task of a cancelled job still runs after a calm stretch."""
+    for zone in lab.zones:
+        lab.add_worker(zone, f"{SERVICE}-{zone}", 10)
+    lab.set_run_s("pair", SHORT_S, LONG_S)
+    lab.start_entries(1)
+    jobs = [f"9a0e7a21d94b36{number:02x}" for number in range(JOBS)]
+    for number, job in enumerate(jobs):
+        entry = lab.entries[number % len(lab.entries)]
+        lab.submit(entry, job, [step(SHORT_S), step(LONG_S)], "pair")
+    gevent.sleep(REJECT_AFTER_S)
+    rejected, other = lab.entries[:2]
     if lab.is_troubled:
-        for entry in lab.entries:
-            entry.kill()
-        lab.record("w0 crashes")
-        gevent.spawn(worker.restart, CRASH_DOWN_S * 1000)
-        gevent.sleep(RESTART_DELAY_S)
-        for entry in lab.entries:
-            entry.start()
-    for _ in range(round(WAIT_MAX_S)):
-        if lab.state(lab.entries[1], JOB) == "failed":
-            break
-        gevent.sleep(1.0)
-    failed = [run for run in worker.runs if run.outcome == "failed" and run.acknowledged]
-    lab.record(f"runs that ended failed, and are taken note of: {len(failed)}")
-    if len(failed) < MAX_ATTEMPTS:
-        return False
-    last_allowed_s = sorted(run.ended_s for run in failed)[MAX_ATTEMPTS - 1]
-    late = [run for run in worker.runs if run.started_s > last_allowed_s]
-    lab.record(f"starts after {MAX_ATTEMPTS} of them: {len(late)}")
-    return bool(late)
+        rejected.gate.mode = "busy"
+        lab.record(f"the store turns {rejected.name} away")
+    gevent.sleep(CANCEL_AFTER_S)
+    cancelled = [job for job in jobs if lab.cancel(other, job)]
+    gevent.sleep(REJECT_S - CANCEL_AFTER_S)
+    rejected.gate.mode = "open"
+    lab.record(f"the store serves {rejected.name} again")
+    gevent.sleep(CONTACT_S + CANCEL_S + STOP_S + MARGIN_S)
+    left = [run for run in lab.active_runs() if run.task.partition(".")[0] in cancelled]
+    lab.record(f"runs of cancelled jobs that go on: {[run.task for run in left]}")
+    for run in left:
+        lab.state(other, run.task.partition(".")[0])
+    return bool(left)
 
 
-run_case(__file__, ["north"], play)
+run_case(__file__, ["north", "south", "west"], play)
--- a/review/lab.py
+++ b/review/lab.py
@@ -9,8 +9,10 @@
 
 monkey.patch_all()
 
+import itertools
 import json
 import os
+import random
 import signal
 import socket
 import subprocess
@@ -33,14 +35,17 @@
 
 ROOT = Path(__file__).resolve().parents[1]
 QUEUE_HOST = "jobs.example"
-QUEUE_PREFIX = "/work/"
+QUEUE_PREFIX = "/jobs/"
 SERVICE = "flagreg"
 TASK_CPU = 14_000
+FIRST_PORT = 8161
 HEARTBEAT_S = 1.5  # heartbeat-ms of the settings file in DEPLOY.md
 ENTRY_EXPIRY_S = 3 * HEARTBEAT_S
 CONTACT_S = 3.0  # bounds of qpsfa-sched
 CANCEL_S = 3.0
 STOP_S = 0.05
+FINISH_S = 14.0
+TRANSACTION_ENTRIES_MAX = 32  # PROTOCOL.md, POST /kv-txn
 RESTART_DELAY_S = 0.5
 READY_TIMEOUT_S = 25.0
 SETTLE_S = 3.0
@@ -48,19 +53,41 @@
 CHECK_S = 0.05
 MS_PER_S = 1000
 HELD, BROKEN, NOT_RUN = 0, 1, 2
+EXIT_STATUSES = (0, 10, 2)  # run-case.sh returns 1 for 10, as Python exits with 1 by itself
 VERDICTS = ("the rule held", "the rule was broken", "the case could not run")
 
 
+_network = f"127.{random.randrange(64, 250)}.{random.randrange(250)}"
+_numbers = itertools.count()
+
+
 def free_address() -> str:
-    """Return a loopback address with a free port."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{probe.getsockname()[1]}"
+    """Return a loopback address with a free port, below those of outgoing connections."""
+    while True:
+        number = next(_numbers)
+        host, port = f"{_network}.{1 + number % 250}", FIRST_PORT + number // 250
+        with socket.socket() as probe:
+            try:
+                probe.bind((host, port))
+            except OSError:
+                continue
+        return f"{host}:{port}"
+
+
+def step(run_s: float, cpu: int = TASK_CPU) -> dict:
+    """Return a step of one task that takes about as long as it says."""
+    return {"count": 1, "cpu": cpu, "mem-mb": 64, "estimate-ms": run_s * MS_PER_S}
 
 
-def step(run_s: float, count: int = 1) -> dict:
-    """Return a step of a job whose tasks take about as long as they say."""
-    return {"count": count, "cpu": TASK_CPU, "mem-mb": 64, "estimate-ms": run_s * MS_PER_S}
+class Store(FleetStore):
+    """The store, which refuses a transaction of too many entries, as the platform's does."""
+
+    def _apply_transaction(self, request: Request) -> Reply:
+        body = request.json()
+        entries = sum(len(body.get(name, [])) for name in ("if-revision", "puts", "remove"))
+        if entries > TRANSACTION_ENTRIES_MAX:
+            return Reply({"error": f"over {TRANSACTION_ENTRIES_MAX} entries"}, 400)
+        return super()._apply_transaction(request)
 
 
 class Gate(Standin):
@@ -98,22 +125,39 @@
         hears_fences_to: commands with a higher fencing token do not arrive; None if all do.
     """
 
-    def __init__(self, *arguments: object) -> None:
+    def __init__(self, *arguments: object, task_cpu: int = TASK_CPU) -> None:
         super().__init__(*arguments)
+        self._task_cpu = task_cpu
         self.run_s: dict[str, list[float]] = {}
         self.failing_payload = ""
         self.reaches_store = True
         self.hears_fences_to: int | None = None
         self._payloads: dict[str, str] = {}
         self._heard_s = 0.0
+        self._beats = 0
         self._state = "ready"
 
     def register(self, state: str) -> None:
         """Send a heartbeat; it is lost if the store cannot be reached."""
         self._state = state
-        if self.reaches_store:
-            self._heard_s = time.monotonic()
-            super().register(state)
+        if not self.reaches_store:
+            return
+        self._heard_s = time.monotonic()
+        self._beats += 1
+        capacity = {"cpu": self.slots * self._task_cpu, "mem-mb": self.memory_mb, "gpu": 0}
+        entry = {
+            "service": SERVICE,
+            "address": self.address,
+            "zone": self.zone,
+            "version": "v1",
+            "slots": 8,
+            "state": state,
+            "capacity": capacity,
+            "labels": ["a", "r1-1"],
+            "born": self.born,
+            "seq": self._beats,
+        }
+        self._store.put(f"servers/{self.worker_id}", json.dumps(entry).encode())
 
     def send_heartbeats(self) -> None:
         """Send a heartbeat at each interval while the worker is up."""
@@ -232,7 +276,7 @@
         self._begin_s = time.monotonic()
         self._record = (folder / "record.txt").open("w", encoding="utf-8")
         self._proxy: TcpProxy | None = None
-        self.store = FleetStore(free_address())
+        self.store = Store(free_address())
         self.store.start()
         self.record(f"the disruption is {'on' if self.is_troubled else 'off'}")
 
@@ -241,9 +285,10 @@
         self._record.write(f"{time.monotonic() - self._begin_s:8.3f} s  {text}\n")
         self._record.flush()
 
-    def add_worker(self, zone: str, name: str, slots: int) -> Worker:
-        """Start a worker that has room for a number of tasks."""
-        worker = Worker(free_address(), self.store, name, zone, SERVICE, 1000.0, slots)
+    def add_worker(self, zone: str, name: str, slots: int, task_cpu: int = TASK_CPU) -> Worker:
+        """Start a worker that has room for a number of tasks of a size."""
+        address = free_address()
+        worker = Worker(address, self.store, name, zone, SERVICE, 1000.0, slots, task_cpu=task_cpu)
         self.workers.append(worker)
         worker.start()
         gevent.spawn(worker.send_heartbeats)
@@ -355,7 +400,7 @@
         self.record(f"exit {verdict}: {VERDICTS[verdict]}")
         self._record.close()
         print(f"exit {verdict}: {VERDICTS[verdict]}", flush=True)
-        os._exit(verdict)
+        os._exit(EXIT_STATUSES[verdict])
 
 
 def _call(
--- a/review/run-case.sh
+++ b/review/run-case.sh
@@ -7,4 +7,4 @@
 timeout 118 python3 "$folder/case.py"
 status=$?
 rm -rf "$CASE_LOGS"
-case $status in 0 | 1) exit "$status" ;; *) exit 2 ;; esac
+case $status in 0) exit 0 ;; 10) exit 1 ;; *) exit 2 ;; esac
