Count only known crashes of workers against a task

Cause: the crash limit gave a task up at four lost runs unless their workers were known to be up, and a run that no scheduler could account for was added without a worker, so that its fate could never become known. The log of the case on: "is given up", machines 1, lost_runs 4, workers w0 and three unknown ones. Ruled out: runs listed as failed (none), and the loss of a second worker (w1 and w2 kept their incarnation).

Change: lost runs count against a task only if their workers are known to have crashed. The place that the scheduler names before the start is stored with a task that lost a worker before, so that the next owner can find out. A worker that was heard again is cleared in the record, and one that was draining has left, so that its replacement is no crash. Four crashes on any machines remain the limit that keeps the start budget.

--- a/camphorchute/cluster/tests/test_worker_fates.py
+++ b/camphorchute/cluster/tests/test_worker_fates.py
@@ -10,8 +10,10 @@
 PLACE = RunPlace("w1", 100, "10.0.0.1:80", 1)
 
 
-def make_entry(worker_id="w1", incarnation=100, address="10.0.0.1:80"):
-    return WorkerEntry(worker_id, incarnation, address, "flags", "north", Resources(1))
+def make_entry(worker_id="w1", incarnation=100, address="10.0.0.1:80", is_draining=False):
+    return WorkerEntry(
+        worker_id, incarnation, address, "flags", "north", Resources(1), is_draining=is_draining
+    )
 
 
 @pytest.mark.parametrize(
@@ -59,6 +61,23 @@
     assert fates.fate_of(PLACE, since_s) is WorkerFate.ALIVE
 
 
+# A worker that left as planned and was replaced counted as crashed under its runs.
+@pytest.mark.parametrize("is_forgotten", [True, False])
+@pytest.mark.parametrize("successor", [make_entry(incarnation=105), make_entry("w2", 105)])
+def test_worker_that_drained_before_it_was_replaced_has_not_crashed(successor, is_forgotten):
+    fates = WorkerFates()
+    draining = make_entry(is_draining=True)
+    fates.record(draining, 7)
+    since_s = time.monotonic()
+    if is_forgotten:
+        fates.forget(draining)
+    fates.record(successor, 8)
+    assert fates.fate_of(PLACE, since_s) is WorkerFate.LEFT
+    later = RunPlace(successor.worker_id, 105, successor.address, 2)
+    fates.record(make_entry("w3", 110), 9)
+    assert fates.fate_of(later, since_s) is WorkerFate.CRASHED
+
+
 def test_removed_entry_says_nothing_of_a_crash():
     fates, since_s = WorkerFates(), time.monotonic()
     fates.record(make_entry("w2", 105), 7)
--- a/camphorchute/cluster/worker_fates.py
+++ b/camphorchute/cluster/worker_fates.py
@@ -8,6 +8,8 @@
 
 __all__ = ["WorkerFate", "WorkerFates"]
 
+DRAINED_KEPT = 10_000
+
 
 class WorkerFate(Enum):
     """What is known of a worker that had stopped answering; the values are written to logs."""
@@ -15,6 +17,7 @@
     UNKNOWN = "not heard of since"
     ALIVE = "the same incarnation was heard again"
     CRASHED = "another incarnation has taken its address"
+    LEFT = "it was draining before another incarnation took its address"
 
 
 class WorkerFates:
@@ -33,9 +36,10 @@
         <WorkerFate.CRASHED: 'another incarnation has taken its address'>
     """
 
-    __slots__ = ("_latest_by_address", "_heartbeats")
+    __slots__ = ("_latest_by_address", "_heartbeats", "_drained")
 
     def __init__(self) -> None:
+        self._drained: dict[tuple[int, str], None] = {}
         self._latest_by_address: dict[str, tuple[int, str]] = {}
         self._heartbeats: dict[str, _Heartbeat] = {}
 
@@ -46,6 +50,8 @@
             entry: the entry.
             revision: store revision of its last write.
         """
+        if entry.is_draining:
+            self._record_draining(entry)
         latest = self._latest_by_address.get(entry.address)
         if latest is None or entry.incarnation >= latest[0]:
             self._latest_by_address[entry.address] = (entry.incarnation, entry.worker_id)
@@ -70,6 +76,12 @@
             place: where the run was.
             since_s: monotonic time in seconds by which the worker had stopped answering.
         """
+        fate = self._fate_by_entries(place, since_s)
+        is_drained = (place.incarnation, place.worker_id) in self._drained
+        return WorkerFate.LEFT if fate is WorkerFate.CRASHED and is_drained else fate
+
+    def _fate_by_entries(self, place: RunPlace, since_s: float) -> WorkerFate:
+        """Return the fate of a worker as if none had ever left as planned."""
         latest = self._latest_by_address.get(place.address)
         is_replaced = latest is not None and latest != (place.incarnation, place.worker_id)
         if is_replaced and latest[0] >= place.incarnation:
@@ -82,6 +94,12 @@
         is_same = heartbeat.incarnation == place.incarnation
         return WorkerFate.ALIVE if is_same else WorkerFate.CRASHED
 
+    def _record_draining(self, entry: WorkerEntry) -> None:
+        """Remember that a worker leaves as planned; the oldest of many are forgotten."""
+        self._drained[entry.incarnation, entry.worker_id] = None
+        if len(self._drained) > DRAINED_KEPT:
+            del self._drained[next(iter(self._drained))]
+
 
 class _Heartbeat:
     """The last write of a worker to its entry."""
--- a/camphorchute/contracts/run_messages.py
+++ b/camphorchute/contracts/run_messages.py
@@ -66,6 +66,8 @@
         was_alone: whether no other run was active on the worker at the same time.
         was_acknowledged: whether that incarnation of the worker has said that it has the run; it
             may have crashed before the start command arrived otherwise.
+        is_cleared: whether that incarnation is known not to have crashed under the run, which was
+            lost for another reason.
     """
 
     worker_id: str
@@ -74,6 +76,7 @@
     run: int
     was_alone: bool = False
     was_acknowledged: bool = False
+    is_cleared: bool = False
 
 
 class TaskToStart(msgspec.Struct, array_like=True):
--- a/camphorchute/durable_jobs/durable_job_record.py
+++ b/camphorchute/durable_jobs/durable_job_record.py
@@ -38,6 +38,8 @@
         lost_runs: where the runs were that were lost with their workers, by task likewise.
         suspect_runs: number of the last run that a task with lost runs was dispatched for, by task
             likewise; written before the dispatch, and removed if the task was not started.
+        suspect_places: where that run was about to start, by task likewise; written once the
+            scheduler has said so.
         term: term of the shard owner that wrote the record; 0 until one has.
 
     Examples:
@@ -60,6 +62,7 @@
     failed_runs: dict[str, list[str]] = {}
     lost_runs: dict[str, list[RunPlace]] = {}
     suspect_runs: dict[str, int] = {}
+    suspect_places: dict[str, RunPlace] = {}
     term: int = 0
 
     @classmethod
--- a/camphorchute/durable_jobs/durable_job_run.py
+++ b/camphorchute/durable_jobs/durable_job_run.py
@@ -6,7 +6,13 @@
 
 from camphorchute.contracts.batch_job import BatchStep
 from camphorchute.contracts.durable_job_messages import ReportedTask
-from camphorchute.contracts.run_messages import RunPlace, ShardTerm, TaskResult, TaskResultKind
+from camphorchute.contracts.run_messages import (
+    RunPlace,
+    ShardTerm,
+    TaskPlace,
+    TaskResult,
+    TaskResultKind,
+)
 from camphorchute.durable_jobs.durable_job_record import DurableJobRecord, DurableJobState
 from camphorchute.queues import JobOutcome, JobRun, TaskProgress, TaskState
 from camphorchute.queues.lost_runs import LostRuns
@@ -127,8 +133,9 @@
     def mark_unreported(self, task: TaskProgress) -> None:
         """Make an unknown task pending again, since no worker has a run of it.
 
-        If it lost a worker before, and was dispatched again since, that run counts as lost: its
-        worker is lost, or the scheduler that could tell that it was not started.
+        If it lost a worker before, and was dispatched again since, that run is lost: with its
+        worker, with its scheduler, or with the scheduler that could tell that it was not started.
+        The place that the scheduler has named, if any, shows whether its worker crashed.
 
         Args:
             task: the task.
@@ -137,10 +144,16 @@
         if task.lost_runs is None:
             return
         step, index = self._position_of(task)
-        number = self.record.suspect_runs.get(f"{step}.{index}", 0)
-        if number > task.lost_runs.last_number():
-            self._add_lost_run(task, step, index, RunPlace("", 0, "", number))
-        task.run = max(task.run, number + 1)
+        place = self._suspect_place(f"{step}.{index}")
+        if place.run > task.lost_runs.last_number():
+            self._add_lost_run(task, step, index, place)
+        task.run = max(task.run, place.run + 1)
+
+    def _suspect_place(self, name: str) -> RunPlace:
+        """Return where the last recorded start of a task was, without a worker if unknown."""
+        number = self.record.suspect_runs.get(name, 0)
+        place = self.record.suspect_places.get(name)
+        return place if place is not None and place.run >= number else RunPlace("", 0, "", number)
 
     def mark_recovered(self) -> None:
         """Record that the known tasks may be dispatched."""
@@ -225,7 +238,8 @@
         """Record that a task which lost a worker is started again; return whether that is stored.
 
         The next owner could not tell otherwise whether the task has been started since, if its
-        scheduler and its worker are lost as well.
+        scheduler and its worker are lost as well. What became known of the earlier workers is
+        stored with it, as the next owner may not be able to find out any more.
 
         Args:
             step: number of the step.
@@ -235,9 +249,19 @@
         task.run = max(task.run, task.lost_runs.last_number() + 1)
         if self.record.suspect_runs.get(name) != task.run:
             self.record.suspect_runs[name] = task.run
+            self.record.suspect_places.pop(name, None)
+            self.record.lost_runs[name] = task.lost_runs.places()
             self._mark_changed()
         return self.is_record_stored()
 
+    def record_placement(self, task: TaskProgress, scheduler_id: str, placed: TaskPlace) -> bool:
+        """Record where a task is about to start, and have it stored if the task lost a worker."""
+        is_news = super().record_placement(task, scheduler_id, placed)
+        if is_news and task.lost_runs is not None:
+            self.record.suspect_places[f"{placed.step}.{placed.index}"] = placed.place
+            self._mark_changed()
+        return is_news
+
     def record_not_started(self, task: TaskProgress, result: TaskResult) -> None:
         """Return a task to the backlog, and forget the record of its start."""
         super().record_not_started(task, result)
@@ -250,7 +274,9 @@
             step: number of the step.
             index: index of the task within the step.
         """
-        if self.record.suspect_runs.pop(f"{step}.{index}", None) is not None:
+        name = f"{step}.{index}"
+        self.record.suspect_places.pop(name, None)
+        if self.record.suspect_runs.pop(name, None) is not None:
             self._mark_changed()
 
     def record_lost_run(self, task: TaskProgress, result: TaskResult) -> None:
@@ -286,6 +312,9 @@
         for name, number in record.suspect_runs.items():
             known_number = self.record.suspect_runs.get(name, 0)
             self.record.suspect_runs[name] = max(known_number, number)
+        for name, place in record.suspect_places.items():
+            known_place = self.record.suspect_places.get(name, place)
+            self.record.suspect_places[name] = max(place, known_place, key=lambda known: known.run)
 
     def _position_of(self, task: TaskProgress) -> tuple[int, int]:
         """Return the number of a task's step and its index in that."""
--- a/camphorchute/durable_jobs/tests/test_shard.py
+++ b/camphorchute/durable_jobs/tests/test_shard.py
@@ -1,6 +1,7 @@
 import gevent
 import pytest
 
+from camphorchute.cluster import WorkerFate
 from camphorchute.contracts.batch_job import BatchJob, BatchStep, QueueLimits
 from camphorchute.contracts.durable_job_messages import EndsSaved, KeptTasksAre, ReportedTask
 from camphorchute.contracts.resources import Resources
@@ -560,6 +561,53 @@
     assert (len(task.lost_runs) if task.lost_runs else 0) == expected
 
 
+def start_suspect_run(site, number, worker="w2"):
+    """Dispatch a task that lost a worker, and report where its scheduler is about to start it."""
+    job_run = site.job_run()
+    (task,) = job_run.steps[0]
+    assert wait_until(lambda: task.state is TaskState.WAITING)
+    assert wait_until(lambda: job_run.record_start(0, 0))
+    task.state, task.scheduler_id, task.dispatch = TaskState.HANDED, "scheduler", number
+    placed = TaskPlace(0, 0, number, RunPlace(worker, 100, f"{worker}:1", number))
+    assert job_run.record_placement(task, "scheduler", placed)
+    assert wait_until(lambda: site.stored_record().suspect_places == {"0.0": placed.place})
+
+
+# The next owner could not tell that the worker of the run was up, so the run counted as a crash.
+@pytest.mark.parametrize("is_withdrawn", [True, False])
+def test_place_of_a_run_that_lapses_with_its_scheduler_is_known_to_the_next_owner(
+    site, is_withdrawn
+):
+    site.put(make_record(1))
+    site.start_shard()
+    assert wait_until(lambda: recovered(site))
+    assert wait_until(lose_run(site).lost_runs.is_stored)
+    start_suspect_run(site, 5)
+    if is_withdrawn:
+        site.job_run().withdraw_start(0, 0)
+        assert wait_until(lambda: site.stored_record().suspect_places == {})
+    earlier_task = site.job_run().steps[0][0]
+    site.shards.pop().close()
+    site.start_shard(TERM + 1)
+    assert wait_until(lambda: site.job_run().steps[0][0] is not earlier_task)
+    assert wait_until(lambda: recovered(site))
+    (task,) = site.job_run().steps[0]
+    expected = [("w1", 1)] if is_withdrawn else [("w1", 1), ("w2", 5)]
+    assert [(place.worker_id, place.run) for place in task.lost_runs.places()] == expected
+    assert is_withdrawn or task.run == 6
+
+
+def test_fates_that_became_known_are_stored_with_the_next_start(site):
+    site.put(make_record(1))
+    site.start_shard()
+    assert wait_until(lambda: recovered(site))
+    task = lose_run(site)
+    assert wait_until(task.lost_runs.is_stored)
+    task.lost_runs.evidence(lambda place, since_s: WorkerFate.ALIVE)
+    start_suspect_run(site, 2)
+    assert [place.is_cleared for place in site.stored_record().lost_runs["0.0"]] == [True]
+
+
 def test_task_that_is_given_up_fails_its_job(site):
     site.put(make_record(1))
     site.start_shard()
--- a/camphorchute/queues/crash_guard.py
+++ b/camphorchute/queues/crash_guard.py
@@ -48,6 +48,7 @@
                 task=task,
                 machines=evidence.crashed_machines,
                 alone=evidence.crashed_alone,
+                crashed_runs=evidence.crashed_runs,
                 lost_runs=evidence.lost_runs,
                 undecided=evidence.undecided,
                 workers=[place.worker_id for place in lost_runs.places()],
--- a/camphorchute/queues/job_run.py
+++ b/camphorchute/queues/job_run.py
@@ -404,6 +404,16 @@
         """Record that the scheduler of a task that may run does not know the task."""
         task.mark_waiting()
 
+    def record_placement(self, task: "TaskProgress", scheduler_id: str, placed: TaskPlace) -> bool:
+        """Record where a task is about to start; return whether that is news of its dispatch.
+
+        Args:
+            task: the task.
+            scheduler_id: member id of the scheduler that says so.
+            placed: the task with its place.
+        """
+        return task.record_placement(scheduler_id, placed)
+
     def record_lost_run(self, task: "TaskProgress", result: TaskResult) -> None:
         """Record that a run was lost with its worker; known ones are recorded once."""
         task.add_lost_run(result.place)
--- a/camphorchute/queues/lost_runs.py
+++ b/camphorchute/queues/lost_runs.py
@@ -3,6 +3,8 @@
 import time
 from collections.abc import Callable
 
+import msgspec
+
 from camphorchute.cluster.worker_fates import WorkerFate
 from camphorchute.contracts.run_messages import RunPlace
 from camphorchute.policies.crash_limit import CrashDecision, CrashEvidence
@@ -12,6 +14,8 @@
 FATE_KNOWN_WITHIN_MS = 6000.0
 MS_PER_S = 1000.0
 
+_CLEARING_FATES = (WorkerFate.ALIVE, WorkerFate.LEFT)
+
 FateOf = Callable[[RunPlace, float], WorkerFate]
 
 
@@ -23,7 +27,18 @@
     def __init__(self, place: RunPlace) -> None:
         self.place = place
         self.since_s = time.monotonic()
-        self.fate = WorkerFate.UNKNOWN
+        self.fate = WorkerFate.ALIVE if place.is_cleared else WorkerFate.UNKNOWN
+
+    def update_fate(self, fate_of: FateOf) -> None:
+        """Ask for the fate of the worker unless it is known; a known one is kept."""
+        if self.fate is WorkerFate.UNKNOWN:
+            self.fate = fate_of(self.place, self.since_s)
+            if self.is_cleared():
+                self.place = msgspec.structs.replace(self.place, is_cleared=True)
+
+    def is_cleared(self) -> bool:
+        """Whether the worker is known not to have crashed under the run."""
+        return self.fate in _CLEARING_FATES
 
     def is_crash(self) -> bool:
         """Whether the worker crashed under the run."""
@@ -32,7 +47,7 @@
     def is_undecided(self) -> bool:
         """Whether the fate of the worker may still become known."""
         is_recent = (time.monotonic() - self.since_s) * MS_PER_S < FATE_KNOWN_WITHIN_MS
-        return is_recent and self.fate is WorkerFate.UNKNOWN and self.place.was_acknowledged
+        return is_recent and self.fate is WorkerFate.UNKNOWN and bool(self.place.worker_id)
 
 
 class LostRuns:
@@ -74,7 +89,7 @@
         return True
 
     def places(self) -> list[RunPlace]:
-        """Return where the runs were."""
+        """Return where the runs were, and which of their workers are cleared."""
         return [lost.place for lost in self._runs.values()]
 
     def last_place(self) -> RunPlace | None:
@@ -94,19 +109,19 @@
         self.stored = max(self.stored or 0, number)
 
     def evidence(self, fate_of: FateOf) -> CrashEvidence:
-        """Return the evidence against the task; a worker that was only silent is none.
+        """Return the evidence against the task; a worker that was only silent or left is none.
 
         Args:
             fate_of: returns what became of the worker of a run.
         """
         for lost in self._runs.values():
-            if lost.fate is WorkerFate.UNKNOWN:
-                lost.fate = fate_of(lost.place, lost.since_s)
-        against = [lost for lost in self._runs.values() if lost.fate is not WorkerFate.ALIVE]
+            lost.update_fate(fate_of)
+        against = [lost for lost in self._runs.values() if not lost.is_cleared()]
         crashes = [lost.place for lost in against if lost.is_crash()]
         return CrashEvidence(
             len({place.address for place in crashes}),
             len({place.address for place in crashes if place.was_alone}),
+            sum(lost.fate is WorkerFate.CRASHED for lost in against),
             len(against),
             sum(lost.is_undecided() for lost in against),
         )
--- a/camphorchute/queues/queue_owner.py
+++ b/camphorchute/queues/queue_owner.py
@@ -234,7 +234,7 @@
             return
         for placed in message.tasks:
             task = run.find_task(placed.step, placed.index)
-            if task is None or not task.record_placement(peer.member_id, placed):
+            if task is None or not run.record_placement(task, peer.member_id, placed):
                 self._count("queues.late_placement")
         self._withdrawals.check(run)
 
--- a/camphorchute/queues/tests/test_crash_guard.py
+++ b/camphorchute/queues/tests/test_crash_guard.py
@@ -9,6 +9,7 @@
 
 START, WAIT, GIVE_UP = CrashDecision.START, CrashDecision.WAIT, CrashDecision.GIVE_UP
 CRASHED, ALIVE, UNKNOWN = WorkerFate.CRASHED, WorkerFate.ALIVE, WorkerFate.UNKNOWN
+LEFT = WorkerFate.LEFT
 TASK = "job.0.0.0"
 
 
@@ -53,6 +54,8 @@
         ([(CRASHED, 1, True), (CRASHED, 2, True, False)], START),
         ([(CRASHED, number, True, False) for number in range(3)], START),
         ([(CRASHED, number, True, False) for number in range(4)], GIVE_UP),
+        ([(CRASHED, 1, True), (LEFT, 2, True), (LEFT, 3, True), (LEFT, 4, True)], START),
+        ([(CRASHED, 1, True), (UNKNOWN, 2, True, False)], WAIT),
     ],
 )
 def test_decision_follows_from_the_fates_of_the_lost_workers(losses, expected):
@@ -71,6 +74,39 @@
     assert site.decide() is START
 
 
+# A job failed after one crash, as runs that had lapsed with their schedulers counted as crashes.
+@pytest.mark.parametrize("unknown_losses", [3, 4, 9])
+@pytest.mark.parametrize("has_places", [True, False])
+def test_lost_runs_that_are_not_known_as_crashes_do_not_condemn_a_task(
+    monkeypatch, unknown_losses, has_places
+):
+    monkeypatch.setattr(lost_runs_module, "FATE_KNOWN_WITHIN_MS", 0.0)
+    site = Site()
+    site.lose(CRASHED, 1, True)
+    for number in range(unknown_losses):
+        if has_places:
+            site.lose(UNKNOWN, 2 + number, True)
+        else:
+            site.fates[2 + number] = UNKNOWN
+            site.lost_runs.add(RunPlace("", 0, "", 2 + number))
+    assert site.decide() is START
+
+
+# A worker that was replaced long after it had lost a run counted as crashed under the run.
+@pytest.mark.parametrize("fate", [ALIVE, LEFT])
+def test_cleared_worker_stays_cleared_for_the_next_owner(fate):
+    site = Site()
+    site.lose(CRASHED, 1, True)
+    site.lose(fate, 2, True)
+    assert site.decide() is START
+    restored = LostRuns()
+    for place in site.lost_runs.places():
+        restored.add(place)
+    site.fates = dict.fromkeys(site.fates, CRASHED)
+    assert site.guard.decide(TASK, restored) is START
+    assert [place.is_cleared for place in restored.places()] == [False, True]
+
+
 def test_fate_that_became_known_is_kept():
     site = Site()
     site.lose(CRASHED, 1, True)
