Let one method say when a durable job is over for its owner

Cause: the owner heard of the cancellation while a write of the record was under way. The shard dropped the job and cleared its unsaved marks; the write failed, its loop set them again and ended. The job had no outcome while it counted as unsaved, so no stop was sent. Ruled out: a cancellation that the owner does not hear of, and a lost stop message.

Change: DurableJobRun.end decides; nothing is unsaved after it and a later result changes nothing. The removal of the record of an open job goes the same way: it was ignored, or left the tasks running. New counters: keeping.ended_while_saving, keeping.run_dropped (a job that a later owner has, or with a malformed record; keeping.record_vanished is for removed ones now).

--- a/camphorchute/durable_jobs/durable_job_run.py
+++ b/camphorchute/durable_jobs/durable_job_run.py
@@ -51,6 +51,9 @@
 class DurableJobRun(JobRun):
     """The progress of a durable job, which has an outcome only once that is stored.
 
+    :meth:`end` alone decides that the job is over for its owner: nothing is saved after that, and
+    no write that is still under way changes the outcome.
+
     Args:
         record: the job as it is stored.
         revision: revision of the record.
@@ -82,6 +85,7 @@
         "_is_owner",
         "_schedule_save",
         "_schedule_task_query",
+        "_stored_outcome",
     )
 
     def __init__(
@@ -105,6 +109,7 @@
         self._is_owner = is_owner
         self._schedule_save = schedule_save
         self._schedule_task_query = schedule_task_query
+        self._stored_outcome: JobOutcome | None = None
         for step, indices in zip(self.steps, record.done, strict=False):
             for index in indices:
                 step[index].state = TaskState.DONE
@@ -161,12 +166,24 @@
         self.changed.set()
 
     def must_be_saved(self) -> bool:
-        """Whether the record has changes that no write has taken up."""
+        """Whether the job is not over and its record has changes that no write has taken up."""
+        if self._stored_outcome is not None:
+            return False
         return bool(self.unsaved_completions) or self.has_unsaved_changes
 
     def is_record_stored(self) -> bool:
         """Whether the store has everything in the record."""
-        return not self.must_be_saved() and not self.is_saving
+        return self._stored_outcome is not None or not (self.must_be_saved() or self.is_saving)
+
+    def end(self, state: DurableJobState) -> None:
+        """Record that the store has an outcome of the job, or no record of it any more.
+
+        Args:
+            state: the state in the store.
+        """
+        self.record.state = state
+        self._stored_outcome = _OUTCOMES[state]
+        self.changed.set()
 
     def has_recorded_end(self, task: TaskProgress, reported: ReportedTask) -> bool:
         """Return whether the record has what became of a run, stored or not.
@@ -195,9 +212,7 @@
 
     def current_outcome(self, now_s: float) -> JobOutcome | None:
         """Return the stored outcome of the job, None while it is open or not stored."""
-        if self.record.state is DurableJobState.OPEN or not self.is_record_stored():
-            return None
-        return _OUTCOMES[self.record.state]
+        return self._stored_outcome
 
     def record_done(self, task: TaskProgress, result: TaskResult) -> None:
         """Record a completed task, and the job as done after its last one, and have it stored."""
--- a/camphorchute/durable_jobs/shard.py
+++ b/camphorchute/durable_jobs/shard.py
@@ -162,6 +162,9 @@
         job_id = change.key.removeprefix(shard_key_prefix(self._number))
         if change.value is None:
             self._ended_jobs.pop(job_id, None)
+            run = self._runs.get(job_id)
+            if run is not None and change.mod_revision > run.revision:
+                self._end_vanished_run(run)
             return
         try:
             record = DurableJobRecord.decode(change.value)
@@ -217,25 +220,30 @@
         run.revision = revision
         if record.state is DurableJobState.OPEN:
             run.merge_progress(record)
-        elif record.state is not run.record.state:
-            run.record.state = record.state
-            run.unsaved_completions.clear()
-            run.has_unsaved_changes = False
+        else:
             self._finish_run(run, record.state)
 
     def _drop_run(self, job_id: str) -> None:
-        """Drop a job whose record was removed, or was written by an owner with a higher term."""
+        """Drop a job whose record was written by an owner with a higher term, or is malformed."""
         run = self._runs.pop(job_id, None)
         if run is not None:
-            self._context.count("keeping.record_vanished")
+            self._context.count("keeping.run_dropped")
             self._context.queue_owner.stop_dispatching(run)
 
+    def _end_vanished_run(self, run: DurableJobRun) -> None:
+        """End a job whose record was removed, as that is done some time after its outcome only."""
+        if self._runs.pop(run.job.job_id, None) is run:
+            self._context.count("keeping.record_vanished")
+            run.end(DurableJobState.CANCELLED)
+
     def _finish_run(self, run: DurableJobRun, state: DurableJobState) -> None:
         """Move a job to the ended ones once its outcome is stored."""
+        if run.is_saving:
+            self._context.count("keeping.ended_while_saving")
         job_id = run.job.job_id
         self._ended_jobs[job_id] = _EndedJob(state, run.revision)
         self._runs.pop(job_id, None)
-        run.changed.set()
+        run.end(state)
 
     def _recover(self) -> None:
         if self._previous_owner is PreviousOwner.LOST:
@@ -419,7 +427,7 @@
     def _merge_conflicting_write(self, run: DurableJobRun, current: StoredValue | None) -> bool:
         """Merge the write that came first; return whether nothing remains to be stored."""
         if current is None:
-            self._drop_run(run.job.job_id)
+            self._end_vanished_run(run)
             return True
         try:
             record = DurableJobRecord.decode(current.value)
--- a/camphorchute/durable_jobs/tests/test_shard.py
+++ b/camphorchute/durable_jobs/tests/test_shard.py
@@ -24,8 +24,8 @@
     FakeStore,
     FakeView,
 )
-from camphorchute.hosting import Queue, StoredValue, StoreUnavailable
-from camphorchute.queues import TaskState
+from camphorchute.hosting import Queue, StoredValue, StoreUnavailable, SwapUnknown
+from camphorchute.queues import JobOutcome, TaskState
 from camphorchute.runs import shard_of
 from camphorchute.runs.tests.scheduler_site import wait_until
 
@@ -561,6 +561,52 @@
     assert (len(task.lost_runs) if task.lost_runs else 0) == expected
 
 
+def end_in_store(site, how):
+    """End the job as another process does: by a record with its outcome, or without any record."""
+    if how is None:
+        site.store.put(KEY, None)
+    else:
+        site.put(make_record().ended_record(how))
+
+
+# The job never had an outcome for its owner, and its tasks ran on after the cancellation.
+@pytest.mark.parametrize("how", [DurableJobState.CANCELLED, DurableJobState.FAILED, None])
+@pytest.mark.parametrize(
+    "errors",
+    [[], [StoreUnavailable("down")], [SwapUnknown("lost")], [StoreUnavailable("down")] * 9],
+)
+def test_job_that_ends_while_its_record_is_being_saved_has_an_outcome(site, errors, how):
+    site.put(make_record())
+    site.start_shard()
+    assert wait_until(lambda: recovered(site))
+    site.store.errors_to_raise = list(errors)
+    site.complete(0, TaskResultKind.DONE)
+    assert wait_until(lambda: len(site.store.errors_to_raise) < max(1, len(errors)))
+    end_in_store(site, how)
+    expected = JobOutcome.FAILED if how is DurableJobState.FAILED else JobOutcome.CANCELLED
+    assert wait_until(lambda: site.job_run().current_outcome(0.0) is expected)
+    site.complete(1, TaskResultKind.DONE)
+    gevent.sleep(0.4)
+    assert site.job_run().current_outcome(0.0) is expected
+    assert not site.job_run().must_be_saved()
+
+
+# Nobody stopped the tasks of a job whose record was removed without the owner having seen its end.
+@pytest.mark.parametrize("is_seen_by_watch", [True, False])
+def test_job_whose_record_is_removed_is_over_for_its_owner(site, is_seen_by_watch):
+    site.put(make_record())
+    site.start_shard()
+    assert wait_until(lambda: recovered(site))
+    if not is_seen_by_watch:
+        site.shards[0].apply_change = lambda change: None
+    site.store.put(KEY, None)
+    if not is_seen_by_watch:
+        site.complete(0, TaskResultKind.DONE)
+    assert wait_until(lambda: site.job_run().current_outcome(0.0) is JobOutcome.CANCELLED)
+    assert site.shards[0].job_state(JOB_ID) == ""
+    assert site.counts["keeping.record_vanished"] == 1
+
+
 def start_suspect_run(site, number, worker="w2"):
     """Dispatch a task that lost a worker, and report where its scheduler is about to start it."""
     job_run = site.job_run()
