Tell an owner in the scheduler's own process where suspect tasks start

Where the owner of a durable job and the scheduler of its task were one process, the next owner could not find out whether the worker of a run had crashed, since the place was stored only for owners in other processes.

Cause: the notice of a placement was not sent to an owner in the same process, which is lost with its scheduler. Since the place of a task that lost a worker is stored, the next owner needs it.

Change: such an owner is told of tasks with lost runs; for all others nothing is sent within a process, as before.

--- a/camphorchute/entry/hosted_process.py
+++ b/camphorchute/entry/hosted_process.py
@@ -21,7 +21,6 @@
 )
 from camphorchute.contracts import Refusal, ResultCode
 from camphorchute.contracts.member import Member
-from camphorchute.contracts.run_messages import TasksPlaced
 from camphorchute.durable_jobs import JobWriter, ShardClaims, ShardOwner
 from camphorchute.durable_jobs.shard import ShardContext
 from camphorchute.entry.http_limits import HttpLimits
@@ -106,7 +105,8 @@
         self._scheduler = GroupScheduler(
             self._platform.open_worker_client, self._peers.send_if_linked, count, self._policies
         )
-        self._scheduler.placement_notices.notify = self._notify_of_placement
+        self._scheduler.placement_notices.notify = self._peers.send_if_linked
+        self._scheduler.placement_notices.own_id = self._member.member_id
         self._scheduler.binding_exchange.send_to_all = lambda message: self._peers.send_to_all(
             self._other_members(), message
         )
@@ -306,11 +306,6 @@
         members = self._view.members.values()
         return [member for member in members if member.member_id != self._member.member_id]
 
-    def _notify_of_placement(self, owner_id: str, message: TasksPlaced) -> bool:
-        """Tell the owner of a job where tasks start; an owner in this process is lost with it."""
-        is_here = owner_id == self._member.member_id
-        return is_here or self._peers.send_if_linked(owner_id, message)
-
     def _handle_lost_peer(self, peer: Member) -> None:
         self._scheduler.drop_owner(peer.member_id)
         self._owner.mark_scheduler_lost(peer.member_id)
--- a/camphorchute/runs/placement_notices.py
+++ b/camphorchute/runs/placement_notices.py
@@ -12,7 +12,8 @@
     """Tells the owners of jobs on which workers their tasks are about to start.
 
     If the process of the scheduler is killed before a start command is answered, the owner alone
-    knows where the run may begin.
+    knows where the run may begin. An owner in the same process is lost with it, so it is told only
+    of tasks that lost a worker before: it stores their places for the next owner.
 
     Args:
         notify: sends a one-way message to an owner; returns whether it could be sent.
@@ -20,14 +21,16 @@
 
     Attributes:
         notify: as the argument.
+        own_id: member id of this process, empty if it owns no jobs.
     """
 
-    __slots__ = ("notify", "_count")
+    __slots__ = ("notify", "own_id", "_count")
 
     def __init__(
         self, notify: Callable[[str, TasksPlaced], bool], count: Callable[..., None]
     ) -> None:
         self.notify = notify
+        self.own_id = ""
         self._count = count
 
     def send(self, tasks: Iterable[PendingTask]) -> None:
@@ -38,6 +41,8 @@
         """
         notices: dict[tuple[str, str], list[TaskPlace]] = {}
         for task in tasks:
+            if task.owner_id == self.own_id and not task.lost_runs:
+                continue
             message = task.message
             notices.setdefault((task.owner_id, message.job_id), []).append(
                 TaskPlace(message.step, task.index, task.dispatch, task.run.place())
--- a/camphorchute/runs/tests/test_placement_notices.py
+++ b/camphorchute/runs/tests/test_placement_notices.py
@@ -46,6 +46,21 @@
     ]
 
 
+# The next owner did not know where a task that had lost a worker had started again.
+@pytest.mark.parametrize(
+    ("own_id", "lost_runs", "expected"),
+    [("", 0, 1), ("other", 0, 1), (OWNER.member_id, 0, 0), (OWNER.member_id, 1, 1)],
+)
+def test_owner_in_the_same_process_is_told_of_tasks_that_lost_a_worker(
+    site, own_id, lost_runs, expected
+):
+    site.schedulers[0].placement_notices.own_id = own_id
+    message = start_message(1)
+    message.tasks = [TaskToStart(0, 1, lost_runs=lost_runs)]
+    site.schedulers[0].start_tasks(OWNER, message)
+    assert len(site.notices) == expected
+
+
 # The place of a task was known to its scheduler alone, which was killed.
 def test_notice_is_sent_before_the_start_command(site):
     holds = {worker.worker_id: Held() for worker in site.workers.values()}
