Hold the reads in a test until all calls have been made

test_completions_of_one_job_need_one_read_and_few_are_made_at_a_time failed once beside load, with 24 reads for 20.

Cause: the test took for granted that 400 greenlets begin within the 10 ms of a read. Where that takes longer, the event loop lets timers run in between, the first reads are answered, and a later call rightly reads again.

Change: the store of the test answers once all calls have begun. The same figures are asserted as before.

--- a/camphorchute/durable_jobs/tests/test_durability_checks.py
+++ b/camphorchute/durable_jobs/tests/test_durability_checks.py
@@ -1,21 +1,25 @@
 import gevent
 import pytest
+from gevent.event import Event
 
 from camphorchute.durable_jobs import job_key
 from camphorchute.durable_jobs.durability_checks import CONCURRENT_READS_MAX, DurabilityChecks
 from camphorchute.durable_jobs.tests.fakes import FakeStore
+from camphorchute.runs.tests.scheduler_site import wait_until
 
 
 class SlowStore(FakeStore):
-    """A store that counts its reads, and how many of them are made at a time."""
+    """A store that counts its reads, and how many are made at a time; it answers when it may."""
 
     def __init__(self):
         super().__init__()
         self.reads, self.present, self.most = 0, 0, 0
+        self.may_answer = Event()
 
     def get(self, key):
         self.reads, self.present = self.reads + 1, self.present + 1
         self.most = max(self.most, self.present)
+        self.may_answer.wait()
         gevent.sleep(0.01)
         self.present -= 1
         return super().get(key)
@@ -24,7 +28,15 @@
 def check_all(store, job_ids):
     counts = {}
     checks = DurabilityChecks(store, lambda name: counts.setdefault(name, 1))
-    greenlets = [gevent.spawn(checks.is_durable, job_id) for job_id in job_ids]
+    begun = []
+
+    def check(job_id):
+        begun.append(job_id)
+        return checks.is_durable(job_id)
+
+    greenlets = [gevent.spawn(check, job_id) for job_id in job_ids]
+    assert wait_until(lambda: len(begun) == len(job_ids))
+    store.may_answer.set()
     gevent.joinall(greenlets, timeout=3.0)
     return [greenlet.value for greenlet in greenlets], counts
 
