Tell schedulers that a shard was released

Cause: schedulers report runs without an owner to whoever owns the shard, but counted a task as without an owner only if the link to its owner was lost. The earlier owner lives and is linked; the next one reads an ended record and asks for nothing.

Change: an owner that closes a shard, or finds a later owner's record, tells the schedulers of its tasks, in a field of EndsSaved that earlier versions ignore. Tasks of that term or an earlier one have no owner from then on.

Measured: test_schedulers_are_told_that_a_shard_was_released and test_run_of_a_released_shard_is_reported_until_its_next_owner_takes_it fail without the change, as the field is missing.

--- a/camphorchute/contracts/durable_job_messages.py
+++ b/camphorchute/contracts/durable_job_messages.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from camphorchute.contracts.run_messages import RunPlace, TaskResultKind
+from camphorchute.contracts.run_messages import RunPlace, ShardTerm, TaskResultKind
 
 __all__ = [
     "AskKeptJob",
@@ -81,9 +81,17 @@
 
 
 class EndsSaved(msgspec.Struct, tag="ends_saved"):
-    """Completions that the shard owner has saved, so schedulers may acknowledge them; one way."""
+    """Completions that the shard owner has saved, so schedulers may acknowledge them; one way.
+
+    Attributes:
+        ends: the completions.
+        released: term of a shard that the sender owns no more, so that the tasks that it dispatched
+            under this term or an earlier one have no owner; None if there is none. A field here and
+            no message of its own, which earlier versions would close the link for.
+    """
 
     ends: list[SavedCompletion]
+    released: ShardTerm | None = None
 
 
 class AskKeptJob(msgspec.Struct, tag="ask_kept_job"):
--- a/camphorchute/durable_jobs/shard.py
+++ b/camphorchute/durable_jobs/shard.py
@@ -1,6 +1,7 @@
 """Recovery, execution and storage of the durable jobs of one shard at its owner."""
 
 import time
+from collections.abc import Iterable
 
 import gevent
 from eliot import log_message
@@ -110,8 +111,13 @@
         ]
 
     def close(self) -> None:
-        """Stop dispatching tasks; those that run continue under the next owner."""
+        """Stop dispatching tasks; those that run continue under the next owner.
+
+        Their schedulers are told that they have no owner. Whether their jobs have ended meanwhile
+        is then found out by the schedulers, as the next owner may read ended records only.
+        """
         self._closed = True
+        self._report_release(self._runs.values())
         self._search.close()
         self._follower.close()
         gevent.killall(self._greenlets, block=False)
@@ -228,8 +234,16 @@
         run = self._runs.pop(job_id, None)
         if run is not None:
             self._context.count("keeping.run_dropped")
+            self._report_release([run])
             self._context.queue_owner.stop_dispatching(run)
 
+    def _report_release(self, runs: Iterable[DurableJobRun]) -> None:
+        """Tell the schedulers that have tasks of some jobs that this owner's term has ended."""
+        for scheduler_id in {name for run in runs for name in run.open_scheduler_ids()}:
+            message = EndsSaved([], self._term)
+            if not self._context.peers.send_if_linked(scheduler_id, message):
+                self._context.count("keeping.release_untold")
+
     def _end_vanished_run(self, run: DurableJobRun) -> None:
         """End a job whose record was removed, as that is done some time after its outcome only."""
         if self._runs.pop(run.job.job_id, None) is run:
--- a/camphorchute/durable_jobs/tests/test_shard.py
+++ b/camphorchute/durable_jobs/tests/test_shard.py
@@ -7,6 +7,7 @@
 from camphorchute.contracts.resources import Resources
 from camphorchute.contracts.run_messages import (
     RunPlace,
+    ShardTerm,
     StopTasks,
     TaskPlace,
     TaskResult,
@@ -607,6 +608,27 @@
     assert site.counts["keeping.record_vanished"] == 1
 
 
+# A job that was cancelled between the release and the next owner's reading was never stopped: that
+# owner read an ended record, and the schedulers took the earlier one for the owner of its tasks.
+@pytest.mark.parametrize(
+    ("states", "expected"),
+    [
+        ([TaskState.HANDED, TaskState.WAITING], ["scheduler"]),
+        ([TaskState.MAY_RUN, TaskState.HANDED], ["scheduler"]),
+        ([TaskState.WAITING, TaskState.DONE], []),
+    ],
+)
+def test_schedulers_are_told_that_a_shard_was_released(site, states, expected):
+    site.put(make_record())
+    shard = site.start_shard()
+    assert wait_until(lambda: recovered(site))
+    for task, state in zip(site.job_run().steps[0], states, strict=True):
+        task.state, task.scheduler_id = state, "scheduler"
+    shard.close()
+    released = [message for message in site.peers.sent if isinstance(message, EndsSaved)]
+    assert released == [EndsSaved([], ShardTerm(SHARD, TERM))] * len(expected)
+
+
 def start_suspect_run(site, number, worker="w2"):
     """Dispatch a task that lost a worker, and report where its scheduler is about to start it."""
     job_run = site.job_run()
--- a/camphorchute/runs/durable_tasks.py
+++ b/camphorchute/runs/durable_tasks.py
@@ -29,9 +29,19 @@
         groups: returns the groups of the scheduler.
         count: adds to a named counter.
         start_bindings: the workers that the tasks of the scheduler are bound to.
+
+    Attributes:
+        on_shard_released: called with the term of a shard owner that owns the shard no more.
     """
 
-    __slots__ = ("_groups", "_count", "_latest_terms", "_lost_runs", "_start_bindings")
+    __slots__ = (
+        "on_shard_released",
+        "_groups",
+        "_count",
+        "_latest_terms",
+        "_lost_runs",
+        "_start_bindings",
+    )
 
     def __init__(
         self,
@@ -39,6 +49,7 @@
         count: Callable[..., None],
         start_bindings: StartBindings | None = None,
     ) -> None:
+        self.on_shard_released: Callable[[ShardTerm], None] = lambda term: None
         self._groups = groups
         self._count = count
         self._start_bindings = start_bindings or StartBindings()
@@ -111,7 +122,12 @@
 
     @handles(EndsSaved, nonblocking=True)
     def acknowledge_saved(self, peer: Member, message: EndsSaved) -> None:
-        """Acknowledge to the workers the completions that the shard owner has saved."""
+        """Acknowledge to the workers the completions that the shard owner has saved.
+
+        A shard owner that has released its shard says so in the same message.
+        """
+        if message.released is not None:
+            self.on_shard_released(message.released)
         for group in self._groups():
             for worker in group.workers.values():
                 acknowledged = [
--- a/camphorchute/runs/group_scheduler.py
+++ b/camphorchute/runs/group_scheduler.py
@@ -10,6 +10,7 @@
 from camphorchute.contracts.run_messages import (
     GroupFreeCapacity,
     RunPlace,
+    ShardTerm,
     StartTasks,
     StopTasks,
     TaskResult,
@@ -114,6 +115,7 @@
         self._start_bindings = StartBindings()
         self.binding_exchange = BindingExchange(self._start_bindings, count)
         self.durable_tasks = DurableTasks(self._groups.values, count, self._start_bindings)
+        self.durable_tasks.on_shard_released = self._drop_shard_owner
         self._stopped_runs = StoppedRuns()
         self._sent_renewals = SentRenewals()
         self._places = TaskPlaces(self._groups.values, count)
@@ -241,6 +243,21 @@
             else:
                 self._stop_task(task)
 
+    def _drop_shard_owner(self, term: ShardTerm) -> None:
+        """Let the tasks of a shard owner that has released the shard continue without an owner.
+
+        Those that a later owner has taken over are its own.
+
+        Args:
+            term: the term in which the tasks were dispatched.
+        """
+        for task in self._open_tasks.all():
+            if task.message.term is None or task.orphaned:
+                continue
+            if task.message.term.shard == term.shard and task.message.term.number <= term.number:
+                self._count("runs.shard_released")
+                self._orphan_task(task)
+
     @handles(StartTasks, nonblocking=True)
     def start_tasks(self, peer: Member, message: StartTasks) -> None:
         """Accept tasks and start those that the free capacity suffices for."""
--- a/camphorchute/runs/tests/test_durable_tasks.py
+++ b/camphorchute/runs/tests/test_durable_tasks.py
@@ -89,6 +89,37 @@
     assert [run.outcome for run in all_runs(site)] == ["done", "done"]
 
 
+# The tasks of a released shard had a living owner for their scheduler, so that nobody asked whether
+# their jobs had been cancelled.
+@pytest.mark.parametrize(
+    ("released", "is_reported"),
+    [
+        (TERM, True),
+        (LATER_TERM, True),
+        (ShardTerm(SHARD, 6), False),
+        (ShardTerm((SHARD + 1) % 32, 7), False),
+        (None, False),
+    ],
+)
+def test_run_of_a_released_shard_is_reported_until_its_next_owner_takes_it(
+    open_site, released, is_reported
+):
+    site, scheduler = open_site(workers=1, run_ms=9000.0)
+    reports = []
+    scheduler.retained_ends.report = reports.extend
+    site.dispatch_tasks(scheduler, tasks=3, term=TERM)
+    assert wait_until(lambda: len(all_runs(site)) == 2)
+    scheduler.durable_tasks.acknowledge_saved(OWNER, EndsSaved([], released))
+    assert wait_until(lambda: bool(reports), 1.6) is is_reported
+    assert {row.end for row in reports} == ({None} if is_reported else set())
+    assert len(site.results) == is_reported  # the pending task
+    site.dispatch_tasks(scheduler, tasks=2, run=2, term=LATER_TERM, may_run=True)
+    scheduler.durable_tasks.acknowledge_saved(OWNER, EndsSaved([], TERM))
+    reports.clear()
+    assert not wait_until(lambda: bool(reports), 1.6)
+    assert not any(run.ended_s for run in all_runs(site))
+
+
 def test_new_shard_owner_receives_every_task_that_may_run(open_site):
     site, scheduler = open_site(workers=1, run_ms=300.0)
     site.dispatch_tasks(scheduler, tasks=3, term=TERM)
