End durable runs behind a cut before their tasks start again

Cause: the owner took a task for not running once every listed worker had been reported, and discovery lists no worker that is cut off; the scheduler behind the cut renewed the leases of durable runs without a limit. Ruled out as the cause: that the witnesses had forgotten the starts.

Change: a scheduler renews them for 8 s after it has last renewed its lease in the store or heard a member of every zone. An owner that has lost the scheduler of a task, or is new, waits 8.5 s after a worker has left discovery without a known reason, or while a zone has no member and the process is young.

--- a/camphorchute/cluster/__init__.py
+++ b/camphorchute/cluster/__init__.py
@@ -3,6 +3,7 @@
 from camphorchute.cluster.claims import GroupClaims
 from camphorchute.cluster.cluster_view import OWN_PREFIX, Claim, ClusterView
 from camphorchute.cluster.configuration_fetch import ConfigurationFetch
+from camphorchute.cluster.connectivity import Connectivity
 from camphorchute.cluster.group_followers import GroupFollowers
 from camphorchute.cluster.heartbeats import Heartbeats
 from camphorchute.cluster.membership_lease import MembershipLease
@@ -16,6 +17,7 @@
     "Claim",
     "ClusterView",
     "ConfigurationFetch",
+    "Connectivity",
     "GroupClaims",
     "GroupFollowers",
     "Heartbeats",
--- a/camphorchute/cluster/cluster_view.py
+++ b/camphorchute/cluster/cluster_view.py
@@ -1,11 +1,13 @@
 """Cluster view: the members, workers, claims and queues as this process last read them."""
 
+import time
 from collections import Counter
 from collections.abc import Callable, Collection
 
 from eliot import log_message, write_traceback
 from gevent.event import Event
 
+from camphorchute.cluster.departed_workers import DepartedWorkers
 from camphorchute.cluster.group_followers import GroupFollowers
 from camphorchute.cluster.worker_capacities import WorkerCapacities
 from camphorchute.cluster.worker_fates import WorkerFates
@@ -22,6 +24,7 @@
 MEMBER_PREFIX = OWN_PREFIX + "members/"
 CLAIM_PREFIX = OWN_PREFIX + "homes/"
 WORKER_EXPIRY_MS = 2500.0
+YOUNG_S = 60.0
 MS_PER_S = 1000.0
 
 
@@ -60,6 +63,7 @@
         worker_fates: what became of workers that stopped answering.
         capacities: which groups have a worker that is large enough for a demand.
         on_worker_changed: called with the entry of a worker that says anything new.
+        expected_zones: names of the zones that have members unless they are lost or cut off.
     """
 
     __slots__ = (
@@ -74,6 +78,9 @@
         "worker_fates",
         "capacities",
         "on_worker_changed",
+        "expected_zones",
+        "_created_s",
+        "_departed_workers",
         "_platform",
         "_count",
         "_missing_since_s",
@@ -102,6 +109,9 @@
         )
         self.worker_fates = WorkerFates()
         self.on_worker_changed: Callable[[WorkerEntry], None] = lambda entry: None
+        self.expected_zones: Collection[str] = ()
+        self._created_s = time.monotonic()
+        self._departed_workers = DepartedWorkers()
         self._platform = platform
         self._count = count
         self._missing_since_s: dict[str, float] = {}
@@ -201,11 +211,31 @@
         for worker_id, since_s in list(self._missing_since_s.items()):
             if (now_s - since_s) * MS_PER_S > WORKER_EXPIRY_MS:
                 del self._missing_since_s[worker_id]
-                self.worker_fates.forget(self.workers.pop(worker_id))
+                entry = self.workers.pop(worker_id)
+                self.worker_fates.forget(entry)
+                self._departed_workers.record_gone(entry)
                 self._worker_groups.remove_worker(worker_id)
                 self._count("roster.worker_gone")
                 self.changed.set()
 
+    def hidden_workers_since_s(self, service: str) -> float | None:
+        """Return since when a worker of a service may be up that service discovery does not list.
+
+        Such a worker is cut off, with its runs and perhaps its scheduler. A process that has just
+        started cannot remember it, but a zone without any member may be cut off.
+
+        Args:
+            service: name of the service.
+
+        Returns:
+            A monotonic time in seconds, None if no worker is known to be hidden.
+        """
+        gone_s = self._departed_workers.last_gone_s(service)
+        if gone_s is None and time.monotonic() - self._created_s < YOUNG_S:
+            zones = {member.zone for member in self.members.values()}
+            return self._created_s if set(self.expected_zones) - zones else None
+        return gone_s
+
     def has_workers(self, service: str) -> bool:
         """Return whether a worker of a service is listed."""
         return any(entry.service == service for entry in self.workers.values())
@@ -297,6 +327,7 @@
         entry = None if value is None else self._platform.decode_worker_entry(key, value)
         if entry is not None:
             self.worker_fates.record(entry, change.mod_revision)
+            self._departed_workers.record_listed(entry)
             if self._missing_since_s:
                 self._missing_since_s.pop(worker_id, None)
             if entry.is_equal(self.workers.get(worker_id)):
--- a/camphorchute/cluster/heartbeats.py
+++ b/camphorchute/cluster/heartbeats.py
@@ -129,6 +129,14 @@
         self._count("roster.answer_requested")
         self._peers.send_if_linked(member_id, self._make_heartbeat(wants_answer=True))
 
+    def open_link(self, member: Member) -> None:
+        """Open a link to a member in the background if there is none.
+
+        Args:
+            member: the member.
+        """
+        self._peers.send_or_open(member, self._make_heartbeat())
+
     def request_reports(self, member: Member, for_ms: float) -> bool:
         """Ask a member for its free-capacity reports; return whether there is a link to it yet.
 
--- a/camphorchute/cluster/membership_lease.py
+++ b/camphorchute/cluster/membership_lease.py
@@ -80,6 +80,10 @@
             return False
         return (_boot_time_s() - self._renewed_s) * MS_PER_S < LEASE_VALID_MS
 
+    def since_renewal_s(self) -> float:
+        """Return the time since the last renewal in seconds, infinite while there is no lease."""
+        return _boot_time_s() - self._renewed_s if self.lease_id else float("inf")
+
     def _maintain_lease(self) -> None:
         while True:
             requested_s = _boot_time_s()
--- a/camphorchute/cluster/tests/test_cluster_view.py
+++ b/camphorchute/cluster/tests/test_cluster_view.py
@@ -95,6 +95,55 @@
     assert ("w1" in view.workers) is is_kept
 
 
+def list_worker(view, **fields):
+    entry = WORKER_ENTRY | fields
+    worker_id = entry.pop("id", "w1")
+    apply_value(view, WORKER_KEY.replace("w1", worker_id), json.dumps(entry).encode())
+
+
+# The runs of a worker that was cut off were taken for ended as soon as it was not listed.
+@pytest.mark.parametrize(
+    ("last_fields", "listed_later", "is_hidden"),
+    [
+        ({}, [], True),
+        ({"state": "draining"}, [], False),
+        ({}, [{}], False),
+        ({}, [{"id": "w2"}], False),
+        ({}, [{"id": "w2", "address": "10.0.0.9:80"}], True),
+    ],
+)
+def test_unlisted_worker_may_be_hidden_until_it_is_explained(
+    view, monkeypatch, last_fields, listed_later, is_hidden
+):
+    list_worker(view)
+    list_worker(view, **last_fields)
+    service = view.workers["w1"].service
+    assert view.hidden_workers_since_s(service) is None
+    apply_value(view, WORKER_KEY, None)
+    monkeypatch.setattr(cluster_view, "WORKER_EXPIRY_MS", 0.0)
+    view.remove_expired_workers()
+    for fields in listed_later:
+        list_worker(view, **fields)
+    assert (view.hidden_workers_since_s(service) is not None) is is_hidden
+    assert view.hidden_workers_since_s("other") is None
+
+
+# A process that started during a cut could not remember the workers that were cut off.
+@pytest.mark.parametrize(
+    ("zones", "young_s", "is_hidden"),
+    [(["north"], 60.0, False), (["north", "south"], 60.0, True), (["north", "south"], 0.0, False)],
+)
+def test_zone_without_members_may_hide_workers_from_a_new_process(
+    view, monkeypatch, zones, young_s, is_hidden
+):
+    monkeypatch.setattr(cluster_view, "YOUNG_S", young_s)
+    view.members = {"m1": Member("m1", "north", "", "", "", "")}
+    view.expected_zones = zones
+    assert (view.hidden_workers_since_s("flags") is not None) is is_hidden
+    view.members["m2"] = Member("m2", "south", "", "", "", "")
+    assert view.hidden_workers_since_s("flags") is None
+
+
 def test_worker_whose_entry_comes_back_is_not_removed(view, monkeypatch):
     apply_value(view, WORKER_KEY, json.dumps(WORKER_ENTRY).encode())
     apply_value(view, WORKER_KEY, None)
--- a/camphorchute/durable_jobs/durable_job_run.py
+++ b/camphorchute/durable_jobs/durable_job_run.py
@@ -1,5 +1,6 @@
 """Progress of an open durable job at the owner of its shard."""
 
+import time
 from collections.abc import Callable
 
 from gevent.event import Event
@@ -124,8 +125,9 @@
 
     def mark_waiting_tasks_unknown(self) -> None:
         """Mark the pending tasks as unknown, since an earlier owner may have started them."""
+        now_s = time.monotonic()
         for task in self._tasks_in(TaskState.WAITING):
-            task.state = TaskState.UNKNOWN
+            task.state, task.unaccounted_since_s = TaskState.UNKNOWN, now_s
 
     def unknown_tasks(self) -> list[TaskProgress]:
         """Return the tasks for which the schedulers must be queried."""
@@ -145,7 +147,7 @@
         Args:
             task: the task.
         """
-        task.state = TaskState.WAITING
+        task.state, task.unaccounted_since_s = TaskState.WAITING, None
         if task.lost_runs is None:
             return
         step, index = self._position_of(task)
--- a/camphorchute/durable_jobs/run_search.py
+++ b/camphorchute/durable_jobs/run_search.py
@@ -1,5 +1,6 @@
 """Run search: asks the schedulers which unknown tasks of a shard may be running."""
 
+import time
 from collections.abc import Callable, Iterable
 
 import gevent
@@ -14,12 +15,14 @@
 from camphorchute.links import LinkLost
 from camphorchute.loops import spawn_loop
 from camphorchute.queues import TaskProgress, TaskState
+from camphorchute.runs.owner_contacts import ISOLATED_RUN_MAX_MS
 
 __all__ = ["RunSearch"]
 
 QUERY_TIMEOUT_MS = 500.0
 RETRY_MS = 100.0
 LOGGED_WORKERS_MAX = 5
+HIDDEN_RUNS_END_MS = ISOLATED_RUN_MAX_MS + 500.0
 MS_PER_S = 1000.0
 
 
@@ -31,6 +34,10 @@
     a round that began after the task had become unknown. Tasks of other services do not wait for
     these workers.
 
+    A worker that is not listed is no proof that its runs have ended: it may be cut off together
+    with its scheduler, which goes on with them for ISOLATED_RUN_MAX_MS. A task that this scheduler
+    may have waits for that long.
+
     Args:
         term: term of the shard owner.
         context: the collaborators that all shards share.
@@ -117,7 +124,11 @@
             first_round = self._first_round.get(task)  # missing if it became unknown again just now
             if task.state is not TaskState.UNKNOWN:
                 self._first_round.pop(task, None)
-            elif first_round is not None and reported_since[service] >= first_round:
+            elif (
+                first_round is not None
+                and reported_since[service] >= first_round
+                and not self._may_have_hidden_run(service, task)
+            ):
                 self._first_round.pop(task)
                 run.mark_unreported(task)
             else:
@@ -130,6 +141,17 @@
     def _unknown_tasks(self) -> list[tuple[DurableJobRun, TaskProgress]]:
         return [(run, task) for run in self._open_runs() for task in run.unknown_tasks()]
 
+    def _may_have_hidden_run(self, service: str, task: TaskProgress) -> bool:
+        """Whether a scheduler that is cut off with its workers may still have a run of a task."""
+        hidden_s = self._context.view.hidden_workers_since_s(service)
+        if hidden_s is None or task.unaccounted_since_s is None:
+            return False
+        since_s = max(hidden_s, task.unaccounted_since_s)
+        if (time.monotonic() - since_s) * MS_PER_S >= HIDDEN_RUNS_END_MS:
+            return False
+        self._context.count("keeping.wait.hidden_worker")
+        return True
+
     def _all_reported_since(self, service: str) -> int:
         """Return the round in or after which the runs of all workers of a service were reported.
 
--- a/camphorchute/durable_jobs/shard.py
+++ b/camphorchute/durable_jobs/shard.py
@@ -381,7 +381,7 @@
         elif task.state is TaskState.UNKNOWN:
             task.group, task.scheduler_id = reported.group, scheduler.member_id
             task.state, task.worker_id = TaskState.MAY_RUN, reported.worker_id
-            task.place = reported.place
+            task.place, task.unaccounted_since_s = reported.place, None
             run.was_dispatched_with_capacity = True
 
     def _stop_leftover_run(self, scheduler: Member, reported: ReportedTask, job_id: str) -> None:
--- a/camphorchute/durable_jobs/tests/fakes.py
+++ b/camphorchute/durable_jobs/tests/fakes.py
@@ -136,10 +136,12 @@
     Attributes:
         workers: the workers by id; the value is the name of a service if the worker has only that.
         has_claim_only: whether the view knows the claim on the group, but no worker in it.
+        hidden_since_s: since when a worker may be hidden, None if there is none.
     """
 
     scheduler = Member("scheduler", "north", "", "", "", "")
     has_claim_only = False
+    hidden_since_s = None
 
     def __init__(self):
         self.workers = {"w1": None, "w2": None}
@@ -153,5 +155,8 @@
     def worker_ids_of(self, service):
         return [name for name, other in self.workers.items() if other in (None, service)]
 
+    def hidden_workers_since_s(self, service):
+        return self.hidden_since_s
+
     def scheduler_of(self, group):
         return self.scheduler
--- a/camphorchute/durable_jobs/tests/test_shard.py
+++ b/camphorchute/durable_jobs/tests/test_shard.py
@@ -1,3 +1,5 @@
+import time
+
 import gevent
 import pytest
 
@@ -629,6 +631,50 @@
     assert released == [EndsSaved([], ShardTerm(SHARD, TERM))] * len(expected)
 
 
+# The next owner started tasks again whose worker was cut off with its scheduler, which went on with
+# the runs.
+@pytest.mark.parametrize("is_owner_new", [True, False])
+@pytest.mark.parametrize(
+    ("hidden_for_s", "unaccounted_for_s", "waits"),
+    [(0.0, 0.0, True), (60.0, 0.0, True), (0.0, 60.0, True), (60.0, 60.0, False), (None, 0, False)],
+)
+def test_task_of_a_lost_scheduler_waits_while_its_worker_may_be_hidden(
+    site, is_owner_new, hidden_for_s, unaccounted_for_s, waits
+):
+    if hidden_for_s is not None:
+        site.view.hidden_since_s = time.monotonic() - hidden_for_s
+    site.put(make_record(1))
+    site.start_shard(previous_owner=[PreviousOwner.NONE, PreviousOwner.RELEASED][is_owner_new])
+    assert wait_until(lambda: JOB_ID in site.queue_owner.runs)
+    (task,) = site.job_run().steps[0]
+    unaccounted_s = time.monotonic() - unaccounted_for_s
+    if is_owner_new:
+        assert wait_until(lambda: site.peers.requests)
+        if task.state is TaskState.UNKNOWN:
+            task.unaccounted_since_s = unaccounted_s
+    else:
+        task.state, task.scheduler_id, task.dispatch = TaskState.HANDED, "scheduler", 1
+        task.mark_scheduler_lost(unaccounted_s, 13.0)
+        site.job_run().record_worker_lost(task, NOT_FOUND)
+    assert wait_until(lambda: task.state is TaskState.WAITING, 0.4) is not waits
+    if waits:
+        assert site.counts["keeping.wait.hidden_worker"] > 0
+        site.view.hidden_since_s = task.unaccounted_since_s = time.monotonic() - 60.0
+        assert wait_until(lambda: task.state is TaskState.WAITING)
+    assert task.unaccounted_since_s is None
+
+
+# The scheduler of the run is heard, so that no other one goes on with it.
+def test_task_that_its_own_scheduler_lost_does_not_wait_for_hidden_workers(site):
+    site.view.hidden_since_s = time.monotonic()
+    site.put(make_record(1))
+    site.start_shard(previous_owner=PreviousOwner.NONE)
+    assert wait_until(lambda: JOB_ID in site.queue_owner.runs)
+    task = lose_run(site)
+    assert task.state is TaskState.UNKNOWN
+    assert wait_until(lambda: task.state is TaskState.WAITING)
+
+
 def start_suspect_run(site, number, worker="w2"):
     """Dispatch a task that lost a worker, and report where its scheduler is about to start it."""
     job_run = site.job_run()
--- a/camphorchute/entry/hosted_process.py
+++ b/camphorchute/entry/hosted_process.py
@@ -13,6 +13,7 @@
     OWN_PREFIX,
     ClusterView,
     ConfigurationFetch,
+    Connectivity,
     GroupClaims,
     Heartbeats,
     MembershipLease,
@@ -90,6 +91,7 @@
             platform.decode_evacuated_zone, count, settings.zones, settings.evacuation_return_ms
         )
         self._view = ClusterView(platform, count, zone_evacuations)
+        self._view.expected_zones = settings.zones
         self._worker_follower = StoreFollower(
             store, platform.worker_prefix, self._view, count, WORKER_CHANGES_BATCH_MS
         )
@@ -147,6 +149,8 @@
         self._scheduler.owner_contacts.resend_ms = settings.resend_ms
         self._scheduler.owner_contacts.running_at_s = self._peers.running_at_s
         self._scheduler.owner_contacts.request_proof = self._heartbeats.request_answer
+        connectivity = Connectivity(self._peers, self._view, self._lease, self._heartbeats)
+        self._scheduler.owner_contacts.connected_at_s = connectivity.connected_at_s
         self._owner = QueueOwner(
             self._capacity_view,
             self._view.scheduler_of,
--- a/camphorchute/queues/job_run.py
+++ b/camphorchute/queues/job_run.py
@@ -75,6 +75,8 @@
         is_repeated: whether it was dispatched more than once.
         came_back: how its last dispatch came back, as logs name it; empty if it has not.
         returned_as: scheduler, worker and group of its last result ``MAY_RUN``, None before.
+        unaccounted_since_s: monotonic time since when a scheduler that this owner does not reach
+            may have a run of it; None if there is none.
     """
 
     __slots__ = (
@@ -93,6 +95,7 @@
         "is_repeated",
         "came_back",
         "returned_as",
+        "unaccounted_since_s",
     )
 
     def __init__(self) -> None:
@@ -111,6 +114,7 @@
         self.is_repeated = False
         self.came_back = ""
         self.returned_as: tuple[str, str, str] | None = None
+        self.unaccounted_since_s: float | None = None
 
     def add_lost_run(self, place: RunPlace) -> bool:
         """Add a run that was lost with its worker; return whether that says anything new.
@@ -147,6 +151,7 @@
             late_arrival_max_s: time within which a start command without an answer arrives.
         """
         self.state, self.came_back = TaskState.MAY_RUN, HOME_LOST
+        self.unaccounted_since_s = now_s
         if self.placed_dispatch == self.dispatch or now_s < self.bound_until_s:
             self.bound_until_s = now_s + late_arrival_max_s
         else:
--- a/camphorchute/runs/tests/test_owner_contacts.py
+++ b/camphorchute/runs/tests/test_owner_contacts.py
@@ -5,6 +5,7 @@
 
 from camphorchute.contracts.member import Member
 from camphorchute.contracts.run_messages import ShardTerm
+from camphorchute.runs import owner_contacts
 from camphorchute.runs.tests.model_workers import SERVICE, ModelSite
 from camphorchute.runs.tests.scheduler_site import GROUP, OWNER, start_message, wait_until
 
@@ -51,6 +52,33 @@
     assert run.end_s() < silent_s + RESEND_S
 
 
+# A durable run went on without a limit while its scheduler was cut off with the worker, and another
+# run of the task began elsewhere.
+@pytest.mark.parametrize("is_cut_off", [True, False])
+@pytest.mark.parametrize("is_orphaned", [True, False])
+def test_durable_run_ends_while_its_scheduler_is_cut_off(
+    site, monkeypatch, is_cut_off, is_orphaned
+):
+    monkeypatch.setattr(owner_contacts, "ISOLATED_RUN_MAX_MS", 900.0)
+    scheduler = site.add_scheduler(1)
+    dispatch_job(scheduler, "job1", term=ShardTerm(0, 7))
+    assert wait_until(site.all_runs)
+    cut_off_s = time.monotonic()
+    if is_orphaned:
+        scheduler.drop_owner(OWNER.member_id)
+    if is_cut_off:
+        scheduler.owner_contacts.connected_at_s = lambda: cut_off_s
+    gevent.sleep(1.2)
+    (run,) = site.all_runs()
+    assert (run.end_s() < cut_off_s + 1.0) is is_cut_off
+    if is_cut_off:
+        dispatch_job(scheduler, "job2", term=ShardTerm(0, 7))
+        gevent.sleep(0.2)
+        assert len(site.all_runs()) == 1
+        scheduler.owner_contacts.connected_at_s = time.monotonic
+        assert wait_until(lambda: len(site.all_runs()) > 1)
+
+
 # Guards against a neighbour's renewals, which extend the leases of all runs of the worker.
 def test_neighbour_of_a_run_does_not_keep_it_alive(site):
     silent_since_s = {}
