Take a zone without a known member as not heard

A scheduler that is cut off from the store while its view lists no member of the zone beyond the cut would have counted as connected, and renewed the leases of durable runs without a limit, while a process that started there took their tasks over (by reading, before any play).

Cause: only zones with a listed member had to be heard.

Change: every zone of the settings has to be heard while the store is not reached. Two constants have plainer names.

Measured: a new row of test_connectivity fails without the change; tests of cluster, the shard and the entry process pass.

--- a/camphorchute/cluster/cluster_view.py
+++ b/camphorchute/cluster/cluster_view.py
@@ -24,7 +24,7 @@
 MEMBER_PREFIX = OWN_PREFIX + "members/"
 CLAIM_PREFIX = OWN_PREFIX + "homes/"
 WORKER_EXPIRY_MS = 2500.0
-YOUNG_S = 60.0
+YOUNG_PROCESS_S = 60.0
 MS_PER_S = 1000.0
 
 
@@ -63,7 +63,7 @@
         worker_fates: what became of workers that stopped answering.
         capacities: which groups have a worker that is large enough for a demand.
         on_worker_changed: called with the entry of a worker that says anything new.
-        expected_zones: names of the zones that have members unless they are lost or cut off.
+        expected_zones: names of all zones; one without a member is lost, cut off or not started.
     """
 
     __slots__ = (
@@ -231,7 +231,7 @@
             A monotonic time in seconds, None if no worker is known to be hidden.
         """
         gone_s = self._departed_workers.last_gone_s(service)
-        if gone_s is None and time.monotonic() - self._created_s < YOUNG_S:
+        if gone_s is None and time.monotonic() - self._created_s < YOUNG_PROCESS_S:
             zones = {member.zone for member in self.members.values()}
             return self._created_s if set(self.expected_zones) - zones else None
         return gone_s
--- a/camphorchute/cluster/connectivity.py
+++ b/camphorchute/cluster/connectivity.py
@@ -11,6 +11,7 @@
 
 REFRESH_INTERVAL_MS = 100.0
 MS_PER_S = 1000.0
+NEVER_S = float("-inf")
 
 
 class Connectivity:
@@ -18,12 +19,11 @@
 
     A process that reaches the store holds its claims, so whoever takes over work asks it. Without
     the store, it is on the same side of any cut as everybody else while it hears members of all
-    zones. Zones without a registered member do not count; while the store is unavailable the last
-    known members do.
+    zones. A zone without a known member is not heard, as one may start there meanwhile.
 
     Args:
         peers: the links to other members.
-        view: the cluster view, which lists the members.
+        view: the cluster view, which lists the members and knows the zones.
         lease: the lease of this process, which is valid while the store is reached.
         heartbeats: opens links to zones without one.
     """
@@ -38,7 +38,7 @@
         self._lease = lease
         self._heartbeats = heartbeats
         self._connected_s = time.monotonic()
-        self._refreshed_s = float("-inf")
+        self._refreshed_s = NEVER_S
 
     def connected_at_s(self) -> float:
         """Return the latest monotonic time at which this process was certainly not cut off.
@@ -58,11 +58,12 @@
         """Return when the zone was heard that has been silent for the longest time."""
         own_zone = self._peers.member.zone
         members = [member for member in self._view.members.values() if member.zone != own_zone]
-        heard_s = {member.zone: float("-inf") for member in members}
+        heard_s = {zone: NEVER_S for zone in self._view.expected_zones if zone != own_zone}
         for member in members:
             at_s = self._peers.running_at_s(member.member_id)
-            heard_s[member.zone] = max(heard_s[member.zone], at_s)
-        unlinked_zones = {zone for zone, at_s in heard_s.items() if at_s == float("-inf")}
-        for zone in unlinked_zones:
-            self._heartbeats.open_link(next(m for m in members if m.zone == zone))
+            heard_s[member.zone] = max(heard_s.get(member.zone, NEVER_S), at_s)
+        for zone in [zone for zone, at_s in heard_s.items() if at_s == NEVER_S]:
+            member = next((member for member in members if member.zone == zone), None)
+            if member is not None:
+                self._heartbeats.open_link(member)
         return min(heard_s.values(), default=now_s)
--- a/camphorchute/cluster/departed_workers.py
+++ b/camphorchute/cluster/departed_workers.py
@@ -6,7 +6,7 @@
 
 __all__ = ["DepartedWorkers"]
 
-KEPT_S = 600.0
+DEPARTURES_KEPT_S = 600.0
 
 
 class _Departure:
@@ -74,7 +74,7 @@
         Args:
             service: name of the service.
         """
-        since_s = time.monotonic() - KEPT_S
+        since_s = time.monotonic() - DEPARTURES_KEPT_S
         times_s = [
             departure.gone_s
             for departure in self._departures.values()
--- a/camphorchute/cluster/tests/test_cluster_view.py
+++ b/camphorchute/cluster/tests/test_cluster_view.py
@@ -136,7 +136,7 @@
 def test_zone_without_members_may_hide_workers_from_a_new_process(
     view, monkeypatch, zones, young_s, is_hidden
 ):
-    monkeypatch.setattr(cluster_view, "YOUNG_S", young_s)
+    monkeypatch.setattr(cluster_view, "YOUNG_PROCESS_S", young_s)
     view.members = {"m1": Member("m1", "north", "", "", "", "")}
     view.expected_zones = zones
     assert (view.hidden_workers_since_s("flags") is not None) is is_hidden
--- a/camphorchute/cluster/tests/test_connectivity.py
+++ b/camphorchute/cluster/tests/test_connectivity.py
@@ -19,12 +19,14 @@
     """A process in zone north, with the members of other zones that a test gives it.
 
     Args:
-        ages_s: time since each member was heard, by its name, which begins with its zone.
+        ages_s: time since each member was heard, by its name, which begins with its zone; a name
+            without a number stands for a zone without a member.
     """
 
     def __init__(self, ages_s, renewal_age_s, is_lease_valid):
         self.ages_s = ages_s
-        members = {name: make_member(name, name.partition("-")[0]) for name in ages_s}
+        names = [name for name in ages_s if "-" in name]
+        members = {name: make_member(name, name.partition("-")[0]) for name in names}
         members["own"] = make_member("own", "north")
         peers = SimpleNamespace(member=members["own"], running_at_s=self._running_at_s)
         lease = SimpleNamespace(
@@ -34,7 +36,9 @@
         )
         self.opened = []
         heartbeats = SimpleNamespace(open_link=lambda member: self.opened.append(member.zone))
-        self.connectivity = Connectivity(peers, SimpleNamespace(members=members), lease, heartbeats)
+        zones = {"north", *(name.partition("-")[0] for name in ages_s)}
+        view = SimpleNamespace(members=members, expected_zones=zones)
+        self.connectivity = Connectivity(peers, view, lease, heartbeats)
         self.connectivity._connected_s = UNLINKED
 
     def _running_at_s(self, member_id):
@@ -58,6 +62,7 @@
         ({"south-1": 9.0, "south-2": 0.3, "west-1": 0.4}, 30.0, False, 0.4, []),
         ({"south-1": 0.2, "west-1": 5.0}, 30.0, False, 5.0, []),
         ({"south-1": 0.2, "west-1": NEVER, "west-2": NEVER}, 6.0, False, 6.0, ["west"]),
+        ({"south-1": 0.2, "west": NEVER}, 6.0, False, 6.0, []),
         ({"north-2": NEVER}, NEVER, False, 0.0, []),
         ({}, NEVER, False, 0.0, []),
     ],
