--- a/camphorchute/durable_jobs/tests/test_retained_ends.py
+++ b/camphorchute/durable_jobs/tests/test_retained_ends.py
@@ -12,7 +12,7 @@
 from camphorchute.durable_jobs.shard_claims import PreviousOwner
 from camphorchute.durable_jobs.shard_context import ShardContext
 from camphorchute.durable_jobs.tests.fakes import FakePeers, FakeView
-from camphorchute.durable_jobs.tests.test_shard import JOB_ID, SHARD, TERM, Site, make_record
+from camphorchute.durable_jobs.tests.shard_site import JOB_ID, SHARD, TERM, Site, make_record
 from camphorchute.hosting import StoredValue, StoreUnavailable
 from camphorchute.queues import TaskState
 from camphorchute.runs import leased_worker, retained_ends, shard_of
--- a/camphorchute/platform/tests/test_stored_values.py
+++ b/camphorchute/platform/tests/test_stored_values.py
@@ -14,7 +14,7 @@
 from camphorchute.contracts.resources import Resources
 from camphorchute.durable_jobs import DurableJobRecord, job_key
 from camphorchute.durable_jobs.shard_owner import _decode_queued_counts
-from camphorchute.durable_jobs.tests.test_shard import JOB_ID, WORKERS, Site, recovered
+from camphorchute.durable_jobs.tests.shard_site import JOB_ID, WORKERS, Site, recovered
 from camphorchute.durable_jobs.tests.test_shard_owner import Site as OwnerSite
 from camphorchute.hosting import Queue, StoredValue, make_platform
 from camphorchute.platform.json_client import AnswerLost
