Log starts that show a wrong view of a worker, with the age of its clock reading

The counter `runs.start_refused.too_late` says that starts are refused, but no line says at which worker, nor how old the reading is that the lease was computed from, so that a slow path and an old reading look alike.

A start refused as too late, as outdated or by another incarnation is logged with the worker and the age of the last reading of its clock.

--- a/camphorchute/runs/run_commands.py
+++ b/camphorchute/runs/run_commands.py
@@ -34,6 +34,10 @@
 START_RETRY_PAUSE_MAX_MS = 320.0
 START_DELAY_MAX_MS = PAUSE_MIN_MS
 MS_PER_S = 1000.0
+# Refusals that show that the scheduler has a wrong view of the worker.
+WRONG_VIEW_REASONS = frozenset(
+    {RefusalReason.TOO_LATE, RefusalReason.OLD_RUN, RefusalReason.OTHER_INCARNATION}
+)
 
 
 class RunCommands:
@@ -204,6 +208,16 @@
         A worker that refuses a run as outdated may have a later run of the task.
         """
         self._count(f"runs.start_refused.{reason.name.lower()}")
+        if reason in WRONG_VIEW_REASONS:
+            log_decision(
+                "runs",
+                "start refused",
+                task=run.task.name,
+                run=run.number,
+                worker=run.worker_id,
+                reason=reason.name.lower(),
+                clock_age_ms=round(self._worker.leases.clock_age_ms()),
+            )
         pause_ms = NO_CAPACITY_PAUSE_MS if reason is RefusalReason.NO_ROOM else RETRY_PAUSE_MS
         if reason is RefusalReason.UNHEALTHY:
             pause_ms = UNHEALTHY_PAUSE_MS
--- a/camphorchute/runs/worker_leases.py
+++ b/camphorchute/runs/worker_leases.py
@@ -71,6 +71,10 @@
         self._clock_ms = clock_ms
         self._clock_read_s = time.monotonic()
 
+    def clock_age_ms(self) -> float:
+        """Return how long ago the worker's clock was read, in milliseconds."""
+        return (time.monotonic() - self._clock_read_s) * MS_PER_S
+
     def grant(self, end_s: float = float("inf")) -> float:
         """Return the time on the worker's clock until which a lease granted now lasts.
 
@@ -155,5 +159,4 @@
 
     def _worker_now_ms(self) -> float:
         """Return the time on the worker's clock, which may be later if that clock is exact."""
-        since_ms = (time.monotonic() - self._clock_read_s) * MS_PER_S
-        return self._clock_ms + since_ms * (1 - CLOCK_DRIFT_RATIO)
+        return self._clock_ms + self.clock_age_ms() * (1 - CLOCK_DRIFT_RATIO)
