Read a worker's clock before a start if the last reading is old

Cause: a lease ends at a time of the worker's clock, which is estimated from the last reading at the low end of 2 % drift. An idle worker is not polled, so that after 42.5 s a new lease of 850 ms had expired when it was granted, and a refused start led to no poll.

A slow path was ruled out: the answers take milliseconds, and workers that had runs refused nothing.

A start waits for a poll where the doubt about the clock exceeds a tenth of the lease, and a poll grants no lease on such a reading. Refusals that show a wrong view of the worker discard the reading, so no start follows them before the worker was polled.

--- a/camphorchute/runs/leased_worker.py
+++ b/camphorchute/runs/leased_worker.py
@@ -44,6 +44,7 @@
 IDLE_POLL_INTERVAL_S = 1.0
 BOUND_TASK_POLL_INTERVAL_S = 0.1
 UNACKNOWLEDGED_POLL_INTERVAL_MS = 15.0
+CLOCK_WAIT_MS = 150.0
 START_LEASE_MIN_MS = 400.0
 SILENT_OWNER_STOP_MS = 250.0  # before the lease ends: for the stop, its end and a renewal
 LISTED_COMPLETIONS_MAX = 350  # a worker lists 500 at a time, and others end while runs start
@@ -118,6 +119,7 @@
         "_listing_reader",
         "_earlier_runs",
         "_poll_requested",
+        "_poll_ended",
         "_is_poll_repeated",
         "_greenlet",
         "is_closed",
@@ -159,6 +161,7 @@
         self._listing_reader = ListingReader(self, count)
         self._earlier_runs = EarlierRuns(self._commands.bar_in_background)
         self._poll_requested = Event()
+        self._poll_ended = Event()
         self._is_poll_repeated = False
         self._greenlet: gevent.Greenlet | None = None
         self.is_closed = False
@@ -197,6 +200,23 @@
         """Poll the worker even if it is idle, to send the latest acknowledgement."""
         self._poll_requested.set()
 
+    def refresh_clock(self) -> bool:
+        """Poll the worker to read its clock; return whether the last reading is recent now.
+
+        An idle worker is not polled, so its clock may have drifted by more than a lease lasts.
+        """
+        if self.health.is_responsive:
+            self._count("runs.clock_refreshed")
+            self._poll_ended.clear()
+            self._poll_requested.set()
+            wait_for_event(self._poll_ended, CLOCK_WAIT_MS / MS_PER_S)
+        return self.leases.is_clock_recent()
+
+    def correct_view(self) -> None:
+        """Poll the worker before anything is started on it, as it has refused a known command."""
+        self.leases.discard_clock()
+        self._poll_requested.set()
+
     def rule_out(self, earlier_run: EarlierRun) -> None:
         """Find out whether an earlier run is active here; bar its start if not."""
         self._earlier_runs.add(earlier_run)
@@ -400,6 +420,7 @@
             if not self.is_closed:
                 self._bar_starts_of_ended_tasks()
                 self._poll()
+                self._poll_ended.set()
                 self._expire_unresponsive()
                 self._expire_orphans()
                 self._repeat_stops()
@@ -461,7 +482,8 @@
         A lease applies to every run of the worker, so the owner of which there was no news for the
         longest time decides how long it lasts. An orphan ends with the lease that the earlier
         scheduler has granted unless its owner asks for it; that scheduler counts on it. The stop
-        command of a run that must end may be lost, and its task started elsewhere.
+        command of a run that must end may be lost, and its task started elsewhere. The answer to a
+        poll without a lease has the reading of the clock that the next lease needs.
 
         Returns:
             The time on the worker's clock until which the lease lasts, None if none is granted.
@@ -472,6 +494,8 @@
         if self.orphans or self._unwanted_runs():
             self._count("runs.lease_withheld")
             return None
+        if not self.leases.is_clock_recent():
+            return None
         return self.leases.grant(self._lease_end_s())
 
     def _lease_end_s(self) -> float:
@@ -510,6 +534,8 @@
         is_unreachable = not (self.synced and self.health.is_responsive)
         if is_unreachable or self.completions or self._is_poll_repeated:
             return 0.0
+        if not self.leases.is_clock_recent():
+            return 0.0
         is_any_unwanted = bool(self.orphans or self._unwanted_runs())
         return poll_wait_ms(
             self.runs.values(), self.speed.value, is_any_unwanted, bool(self._earlier_runs)
--- a/camphorchute/runs/run_commands.py
+++ b/camphorchute/runs/run_commands.py
@@ -78,25 +78,35 @@
             return
         pause_ms = START_RETRY_PAUSE_MS
         while self._worker.holds(run) and run.state is not RunState.RUNNING:
-            if self._worker.is_closed:
-                self._abandon_start(run)
+            if self._is_start_over(run):
                 return
-            if run.stop_requested and run.state is RunState.ORDERED:
-                self._give_up_run(run, "stopped")  # no command was sent yet
-                return
-            if run.stop_requested and run.state is RunState.UNKNOWN:
-                self.send_stop(run.task.name, run.number)
-                return
-            if not self._may_send_start(run):
-                self._give_up_unsent_start(run)
-                return
-            if self._worker.health.is_responsive or run.state is RunState.ORDERED:
+            if not self._worker.leases.is_clock_recent():
+                if self._worker.refresh_clock():
+                    continue
+                if run.state is RunState.ORDERED and not self._worker.health.is_responsive:
+                    self._give_up_run(run, "clock_unknown")
+                    return
+            elif self._worker.health.is_responsive or run.state is RunState.ORDERED:
                 if self._try_start(run):
                     return
                 self._count("runs.retry.start")
             gevent.sleep(pause_ms / MS_PER_S)
             pause_ms = min(START_RETRY_PAUSE_MAX_MS, 2 * pause_ms)
 
+    def _is_start_over(self, run: Run) -> bool:
+        """Give up a run whose start must not be sent, or not again; return whether it is one."""
+        if self._worker.is_closed:
+            self._abandon_start(run)
+        elif run.stop_requested and run.state is RunState.ORDERED:
+            self._give_up_run(run, "stopped")  # no command was sent yet
+        elif run.stop_requested and run.state is RunState.UNKNOWN:
+            self.send_stop(run.task.name, run.number)
+        elif not self._may_send_start(run):
+            self._give_up_unsent_start(run)
+        else:
+            return False
+        return True
+
     def _wait_until_witnessed(self, run: Run) -> bool:
         """Wait until witnesses know of the start of a run; return whether it may take place.
 
@@ -218,6 +228,7 @@
                 reason=reason.name.lower(),
                 clock_age_ms=round(self._worker.leases.clock_age_ms()),
             )
+            self._worker.correct_view()
         pause_ms = NO_CAPACITY_PAUSE_MS if reason is RefusalReason.NO_ROOM else RETRY_PAUSE_MS
         if reason is RefusalReason.UNHEALTHY:
             pause_ms = UNHEALTHY_PAUSE_MS
--- a/camphorchute/runs/tests/model_workers.py
+++ b/camphorchute/runs/tests/model_workers.py
@@ -100,11 +100,16 @@
         late_s: for the kinds of commands that are all carried out late, without an answer, after
             how many seconds.
         is_silent: whether no command is executed or answered.
+        clock_offset_ms: reading of its clock at time 0.
+        clock_rate: rate of its clock, below 1.0 if it is slow.
+        refuses_late_starts: whether it refuses a start whose lease has expired; otherwise the run
+            lapses at once.
         slots: number of runs that its capacity suffices for.
         listed_max: how many completions a list has at most.
         list_step_s: how often it looks for a new completion while a poll waits for one.
     """
 
+    refuses_late_starts = False
     listed_max = 500
     list_step_s = 0.002
 
@@ -113,6 +118,7 @@
         self.incarnation, self.is_silent, self.slots = 1, False, 2
         self.runs, self.held = [], {"start": [], "stop": [], "list": []}
         self.late_s = {}
+        self.clock_offset_ms, self.clock_rate = CLOCK_OFFSET_MS, 1.0
         self._forget()
 
     def _forget(self):
@@ -134,6 +140,10 @@
         self.incarnation += 1
         self._forget()
 
+    def clock_ms(self):
+        """Return the reading of its clock."""
+        return self.clock_offset_ms + time.monotonic() * 1000 * self.clock_rate
+
     def active(self):
         """Return the active runs of this incarnation."""
         return [run for run in self.present_runs if run.is_active()]
@@ -184,7 +194,7 @@
             raise CommandRefused(RefusalReason.OTHER_INCARNATION)
         if self._is_silent():
             raise CommandUnanswered("silent")
-        listing.clock_ms = self._clock_ms()
+        listing.clock_ms = worker.clock_ms()
         listing.running = [ListedRun(run.task, run.number) for run in worker.active()]
         listing.completions = self._new_completions(acknowledged)[: worker.listed_max]
         listing.is_complete = len(listing.completions) < worker.listed_max
@@ -231,13 +241,15 @@
         lease_end_s = self._extend_leases(lease_until_ms)
         active = [run.number for run in worker.active() if run.task == command.task]
         if command.run in active:
-            return self._clock_ms()
+            return worker.clock_ms()
         if active:
             raise CommandRefused(RefusalReason.OLD_RUN)
         if command.run <= worker.highest_number(command.task):
             raise CommandRefused(RefusalReason.OLD_RUN)
+        if worker.refuses_late_starts and lease_end_s <= time.monotonic():
+            raise CommandRefused(RefusalReason.TOO_LATE)
         worker.start(command.task, command.run, lease_end_s - time.monotonic())
-        return self._clock_ms()
+        return worker.clock_ms()
 
     def _stop(self, task, number, fencing_token):
         worker = self._worker
@@ -246,7 +258,7 @@
         for run in worker.active():
             if run.task == task and run.number <= number:
                 run.stopped_s = min(run.stopped_s, time.monotonic() + STOP_S)
-        return self._clock_ms()
+        return worker.clock_ms()
 
     def _renew(self, fencing_token, lease_until_ms):
         self._worker.check_fence(fencing_token)
@@ -254,19 +266,17 @@
             self._extend_leases(lease_until_ms)
         if self._worker.incarnation != self._incarnation:
             raise CommandRefused(RefusalReason.OTHER_INCARNATION)
-        return RunListing(self._clock_ms(), [], [])
+        return RunListing(self._worker.clock_ms(), [], [])
 
     def _extend_leases(self, lease_until_ms):
         """Extend the leases of all active runs, and shorten none; return the end of a new lease."""
-        end_s = (lease_until_ms - CLOCK_OFFSET_MS) / 1000 + self._late_by_s
+        lease_ms = lease_until_ms - self._worker.clock_ms()
+        end_s = time.monotonic() + lease_ms / 1000 / self._worker.clock_rate + self._late_by_s
         end_s = min(time.monotonic() + LEASE_S, end_s)
         for run in self._worker.active():
             run.lease_s = max(run.lease_s, end_s)
         return end_s
 
-    def _clock_ms(self):
-        return CLOCK_OFFSET_MS + time.monotonic() * 1000
-
     def _new_completions(self, acknowledged):
         worker = self._worker
         for run in worker.present_runs:
--- a/camphorchute/runs/worker_leases.py
+++ b/camphorchute/runs/worker_leases.py
@@ -18,6 +18,8 @@
 LEASE_MAX_MS = 1000.0  # of an earlier version
 CLOCK_DRIFT_RATIO = 0.02
 LEASE_MARGIN_MS = 80.0
+CLOCK_DOUBT_MAX_MS = 0.1 * LEASE_MS
+CLOCK_AGE_MAX_MS = CLOCK_DOUBT_MAX_MS / CLOCK_DRIFT_RATIO
 LONGEST_LEASE_MS = LEASE_MAX_MS * (1 + CLOCK_DRIFT_RATIO) + LEASE_MARGIN_MS
 ORPHAN_GRACE_MS = 300.0  # short, as the caller of a job that has ended repeats it after 1.3 s
 SILENCE_MARGIN_MS = 1000.0
@@ -29,6 +31,10 @@
 class WorkerLeases:
     """The leases of the runs on a worker, whoever granted them.
 
+    A lease ends at a time of the worker's clock. That is estimated from the last reading, at the
+    low end of the permitted drift, so a lease that is granted on an old reading is short or has
+    expired already. Callers read the clock again unless :meth:`is_clock_recent`.
+
     Attributes:
         expiry_s: monotonic time in seconds by which every lease known here has expired,
             also if the worker's clock is slow.
@@ -38,7 +44,11 @@
 
     Examples:
         >>> leases = WorkerLeases()
+        >>> leases.is_clock_recent()
+        False
         >>> leases.read_clock(5000.0)
+        >>> leases.is_clock_recent()
+        True
         >>> 5800.0 <= leases.grant() < 5900.0
         True
         >>> shorter = WorkerLeases()
@@ -54,6 +64,7 @@
         "in_force_until_s",
         "_clock_ms",
         "_clock_read_s",
+        "_is_clock_known",
         "_granted_until_ms",
         "_unanswered_s",
     )
@@ -64,12 +75,22 @@
         self._granted_until_ms = 0.0
         self._clock_ms = 0.0
         self._clock_read_s = 0.0
+        self._is_clock_known = False
         self._unanswered_s: list[float] = []
 
     def read_clock(self, clock_ms: float) -> None:
         """Record a reading of the worker's clock that was just received."""
         self._clock_ms = clock_ms
         self._clock_read_s = time.monotonic()
+        self._is_clock_known = True
+
+    def discard_clock(self) -> None:
+        """Forget the last reading of the worker's clock, since a refusal shows that it is wrong."""
+        self._is_clock_known = False
+
+    def is_clock_recent(self) -> bool:
+        """Whether a lease can be granted on the last reading of the worker's clock."""
+        return self._is_clock_known and self.clock_age_ms() <= CLOCK_AGE_MAX_MS
 
     def clock_age_ms(self) -> float:
         """Return how long ago the worker's clock was read, in milliseconds."""
