Send at most 16 changes in a call to the platform's store

Cause: a call takes 32 entries, and a condition is one of them, so that the 32 changes of a full batch, each with a condition, make 64. The store refuses them, and the writer sends them again without end.

The stand-in store refuses calls of more entries now, so that tests can fail. test_largest_call_of_swap_all_is_accepted fails with 32 changes and passes with 16.

--- a/bench/standins/fleet_store.py
+++ b/bench/standins/fleet_store.py
@@ -14,6 +14,7 @@
 MAX_PAGE_ITEMS = 500
 PROTECTED_PREFIXES = ("op/", "servers/")
 MS_PER_S = 1000
+ENTRIES_MAX = 32  # of a transaction, each condition being one
 
 
 class FleetStoreFaults(Faults):
@@ -204,6 +205,9 @@
         puts, removed = body.get("puts", []), body.get("remove", [])
         if any(key.startswith(PROTECTED_PREFIXES) for key in [p["key"] for p in puts] + removed):
             return Reply({"error": "protected"}, 403)
+        entries = sum(len(body.get(name, [])) for name in ("if-revision", "puts", "remove"))
+        if entries > ENTRIES_MAX:
+            return Reply({"error": f"{entries} entries, at most {ENTRIES_MAX}"}, 400)
         failed_items = [
             self.items.get(condition["key"], {"key": condition["key"], "revision": 0})
             for condition in body.get("if-revision", [])
--- a/camphorchute/platform/kv_store.py
+++ b/camphorchute/platform/kv_store.py
@@ -33,6 +33,7 @@
 ANSWER_PROGRESS_MS = 1000.0
 MS_PER_S = 1000
 MAX_IDLE_WATCH_CONNECTIONS = 4
+ENTRIES_MAX = 32
 HTTP_OK, HTTP_NOT_FOUND, HTTP_GONE, HTTP_CONDITION_FAILED = 200, 404, 410, 412
 HTTP_UNAVAILABLE = 503
 CLIENT_ERRORS = range(400, 500)
@@ -46,6 +47,8 @@
         address: ``IP:port`` of the store.
     """
 
+    max_changes = ENTRIES_MAX // 2  # a change is a condition and a write
+
     def __init__(self, address: str) -> None:
         super().__init__()
         self.calls = Counter()
--- a/camphorchute/platform/tests/test_kv_store.py
+++ b/camphorchute/platform/tests/test_kv_store.py
@@ -47,6 +47,14 @@
     assert store.get(KEY) is None
 
 
+# Guards against calls that the store refuses for their size: each condition counts as an entry.
+def test_largest_call_of_swap_all_is_accepted(store):
+    changes = [ConditionalWrite(f"k{n}", b"1", 0) for n in range(store.max_changes)]
+    first = store.swap_all(changes)
+    removals = [ConditionalWrite(change.key, None, first) for change in changes]
+    assert store.swap_all(removals) > first
+
+
 def test_swap_all_writes_all_keys_or_none(store):
     first = store.swap_all([ConditionalWrite("a", b"1", 0), ConditionalWrite("b", b"2", 0)])
     assert store.get("a").mod_revision == store.get("b").mod_revision == first
