Count the queued jobs of each shard until its next owner has counted them

Cause: each process published one number for all its shards under its own lease. It was lost with the lease, the next owner published before it had read the shard, and a sum over these keys can't tell a shard without jobs from one that nobody has counted. A hand-over without a kill has the same cause.

A shard has a count of its own now, with the term of its owner and without a lease. The sum goes over all shards that need an owner; where one has no count of the present term, nor one that was in force within the last 2 s, the number is refused with 503 count_unknown and Retry-After. Counts of one process share a call, at most one a second as before.

--- a/camphorchute/contracts/codes.py
+++ b/camphorchute/contracts/codes.py
@@ -83,6 +83,7 @@
     STORE_UNAVAILABLE = 504
     CONFIRM_UNKNOWN = 505
     VALUE_TOO_LARGE = 506
+    COUNT_UNKNOWN = 507
 
     STALE_TERM = 601
     NOT_OWNER = 602
@@ -315,6 +316,14 @@
         "Confirm the same plan again; a repeat is recognised.",
     ),
     (_C.VALUE_TOO_LARGE, 413, Fate.NONE, False, "The value is too large to store.", _CORRECT),
+    (
+        _C.COUNT_UNKNOWN,
+        503,
+        Fate.NONE,
+        True,
+        "The number of jobs is not known at the moment.",
+        "Ask again after Retry-After.",
+    ),
     (_C.STALE_TERM, 409, _UNKNOWN, True, "The sender's ownership record is old.", "Refresh it."),
     (
         _C.NOT_OWNER,
--- a/camphorchute/durable_jobs/shard.py
+++ b/camphorchute/durable_jobs/shard.py
@@ -67,6 +67,9 @@
         lease_id: lease that the claim is bound to.
         previous_owner: what is known of the owner before this one.
         context: the collaborators that all shards share.
+
+    Attributes:
+        is_recovered: whether the jobs have been read, and the schedulers asked for their tasks.
     """
 
     def __init__(
@@ -86,6 +89,7 @@
         self._ended_jobs: dict[str, _EndedJob] = {}
         self._loaded = False
         self._closed = False
+        self.is_recovered = False
         self._search = RunSearch(
             self._term,
             context,
@@ -103,6 +107,11 @@
         )
         self._greenlets: list[gevent.Greenlet] = []
 
+    @property
+    def term(self) -> int:
+        """Term of the ownership."""
+        return self._term.number
+
     def start(self) -> None:
         """Start the recovery of the shard and the removal of expired records."""
         self._greenlets = [
@@ -269,6 +278,7 @@
         if self._search.run_round():
             self._search.start()
         self._mark_recovered()
+        self.is_recovered = True
         open_jobs = len(self._runs)
         log_message(
             message_type="keeping",
--- a/camphorchute/durable_jobs/shard_claims.py
+++ b/camphorchute/durable_jobs/shard_claims.py
@@ -111,6 +111,18 @@
         """Return the member that owns a shard, None if no live owner is known."""
         return self._view.members.get(self._holder_id(shard))
 
+    def term_of(self, shard: int) -> int:
+        """Return the term of the member that owns a shard, 0 if no live owner is known."""
+        return 0 if self.owner_of(shard) is None else self._claims[_claim_key(shard)].mod_revision
+
+    def needs_owner(self, shard: int) -> bool:
+        """Return whether a shard has or needs an owner, as it may have durable jobs."""
+        return _claim_key(shard) in self._claims or self.markers.needs_owner(shard)
+
+    def knows_shards(self) -> bool:
+        """Whether this process knows which shards need an owner, as soon as it sees itself."""
+        return self.markers.is_loaded and self._member.member_id in self._view.members
+
     def ownership_stable_ms(self) -> float:
         """Return for how long all shards that need one have had live owners, in milliseconds."""
         return (time.monotonic() - self._stable_since_s) * MS_PER_S
@@ -118,7 +130,7 @@
     def _check_all(self) -> None:
         gevent.sleep(START_DELAY_MS / MS_PER_S)
         while True:
-            if not self._knows_shards():
+            if not self.knows_shards():
                 self._stable_since_s = time.monotonic()
             for shard in range(SHARD_COUNT):
                 self._check_shard(shard)
@@ -126,10 +138,6 @@
                 self._store.outage.record_answer(STORE_USER)
             gevent.sleep(until_next_tick_s(CHECK_INTERVAL_MS))
 
-    def _knows_shards(self) -> bool:
-        """Whether this process knows which shards need an owner, as soon as it sees itself."""
-        return self.markers.is_loaded and self._member.member_id in self._view.members
-
     def _check_shard(self, shard: int) -> None:
         current = self._claims.get(_claim_key(shard))
         if current is not None:
--- a/camphorchute/durable_jobs/shard_owner.py
+++ b/camphorchute/durable_jobs/shard_owner.py
@@ -3,24 +3,21 @@
 import time
 
 import gevent
-import msgspec
 
-from camphorchute.cluster import OWN_PREFIX
 from camphorchute.contracts import Refusal, ResultCode
 from camphorchute.contracts.batch_job import BatchJob
 from camphorchute.contracts.durable_job_messages import AskKeptJob, KeptJobIs, KeptJobWritten
 from camphorchute.contracts.member import Member
-from camphorchute.contracts.stored_values import Count, decode_json
 from camphorchute.decision_log import log_decision
 from camphorchute.durable_jobs.durability_checks import DurabilityChecks
 from camphorchute.durable_jobs.durable_job_record import DurableJobRecord, DurableJobState, job_key
 from camphorchute.durable_jobs.end_confirmations import EndConfirmations
+from camphorchute.durable_jobs.queued_counts import QueuedCounts
 from camphorchute.durable_jobs.shard import JobShard
 from camphorchute.durable_jobs.shard_claims import PreviousOwner, ShardClaims
 from camphorchute.durable_jobs.shard_context import ShardContext
 from camphorchute.hosting import Queue, StoredValue, StoreUnavailable, SwapConflict, SwapUnknown
 from camphorchute.links import LinkLost, handles
-from camphorchute.loops import spawn_loop
 from camphorchute.queues import FreeCapacityView
 from camphorchute.queues.service_zones import make_evacuated_refusal
 from camphorchute.retry_after import spread_retry_after_ms
@@ -28,9 +25,7 @@
 
 __all__ = ["ShardOwner"]
 
-QUEUED_COUNTS_PREFIX = OWN_PREFIX + "waiting/"
 STATE_REQUEST_TIMEOUT_MS = 300.0
-QUEUED_COUNTS_INTERVAL_MS = 1000.0
 MAX_WAIT_PER_TARGET_TIME = 3.0
 SUBMIT_TIMEOUT_MS = 2500.0
 SUBMIT_RETRY_MS = 100.0
@@ -67,24 +62,19 @@
         self._shards: dict[int, JobShard] = {}
         self._durability_checks = DurabilityChecks(context.store, context.count)
         self.end_confirmations = EndConfirmations(member, claims, self._shards.get, context)
-        self._queued_counts = context.view.track_prefix(QUEUED_COUNTS_PREFIX)
-        self._published_counts: dict[str, int] = {}
-        self._published_revision = 0
-        self._published_lease_id = 0
-        self._greenlet: gevent.Greenlet | None = None
+        self._queued_counts = QueuedCounts(claims, self._shards, context)
         claims.on_acquired = self._open_shard
         claims.on_lost = self._close_shard
 
     def start(self) -> None:
-        """Start publishing the number of queued jobs, and looking up ends in the store."""
-        self._greenlet = spawn_loop("keeping", self._publish_queued_counts, self._context.count)
+        """Start publishing the numbers of queued jobs, and looking up ends in the store."""
+        self._queued_counts.start()
         self.end_confirmations.start()
 
     def close(self) -> None:
         """Stop the shards; releasing their claims is left to the shard claims."""
         self.end_confirmations.close()
-        if self._greenlet is not None:
-            self._greenlet.kill(block=False)
+        self._queued_counts.close()
         for shard in self._shards.values():
             shard.close()
 
@@ -198,13 +188,12 @@
                 gevent.sleep(CANCEL_RETRY_MS / MS_PER_S)
 
     def count_unstarted_jobs(self, queue: str) -> int:
-        """Return the number of a queue's jobs in all shards of which no task has been started."""
-        own_key = QUEUED_COUNTS_PREFIX + self._member.member_id
-        total = sum(shard.count_queued_jobs().get(queue, 0) for shard in self._shards.values())
-        for key, value in self._queued_counts.items():
-            if key != own_key:
-                total += _decode_queued_counts(value.value).get(queue, 0)
-        return total
+        """Return the number of a queue's jobs in all shards of which no task has been started.
+
+        Raises:
+            Refusal: it is not known.
+        """
+        return self._queued_counts.total(queue)
 
     @handles(AskKeptJob, nonblocking=True)
     def answer_job_state(self, peer: Member, message: AskKeptJob) -> KeptJobIs:
@@ -299,44 +288,3 @@
     def _store_unavailable_refusal(self, error: Exception) -> Refusal:
         self._context.count("keeping.refused.store_unavailable")
         return Refusal(ResultCode.STORE_UNAVAILABLE, str(error), spread_retry_after_ms())
-
-    def _publish_queued_counts(self) -> None:
-        """Write the number of queued jobs to the store whenever it has changed."""
-        while True:
-            gevent.sleep(QUEUED_COUNTS_INTERVAL_MS / MS_PER_S)
-            counts: dict[str, int] = {}
-            for shard in self._shards.values():
-                for queue, jobs in shard.count_queued_jobs().items():
-                    counts[queue] = counts.get(queue, 0) + jobs
-            lease_id = self._context.lease.lease_id
-            if lease_id and (
-                counts != self._published_counts
-                or (counts and lease_id != self._published_lease_id)
-            ):
-                self._write_queued_counts(counts, lease_id)
-
-    def _write_queued_counts(self, counts: dict[str, int], lease_id: int) -> None:
-        key = QUEUED_COUNTS_PREFIX + self._member.member_id
-        value = msgspec.json.encode(counts)
-        try:
-            revision = self._context.store.swap(key, value, self._published_revision, lease_id)
-        except SwapConflict as conflict:
-            self._published_revision = (
-                0 if conflict.current is None else conflict.current.mod_revision
-            )
-        except (SwapUnknown, StoreUnavailable):
-            self._context.count("keeping.retry.tell_waiting")
-        else:
-            self._published_counts, self._published_revision, self._published_lease_id = (
-                counts,
-                revision,
-                lease_id,
-            )
-
-
-def _decode_queued_counts(value: bytes) -> dict[str, int]:
-    """Return the number of queued jobs by queue, none if the bytes are malformed."""
-    try:
-        return decode_json(value, dict[str, Count])
-    except ValueError:
-        return {}
--- a/camphorchute/durable_jobs/tests/fakes.py
+++ b/camphorchute/durable_jobs/tests/fakes.py
@@ -5,10 +5,12 @@
 from camphorchute.contracts.durable_job_messages import KeptTasksAre
 from camphorchute.contracts.member import Member
 from camphorchute.hosting import (
+    ConditionalWrite,
     StoredListing,
     StoredValue,
     StoreUnavailable,
     SwapAllConflict,
+    SwapConflict,
     SwapUnknown,
 )
 from camphorchute.outage_log import OutageLog
@@ -21,6 +23,7 @@
     """An in-memory store of keys with revisions whose calls can be made to fail."""
 
     max_changes = 32
+    watch_interval_s = 0.01
 
     def __init__(self):
         self.items = {}
@@ -50,6 +53,21 @@
             raise SwapUnknown("lost")
         return self.revision
 
+    def swap(self, key, value, expected_revision, lease_id=0):
+        try:
+            revision = self.swap_all([ConditionalWrite(key, value, expected_revision)])
+        except SwapAllConflict as conflict:
+            raise SwapConflict(key, conflict.current_values[key]) from conflict
+        stored = self.items[key]
+        self.items[key] = StoredValue(key, value, stored.mod_revision, lease_id)
+        return revision
+
+    def end_lease(self, lease_id):
+        """Remove the keys that are bound to a lease."""
+        for key, stored in list(self.items.items()):
+            if stored.lease_id == lease_id:
+                self.put(key, None)
+
     def put(self, key, value):
         self.revision += 1
         stored = StoredValue(key, value, self.revision)
@@ -76,7 +94,7 @@
                 if event.mod_revision > last_revision and event.key.startswith(prefix):
                     last_revision = event.mod_revision
                     yield event
-            gevent.sleep(0.01)
+            gevent.sleep(self.watch_interval_s)
 
 
 class FakeLease:
--- a/camphorchute/platform/tests/test_stored_values.py
+++ b/camphorchute/platform/tests/test_stored_values.py
@@ -315,7 +315,7 @@
         site.writer.close()
 
 
-@pytest.mark.parametrize("key", ["keepers/x", "waiting/x", "kept-shards/x", "", "x/y"])
+@pytest.mark.parametrize("key", ["keepers/x", "waiting/x", "queued/x", "kept-shards/x", "", "x/y"])
 @ALL_UNREADABLE
 def test_odd_value_under_the_keys_of_this_system_is_not_fatal(view, key, value):
     view.view.track_prefix(OWN_PREFIX + "keepers/")
