--- a/bench/run_faults/command.py
+++ b/bench/run_faults/command.py
@@ -10,6 +10,7 @@
 
 from bench.run_faults.crash_play import CrashPlay
 from bench.run_faults.faults import FAULTS
+from bench.run_faults.idle_play import IdlePlay
 from bench.run_faults.late_zones_play import LateZonesPlay
 from bench.run_faults.play import play
 from bench.run_faults.shrink_play import ShrinkPlay
@@ -17,7 +18,7 @@
 
 __all__ = ["main"]
 
-ProcessPlay = CrashPlay | ShrinkPlay | ZonesPlay
+ProcessPlay = CrashPlay | IdlePlay | ShrinkPlay | ZonesPlay
 
 
 @click.command()
@@ -33,6 +34,9 @@
 @click.option(
     "--shrinking-capacity", "play_type", flag_value=ShrinkPlay, help="The same, less capacity."
 )
+@click.option(
+    "--idle-service", "play_type", flag_value=IdlePlay, help="A pause without jobs, then a burst."
+)
 @click.option(
     "--lost-owners", "play_type", flag_value=ZonesPlay, help="Four zones, long tasks, lost owners."
 )
--- a/bench/run_faults/hosted_play.py
+++ b/bench/run_faults/hosted_play.py
@@ -17,7 +17,7 @@
 from bench.standins.fleet_site import QUEUE_HOST, QUEUE_PATH_PREFIX, job_body
 from bench.standins.fleet_worker import FleetWorker
 
-__all__ = ["HostedPlay"]
+__all__ = ["HostedPlay", "submit_best_effort"]
 
 ZONE = "north"
 ENTRIES = 3
@@ -140,7 +140,9 @@
                 patience_ms = DEADLINE_MS
                 if rng.random() < GIVE_UP_SHARE:
                     patience_ms = rng.uniform(20, 900)
-                status = _submit(rng.choice(self._fleet.entries), job_id, tasks, patience_ms)
+                status = submit_best_effort(
+                    rng.choice(self._fleet.entries), job_id, tasks, patience_ms
+                )
                 self.statuses[status] += 1
                 if status not in REPEATED_STATUSES:
                     break
@@ -214,7 +216,7 @@
         setattr(worker.faults, name, value)
 
 
-def _submit(entry: HostedEntry, job_id: str, tasks: int, patience_ms: float) -> int:
+def submit_best_effort(entry: HostedEntry, job_id: str, tasks: int, patience_ms: float) -> int:
     """Submit a job and return the status; 0 without an answer until the caller gives up."""
     host, _, port = entry.http_address.rpartition(":")
     connection = http.client.HTTPConnection(host, int(port), timeout=patience_ms / MS_PER_S)
