Take a durable job as begun when a task is placed, not when it is dispatched

Cause: the owner took a job as started once it was dispatched to a scheduler with free capacity, which may hold or return it, and not when it started later.

has_begun follows the notice before a start, reports of runs, and ends, and is taken back when the only started task is returned. Owners in the scheduler's process get the notice for durable tasks too.

--- a/camphorchute/durable_jobs/durable_job_run.py
+++ b/camphorchute/durable_jobs/durable_job_run.py
@@ -71,6 +71,8 @@
         has_unsaved_changes: whether the record has other changes that are not stored yet.
         is_recovered: whether tasks may be dispatched; those in state ``UNKNOWN`` are not.
         is_saving: whether a write is in progress or scheduled.
+        has_begun: whether a task has been started, as far as schedulers have said; a dispatch to a
+            scheduler, which may hold or return the task, is no start.
         outcome_known: set when the job has an outcome that must be stored.
     """
 
@@ -81,6 +83,7 @@
         "has_unsaved_changes",
         "is_recovered",
         "is_saving",
+        "has_begun",
         "outcome_known",
         "_term",
         "_is_owner",
@@ -117,6 +120,7 @@
         for name, places in record.lost_runs.items():
             self._add_stored_lost_runs(name, places)
         self.was_dispatched_with_capacity = any(record.done)
+        self.has_begun = any(record.done) or bool(record.failed_runs or record.lost_runs)
 
     @property
     def term(self) -> ShardTerm:
@@ -219,7 +223,7 @@
     def record_done(self, task: TaskProgress, result: TaskResult) -> None:
         """Record a completed task, and the job as done after its last one, and have it stored."""
         task.state = TaskState.DONE
-        self.was_dispatched_with_capacity = True
+        self.was_dispatched_with_capacity = self.has_begun = True
         self.record.done[result.step].append(result.index)
         if self.is_done():
             self.record.state = DurableJobState.DONE
@@ -231,6 +235,7 @@
         The task runs again unless it has failed as often as its queue allows attempts; the job
         has then failed.
         """
+        self.has_begun = True
         failed_runs = self.record.failed_runs.setdefault(f"{result.step}.{result.index}", [])
         failed_run = f"{result.worker_id or UNKNOWN_WORKER_ID}:{result.run}"
         if failed_run not in failed_runs:
@@ -274,6 +279,7 @@
     def record_placement(self, task: TaskProgress, scheduler_id: str, placed: TaskPlace) -> bool:
         """Record where a task is about to start, and have it stored if the task lost a worker."""
         is_news = super().record_placement(task, scheduler_id, placed)
+        self.has_begun |= is_news
         if is_news and task.lost_runs is not None:
             self.record.suspect_places[f"{placed.step}.{placed.index}"] = placed.place
             self._mark_changed()
@@ -283,6 +289,17 @@
         """Return a task to the backlog, and forget the record of its start."""
         super().record_not_started(task, result)
         self.withdraw_start(result.step, result.index)
+        self.has_begun = bool(self.record.failed_runs) or self._is_any_task_started()
+
+    def _is_any_task_started(self) -> bool:
+        """Whether a task has or may have been started, except for runs that have failed."""
+        return any(
+            task.state in (TaskState.DONE, TaskState.MAY_RUN)
+            or task.lost_runs is not None
+            or (task.state is TaskState.HANDED and task.placed_dispatch == task.dispatch > 0)
+            for step in self.steps
+            for task in step
+        )
 
     def withdraw_start(self, step: int, index: int) -> None:
         """Withdraw the record of a start, as the task waits and was not started.
--- a/camphorchute/durable_jobs/shard.py
+++ b/camphorchute/durable_jobs/shard.py
@@ -140,13 +140,13 @@
         run = self._runs.get(job_id)
         if run is None:
             return ""
-        return "active" if run.was_dispatched_with_capacity else "queued"
+        return "active" if run.has_begun else "queued"
 
     def count_queued_jobs(self) -> dict[str, int]:
         """Return the number of jobs by queue of which no task has been started."""
         queued: dict[str, int] = {}
         for run in self._runs.values():
-            if not run.was_dispatched_with_capacity:
+            if not run.has_begun:
                 queued[run.queue.name] = queued.get(run.queue.name, 0) + 1
         return queued
 
@@ -392,7 +392,7 @@
             task.group, task.scheduler_id = reported.group, scheduler.member_id
             task.state, task.worker_id = TaskState.MAY_RUN, reported.worker_id
             task.place, task.unaccounted_since_s = reported.place, None
-            run.was_dispatched_with_capacity = True
+            run.was_dispatched_with_capacity = run.has_begun = True
 
     def _stop_leftover_run(self, scheduler: Member, reported: ReportedTask, job_id: str) -> None:
         """Stop a run of a job that is no longer open, or have its completion acknowledged."""
--- a/camphorchute/durable_jobs/tests/test_shard.py
+++ b/camphorchute/durable_jobs/tests/test_shard.py
@@ -3,8 +3,11 @@
 
 from camphorchute.contracts.durable_job_messages import EndsSaved, KeptTasksAre, ReportedTask
 from camphorchute.contracts.run_messages import (
+    RunPlace,
     ShardTerm,
     StopTasks,
+    TaskPlace,
+    TaskResult,
     TaskResultKind,
 )
 from camphorchute.durable_jobs import DurableJobState, job_key
@@ -94,6 +97,49 @@
     assert site.stored_record().state is DurableJobState.DONE
 
 
+def dispatch(task, number):
+    task.state, task.scheduler_id, task.dispatch = TaskState.HANDED, "scheduler", number
+
+
+def place(job_run, task):
+    placed = TaskPlace(0, 0, task.dispatch, RunPlace("w1", 100, "w1:1", task.run))
+    assert job_run.record_placement(task, "scheduler", placed)
+
+
+# Guards against a number of pending jobs that leaves out those which a scheduler holds, and counts
+# those which it started after a wait.
+@pytest.mark.parametrize("has_capacity", [True, False])
+@pytest.mark.parametrize(
+    ("is_placed", "is_returned", "is_again", "state"),
+    [
+        (False, False, False, "queued"),
+        (True, False, False, "active"),
+        (False, True, False, "queued"),
+        (True, True, False, "queued"),
+        (True, True, True, "active"),
+    ],
+)
+def test_job_has_begun_once_a_task_is_placed(
+    site, has_capacity, is_placed, is_returned, is_again, state
+):
+    site.put(make_record(tasks=1))
+    shard = site.start_shard()
+    assert wait_until(lambda: recovered(site))
+    job_run = site.job_run()
+    (task,) = job_run.steps[0]
+    dispatch(task, 1)
+    job_run.was_dispatched_with_capacity = has_capacity
+    if is_placed:
+        place(job_run, task)
+    if is_returned:
+        job_run.record_not_started(task, TaskResult(0, 0, 1, TaskResultKind.NOT_STARTED))
+    if is_again:
+        dispatch(task, 2)
+        place(job_run, task)
+    assert shard.job_state(JOB_ID) == state
+    assert shard.count_queued_jobs() == ({"checks": 1} if state == "queued" else {})
+
+
 def test_job_fails_after_as_many_failed_runs_as_its_queue_allows(site):
     site.put(make_record())
     shard = site.start_shard()
--- a/camphorchute/runs/placement_notices.py
+++ b/camphorchute/runs/placement_notices.py
@@ -13,7 +13,8 @@
 
     If the process of the scheduler is killed before a start command is answered, the owner alone
     knows where the run may begin. An owner in the same process is lost with it, so it is told only
-    of tasks that lost a worker before: it stores their places for the next owner.
+    of durable tasks, which it reports to callers as begun, and of tasks that lost a worker before:
+    it stores their places for the next owner.
 
     Args:
         notify: sends a one-way message to an owner; returns whether it could be sent.
@@ -41,7 +42,7 @@
         """
         notices: dict[tuple[str, str], list[TaskPlace]] = {}
         for task in tasks:
-            if task.owner_id == self.own_id and not task.lost_runs:
+            if task.owner_id == self.own_id and not (task.lost_runs or task.is_durable):
                 continue
             message = task.message
             notices.setdefault((task.owner_id, message.job_id), []).append(
--- a/camphorchute/runs/tests/test_placement_notices.py
+++ b/camphorchute/runs/tests/test_placement_notices.py
@@ -1,7 +1,13 @@
 import pytest
 
 from camphorchute.contracts.member import Member
-from camphorchute.contracts.run_messages import RunPlace, TaskPlace, TasksPlaced, TaskToStart
+from camphorchute.contracts.run_messages import (
+    RunPlace,
+    ShardTerm,
+    TaskPlace,
+    TasksPlaced,
+    TaskToStart,
+)
 from camphorchute.hosting import CommandRefused, RefusalReason
 from camphorchute.links.codec import Frame, FrameKind, decode_frame, encode_frame
 from camphorchute.runs.tests.model_workers import Held, ModelSite
@@ -46,16 +52,23 @@
     ]
 
 
-# The next owner did not know where a task that had lost a worker had started again.
+# The next owner did not know where a task that had lost a worker had started again, and an owner of
+# durable tasks not whether they had started.
 @pytest.mark.parametrize(
-    ("own_id", "lost_runs", "expected"),
-    [("", 0, 1), ("other", 0, 1), (OWNER.member_id, 0, 0), (OWNER.member_id, 1, 1)],
+    ("own_id", "lost_runs", "term", "expected"),
+    [
+        ("", 0, None, 1),
+        ("other", 0, None, 1),
+        (OWNER.member_id, 0, None, 0),
+        (OWNER.member_id, 1, None, 1),
+        (OWNER.member_id, 0, ShardTerm(3, 7), 1),
+    ],
 )
-def test_owner_in_the_same_process_is_told_of_tasks_that_lost_a_worker(
-    site, own_id, lost_runs, expected
+def test_owner_in_the_same_process_is_told_of_durable_tasks_and_of_those_that_lost_a_worker(
+    site, own_id, lost_runs, term, expected
 ):
     site.schedulers[0].placement_notices.own_id = own_id
-    message = start_message(1)
+    message = start_message(1, term=term)
     message.tasks = [TaskToStart(0, 1, lost_runs=lost_runs)]
     site.schedulers[0].start_tasks(OWNER, message)
     assert len(site.notices) == expected
