Test malformed counts of queued jobs against the count of a shard

The same odd values are tested against the count of a shard. A malformed count was taken as no jobs; now it must be no count at all, so that the number is refused, and test_queued_counts shows that its owner replaces it.

--- a/camphorchute/durable_jobs/tests/test_queued_counts.py
+++ b/camphorchute/durable_jobs/tests/test_queued_counts.py
@@ -254,7 +254,17 @@
 
 
 @pytest.mark.parametrize(
-    "value", [b"", b"x", b"{}", b'{"term":-1,"jobs":{}}', b'{"term":1,"jobs":{"checks":-5}}']
+    "value",
+    [
+        b"",
+        b"x",
+        b"\xff\xfe",
+        b"{}",
+        b"[" * 5000 + b"]" * 5000,
+        b'{"term":-1,"jobs":{}}',
+        b'{"term":1,"jobs":{"checks":-5}}',
+    ],
+    ids=["empty", "text", "no UTF-8", "no fields", "deep", "negative term", "negative number"],
 )
 def test_malformed_count_of_another_writer_is_replaced(value):
     with VirtualTime():
--- a/camphorchute/platform/tests/test_stored_values.py
+++ b/camphorchute/platform/tests/test_stored_values.py
@@ -12,8 +12,9 @@
 from camphorchute.contracts.batch_job import BatchJob, BatchStep, QueueLimits
 from camphorchute.contracts.member import Member
 from camphorchute.contracts.resources import Resources
+from camphorchute.contracts.stored_values import decode_json
 from camphorchute.durable_jobs import DurableJobRecord, job_key
-from camphorchute.durable_jobs.shard_owner import _decode_queued_counts
+from camphorchute.durable_jobs.queued_counts import _ShardCounts
 from camphorchute.durable_jobs.tests.shard_site import JOB_ID, WORKERS, Site, recovered
 from camphorchute.durable_jobs.tests.test_shard_owner import Site as OwnerSite
 from camphorchute.hosting import Queue, StoredValue, make_platform
@@ -216,13 +217,16 @@
 
 
 @ALL_UNREADABLE
-def test_odd_numbers_of_queued_jobs_count_as_none(value):
-    assert _decode_queued_counts(value) == {}
+def test_odd_numbers_of_queued_jobs_are_unknown(value):
+    with pytest.raises(ValueError):
+        decode_json(value, _ShardCounts)
 
 
 @pytest.mark.parametrize("count", [-1, 10**30, 1.5, "2", None])
-def test_odd_number_of_queued_jobs_counts_as_none(count):
-    assert _decode_queued_counts(json.dumps({"checks": count}).encode()) == {}
+def test_odd_number_of_queued_jobs_is_unknown(count):
+    value = json.dumps({"term": 1, "jobs": {"checks": count}}).encode()
+    with pytest.raises(ValueError):
+        decode_json(value, _ShardCounts)
 
 
 def make_record(**fields):
